--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the running system."""
--- /dev/null
+++ b/kumquatwalk/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission at a target: concurrency limit, queue and admission level."""
--- /dev/null
+++ b/kumquatwalk/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and targets."""
--- /dev/null
+++ b/kumquatwalk/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run of a non-idempotent call."""
--- /dev/null
+++ b/kumquatwalk/link/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes."""
--- /dev/null
+++ b/kumquatwalk/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and latency histograms."""
--- /dev/null
+++ b/kumquatwalk/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: settings and composition root."""
--- /dev/null
+++ b/kumquatwalk/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/kumquatwalk/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target for a call."""
--- /dev/null
+++ b/kumquatwalk/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, targets and callers."""
--- /dev/null
+++ b/kumquatwalk/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package as a whole."""
