--- /dev/null
+++ b/kumquatwalk/__main__.py
@@ -0,0 +1,6 @@
+"""Run the program with ``python -m kumquatwalk``."""
+
+from kumquatwalk.cli.main import main
+
+if __name__ == "__main__":
+    main(prog_name="kumquatwalk")
