--- /dev/null
+++ b/kumquatwalk/metrics/label.py
@@ -0,0 +1,18 @@
+"""Label of a metric."""
+
+import dataclasses
+
+__all__ = ["Label"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Label:
+    """Name and value that tell apart the series of one metric.
+
+    Attributes:
+        name: Lower case words joined by underscores.
+        value: Any text.
+    """
+
+    name: str
+    value: str
--- /dev/null
+++ b/kumquatwalk/node/address.py
@@ -0,0 +1,26 @@
+"""Address of a process: IP number and port."""
+
+import dataclasses
+
+__all__ = ["Address"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """IP number and port.
+
+    Attributes:
+        host: IP number.
+        port: TCP or UDP port.
+
+    Example:
+        >>> str(Address("127.0.0.1", 8080))
+        '127.0.0.1:8080'
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
--- /dev/null
+++ b/kumquatwalk/node/settings_check.py
@@ -0,0 +1,116 @@
+"""Check of a node's settings."""
+
+import difflib
+import itertools
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from kumquatwalk.exception import SettingError
+from kumquatwalk.node.settings import NodeSettings
+from kumquatwalk.node.settings_kinds import describe_range
+from kumquatwalk.node.settings_kinds import make_setting_error
+from kumquatwalk.node.settings_kinds import parse_value
+from kumquatwalk.node.settings_spec import SETTING_SPECS
+from kumquatwalk.node.settings_spec import SettingSpec
+from kumquatwalk.node.settings_spec import VARIABLE_PREFIX
+
+__all__ = ["check_settings", "find_unknown_variables", "suggest_variable"]
+
+# Variables of commands other than ``node``.
+_OTHER_VARIABLES = frozenset((VARIABLE_PREFIX + "NODE",))
+_TCP_PORTS = (
+    ("http_port", "host"),
+    ("local_port", "local_host"),
+    ("link_port", "host"),
+)
+
+
+def check_settings(texts: Mapping[str, str | None]) -> NodeSettings:
+    """Return the settings that the texts stand for.
+
+    Args:
+        texts: Text of each setting by its name, as given on the command line
+            or in the environment; defaults stand in for missing ones.
+
+    Returns:
+        The settings, all within their ranges and consistent.
+
+    Raises:
+        SettingError: A setting is missing, unknown, malformed, out of its
+            range or at odds with another; the message names it.
+
+    Example:
+        >>> texts = {"node_id": "a1", "zone": "a", "host": "127.0.0.1"}
+        >>> check_settings(texts).http_port
+        8080
+    """
+    names = {spec.name for spec in SETTING_SPECS}
+    for name in sorted(texts.keys() - names):
+        raise make_setting_error(name, texts[name], "no such setting")
+    values = {
+        spec.name: _check_value(spec, texts.get(spec.name))
+        for spec in SETTING_SPECS
+    }
+    settings = NodeSettings(**values)
+    _check_ports(settings)
+    return settings
+
+
+def find_unknown_variables(names: Iterable[str]) -> tuple[str, ...]:
+    """Return the variables with our prefix that no command reads, sorted.
+
+    Args:
+        names: Names of the environment variables of the process.
+
+    Example:
+        >>> find_unknown_variables(["HOME", "KUMQUATWALK_ZNE"])
+        ('KUMQUATWALK_ZNE',)
+    """
+    known = {spec.variable for spec in SETTING_SPECS} | _OTHER_VARIABLES
+    return tuple(
+        sorted(
+            name
+            for name in names
+            if name.startswith(VARIABLE_PREFIX) and name not in known
+        )
+    )
+
+
+def suggest_variable(name: str) -> str | None:
+    """Return the known variable closest to a name; None when none is close.
+
+    Args:
+        name: Name of an unknown variable.
+    """
+    known = [spec.variable for spec in SETTING_SPECS]
+    matches = difflib.get_close_matches(name, known, n=1, cutoff=0.8)
+    return matches[0] if matches else None
+
+
+def _check_value(spec: SettingSpec, text: str | None) -> object:
+    if text is None:
+        text = spec.default
+    if text is None:
+        raise SettingError(
+            "setting_missing",
+            f"{spec.name} is required: give {spec.flag} or {spec.variable};"
+            f" allowed: {describe_range(spec.kind)}",
+        )
+    try:
+        return parse_value(spec.kind, text.strip())
+    except ValueError:
+        allowed = describe_range(spec.kind)
+        raise make_setting_error(spec.name, text, allowed) from None
+
+
+def _check_ports(settings: NodeSettings) -> None:
+    for (first, first_host), (second, second_host) in itertools.combinations(
+        _TCP_PORTS, 2
+    ):
+        port = getattr(settings, second)
+        same_host = getattr(settings, first_host) == getattr(
+            settings, second_host
+        )
+        if port and same_host and port == getattr(settings, first):
+            allowed = f"a port other than that of {first}"
+            raise make_setting_error(second, port, allowed)
