--- /dev/null
+++ b/kumquatwalk/cli/members.py
@@ -0,0 +1,63 @@
+"""The ``members`` command."""
+
+import dataclasses
+
+import click
+
+from kumquatwalk.cli.failure import exit_on_error
+from kumquatwalk.cli.member_row import MemberRow
+from kumquatwalk.cli.member_row import MemberTable
+from kumquatwalk.cli.member_row import parse_member_table
+from kumquatwalk.cli.node_client import node_option
+from kumquatwalk.cli.node_client import parse_node
+from kumquatwalk.cli.node_client import read_node
+from kumquatwalk.cli.output import print_json
+from kumquatwalk.cli.output import print_table
+
+__all__ = ["members"]
+
+_PATH = "/kumquatwalk/members"
+_HEADINGS = (
+    "NODE",
+    "ZONE",
+    "HOST",
+    "STATE",
+    "SERVICE",
+    "TARGET",
+    "SLOTS",
+    "REVISION",
+)
+
+
+@click.command()
+@node_option
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@exit_on_error
+def members(node: str, as_json: bool) -> None:
+    """Show the members of the fleet as one node sees them."""
+    table = parse_member_table(read_node(parse_node(node), _PATH))
+    if as_json:
+        print_json(dataclasses.asdict(table))
+    else:
+        _print_members(table)
+
+
+def _print_members(table: MemberTable) -> None:
+    click.echo(
+        f"{len(table.rows)} members as seen by {table.node_id}"
+        f" in zone {table.zone}"
+    )
+    print_table(_HEADINGS, [_make_cells(row) for row in table.rows])
+
+
+def _make_cells(row: MemberRow) -> tuple[object, ...]:
+    return (
+        row.node_id,
+        row.zone,
+        row.host,
+        row.state,
+        row.service,
+        row.target_state,
+        row.slots,
+        row.catalogue_revision,
+    )
