--- a/kumquatwalk/exception.py
+++ b/kumquatwalk/exception.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CatalogueError",
+    "CompareFailedError",
     "EditConflictError",
     "FrameError",
     "KumquatwalkError",
@@ -13,6 +14,7 @@
     "MembershipError",
     "OutcomeUnknownError",
     "PlatformError",
+    "PlatformReadError",
     "PlatformUnavailableError",
     "RequestError",
     "SettingError",
@@ -60,6 +62,14 @@
     """
 
 
+class CompareFailedError(PlatformError):
+    """The key was not at the expected revision; the write had no effect."""
+
+
+class PlatformReadError(PlatformError):
+    """A read was sent but got no usable answer; reads have no effect."""
+
+
 class OutcomeUnknownError(PlatformError):
     """The platform's answer was lost: the operation may have taken effect."""
 
