Add the catalogue's codec, checks, reachability and replica

Need: nodes take a catalogue only with a higher revision and valid content. Change: strict JSON codec with bounded fields, pure checks, and a replica whose offers and deltas report their outcome as a typed result.

--- a/kumquatwalk/catalogue/__init__.py
+++ b/kumquatwalk/catalogue/__init__.py
@@ -6,12 +6,20 @@
 from kumquatwalk.catalogue.entry import Entry
 from kumquatwalk.catalogue.importance import Importance
 from kumquatwalk.catalogue.limits import Limits
+from kumquatwalk.catalogue.offer import OfferOutcome
+from kumquatwalk.catalogue.offer import OfferResult
+from kumquatwalk.catalogue.reachability import list_reachable
+from kumquatwalk.catalogue.replica import CatalogueReplica
 
 __all__ = [
     "AuditRecord",
     "Catalogue",
+    "CatalogueReplica",
     "EMPTY_CATALOGUE",
     "Entry",
     "Importance",
     "Limits",
+    "OfferOutcome",
+    "OfferResult",
+    "list_reachable",
 ]
--- /dev/null
+++ b/kumquatwalk/catalogue/record_codec.py
@@ -0,0 +1,106 @@
+"""JSON form of audit records."""
+
+from kumquatwalk.catalogue import bounds
+from kumquatwalk.catalogue.audit import AuditRecord
+from kumquatwalk.catalogue.entry import Entry
+from kumquatwalk.catalogue.entry_codec import make_entry_document
+from kumquatwalk.catalogue.entry_codec import parse_entry
+from kumquatwalk.catalogue.fields import Fields
+from kumquatwalk.catalogue.json_text import dump_json
+from kumquatwalk.catalogue.json_text import parse_json
+
+__all__ = [
+    "decode_record",
+    "decode_records",
+    "encode_record",
+    "encode_records",
+    "make_record_document",
+    "parse_record",
+]
+
+FORMAT_VERSION = 1
+
+
+def encode_record(record: AuditRecord) -> bytes:
+    """Return the JSON form of an audit record."""
+    return dump_json(make_record_document(record))
+
+
+def decode_record(data: bytes) -> AuditRecord:
+    """Return the audit record in its JSON form.
+
+    Args:
+        data: JSON form.
+
+    Raises:
+        CatalogueError: If the form is malformed or over a bound.
+    """
+    return parse_record(parse_json(data))
+
+
+def encode_records(records: tuple[AuditRecord, ...]) -> bytes:
+    """Return the JSON form of several audit records."""
+    rows = [make_record_document(record) for record in records]
+    return dump_json({"format": FORMAT_VERSION, "records": rows})
+
+
+def decode_records(data: bytes) -> tuple[AuditRecord, ...]:
+    """Return the audit records in their JSON form.
+
+    Args:
+        data: JSON form.
+
+    Raises:
+        CatalogueError: If the form is malformed or over a bound.
+    """
+    fields = Fields("records", parse_json(data))
+    fields.take_int("format", FORMAT_VERSION, FORMAT_VERSION)
+    rows = fields.take_list("records", bounds.MAX_RECORDS)
+    fields.finish()
+    return tuple(parse_record(row) for row in rows)
+
+
+def make_record_document(record: AuditRecord) -> dict[str, object]:
+    """Return the JSON object that describes an audit record."""
+    return {
+        "revision": record.revision,
+        "change_id": record.change_id,
+        "author": record.author,
+        "reason": record.reason,
+        "at_unix_ms": record.at_unix_ms,
+        "entry_name": record.entry_name,
+        "before": _make_optional(record.before),
+        "after": _make_optional(record.after),
+    }
+
+
+def parse_record(document: object) -> AuditRecord:
+    """Return the audit record described by a JSON object.
+
+    Args:
+        document: Value read from JSON.
+
+    Raises:
+        CatalogueError: If the value is malformed or over a bound.
+    """
+    fields = Fields("record", document)
+    record = AuditRecord(
+        revision=fields.take_int("revision", 1, bounds.MAX_REVISION),
+        change_id=fields.take_match("change_id", bounds.CHANGE_ID_PATTERN),
+        author=fields.take_match("author", bounds.AUTHOR_PATTERN),
+        reason=fields.take_text("reason", bounds.MAX_REASON_CHARACTERS),
+        at_unix_ms=fields.take_int("at_unix_ms", 0, bounds.MAX_REVISION),
+        entry_name=fields.take_name("entry_name"),
+        before=_parse_optional(fields.take("before")),
+        after=_parse_optional(fields.take("after")),
+    )
+    fields.finish()
+    return record
+
+
+def _make_optional(entry: Entry | None) -> dict[str, object] | None:
+    return None if entry is None else make_entry_document(entry)
+
+
+def _parse_optional(document: object) -> Entry | None:
+    return None if document is None else parse_entry(document)
