--- /dev/null
+++ b/kumquatwalk/catalogue/archive.py
@@ -0,0 +1,104 @@
+"""Archive of audit records that the catalogue document no longer keeps.
+
+Records move in segments of ``SEGMENT_RECORDS`` revisions, so the key of each
+segment follows from any revision in it. A segment is written before its
+records are trimmed, and it never changes.
+"""
+
+from kumquatwalk.catalogue.audit import AuditRecord
+from kumquatwalk.catalogue.document import Catalogue
+from kumquatwalk.catalogue.record_codec import decode_records
+from kumquatwalk.catalogue.record_codec import encode_records
+from kumquatwalk.exception import CatalogueError
+from kumquatwalk.exception import CompareFailedError
+from kumquatwalk.exception import OutcomeUnknownError
+
+__all__ = ["find_segment_start", "list_segments", "make_key", "read", "write"]
+
+SEGMENT_RECORDS = 32
+KEPT_RECORDS = 32
+
+
+def find_segment_start(revision: int) -> int:
+    """Return the first revision of the segment that holds a revision.
+
+    Example:
+        >>> find_segment_start(33)
+        33
+        >>> find_segment_start(32)
+        1
+    """
+    return (revision - 1) // SEGMENT_RECORDS * SEGMENT_RECORDS + 1
+
+
+def make_key(start: int) -> str:
+    """Return the key of the segment that begins at a revision."""
+    return f"audit/{start}"
+
+
+def list_segments(
+    catalogue: Catalogue,
+) -> tuple[tuple[AuditRecord, ...], ...]:
+    """Return the whole segments that the document need not keep.
+
+    Args:
+        catalogue: Accepted catalogue; all its records are accepted ones.
+
+    Returns:
+        Segments, oldest first, that leave at least ``KEPT_RECORDS`` records.
+    """
+    records = catalogue.records
+    if not records:
+        return ()
+    first = records[0].revision
+    oldest_kept = catalogue.revision - KEPT_RECORDS + 1
+    segments = []
+    start = find_segment_start(first)
+    while start + SEGMENT_RECORDS <= oldest_kept:
+        end = start + SEGMENT_RECORDS - first
+        segments.append(records[max(start - first, 0) : end])
+        start += SEGMENT_RECORDS
+    return tuple(segments)
+
+
+def read(client, start: int) -> tuple[AuditRecord, ...]:
+    """Return the records of a segment; empty when there is no such segment.
+
+    Args:
+        client: Client of the platform's service.
+        start: First revision of the segment.
+
+    Raises:
+        CatalogueError: If the stored value is corrupt.
+        PlatformError: If it cannot be read.
+    """
+    stored = client.get(make_key(start))
+    if stored is None:
+        return ()
+    return decode_records(stored.value)
+
+
+def write(client, records: tuple[AuditRecord, ...]) -> None:
+    """Write a segment unless it is stored already.
+
+    Args:
+        client: Client of the platform's service.
+        records: Accepted records of the segment.
+
+    Raises:
+        CatalogueError: If other records are stored under its key.
+        PlatformError: If it cannot be written or the outcome is not known.
+    """
+    key = make_key(find_segment_start(records[0].revision))
+    value = encode_records(records)
+    try:
+        client.put(key, value, expected_revision=0)
+        return
+    except (CompareFailedError, OutcomeUnknownError) as error:
+        stored = client.get(key)
+        if stored is None:
+            raise error
+    if stored.value != value:
+        raise CatalogueError(
+            "archive_mismatch", f"{key} holds other records already"
+        )
