--- /dev/null
+++ b/kumquatwalk/standin/target.py
@@ -0,0 +1,258 @@
+"""Stand-in target: answers calls after a service time and calls on."""
+
+import itertools
+import os
+import threading
+import time
+
+from kumquatwalk.standin.target_answer import TargetAnswer
+from kumquatwalk.standin.target_answer import digest_body
+from kumquatwalk.standin.target_answer import encode_answer
+from kumquatwalk.standin.target_answer import make_padding
+from kumquatwalk.standin.target_call import TargetCall
+from kumquatwalk.standin.target_call import TargetReply
+from kumquatwalk.standin.target_faults import TargetFaults
+from kumquatwalk.standin.target_handler import TargetServer
+from kumquatwalk.standin.target_reporter import TargetReport
+from kumquatwalk.standin.target_reporter import TargetReporter
+from kumquatwalk.standin.target_run import TargetRun
+from kumquatwalk.standin.target_run import TargetRunLog
+from kumquatwalk.standin.target_settings import TargetSettings
+from kumquatwalk.standin.target_slots import TargetSlots
+from kumquatwalk.standin.target_work import ChildCall
+from kumquatwalk.standin.target_work import NodeCaller
+from kumquatwalk.standin.target_work import ServiceTime
+
+__all__ = ["StandinTarget"]
+
+COLD_FACTOR = 4.0
+CRASH_STATUS = 70
+DRAIN_ANNOUNCE_S = 3.0
+DRAIN_LIMIT_S = 30.0
+DRAIN_QUIET_S = 0.5
+LATENCY_WEIGHT = 0.1
+MAX_REQUESTS = 1_000_000
+_STATUS = {"done": 200, "failed": 500, "child_failed": 502, "timeout": 504}
+
+
+class StandinTarget:
+    """One stand-in target, with its server and its reporter.
+
+    Args:
+        settings: Its settings.
+
+    Example:
+        >>> target = StandinTarget(settings)  # doctest: +SKIP
+        >>> target.start()  # doctest: +SKIP
+        >>> target.port  # doctest: +SKIP
+        40211
+    """
+
+    def __init__(self, settings: TargetSettings):
+        self._settings = settings
+        self._faults = TargetFaults()
+        self._connections = itertools.count(1)
+        self._last_silent_connection = 0
+        self._latency_s = settings.service_ms / 1000
+        self._started_at = time.monotonic()
+        self._draining = threading.Event()
+        self._closed = threading.Event()
+        self._slots = TargetSlots(
+            settings.slots, settings.queue, settings.queue_ms / 1000
+        )
+        self._requests = TargetSlots(MAX_REQUESTS, 0, 0.0)
+        self._service_time = ServiceTime(
+            settings.service_ms / 1000, settings.seed
+        )
+        self._log = TargetRunLog(settings.record_path)
+        self._server = TargetServer((settings.host, settings.port), self)
+        self._node = NodeCaller(
+            settings.node_host,
+            settings.node_port,
+            settings.slots,
+            settings.is_parallel,
+        )
+        self._reporter = TargetReporter(
+            settings.node_host,
+            settings.node_port,
+            self._make_report,
+            lambda: self._faults,
+        )
+
+    @property
+    def port(self) -> int:
+        """Port listened on."""
+        return self._server.server_address[1]
+
+    def start(self) -> None:
+        """Take calls and announce the target."""
+        self._spawn(self._server.serve_forever)
+        if self._settings.node_host:
+            self._reporter.start()
+
+    def drain(self) -> None:
+        """Announce draining; the target closes by itself when idle."""
+        if self._draining.is_set():
+            return
+        self._draining.set()
+        self._reporter.report_soon()
+        self._spawn(self._close_when_idle)
+
+    def wait_closed(self) -> None:
+        """Wait until the target has closed."""
+        self._closed.wait()
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._closed.set()
+        if self._settings.node_host:
+            self._reporter.close()
+        self._server.shutdown()
+        self._server.server_close()
+        self._node.close()
+        self._log.close()
+
+    def set_faults(self, faults: TargetFaults) -> None:
+        """Put faults in force in place of the ones before."""
+        self._faults = faults
+        if faults.silent:
+            self._last_silent_connection = next(self._connections)
+
+    def encode_runs(self) -> bytes:
+        """Return the log of runs as a JSON array."""
+        return self._log.encode()
+
+    def begin_request(self) -> None:
+        """Count a request whose answer is yet to be written."""
+        self._requests.acquire()
+
+    def end_request(self) -> None:
+        """Count a request as answered."""
+        self._requests.release()
+
+    def count_connection(self) -> int:
+        """Return the number of a new connection."""
+        return next(self._connections)
+
+    def is_silent(self, connection: int, kind: str) -> bool:
+        """Return whether a connection has gone silent.
+
+        Args:
+            connection: Its number.
+            kind: ``requests`` or ``answers``.
+        """
+        if connection > self._last_silent_connection:
+            return False
+        return self._faults.silent == kind
+
+    def run_call(self, call: TargetCall) -> TargetReply:
+        """Run a call, or shed it when no slot is free."""
+        if not self._slots.acquire():
+            return TargetReply(503, b'{"code": "shed"}', is_shed=True)
+        try:
+            return self._run(call)
+        finally:
+            self._slots.release()
+
+    def _run(self, call: TargetCall) -> TargetReply:
+        started_at = time.monotonic()
+        run = self._start_run(call, started_at)
+        self._apply_crash(call)
+        deadline = None
+        if call.timeout_s is not None:
+            deadline = started_at + call.timeout_s
+        outcome, calls = self._work(call, deadline)
+        ended_at = time.monotonic()
+        self._log.end_run(run, outcome, ended_at)
+        elapsed_s = ended_at - started_at
+        self._latency_s += LATENCY_WEIGHT * (elapsed_s - self._latency_s)
+        echo = digest_body(call.body)
+        answer = TargetAnswer(
+            service=self._settings.service,
+            entry=run.entry,
+            port=run.port,
+            run=run.run,
+            echo=echo,
+            outcome=outcome,
+            calls=calls,
+            padding=make_padding(echo, call.size),
+        )
+        return TargetReply(_STATUS[outcome], encode_answer(answer))
+
+    def _start_run(self, call: TargetCall, now: float) -> TargetRun:
+        run = TargetRun(
+            run=0,
+            service=self._settings.service,
+            port=self.port,
+            entry=call.entry,
+            request_id=call.request_id,
+            context=call.context,
+            tag=call.tag.decode(errors="replace"),
+            key=call.key,
+            started_at=now,
+            is_draining=self._draining.is_set(),
+        )
+        self._log.start_run(run)
+        return run
+
+    def _apply_crash(self, call: TargetCall) -> None:
+        marker = self._faults.crash_marker.encode()
+        if marker and marker in call.body:
+            os._exit(CRASH_STATUS)
+
+    def _work(
+        self, call: TargetCall, deadline: float | None
+    ) -> tuple[str, tuple[ChildCall, ...]]:
+        if not self._sleep(deadline):
+            return "timeout", ()
+        marker = self._faults.fail_marker.encode()
+        if marker and marker in call.body:
+            return "failed", ()
+        entries = self._settings.calls.get(call.entry, ())
+        calls = self._node.call_all(entries, call.context, call.tag, deadline)
+        if any(made.outcome != "done" for made in calls):
+            return "child_failed", calls
+        return "done", calls
+
+    def _sleep(self, deadline: float | None) -> bool:
+        duration_s = self._service_time.draw() * self._faults.service_factor
+        if self._state() == "warming":
+            duration_s *= COLD_FACTOR
+        if deadline is not None:
+            left_s = max(0.0, deadline - time.monotonic())
+            if left_s < duration_s:
+                time.sleep(left_s)
+                return False
+        time.sleep(duration_s)
+        return True
+
+    def _state(self) -> str:
+        if self._draining.is_set():
+            return "draining"
+        warm_at = self._started_at + self._settings.cold_start_ms / 1000
+        return "warming" if time.monotonic() < warm_at else "ready"
+
+    def _make_report(self) -> TargetReport:
+        return TargetReport(
+            service=self._settings.service,
+            slots=self._settings.slots,
+            connections=self._settings.connections,
+            port=self.port,
+            state=self._state(),
+            in_flight=self._slots.running,
+            latency_ms=self._latency_s * 1000,
+        )
+
+    def _close_when_idle(self) -> None:
+        deadline = time.monotonic() + DRAIN_LIMIT_S
+        if self._settings.node_host:
+            self._reporter.wait_for_state("draining", DRAIN_ANNOUNCE_S)
+        while time.monotonic() < deadline:
+            self._requests.wait_until_idle(deadline - time.monotonic())
+            self._closed.wait(DRAIN_QUIET_S)
+            if not self._requests.running:
+                break
+        self.close()
+
+    def _spawn(self, function) -> None:
+        threading.Thread(target=function, daemon=True).start()
