--- /dev/null
+++ b/kumquatwalk/admission/limit.py
@@ -0,0 +1,170 @@
+"""Adaptive limit on the calls that run at a target at once."""
+
+import dataclasses
+import math
+
+from kumquatwalk.admission.baseline import Baselines
+
+__all__ = ["ConcurrencyLimit"]
+
+WINDOW_S = 0.1
+WINDOW_RUNS = 20
+COLD_SHARE = 0.1
+LOW_QUEUE_FACTOR = 3.0
+HIGH_QUEUE_FACTOR = 6.0
+LARGEST_CUT = 0.7
+SHED_CUT = 0.9
+SHED_HOLD_S = 1.0
+SHED_REPEAT_S = 0.5
+SETTLE_RUNS = 1.5
+TRIAL_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutTrial:
+    """A cut of the limit whose effect is not known yet.
+
+    Attributes:
+        limit_before: Limit before the cut.
+        limit_after: Limit after the cut.
+        ratio_before: Run time over its baseline before the cut.
+        settled_at: Time from which finished runs show the effect.
+    """
+
+    limit_before: float
+    limit_after: float
+    ratio_before: float
+    settled_at: float
+
+
+class ConcurrencyLimit:
+    """Limit that follows what runs show, starting from the announced slots.
+
+    As in TCP Vegas (Brakmo and Peterson, IEEE JSAC 1995), which the Netflix
+    concurrency-limits library applies to services, the time of runs over
+    their uncongested time gives the number of calls that queue inside the
+    target. The limit grows while few queue and is cut while many do. A cut that
+    does not shorten the runs shows that the target is slow and not full; then
+    the limit is restored and the longer time becomes the baseline. A call that
+    the target sheds cuts the limit at once, to what was running.
+    """
+
+    def __init__(self):
+        self._baselines = Baselines()
+        self._limit = 1.0
+        self._slow_start_end = 1.0
+        self._most = math.inf
+        self._window_end = -math.inf
+        self._runs = 0
+        self._peak = 0
+        self._is_saturated = False
+        self._trial: CutTrial | None = None
+        self._held_until = -math.inf
+        self._cut_at = -math.inf
+
+    @property
+    def value(self) -> int:
+        """Calls that may run at once, at least one."""
+        return max(1, int(min(self._limit, self._most)))
+
+    def restart(self, slots: int, connections: int, is_cold: bool) -> None:
+        """Start anew for a target that has just announced itself.
+
+        Args:
+            slots: Slots announced.
+            connections: Connections announced; 0 when not known.
+            is_cold: Whether the target has announced a cold start.
+        """
+        share = COLD_SHARE if is_cold else 1.0
+        self._baselines = Baselines()
+        self._limit = max(1.0, slots * share)
+        self._slow_start_end = max(1.0, float(slots))
+        self._most = connections or math.inf
+        self._trial = None
+
+    def note_start(self, in_flight: int) -> None:
+        """Record that a call starts.
+
+        Args:
+            in_flight: Calls running, with this one.
+        """
+        self._peak = max(self._peak, in_flight)
+        if in_flight >= self.value:
+            self._is_saturated = True
+
+    def note_run(self, entry: str, own_time_s: float, now: float) -> None:
+        """Record a run that ended.
+
+        Args:
+            entry: Name of the entry.
+            own_time_s: Time at the target without waiting for its own calls.
+            now: Present time.
+        """
+        if self._is_saturated and self._limit < self._slow_start_end:
+            self._limit += 1.0
+        if self._trial and now < self._trial.settled_at:
+            return
+        self._baselines.note(entry, own_time_s)
+        self._runs += 1
+        if now >= self._window_end and self._runs >= WINDOW_RUNS:
+            self._close_window(now)
+
+    def note_shed(self, in_flight: int, now: float) -> None:
+        """Record that the target refused to run a call.
+
+        Args:
+            in_flight: Calls running, without the one refused.
+            now: Present time.
+        """
+        self._held_until = now + SHED_HOLD_S
+        if now - self._cut_at < SHED_REPEAT_S:
+            return
+        self._trial = None
+        limit = min(self._limit - 1.0, float(in_flight))
+        if now - self._cut_at < 2 * SHED_REPEAT_S:
+            limit = min(limit, self._limit * SHED_CUT)
+        self._limit = max(1.0, limit)
+        self._slow_start_end = self._limit
+        self._cut_at = now
+
+    def _close_window(self, now: float) -> None:
+        ratio = self._baselines.measure_ratio()
+        if self._trial:
+            self._judge_trial(ratio)
+        else:
+            self._adjust(ratio, now)
+        self._baselines.close_window()
+        self._window_end = now + WINDOW_S
+        self._runs = 0
+        self._peak = 0
+        self._is_saturated = False
+
+    def _adjust(self, ratio: float, now: float) -> None:
+        used = min(self._limit, float(self._peak))
+        scale = math.log10(used + 1.0)
+        queued = used * (1.0 - 1.0 / ratio)
+        if queued > HIGH_QUEUE_FACTOR * scale:
+            self._cut(used, ratio, now)
+        elif queued < LOW_QUEUE_FACTOR * scale:
+            self._grow(now)
+
+    def _grow(self, now: float) -> None:
+        if not self._is_saturated or now < self._held_until:
+            return
+        self._limit += max(1.0, math.log10(self._limit))
+
+    def _cut(self, used: float, ratio: float, now: float) -> None:
+        limit = max(used * LARGEST_CUT, used / ratio, 1.0)
+        settle_s = SETTLE_RUNS * self._baselines.mean_run_s
+        self._trial = CutTrial(used, limit, ratio, now + settle_s)
+        self._limit = limit
+        self._slow_start_end = limit
+
+    def _judge_trial(self, ratio: float) -> None:
+        trial = self._trial
+        cut = 1.0 - trial.limit_after / trial.limit_before
+        needed = trial.ratio_before * (1.0 - TRIAL_SHARE * cut)
+        self._trial = None
+        if ratio > needed:
+            self._baselines.rebase()
+            self._limit = trial.limit_before
