Add tickets, claims and the entry node's table of requests

A ticket is honoured only by the process that issued it; a caller's own key is claimed in the platform by compare-and-swap before its first run.

--- a/kumquatwalk/idempotency/__init__.py
+++ b/kumquatwalk/idempotency/__init__.py
@@ -10,7 +10,24 @@
 from kumquatwalk.idempotency.begin_result import TableFull
 from kumquatwalk.idempotency.begin_result import Tombstoned
 from kumquatwalk.idempotency.begin_result import TooOld
+from kumquatwalk.idempotency.claim import Claim
+from kumquatwalk.idempotency.claim import make_claim_key
+from kumquatwalk.idempotency.claim_budget import ClaimBudget
+from kumquatwalk.idempotency.claim_keeper import Claimed
+from kumquatwalk.idempotency.claim_keeper import ClaimKeeper
+from kumquatwalk.idempotency.claim_keeper import ClaimResult
+from kumquatwalk.idempotency.claim_keeper import ClaimUnavailable
+from kumquatwalk.idempotency.claim_keeper import NodeIdentity
+from kumquatwalk.idempotency.claim_keeper import OwnedBy
 from kumquatwalk.idempotency.pending_run import PendingRun
+from kumquatwalk.idempotency.request_table import RequestTable
+from kumquatwalk.idempotency.ticket import Ticket
+from kumquatwalk.idempotency.ticket_issuer import ExpiredTicket
+from kumquatwalk.idempotency.ticket_issuer import ForeignTicket
+from kumquatwalk.idempotency.ticket_issuer import ForgedTicket
+from kumquatwalk.idempotency.ticket_issuer import OwnTicket
+from kumquatwalk.idempotency.ticket_issuer import TicketCheck
+from kumquatwalk.idempotency.ticket_issuer import TicketIssuer
 
 __all__ = [
     "AnswerDropped",
@@ -18,10 +35,26 @@
     "AttachTo",
     "AttemptTable",
     "BeginResult",
+    "Claim",
+    "ClaimBudget",
+    "ClaimKeeper",
+    "ClaimResult",
+    "ClaimUnavailable",
+    "Claimed",
+    "ExpiredTicket",
+    "ForeignTicket",
+    "ForgedTicket",
     "KeyReused",
+    "NodeIdentity",
+    "OwnTicket",
+    "OwnedBy",
     "PendingRun",
+    "RequestTable",
     "RunNow",
     "TableFull",
+    "Ticket",
+    "TicketCheck",
+    "TicketIssuer",
     "Tombstoned",
     "TooOld",
 ]
--- a/kumquatwalk/idempotency/attempt_table.py
+++ b/kumquatwalk/idempotency/attempt_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from kumquatwalk.idempotency.answer_store import AnswerStore
 from kumquatwalk.idempotency.begin_result import AnswerDropped
 from kumquatwalk.idempotency.begin_result import Answered
 from kumquatwalk.idempotency.begin_result import AttachTo
@@ -38,13 +39,12 @@
 
 @dataclasses.dataclass(slots=True)
 class _Attempt(Generic[AnswerT]):
-    """State of one attempt; ``run`` is None once its answer is dropped."""
+    """State of one attempt; ``run`` is None once it has ended."""
 
     run: PendingRun[AnswerT] | None
     is_idempotent: bool
     ended_at: float | None = None
     is_refused: bool = False
-    answer: AnswerT | None = None
 
 
 class AttemptTable(Generic[AnswerT]):
@@ -75,14 +75,11 @@
         max_attempts: int = MAX_ATTEMPTS,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
     ):
-        self._measure = measure
         self._max_attempts = max_attempts
-        self._max_answer_bytes = max_answer_bytes
         self._attempts: dict[bytes, _Attempt[AnswerT]] = {}
         self._ended = collections.deque[tuple[float, bytes]]()
         self._ended_idempotent = collections.deque[tuple[float, bytes]]()
-        self._held = collections.OrderedDict[bytes, int]()
-        self._held_bytes = 0
+        self._answers = AnswerStore(measure, max_answer_bytes)
         self._full_at = float("-inf")
         self._lock = threading.Lock()
 
@@ -106,7 +103,7 @@
             self._expire(now)
             attempt = self._attempts.get(attempt_id)
             if attempt is not None:
-                return _describe(attempt)
+                return self._describe(attempt_id, attempt)
             max_age_s = (
                 IDEMPOTENT_MAX_AGE_S if is_idempotent else ATTEMPT_MAX_AGE_S
             )
@@ -151,8 +148,7 @@
                 return
             attempt.ended_at = now
             attempt.is_refused = is_refused
-            attempt.answer = answer
-            self._hold(attempt_id, self._measure(answer))
+            self._answers.put(attempt_id, answer)
             ended = (
                 self._ended_idempotent if attempt.is_idempotent else self._ended
             )
@@ -162,14 +158,6 @@
         if run is not None:
             run.resolve(answer)
 
-    def _hold(self, attempt_id: bytes, size: int) -> None:
-        self._held[attempt_id] = size
-        self._held_bytes += size
-        while self._held_bytes > self._max_answer_bytes:
-            oldest_id, oldest_size = self._held.popitem(last=False)
-            self._held_bytes -= oldest_size
-            self._attempts[oldest_id].answer = None
-
     def _expire(self, now: float) -> None:
         self._expire_from(self._ended, now - ATTEMPT_RETENTION_S)
         self._expire_from(self._ended_idempotent, now - IDEMPOTENT_RETENTION_S)
@@ -180,14 +168,14 @@
         while ended and ended[0][0] < before:
             _, attempt_id = ended.popleft()
             del self._attempts[attempt_id]
-            self._held_bytes -= self._held.pop(attempt_id, 0)
-
+            self._answers.drop(attempt_id)
 
-def _describe(attempt: _Attempt[AnswerT]) -> BeginResult:
-    if attempt.run is not None:
-        return AttachTo(attempt.run)
-    if attempt.is_refused:
-        return Tombstoned(attempt.answer)
-    if attempt.answer is None:
-        return AnswerDropped()
-    return Answered(attempt.answer)
+    def _describe(
+        self, attempt_id: bytes, attempt: _Attempt[AnswerT]
+    ) -> BeginResult:
+        if attempt.run is not None:
+            return AttachTo(attempt.run)
+        answer = self._answers.get(attempt_id)
+        if attempt.is_refused:
+            return Tombstoned(answer)
+        return AnswerDropped() if answer is None else Answered(answer)
--- /dev/null
+++ b/kumquatwalk/idempotency/claim.py
@@ -0,0 +1,78 @@
+"""Claim: which node alone may run a request with a caller's own key."""
+
+import dataclasses
+import hashlib
+import json
+
+from kumquatwalk.exception import PlatformError
+
+__all__ = ["Claim", "decode_claim", "encode_claim", "make_claim_key"]
+
+CLAIM_PREFIX = "claims/"
+MAX_CLAIM_BYTES = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Value of a claim in the platform's service.
+
+    Attributes:
+        node_id: Node that owns the request.
+        incarnation: Incarnation of that node.
+        host: IP number of that node's VM.
+        link_port: Port of that node for links.
+        attempt_id: Random identifier of the write, in hexadecimal.
+        fingerprint: Digest of the entry and the body, in hexadecimal.
+    """
+
+    node_id: str
+    incarnation: int
+    host: str
+    link_port: int
+    attempt_id: str
+    fingerprint: str
+
+
+def make_claim_key(entry: str, key: str) -> str:
+    """Return the platform's key of a claim.
+
+    Args:
+        entry: Entry called.
+        key: Idempotency key that the caller gave.
+
+    Example:
+        >>> make_claim_key("pay", "7")[:14]
+        'claims/f6bc78d'
+    """
+    digest = hashlib.sha256(f"{entry}\0{key}".encode()).hexdigest()
+    return CLAIM_PREFIX + digest
+
+
+def encode_claim(claim: Claim) -> bytes:
+    """Return the claim as JSON."""
+    return json.dumps(dataclasses.asdict(claim)).encode()
+
+
+def decode_claim(value: bytes) -> Claim:
+    """Read a claim.
+
+    Args:
+        value: Value made by ``encode_claim``.
+
+    Returns:
+        The claim.
+
+    Raises:
+        PlatformError: The value is no claim (code ``claim_malformed``).
+    """
+    try:
+        if len(value) > MAX_CLAIM_BYTES:
+            raise ValueError("the value is too long")
+        fields = json.loads(value)
+        claim = Claim(**fields)
+        for field in dataclasses.fields(Claim):
+            if not isinstance(getattr(claim, field.name), field.type):
+                raise ValueError(f"{field.name} has the wrong type")
+        return claim
+    except (ValueError, TypeError) as error:
+        raise PlatformError("claim_malformed", str(error)) from error
