Add the membership service: SWIM over UDP with piggybacked changes

Need: each node has to know the fleet, each target's announcement and each catalogue change within seconds, without a service of our own.

The protocol is a core without sockets (Agent and its parts) that takes now and a random generator; Membership is the thread around it. Records merge by the highest (incarnation, version, state). Sent bytes come from a token bucket with reserves, so that bulk transfers leave room for probes. Tables are compared by digests and paged. A node said to be DEAD while held ALIVE becomes SUSPECT only and is contacted, because after a cut each side hears its own members are dead.

Ruled out: a Cap'n Proto struct per member record.

The core has no tests of its own yet.

--- /dev/null
+++ b/kumquatwalk/membership/service.py
@@ -0,0 +1,332 @@
+"""The membership service: one thread that owns the socket and the table."""
+
+import dataclasses
+import functools
+import queue
+import random
+import select
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from kumquatwalk.exception import MembershipError
+from kumquatwalk.membership import command
+from kumquatwalk.membership.address import Address
+from kumquatwalk.membership.agent import Agent
+from kumquatwalk.membership.broadcast import MAX_PAYLOAD_BYTES
+from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.callbacks import MembershipCallbacks
+from kumquatwalk.membership.codec import load_schema
+from kumquatwalk.membership.config import MembershipConfig
+from kumquatwalk.membership.counters import Counters
+from kumquatwalk.membership.datagram import Datagram
+from kumquatwalk.membership.member import Member
+from kumquatwalk.membership.member import TargetInfo
+from kumquatwalk.membership.snapshot import EMPTY_SNAPSHOT
+from kumquatwalk.membership.snapshot import Snapshot
+
+__all__ = ["Membership"]
+
+RECEIVE_BYTES = 65536
+RECEIVE_BATCH = 64
+RECEIVE_BUFFER_BYTES = 1 << 20
+SNAPSHOT_INTERVAL_S = 0.05
+REVISION_INTERVAL_S = 1.0
+LEAVE_FLUSH_S = 1.0
+
+
+def _allow_all(_: str) -> bool:
+    """Return that no host is blocked."""
+    return False
+
+
+class Membership:
+    """The membership service: one thread that owns the socket and the table.
+
+    All methods may be called from any thread.
+
+    Example:
+        >>> config = MembershipConfig("a", 1, "zone-1", "127.0.0.1", 9000, 0)
+        >>> membership = Membership(config)
+        >>> membership.start()
+        >>> sorted(membership.snapshot().members)
+        ['a']
+        >>> membership.close()
+    """
+
+    def __init__(
+        self,
+        config: MembershipConfig,
+        callbacks: MembershipCallbacks = MembershipCallbacks(),
+        is_blocked: Callable[[str], bool] = _allow_all,
+    ):
+        self._config = config
+        self._callbacks = callbacks
+        self._is_blocked = is_blocked
+        self._commands: queue.SimpleQueue[command.Command] = queue.SimpleQueue()
+        self._snapshot = EMPTY_SNAPSHOT
+        self._traffic = Counters()
+        self._joined = threading.Event()
+        self._closing = False
+        self._leave_until = 0.0
+        self._snapshot_at = 0.0
+        self._revision_sequence = 0
+        self._socket: socket.socket | None = None
+        self._wake_reader: socket.socket | None = None
+        self._wake_writer: socket.socket | None = None
+        self._agent: Agent | None = None
+        self._thread: threading.Thread | None = None
+
+    @property
+    def gossip_port(self) -> int:
+        """Return the UDP port that is bound, after ``start``."""
+        return self._socket.getsockname()[1]
+
+    def start(self) -> None:
+        """Bind the socket and start the thread.
+
+        Raises:
+            MembershipError: If the address cannot be bound.
+        """
+        load_schema()
+        self._socket = self._bind()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        now = time.monotonic()
+        self._agent = Agent(
+            self._make_own_record(),
+            self._config.timing,
+            self._callbacks,
+            random.Random(),
+            now,
+        )
+        self._agent.set_seeds(frozenset(self._config.peers), now)
+        self._publish_snapshot(now)
+        self._thread = threading.Thread(
+            target=self._run, name="membership", daemon=True
+        )
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop the thread and close the socket; waits for a leave to spread."""
+        if self._thread is None:
+            return
+        self._command(command.Close())
+        self._thread.join()
+        self._thread = None
+        for owned in (self._socket, self._wake_reader, self._wake_writer):
+            owned.close()
+
+    def snapshot(self) -> Snapshot:
+        """Return the present view of the membership, without a lock."""
+        return self._snapshot
+
+    def wait_joined(self, timeout_s: float) -> bool:
+        """Wait until the whole table was fetched from other nodes.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            Whether it was fetched.
+        """
+        return self._joined.wait(timeout_s)
+
+    def counters(self) -> Counters:
+        """Return a copy of the counts of traffic."""
+        if self._agent is None:
+            return dataclasses.replace(self._traffic)
+        protocol = self._agent.counters
+        return dataclasses.replace(
+            self._traffic,
+            dropped_malformed=protocol.dropped_malformed,
+            dropped_budget=protocol.dropped_budget,
+            refutations=protocol.refutations,
+        )
+
+    def publish(self, target: TargetInfo) -> None:
+        """Change what the node announces of its target.
+
+        Args:
+            target: The target's present announcement.
+        """
+        self._command(command.PublishTarget(target))
+
+    def publish_revision(self, revision: int) -> None:
+        """Set the catalogue revision that the node has in force.
+
+        Args:
+            revision: The revision.
+        """
+        self._command(command.PublishRevision(revision))
+
+    def broadcast(self, kind: BroadcastKind, payload: bytes) -> None:
+        """Spread a payload to all other members.
+
+        Args:
+            kind: What the payload means to its receivers.
+            payload: At most ``MAX_PAYLOAD_BYTES`` bytes.
+
+        Raises:
+            MembershipError: If the payload is too long.
+        """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise MembershipError("payload_too_long", f"{len(payload)} bytes")
+        self._command(command.SendBroadcast(kind, payload))
+
+    def set_seeds(self, addresses: frozenset[Address]) -> None:
+        """Set the addresses found by rendezvous, besides the settings' peers.
+
+        Args:
+            addresses: UDP addresses of nodes.
+        """
+        self._command(command.SetSeeds(addresses))
+
+    def leave(self) -> None:
+        """Spread that the node leaves for good."""
+        self._command(command.Leave())
+
+    def _command(self, message: command.Command) -> None:
+        self._commands.put(message)
+        try:
+            self._wake_writer.send(b"\0")
+        except BlockingIOError:
+            pass  # The thread has wake-ups waiting already.
+
+    def _bind(self) -> socket.socket:
+        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        bound.setblocking(False)
+        bound.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        try:
+            bound.bind((self._config.host, self._config.gossip_port))
+        except OSError as error:
+            bound.close()
+            raise MembershipError("bind_failed", str(error)) from error
+        return bound
+
+    def _make_own_record(self) -> Member:
+        config = self._config
+        return Member(
+            config.node_id,
+            config.incarnation,
+            0,
+            config.zone,
+            config.host,
+            config.link_port,
+            self.gossip_port,
+        )
+
+    def _run(self) -> None:
+        while not self._is_finished(time.monotonic()):
+            self._step()
+
+    def _is_finished(self, now: float) -> bool:
+        return self._closing and now >= self._leave_until
+
+    def _step(self) -> None:
+        timeout_s = max(0.0, self._next_due() - time.monotonic())
+        readable, _, _ = select.select(
+            (self._socket, self._wake_reader), (), (), timeout_s
+        )
+        now = time.monotonic()
+        self._agent.tick(now)
+        if self._wake_reader in readable:
+            self._take_commands(now)
+        if self._socket in readable:
+            self._receive(now)
+        self._send(self._agent.drain())
+        self._publish_snapshot(now)
+
+    def _next_due(self) -> float:
+        due_at = self._agent.due_at
+        if self._snapshot_is_old():
+            due_at = min(due_at, self._snapshot_at)
+        if self._closing:
+            due_at = min(due_at, self._leave_until)
+        return due_at
+
+    def _take_commands(self, now: float) -> None:
+        self._wake_reader.recv(RECEIVE_BYTES)
+        while not self._commands.empty():
+            self._execute(self._commands.get(), now)
+
+    @functools.singledispatchmethod
+    def _execute(self, message: command.Command, now: float) -> None:
+        raise TypeError(f"not a command: {message!r}")
+
+    @_execute.register
+    def _publish_target(self, message: command.PublishTarget, now: float):
+        self._agent.publish(message.target, now)
+
+    @_execute.register
+    def _set_revision(self, message: command.PublishRevision, _: float):
+        self._agent.publish_revision(message.revision)
+
+    @_execute.register
+    def _send_broadcast(self, message: command.SendBroadcast, now: float):
+        self._agent.broadcast(message.kind, message.payload, now)
+
+    @_execute.register
+    def _set_seeds(self, message: command.SetSeeds, now: float):
+        seeds = message.addresses | frozenset(self._config.peers)
+        self._agent.set_seeds(seeds, now)
+
+    @_execute.register
+    def _leave(self, _: command.Leave, now: float):
+        self._agent.leave(now)
+        self._leave_until = now + LEAVE_FLUSH_S
+
+    @_execute.register
+    def _close(self, _: command.Close, now: float):
+        self._closing = True
+        self._leave_until = max(self._leave_until, now)
+
+    def _receive(self, now: float) -> None:
+        for _ in range(RECEIVE_BATCH):
+            try:
+                data, source = self._socket.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # An earlier datagram could not be delivered.
+            self._traffic.datagrams_received += 1
+            self._traffic.bytes_received += len(data)
+            if self._is_blocked(source[0]):
+                self._traffic.dropped_blocked += 1
+                continue
+            self._agent.receive(data, Address(*source), now)
+
+    def _send(self, datagrams: list[Datagram]) -> None:
+        for datagram in datagrams:
+            if self._is_blocked(datagram.address.host):
+                self._traffic.dropped_blocked += 1
+                continue
+            try:
+                self._socket.sendto(datagram.data, datagram.address)
+            except OSError:
+                continue  # Lost datagrams are part of the protocol.
+            self._traffic.datagrams_sent += 1
+            self._traffic.bytes_sent += len(datagram.data)
+
+    def _snapshot_is_old(self) -> bool:
+        return self._snapshot.sequence != self._agent.table.sequence
+
+    def _publish_snapshot(self, now: float) -> None:
+        if self._agent.is_joined:
+            self._joined.set()
+        table = self._agent.table
+        if not self._snapshot_is_old():
+            if table.revision_sequence == self._revision_sequence:
+                return
+        if now < self._snapshot_at:
+            return
+        interval_s = SNAPSHOT_INTERVAL_S
+        if not self._snapshot_is_old():
+            interval_s = REVISION_INTERVAL_S
+        self._snapshot_at = now + interval_s
+        self._revision_sequence = table.revision_sequence
+        self._snapshot = Snapshot.of(table.sequence, table.members.values())
