Add tests of the store under races and lost answers, the watcher and the client

A state machine drives edits through a client with scripted faults: lost answers before and after the effect, delayed writes that arrive later, stale reads, rivals. Accepted edits are in the history once, refused ones never.

--- /dev/null
+++ b/kumquatwalk/catalogue/tests/fake_client.py
@@ -0,0 +1,99 @@
+"""Fake client of the platform's service with scripted faults."""
+
+import enum
+
+from kumquatwalk.exception import CompareFailedError
+from kumquatwalk.exception import OutcomeUnknownError
+from kumquatwalk.exception import PlatformReadError
+from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.standin.platform_error import RefusalError
+from kumquatwalk.standin.platform_state import PlatformState
+
+__all__ = ["FakeClient", "Fault"]
+
+
+class Fault(enum.Enum):
+    """What happens to one call of the client."""
+
+    NONE = 0
+    UNREACHABLE = 1
+    LOST_BEFORE = 2
+    LOST_AFTER = 3
+    DELAYED = 4
+    STALE = 5
+    RIVAL_OTHER = 6
+    RIVAL_SAME = 7
+
+
+class FakeClient:
+    """Client of a state in memory; each call takes the next scripted fault.
+
+    Args:
+        state: State shared with other fake clients.
+        faults: Faults of the next calls, in order; none after the last.
+        rival: Called with the fault to make another operator's edit.
+    """
+
+    def __init__(self, state: PlatformState, faults=(), rival=None):
+        self.delayed = []
+        self._state = state
+        self._faults = list(faults)
+        self._rival = rival
+
+    def get(self, key):
+        """Read a key under the next fault."""
+        fault = self._take_fault()
+        if fault is Fault.UNREACHABLE:
+            raise PlatformUnavailableError("unreachable", key)
+        if fault in (Fault.LOST_BEFORE, Fault.LOST_AFTER):
+            raise PlatformReadError("answer_lost", key)
+        if fault is Fault.STALE:
+            earlier = self._state.get_earlier(key)
+            return earlier or self._state.get(key, 0.0)
+        return self._state.get(key, 0.0)
+
+    def watch(self, key, after_revision, wait_s):
+        """Return the key if it is newer, without waiting."""
+        del wait_s
+        stored = self.get(key)
+        if stored is None or stored.revision <= after_revision:
+            return None
+        return stored
+
+    def put(self, key, value, expected_revision):
+        """Write a key under the next fault."""
+        fault = self._take_fault()
+        if fault is Fault.UNREACHABLE:
+            raise PlatformUnavailableError("unreachable", key)
+        if fault is Fault.LOST_BEFORE:
+            raise OutcomeUnknownError("answer_lost", key)
+        if fault is Fault.DELAYED:
+            self.delayed.append((key, value, expected_revision))
+            raise OutcomeUnknownError("answer_lost", key)
+        written = self._put(key, value, expected_revision)
+        if fault is Fault.LOST_AFTER:
+            raise OutcomeUnknownError("answer_lost", key)
+        return written
+
+    def deliver_delayed(self):
+        """Let the delayed writes take effect, as far as they still can."""
+        waiting, self.delayed = self.delayed, []
+        for write in waiting:
+            try:
+                self._put(*write)
+            except CompareFailedError:
+                pass
+
+    def _put(self, key, value, expected_revision):
+        try:
+            return self._state.put(key, value, expected_revision, None, 0.0)
+        except RefusalError as error:
+            raise CompareFailedError(error.code, error.message) from error
+
+    def _take_fault(self):
+        fault = self._faults.pop(0) if self._faults else Fault.NONE
+        if fault in (Fault.RIVAL_OTHER, Fault.RIVAL_SAME):
+            self._rival(fault)
+        if fault is Fault.STALE:
+            self.deliver_delayed()
+        return fault
