Serve a request from end to end over nodes, links and targets

Need: the thin whole path as separate processes. Ruled out: one multiplexed connection per peer, which needs a reader thread and a thread change for each reply; WSGI, which adds a second send. Run: trial with three zones over loopback, a chain of three services, a repeat of a claimed key at two other nodes answered from the first run.

--- /dev/null
+++ b/kumquatwalk/link/codec.py
@@ -0,0 +1,288 @@
+"""Encoding of the messages between nodes.
+
+A frame is a header of nine bytes (magic, kind, length of the payload) and a
+Cap'n Proto message as payload.
+
+Example:
+    >>> from kumquatwalk.link.running import Running
+    >>> encode_message(Running())[4]
+    5
+"""
+
+import functools
+import struct
+from typing import Any
+
+from kumquatwalk.exception import FrameError
+from kumquatwalk.link.call import Call
+from kumquatwalk.link.catalogue_reply import CatalogueReply
+from kumquatwalk.link.catalogue_request import CatalogueRequest
+from kumquatwalk.link.forward import Forward
+from kumquatwalk.link.hello import Hello
+from kumquatwalk.link.kind import FrameKind
+from kumquatwalk.link.reply import Reply
+from kumquatwalk.link.running import Running
+from kumquatwalk.link.schema import load_schema
+from kumquatwalk.link.welcome import Welcome
+from kumquatwalk.outcome import Outcome
+
+__all__ = [
+    "HEADER_BYTES",
+    "decode_header",
+    "decode_message",
+    "encode_message",
+]
+
+_MAGIC = b"KQW1"
+_HEADER = struct.Struct("<4sBI")
+HEADER_BYTES = _HEADER.size
+
+
+def decode_header(header: bytes, payload_bytes_max: int) -> tuple[int, int]:
+    """Return the kind and the length of the payload.
+
+    Args:
+        header: The first ``HEADER_BYTES`` of a frame.
+        payload_bytes_max: Longest payload accepted.
+
+    Returns:
+        Kind as an integer and length in bytes.
+
+    Raises:
+        FrameError: The frame is foreign or too long.
+    """
+    magic, kind, length = _HEADER.unpack(header)
+    if magic != _MAGIC:
+        raise FrameError("frame_foreign", "the peer speaks another protocol")
+    if length > payload_bytes_max:
+        raise FrameError("frame_too_long", f"payload of {length} bytes")
+    return kind, length
+
+
+@functools.singledispatch
+def encode_message(message: Any) -> bytes:
+    """Return the frame of a message.
+
+    Args:
+        message: One of the message types of this package.
+
+    Returns:
+        Header and payload.
+
+    Raises:
+        TypeError: The type is not a message type.
+    """
+    raise TypeError(f"not a link message: {type(message).__name__}")
+
+
+def decode_message(kind: int, payload: bytes) -> Any:
+    """Return the message of a frame.
+
+    Args:
+        kind: Kind from the header.
+        payload: The whole payload.
+
+    Returns:
+        One of the message types of this package.
+
+    Raises:
+        FrameError: The kind is unknown or the payload is malformed.
+    """
+    decode = _DECODERS.get(kind)
+    if decode is None:
+        raise FrameError("frame_kind_unknown", f"kind {kind}")
+    try:
+        return decode(payload)
+    except FrameError:
+        raise
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        # The library raises several unrelated types on malformed input.
+        raise FrameError("frame_malformed", str(error)) from error
+
+
+def _join(kind: FrameKind, payload: bytes) -> bytes:
+    return _HEADER.pack(_MAGIC, kind, len(payload)) + payload
+
+
+@encode_message.register
+def _encode_hello(message: Hello) -> bytes:
+    fields = load_schema().Hello.new_message()
+    fields.protocol = message.protocol
+    fields.nodeId = message.node_id
+    fields.incarnation = message.incarnation
+    fields.host = message.host
+    return _join(FrameKind.HELLO, fields.to_bytes())
+
+
+def _decode_hello(payload: bytes) -> Hello:
+    with load_schema().Hello.from_bytes(payload) as fields:
+        return Hello(
+            fields.nodeId, fields.incarnation, fields.host, fields.protocol
+        )
+
+
+@encode_message.register
+def _encode_welcome(message: Welcome) -> bytes:
+    fields = load_schema().Welcome.new_message()
+    fields.protocol = message.protocol
+    fields.nodeId = message.node_id
+    fields.incarnation = message.incarnation
+    fields.clockUs = message.clock_us
+    return _join(FrameKind.WELCOME, fields.to_bytes())
+
+
+def _decode_welcome(payload: bytes) -> Welcome:
+    with load_schema().Welcome.from_bytes(payload) as fields:
+        return Welcome(
+            fields.nodeId, fields.incarnation, fields.clockUs, fields.protocol
+        )
+
+
+@encode_message.register
+def _encode_call(message: Call) -> bytes:
+    fields = load_schema().Call.new_message()
+    fields.attemptId = message.attempt_id
+    fields.requestId = message.request_id
+    fields.entry = message.entry
+    fields.method = message.method
+    fields.url = message.url
+    fields.headers = message.headers
+    fields.body = message.body
+    fields.priority = message.priority
+    fields.depth = message.depth
+    fields.tokens = message.tokens
+    fields.idempotent = message.idempotent
+    fields.protected = message.protected
+    fields.remainingUs = message.remaining_us
+    fields.sentAtUs = message.sent_at_us
+    return _join(FrameKind.CALL, fields.to_bytes())
+
+
+def _decode_call(payload: bytes) -> Call:
+    with load_schema().Call.from_bytes(payload) as fields:
+        return Call(
+            attempt_id=_check_id(fields.attemptId),
+            request_id=_check_id(fields.requestId),
+            entry=fields.entry,
+            method=fields.method,
+            url=fields.url,
+            headers=fields.headers,
+            body=fields.body,
+            priority=fields.priority,
+            depth=fields.depth,
+            tokens=fields.tokens,
+            idempotent=fields.idempotent,
+            protected=fields.protected,
+            remaining_us=fields.remainingUs,
+            sent_at_us=fields.sentAtUs,
+        )
+
+
+def _check_id(value: bytes) -> bytes:
+    if len(value) != 16:
+        raise FrameError("frame_malformed", "an identifier is not 16 bytes")
+    return value
+
+
+@encode_message.register
+def _encode_reply(message: Reply) -> bytes:
+    fields = load_schema().Reply.new_message()
+    fields.outcome = int(message.outcome)
+    fields.code = message.code
+    fields.status = message.status
+    fields.headers = message.headers
+    fields.body = message.body
+    fields.tokens = message.tokens
+    fields.gateLevel = message.gate_level
+    fields.entryLevel = message.entry_level
+    fields.queueUs = message.queue_us
+    fields.runUs = message.run_us
+    return _join(FrameKind.REPLY, fields.to_bytes())
+
+
+def _decode_reply(payload: bytes) -> Reply:
+    with load_schema().Reply.from_bytes(payload) as fields:
+        return Reply(
+            outcome=Outcome(fields.outcome),
+            code=fields.code,
+            status=fields.status,
+            headers=fields.headers,
+            body=fields.body,
+            tokens=fields.tokens,
+            gate_level=fields.gateLevel,
+            entry_level=fields.entryLevel,
+            queue_us=fields.queueUs,
+            run_us=fields.runUs,
+        )
+
+
+@encode_message.register
+def _encode_running(_: Running) -> bytes:
+    return _join(FrameKind.RUNNING, b"")
+
+
+def _decode_running(_: bytes) -> Running:
+    return Running()
+
+
+@encode_message.register
+def _encode_forward(message: Forward) -> bytes:
+    fields = load_schema().Forward.new_message()
+    fields.method = message.method
+    fields.url = message.url
+    fields.headers = message.headers
+    fields.body = message.body
+    fields.remainingUs = message.remaining_us
+    fields.keyDigest = message.key_digest
+    fields.ticket = message.ticket
+    return _join(FrameKind.FORWARD, fields.to_bytes())
+
+
+def _decode_forward(payload: bytes) -> Forward:
+    with load_schema().Forward.from_bytes(payload) as fields:
+        return Forward(
+            method=fields.method,
+            url=fields.url,
+            headers=fields.headers,
+            body=fields.body,
+            remaining_us=fields.remainingUs,
+            key_digest=fields.keyDigest,
+            ticket=fields.ticket,
+        )
+
+
+@encode_message.register
+def _encode_catalogue_request(message: CatalogueRequest) -> bytes:
+    fields = load_schema().CatalogueRequest.new_message()
+    fields.afterRevision = message.after_revision
+    return _join(FrameKind.CATALOGUE_REQUEST, fields.to_bytes())
+
+
+def _decode_catalogue_request(payload: bytes) -> CatalogueRequest:
+    with load_schema().CatalogueRequest.from_bytes(payload) as fields:
+        return CatalogueRequest(fields.afterRevision)
+
+
+@encode_message.register
+def _encode_catalogue_reply(message: CatalogueReply) -> bytes:
+    fields = load_schema().CatalogueReply.new_message()
+    fields.revision = message.revision
+    fields.document = message.document
+    return _join(FrameKind.CATALOGUE_REPLY, fields.to_bytes())
+
+
+def _decode_catalogue_reply(payload: bytes) -> CatalogueReply:
+    with load_schema().CatalogueReply.from_bytes(payload) as fields:
+        return CatalogueReply(fields.revision, fields.document)
+
+
+_DECODERS = {
+    FrameKind.HELLO: _decode_hello,
+    FrameKind.WELCOME: _decode_welcome,
+    FrameKind.CALL: _decode_call,
+    FrameKind.REPLY: _decode_reply,
+    FrameKind.RUNNING: _decode_running,
+    FrameKind.FORWARD: _decode_forward,
+    FrameKind.CATALOGUE_REQUEST: _decode_catalogue_request,
+    FrameKind.CATALOGUE_REPLY: _decode_catalogue_reply,
+}
--- /dev/null
+++ b/kumquatwalk/link/pool.py
@@ -0,0 +1,150 @@
+"""Idle connections to peers, kept for the next exchange."""
+
+import collections
+import threading
+import time
+from typing import Any
+
+from kumquatwalk.exception import LinkError
+from kumquatwalk.link.call import Call
+from kumquatwalk.link.connection import LinkConnection
+from kumquatwalk.link.connection import open_connection
+from kumquatwalk.link.identity import Identity
+from kumquatwalk.link.partition import Partition
+from kumquatwalk.link.peer import Peer
+
+__all__ = ["LinkPool"]
+
+_IDLE_MAX_S = 30.0
+_IDLE_PER_PEER_MAX = 64
+_US = 1_000_000
+
+
+class LinkPool:
+    """Connections to all peers.
+
+    A thread that takes a connection owns it until it gives it back.
+    """
+
+    def __init__(
+        self, identity: Identity, partition: Partition, payload_bytes_max: int
+    ):
+        self._identity = identity
+        self._partition = partition
+        self._payload_bytes_max = payload_bytes_max
+        self._idle: dict[Peer, collections.deque[LinkConnection]] = {}
+        self._lock = threading.Lock()
+        self._is_closed = False
+
+    def call(self, peer: Peer, call: Call, deadline: float) -> Any:
+        """Run one attempt at the peer's gate.
+
+        A link that falls silent or fails after sending is replaced, and the
+        same attempt is sent again: the gate attaches it to its first run. So
+        a resend never runs a call twice.
+
+        Args:
+            peer: Node of the chosen target.
+            call: The attempt.
+            deadline: Monotonic time after which no reply is waited for.
+
+        Returns:
+            The gate's reply.
+
+        Raises:
+            LinkError: No reply; ``sent`` tells whether the gate may have got
+                the call.
+        """
+        sent_to: int | None = None
+        while True:
+            now = time.monotonic()
+            if now >= deadline and sent_to is not None:
+                raise LinkError("link_silent", "no reply in time", sent=True)
+            try:
+                link = self._take(peer)
+            except LinkError as error:
+                raise LinkError(
+                    error.code, error.message, sent_to is not None
+                ) from error
+            if sent_to not in (None, link.incarnation):
+                self._give_back(link)
+                raise LinkError("target_crashed", "the node restarted", True)
+            sent_to = link.incarnation
+            reply = self._try_exchange(link, call, deadline)
+            if reply is not None:
+                return reply
+
+    def request(self, peer: Peer, message: Any) -> Any:
+        """Exchange one message other than a call.
+
+        Raises:
+            LinkError: No reply.
+        """
+        link = self._take(peer)
+        try:
+            reply = link.exchange(message)
+        except TimeoutError as error:
+            self._discard(link)
+            raise LinkError("link_silent", "no reply", sent=True) from error
+        except LinkError:
+            self._discard(link)
+            raise
+        self._give_back(link)
+        return reply
+
+    def close(self) -> None:
+        """Close all idle connections; taken ones close when given back."""
+        with self._lock:
+            self._is_closed = True
+            idle = [link for links in self._idle.values() for link in links]
+            self._idle.clear()
+        for link in idle:
+            link.close()
+
+    def _try_exchange(
+        self, link: LinkConnection, call: Call, deadline: float
+    ) -> Any:
+        now = time.monotonic()
+        remaining_us = int((deadline - now) * _US)
+        try:
+            reply = link.exchange(link.stamp(call, remaining_us, now))
+        except (TimeoutError, LinkError):
+            self._discard(link)
+            return None
+        self._give_back(link)
+        return reply
+
+    def _take(self, peer: Peer) -> LinkConnection:
+        oldest_use = time.monotonic() - _IDLE_MAX_S
+        while True:
+            with self._lock:
+                links = self._idle.get(peer)
+                link = links.pop() if links else None
+            if link is None:
+                return open_connection(
+                    peer,
+                    self._identity,
+                    self._partition,
+                    self._payload_bytes_max,
+                )
+            if link.last_used >= oldest_use:
+                return link
+            link.close()
+
+    def _give_back(self, link: LinkConnection) -> None:
+        link.last_used = time.monotonic()
+        with self._lock:
+            links = self._idle.setdefault(link.peer, collections.deque())
+            is_kept = not self._is_closed and len(links) < _IDLE_PER_PEER_MAX
+            if is_kept:
+                links.append(link)
+        if not is_kept:
+            link.close()
+
+    def _discard(self, link: LinkConnection) -> None:
+        """Close a failed link and the idle ones, which share its fate."""
+        with self._lock:
+            idle = self._idle.pop(link.peer, ())
+        link.close()
+        for other in idle:
+            other.close()
--- /dev/null
+++ b/kumquatwalk/node/gate.py
@@ -0,0 +1,118 @@
+"""Gate side: the only way to the target on this VM."""
+
+import dataclasses
+import time
+
+from kumquatwalk import codes
+from kumquatwalk.admission.call import AdmissionCall
+from kumquatwalk.admission.gate import AdmissionGate
+from kumquatwalk.catalogue.entry import Entry
+from kumquatwalk.catalogue.replica import CatalogueReplica
+from kumquatwalk.idempotency import begin_result
+from kumquatwalk.idempotency.attempt_table import AttemptTable
+from kumquatwalk.link.call import Call
+from kumquatwalk.link.reply import Reply
+from kumquatwalk.link.session import read_clock_us
+from kumquatwalk.node.copies import answer_copy
+from kumquatwalk.node.refusal import fail_unknown
+from kumquatwalk.node.refusal import refuse
+from kumquatwalk.node.runner import Runner
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.levels import EntryLevels
+
+__all__ = ["GateSide"]
+
+_US = 1_000_000
+_CLOCK_ERROR_MAX_US = 1_000_000
+
+
+class GateSide:
+    """Takes calls for the target, each at most once, and admits them.
+
+    Args:
+        replica: The node's catalogue.
+        admission: Admission at the target.
+        runner: Runs admitted calls at the target.
+        attempts: Attempts taken so far.
+        levels: Admission levels of entries called from here.
+    """
+
+    def __init__(
+        self,
+        replica: CatalogueReplica,
+        admission: AdmissionGate,
+        runner: Runner,
+        attempts: AttemptTable[Reply],
+        levels: EntryLevels,
+    ):
+        self._replica = replica
+        self._admission = admission
+        self._runner = runner
+        self._attempts = attempts
+        self._levels = levels
+
+    def handle(self, call: Call) -> Reply:
+        """Serve one attempt; blocks until there is a reply.
+
+        Args:
+            call: The attempt, from a link or from this node's entry side.
+
+        Returns:
+            The reply. ``NOT_RUN`` also holds for all copies of the attempt.
+        """
+        now = time.monotonic()
+        age_us = read_clock_us() - call.sent_at_us
+        if age_us < -_CLOCK_ERROR_MAX_US:
+            return refuse(codes.LINK_FAILED, call.tokens)
+        age_s = max(age_us, 0) / _US
+        deadline = now - age_s + call.remaining_us / _US
+        result = self._attempts.begin(
+            call.attempt_id, call.idempotent, age_s, now
+        )
+        if isinstance(result, begin_result.RunNow):
+            return self._take(call, deadline, now)
+        return answer_copy(result, deadline, now)
+
+    def _take(self, call: Call, deadline: float, now: float) -> Reply:
+        reply = fail_unknown("internal_error")
+        try:
+            reply = self._admit(call, deadline, now)
+        finally:
+            ended = time.monotonic()
+            if reply.outcome is Outcome.NOT_RUN:
+                self._attempts.refuse(call.attempt_id, reply, ended)
+            else:
+                self._attempts.finish(call.attempt_id, reply, ended)
+        return reply
+
+    def _admit(self, call: Call, deadline: float, now: float) -> Reply:
+        entry = self._replica.current().entries.get(call.entry)
+        if entry is None:
+            return refuse(codes.ENTRY_UNKNOWN, call.tokens)
+        if not self._runner.serves(entry.service):
+            return refuse(codes.TARGET_ABSENT, call.tokens)
+        verdict = self._admission.acquire(
+            AdmissionCall(
+                call_id=call.attempt_id,
+                entry=entry,
+                priority=call.priority,
+                depth=call.depth,
+                deadline=deadline,
+            ),
+            now,
+        )
+        if not verdict.is_admitted:
+            reply = refuse(verdict.code, call.tokens)
+        else:
+            reply = self._runner.run(call, deadline)
+        return self._add_levels(reply, entry, verdict.waited_s)
+
+    def _add_levels(self, reply: Reply, entry: Entry, waited_s: float) -> Reply:
+        now = time.monotonic()
+        level = self._admission.level(now)
+        return dataclasses.replace(
+            reply,
+            gate_level=level,
+            entry_level=self._levels.combine(level, entry.calls, now),
+            queue_us=int(waited_s * _US),
+        )
--- /dev/null
+++ b/kumquatwalk/node/runner.py
@@ -0,0 +1,132 @@
+"""Runs admitted calls at the target on this VM."""
+
+import time
+
+from kumquatwalk import codes
+from kumquatwalk.admission.gate import AdmissionGate
+from kumquatwalk.admission.sample import RunSample
+from kumquatwalk.exception import LinkError
+from kumquatwalk.gateway.headers import split_headers
+from kumquatwalk.gateway.target import TargetAnswer
+from kumquatwalk.gateway.target import TargetClient
+from kumquatwalk.link.call import Call
+from kumquatwalk.link.reply import Reply
+from kumquatwalk.node.refusal import fail_unknown
+from kumquatwalk.node.refusal import refuse
+from kumquatwalk.node.run import Run
+from kumquatwalk.node.runs import RunTable
+from kumquatwalk.outcome import Outcome
+
+__all__ = ["Runner"]
+
+_US = 1_000_000
+_SERVER_ERROR = 500
+
+
+class Runner:
+    """Sends admitted calls to the target and reports their ends.
+
+    Args:
+        runs: Runs in progress, where the target's own calls find them.
+        admission: Admission, told of each end.
+    """
+
+    def __init__(
+        self,
+        runs: RunTable,
+        admission: AdmissionGate,
+    ):
+        self._runs = runs
+        self._admission = admission
+        self._service = ""
+        self._target: TargetClient | None = None
+
+    def attach(self, service: str, target: TargetClient | None) -> None:
+        """Take the target that announced itself; None when it is gone."""
+        self._service = service
+        self._target = target
+
+    def serves(self, service: str) -> bool:
+        """Return whether the target of this VM serves the service."""
+        return self._target is not None and service == self._service
+
+    def run(self, call: Call, deadline: float) -> Reply:
+        """Run an admitted call and release its place.
+
+        Args:
+            call: The call.
+            deadline: Monotonic time by which it must have ended.
+
+        Returns:
+            The reply, without admission levels.
+        """
+        run = Run(call, deadline)
+        started = time.monotonic()
+        reply = fail_unknown("internal_error")
+        self._runs.add(run)
+        try:
+            reply = self._send(run, deadline - started)
+        finally:
+            self._runs.remove(run)
+            ended = time.monotonic()
+            own_time_s = ended - started - run.measure_children(ended)
+            is_shed = reply.code == codes.TARGET_SHED
+            sample = RunSample(own_time_s, reply.outcome, is_shed)
+            self._admission.release(call.attempt_id, sample, ended)
+        return _complete(reply, run, ended - started)
+
+    def _send(self, run: Run, timeout_s: float) -> Reply:
+        target = self._target
+        if target is None:
+            return refuse(codes.TARGET_ABSENT)
+        if timeout_s <= 0:
+            return refuse(codes.DEADLINE_EXCEEDED)
+        call = run.call
+        try:
+            answer = target.send(
+                call.method,
+                call.url.decode("latin-1"),
+                _make_headers(run, timeout_s),
+                call.body,
+                timeout_s,
+            )
+        except TimeoutError:
+            return fail_unknown(codes.DEADLINE_EXCEEDED)
+        except LinkError as error:
+            if not error.sent:
+                return refuse(codes.TARGET_ABSENT)
+            return fail_unknown(codes.TARGET_CRASHED)
+        return _judge(answer)
+
+
+def _make_headers(run: Run, timeout_s: float) -> dict[str, str]:
+    headers = dict(split_headers(run.call.headers))
+    headers["Kumquat-Context"] = run.run_id
+    headers["Kumquat-Request-Id"] = run.call.request_id.hex()
+    headers["Kumquat-Timeout-Ms"] = str(max(int(timeout_s * 1000), 1))
+    return headers
+
+
+def _judge(answer: TargetAnswer) -> Reply:
+    if answer.is_not_run:
+        return refuse(codes.TARGET_SHED)
+    is_failed = answer.status >= _SERVER_ERROR
+    return Reply(
+        outcome=Outcome.FAILED if is_failed else Outcome.DONE,
+        code=codes.TARGET_FAILED if is_failed else "",
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
+def _complete(reply: Reply, run: Run, elapsed_s: float) -> Reply:
+    return Reply(
+        outcome=reply.outcome,
+        code=reply.code,
+        status=reply.status,
+        headers=reply.headers,
+        body=reply.body,
+        tokens=run.tokens.left,
+        run_us=int(elapsed_s * _US),
+    )
--- a/kumquatwalk/node/settings_spec.py
+++ b/kumquatwalk/node/settings_spec.py
@@ -91,7 +91,7 @@
         "Longest time of a graceful stop.",
     ),
     SettingSpec(
-        "workers_max", IntegerKind(1, 1024), "64", "HTTP worker threads."
+        "workers_max", IntegerKind(1, 1024), "256", "HTTP worker threads."
     ),
     SettingSpec(
         "link_connections_max",
