Add the catalogue commands

Need: operators drive the system only by editing the catalogue. Decided: the author's team must own the entry unless --as-admin is given; the author's name itself is only recorded, because the platform does not authenticate operators. Change: list, show, set, remove, history, status, export and import with exit statuses by kind of failure.

--- a/kumquatwalk/catalogue/store.py
+++ b/kumquatwalk/catalogue/store.py
@@ -95,6 +95,27 @@
                 return records
         raise _make_final_error(transaction, changes, last_error)
 
+    def preview(
+        self, changes: tuple[Change, ...], editor: Editor
+    ) -> tuple[AuditRecord, ...]:
+        """Return the records that an edit would write now; writes nothing.
+
+        Args:
+            changes: Changes of different entries.
+            editor: Who would make the changes, and why.
+
+        Raises:
+            CatalogueError: If a change breaks a rule.
+            EditConflictError: If another operator changed the same entry.
+            PlatformError: If the catalogue cannot be read.
+        """
+        transaction = Transaction(changes, editor)
+        snapshot = self.load()
+        transaction.is_stale(snapshot)
+        edited = transaction.prepare(snapshot.catalogue)
+        encode_catalogue(edited)
+        return transaction.pick_records(edited.records)
+
     def read_history(self, limit: int) -> tuple[AuditRecord, ...]:
         """Return the latest audit records, newest first.
 
--- /dev/null
+++ b/kumquatwalk/cli/catalogue.py
@@ -0,0 +1,41 @@
+"""The ``catalogue`` commands."""
+
+import click
+
+from kumquatwalk.cli.lazy import LazyGroup
+
+__all__ = ["catalogue"]
+
+_READ = "kumquatwalk.cli.catalogue_read"
+_WRITE = "kumquatwalk.cli.catalogue_write"
+_COMMANDS = {
+    "export": f"{_READ}:export_entries",
+    "history": f"{_READ}:show_history",
+    "import": "kumquatwalk.cli.catalogue_import:import_entries",
+    "list": f"{_READ}:list_entries",
+    "remove": f"{_WRITE}:remove_entry",
+    "set": f"{_WRITE}:set_entry",
+    "show": f"{_READ}:show_entry",
+    "status": "kumquatwalk.cli.catalogue_status:show_status",
+}
+
+
+@click.group(cls=LazyGroup, lazy_commands=_COMMANDS)
+def catalogue() -> None:
+    """Read and edit the catalogue.
+
+    An author is TEAM or TEAM/PERSON. Enforced: only the team that owns an
+    entry may change or remove it, unless --as-admin is given; a new entry
+    belongs to the owner that it names. Only recorded: who the author is. The
+    platform does not authenticate operators, so anyone who may write to it can
+    give any name; the history keeps the name, the reason and the change.
+
+    \b
+    Exit status:
+      0  done
+      2  wrong usage
+      3  refused; nothing was changed
+      4  lost a race with another edit; nothing was changed
+      5  the platform could not be reached or read; nothing was changed
+      6  outcome unknown: the edit may have taken effect
+    """
--- /dev/null
+++ b/kumquatwalk/cli/catalogue_write.py
@@ -0,0 +1,121 @@
+"""Commands that change one entry of the catalogue."""
+
+import json
+
+import click
+
+from kumquatwalk.catalogue import bounds
+from kumquatwalk.catalogue.change import Change
+from kumquatwalk.catalogue.importance import Importance
+from kumquatwalk.catalogue.record_codec import make_record_document
+from kumquatwalk.catalogue.store import CatalogueStore
+from kumquatwalk.cli.catalogue_options import add_edit_options
+from kumquatwalk.cli.catalogue_options import add_platform_options
+from kumquatwalk.cli.catalogue_options import make_change_id
+from kumquatwalk.cli.catalogue_options import make_store
+from kumquatwalk.cli.catalogue_text import format_difference
+from kumquatwalk.cli.command_error import convert_errors
+from kumquatwalk.cli.edit_settings import EditSettings
+from kumquatwalk.cli.edit_settings import take_settings
+from kumquatwalk.cli.entry_fields import EntryFields
+
+__all__ = ["remove_entry", "run_edit", "set_entry"]
+
+_IMPORTANCES = [level.name.lower() for level in Importance]
+
+
+@click.command("set")
+@click.argument("name")
+@click.option("--owner", help="Team that owns the entry.")
+@click.option("--service", help="Service whose targets run the entry.")
+@click.option("--importance", type=click.Choice(_IMPORTANCES))
+@click.option("--idempotent/--not-idempotent", default=None)
+@click.option(
+    "--in-flight",
+    type=click.IntRange(bounds.MIN_IN_FLIGHT, bounds.MAX_IN_FLIGHT),
+    help="Calls in progress at once, in the whole fleet.",
+)
+@click.option(
+    "--rate",
+    "rate_per_s",
+    type=click.FloatRange(bounds.MIN_RATE_PER_S, bounds.MAX_RATE_PER_S),
+    help="Calls started in a second, in the whole fleet.",
+)
+@click.option(
+    "--retries",
+    type=click.IntRange(0, bounds.MAX_RETRIES),
+    help="Retry tokens of one request, for its whole chain.",
+)
+@click.option(
+    "--time-ms",
+    type=click.IntRange(bounds.MIN_TIME_MS, bounds.MAX_TIME_MS),
+    help="Longest time of one request.",
+)
+@click.option(
+    "--call",
+    "calls",
+    multiple=True,
+    metavar="ENTRY",
+    help="Entry that a run may call; repeat it to give the whole list.",
+)
+@click.option("--no-calls", is_flag=True, help="A run calls no entry.")
+@add_edit_options
+@add_platform_options
+@convert_errors
+def set_entry(name, calls, no_calls, **options) -> None:
+    """Add an entry, or change the given fields of one."""
+    settings = take_settings(options)
+    if calls and no_calls:
+        raise click.UsageError("--call and --no-calls exclude each other")
+    listed = calls if calls or no_calls else None
+    fields = EntryFields(calls=listed, **options)
+    store = make_store(settings.platform, settings.timeout_s)
+    seen = store.load().catalogue
+    after = fields.merge(name, seen.entries.get(name))
+    expected = seen.revision if settings.expect is None else settings.expect
+    change = Change(name, after, make_change_id(), expected)
+    run_edit(store, (change,), settings)
+
+
+@click.command("remove")
+@click.argument("name")
+@add_edit_options
+@add_platform_options
+@convert_errors
+def remove_entry(name, **options) -> None:
+    """Remove an entry that no other entry calls."""
+    settings = take_settings(options)
+    store = make_store(settings.platform, settings.timeout_s)
+    change = Change(name, None, make_change_id(), settings.expect)
+    run_edit(store, (change,), settings)
+
+
+def run_edit(
+    store: CatalogueStore,
+    changes: tuple[Change, ...],
+    settings: EditSettings,
+) -> None:
+    """Make or preview an edit and print what it changes.
+
+    Args:
+        store: Store to edit.
+        changes: Changes to make together.
+        settings: Who makes them and why, and how to print them.
+    """
+    edit = store.preview if settings.dry_run else store.edit
+    records = edit(changes, settings.make_editor())
+    if settings.as_json:
+        documents = [make_record_document(record) for record in records]
+        document = {
+            "dry_run": settings.dry_run,
+            "revision": records[-1].revision,
+            "records": documents,
+        }
+        click.echo(json.dumps(document, ensure_ascii=False))
+        return
+    for record in records:
+        click.echo(format_difference(record))
+    if settings.dry_run:
+        click.echo("dry run: nothing was changed")
+    else:
+        click.echo(f"accepted as revision {records[-1].revision}")
--- /dev/null
+++ b/kumquatwalk/cli/command_error.py
@@ -0,0 +1,77 @@
+"""Failure of a command, with its exit status."""
+
+import functools
+import json
+from collections.abc import Callable
+
+import click
+
+from kumquatwalk.exception import CompareFailedError
+from kumquatwalk.exception import EditConflictError
+from kumquatwalk.exception import KumquatwalkError
+from kumquatwalk.exception import OutcomeUnknownError
+from kumquatwalk.exception import PlatformReadError
+from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.exception import SettingError
+
+__all__ = ["CommandError", "convert_errors"]
+
+EXIT_USAGE = 2
+EXIT_REFUSED = 3
+EXIT_LOST_RACE = 4
+EXIT_UNAVAILABLE = 5
+EXIT_UNKNOWN = 6
+_STATUSES = (
+    (SettingError, EXIT_USAGE),
+    (EditConflictError, EXIT_LOST_RACE),
+    (CompareFailedError, EXIT_LOST_RACE),
+    (PlatformUnavailableError, EXIT_UNAVAILABLE),
+    (PlatformReadError, EXIT_UNAVAILABLE),
+    (OutcomeUnknownError, EXIT_UNKNOWN),
+    (KumquatwalkError, EXIT_REFUSED),
+)
+
+
+class CommandError(click.ClickException):
+    """Failure of a command; shown on the standard error stream.
+
+    Args:
+        error: Error that made the command fail.
+        as_json: Whether to show it as a JSON object.
+    """
+
+    def __init__(self, error: KumquatwalkError, as_json: bool):
+        super().__init__(str(error))
+        self._error = error
+        self._as_json = as_json
+        self.exit_code = next(
+            status for kind, status in _STATUSES if isinstance(error, kind)
+        )
+
+    def show(self, file=None) -> None:
+        """Print the error."""
+        text = f"error: {self.message}"
+        if self._as_json:
+            code, message = self._error.code, self._error.message
+            text = json.dumps({"error": {"code": code, "message": message}})
+        click.echo(text, file=file, err=file is None)
+
+
+def convert_errors(command: Callable) -> Callable:
+    """Turn the package's errors into failures with their exit status.
+
+    Args:
+        command: Callback of a command that takes ``as_json``.
+
+    Returns:
+        The callback, wrapped.
+    """
+
+    @functools.wraps(command)
+    def run(*args, as_json: bool, **kwargs):
+        try:
+            return command(*args, as_json=as_json, **kwargs)
+        except KumquatwalkError as error:
+            raise CommandError(error, as_json) from error
+
+    return run
