--- a/kumquatwalk/cli/failure.py
+++ b/kumquatwalk/cli/failure.py
@@ -10,6 +10,7 @@
 from kumquatwalk.exception import EditConflictError
 from kumquatwalk.exception import KumquatwalkError
 from kumquatwalk.exception import OutcomeUnknownError
+from kumquatwalk.exception import PlatformReadError
 from kumquatwalk.exception import PlatformUnavailableError
 from kumquatwalk.exception import SettingError
 
@@ -45,6 +46,7 @@
     return ExitCode.CONFLICT
 
 
+@choose_exit_code.register(PlatformReadError)
 @choose_exit_code.register(PlatformUnavailableError)
 @choose_exit_code.register(NodeUnreachableError)
 def _(_error: KumquatwalkError) -> ExitCode:
--- /dev/null
+++ b/kumquatwalk/tests/test_pages.py
@@ -0,0 +1,51 @@
+"""Tests that the operators' page agrees with the program."""
+
+import pathlib
+import unittest
+
+from kumquatwalk import codes
+from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.node.settings_kinds import describe_range
+from kumquatwalk.node.settings_spec import SETTING_SPECS
+
+_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "OPERATORS.md"
+
+
+def read_table(heading: str) -> list[list[str]]:
+    """Return the cells of the first table below a heading of the page."""
+    text = _PAGE.read_text(encoding="utf-8")
+    lines = text.split(f"\n{heading}\n", 1)[1].splitlines()
+    start = next(i for i, line in enumerate(lines) if line.startswith("|"))
+    rows = []
+    for line in lines[start + 2 :]:
+        if not line.startswith("|"):
+            break
+        rows.append([cell.strip() for cell in line.strip("| ").split(" | ")])
+    return rows
+
+
+class OperatorsPageTest(unittest.TestCase):
+    maxDiff = None
+
+    def test_settings(self):
+        expected = [
+            [
+                f"`{spec.flag}`",
+                f"`{spec.variable}`",
+                "required" if spec.default is None else spec.default or "none",
+                describe_range(spec.kind),
+                spec.help_text,
+            ]
+            for spec in SETTING_SPECS
+        ]
+        self.assertEqual(read_table("### Table of settings"), expected)
+
+    def test_exit_codes(self):
+        shown = [(int(row[0]), row[1]) for row in read_table("## Exit codes")]
+        expected = [(int(code), code.name.lower()) for code in ExitCode]
+        self.assertEqual(shown, expected)
+
+    def test_refusal_codes(self):
+        shown = [row[0].strip("`") for row in read_table("### Table of codes")]
+        expected = {getattr(codes, name) for name in codes.__all__}
+        self.assertEqual(shown, sorted(expected - {""}))
