--- a/kumquatwalk/admission/baseline.py
+++ b/kumquatwalk/admission/baseline.py
@@ -1,11 +1,29 @@
 """Uncongested run times of entries at one target."""
 
 import dataclasses
+import math
 
-__all__ = ["Baselines"]
+__all__ = ["Baselines", "RunRatio"]
 
-FALL_WEIGHT = 0.3
-RISE_WEIGHT = 0.01
+FALL_WEIGHT = 0.1
+LARGE_FALL_WEIGHT = 0.5
+LARGE_FALL_SHARE = 0.7
+RISE_WEIGHT = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunRatio:
+    """Time of the runs of a window over what their baselines give for them.
+
+    Attributes:
+        value: The ratio, at least 1.
+        error: Standard error of the ratio.
+        mean_s: Mean time of a run.
+    """
+
+    value: float
+    error: float
+    mean_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -17,25 +35,28 @@
             the first window has closed.
         runs: Runs in the present window.
         sum_s: Sum of their times.
+        square_sum: Sum of the squares of their times.
     """
 
     time_s: float = 0.0
     runs: int = 0
     sum_s: float = 0.0
+    square_sum: float = 0.0
+
+    def get_variance(self) -> float:
+        """Return the variance of the time of a run in the window."""
+        mean_s = self.sum_s / self.runs
+        return max(0.0, self.square_sum / self.runs - mean_s * mean_s)
 
 
 class Baselines:
     """Run times of entries, compared with what they were without congestion.
 
     A baseline follows shorter times at once and longer ones slowly.
-
-    Attributes:
-        mean_run_s: Mean time of a run in the last measured window.
     """
 
     def __init__(self):
         self._entries: dict[str, Baseline] = {}
-        self.mean_run_s = 0.0
 
     def note(self, entry: str, time_s: float) -> None:
         """Record a run.
@@ -50,24 +71,24 @@
             self._entries[entry] = baseline
         baseline.runs += 1
         baseline.sum_s += time_s
+        baseline.square_sum += time_s * time_s
 
-    def measure_ratio(self) -> float:
+    def measure_ratio(self) -> RunRatio:
         """Compare the runs of the window with their baselines.
 
         Returns:
-            Time of the runs over the time that the baselines give for them, at
-            least 1.
+            The ratio with its error.
         """
-        seen_s = 0.0
-        expected_s = 0.0
-        runs = 0
-        for baseline in self._entries.values():
-            seen_s += baseline.sum_s
-            runs += baseline.runs
-            time_s = baseline.time_s
-            expected_s += time_s * baseline.runs if time_s else baseline.sum_s
-        self.mean_run_s = seen_s / runs if runs else 0.0
-        return max(1.0, seen_s / expected_s) if expected_s > 0.0 else 1.0
+        seen = [b for b in self._entries.values() if b.runs]
+        runs = sum(b.runs for b in seen)
+        seen_s = sum(b.sum_s for b in seen)
+        expected_s = sum(b.time_s * b.runs or b.sum_s for b in seen)
+        if not runs or expected_s <= 0.0:
+            return RunRatio(1.0, 0.0, 0.0)
+        error_s = math.sqrt(sum(b.get_variance() * b.runs for b in seen))
+        return RunRatio(
+            max(1.0, seen_s / expected_s), error_s / expected_s, seen_s / runs
+        )
 
     def close_window(self) -> None:
         """Let the baselines follow the window's runs, and begin a new one."""
@@ -76,6 +97,7 @@
                 _follow(baseline, baseline.sum_s / baseline.runs)
             baseline.runs = 0
             baseline.sum_s = 0.0
+            baseline.square_sum = 0.0
 
     def rebase(self) -> None:
         """Make the times of the window's runs the baselines."""
@@ -88,5 +110,9 @@
     if not baseline.time_s:
         baseline.time_s = mean_s
         return
-    weight = FALL_WEIGHT if mean_s < baseline.time_s else RISE_WEIGHT
+    weight = RISE_WEIGHT
+    if mean_s < baseline.time_s * LARGE_FALL_SHARE:
+        weight = LARGE_FALL_WEIGHT
+    elif mean_s < baseline.time_s:
+        weight = FALL_WEIGHT
     baseline.time_s += weight * (mean_s - baseline.time_s)
--- a/kumquatwalk/admission/level.py
+++ b/kumquatwalk/admission/level.py
@@ -1,5 +1,6 @@
 """Admission level: the least important priority that a gate takes."""
 
+import bisect
 import itertools
 
 __all__ = ["AdmissionLevel", "FULL_LEVEL", "NO_LEVEL"]
@@ -8,22 +9,26 @@
 NO_LEVEL = -1
 
 WINDOW_S = 0.1
-TARGET_WAIT_S = 0.005
-OLD_OFFERS_WEIGHT = 0.5
+MANY_OFFERS = 100
+MANY_OFFERS_WEIGHT = 0.5
+FEW_OFFERS_WEIGHT = 0.8
+LEAST_OFFERS = 0.001
 FIRST_STEP = 8
 LARGEST_STEP = 256
-ADMITTED_SHARE = 1.0
-LEAST_CUT_SHARE = 0.98
+TARGET_LOAD = 1.0
+OVERLOAD_SHARE = 0.95
+LEAST_UTILIZATION = 0.05
 
 
 class AdmissionLevel:
     """Level that follows the measured capacity, window by window.
 
     The rule follows DAGOR (Zhou et al., "Overload Control for Scaling WeChat
-    Microservices", SoCC 2018). When calls wait longer than the target time, a
-    histogram of the priorities offered gives the level at which the volume
-    admitted equals the volume that was run. Otherwise the level rises, in
-    steps that double while the target has room.
+    Microservices", SoCC 2018): a histogram of the priorities offered gives the
+    level at which the volume admitted equals the capacity. The capacity is the
+    volume started over the utilization. While calls wait too long, the volume
+    is cut below that. Priorities that callers already hold back do not show
+    in the histogram; towards these the level rises in steps that double.
 
     Args:
         now: Present time.
@@ -32,13 +37,11 @@
     def __init__(self, now: float):
         self.value = FULL_LEVEL
         self._offers = [0.0] * (FULL_LEVEL + 1)
+        self._offer_count = 0
+        self._starts = 0
+        self._capacity = 0.0
         self._window_end = now + WINDOW_S
         self._step = FIRST_STEP
-        self._starts = 0
-        self._wait_sum_s = 0.0
-        self._has_room = False
-        self._offer_count = 0
-        self._refusals = 0
 
     def note_offer(self, priority: int) -> None:
         """Record a call offered, admitted or not.
@@ -49,22 +52,9 @@
         self._offers[priority] += 1.0
         self._offer_count += 1
 
-    def note_start(self, waited_s: float) -> None:
-        """Record that a call starts.
-
-        Args:
-            waited_s: Time that it waited.
-        """
+    def note_start(self) -> None:
+        """Record that a call starts."""
         self._starts += 1
-        self._wait_sum_s += waited_s
-
-    def note_room(self) -> None:
-        """Record that a call could start and none waited."""
-        self._has_room = True
-
-    def note_refusal(self) -> None:
-        """Record that a call was refused because too many waited."""
-        self._refusals += 1
 
     def is_due(self, now: float) -> bool:
         """Tell whether the window has ended.
@@ -77,58 +67,50 @@
         """
         return now >= self._window_end
 
-    def close_window(self, oldest_wait_s: float, now: float) -> bool:
+    def close_window(
+        self, utilization: float, is_overloaded: bool, now: float
+    ) -> bool:
         """Set the level from the window that has ended and begin a new one.
 
         Args:
-            oldest_wait_s: Longest time that a call now in the queue waits.
+            utilization: Share of the concurrency limit used in the window.
+            is_overloaded: Whether calls waited too long in the window.
             now: Present time.
 
         Returns:
             Whether the level was lowered.
         """
         before = self.value
-        if self._is_overloaded(oldest_wait_s):
-            self._lower()
-        else:
-            windows = 1 + int((now - self._window_end) / WINDOW_S)
-            self._raise(windows)
-        self._begin_window(now)
+        windows = 1 + int((now - self._window_end) / WINDOW_S)
+        weight = self._get_weight(windows)
+        utilization = max(LEAST_UTILIZATION, utilization)
+        self._capacity += self._starts / utilization
+        self._set_level(is_overloaded, windows)
+        self._begin_window(weight, now)
         return self.value < before
 
-    def _is_overloaded(self, oldest_wait_s: float) -> bool:
-        if oldest_wait_s > TARGET_WAIT_S or self._refusals:
-            return True
-        mean_s = self._wait_sum_s / self._starts if self._starts else 0.0
-        return mean_s > TARGET_WAIT_S
+    def _get_weight(self, windows: int) -> float:
+        many = self._offer_count >= MANY_OFFERS
+        weight = MANY_OFFERS_WEIGHT if many else FEW_OFFERS_WEIGHT
+        return weight**windows
 
-    def _lower(self) -> None:
-        self._step = FIRST_STEP
+    def _set_level(self, is_overloaded: bool, windows: int) -> None:
         volumes = list(itertools.accumulate(self._offers))
-        admitted = volumes[self.value] if self.value >= 0 else 0.0
-        if not admitted:
-            return
-        share = self._starts / max(1, self._offer_count)
-        wanted = volumes[-1] * share * ADMITTED_SHARE
-        wanted = min(wanted, admitted * LEAST_CUT_SHARE)
-        while self.value > 0 and volumes[self.value] > wanted:
-            self.value -= 1
-
-    def _raise(self, windows: int) -> None:
-        if self._has_room or windows > 1:
-            for _ in range(min(windows, 8)):
-                self.value = min(FULL_LEVEL, self.value + self._step)
-                self._step = min(LARGEST_STEP, 2 * self._step)
-        else:
+        wanted = self._capacity * TARGET_LOAD
+        if is_overloaded:
+            wanted = min(wanted, volumes[self.value]) * OVERLOAD_SHARE
+        if wanted < volumes[-1]:
             self._step = FIRST_STEP
+            self.value = max(0, bisect.bisect_right(volumes, wanted) - 1)
+            return
+        for _ in range(min(windows, 8)):
             self.value = min(FULL_LEVEL, self.value + self._step)
+            self._step = min(LARGEST_STEP, 2 * self._step)
 
-    def _begin_window(self, now: float) -> None:
-        if self._offer_count or any(self._offers):
-            self._offers = [n * OLD_OFFERS_WEIGHT for n in self._offers]
+    def _begin_window(self, weight: float, now: float) -> None:
+        if self._offer_count or self._capacity > LEAST_OFFERS:
+            self._offers = [count * weight for count in self._offers]
+        self._capacity *= weight
         self._window_end = now + WINDOW_S
-        self._starts = 0
-        self._wait_sum_s = 0.0
-        self._has_room = False
         self._offer_count = 0
-        self._refusals = 0
+        self._starts = 0
--- a/kumquatwalk/admission/limit.py
+++ b/kumquatwalk/admission/limit.py
@@ -4,20 +4,26 @@
 import math
 
 from kumquatwalk.admission.baseline import Baselines
+from kumquatwalk.admission.baseline import RunRatio
 
 __all__ = ["ConcurrencyLimit"]
 
 WINDOW_S = 0.1
-WINDOW_RUNS = 20
+WINDOW_RUNS = 50
 COLD_SHARE = 0.1
 LOW_QUEUE_FACTOR = 3.0
 HIGH_QUEUE_FACTOR = 6.0
 LARGEST_CUT = 0.7
 SHED_CUT = 0.9
 SHED_HOLD_S = 1.0
-SHED_REPEAT_S = 0.5
+SHED_SETTLE_S = 0.1
+SHED_REPEAT_S = 0.6
+LONGEST_HOLD_S = 8.0
+SAME_LIMIT_CALLS = 2.0
+LARGEST_STEP_SHARE = 0.1
 SETTLE_RUNS = 1.5
 TRIAL_SHARE = 0.5
+CERTAIN_ERRORS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +66,10 @@
         self._is_saturated = False
         self._trial: CutTrial | None = None
         self._held_until = -math.inf
+        self._hold_s = SHED_HOLD_S
+        self._shed_limit = math.inf
         self._cut_at = -math.inf
+        self._step = 1.0
 
     @property
     def value(self) -> int:
@@ -112,25 +121,36 @@
     def note_shed(self, in_flight: int, now: float) -> None:
         """Record that the target refused to run a call.
 
+        The limit falls to what was running. When calls are shed again although
+        that cut has had time to show, the limit falls by a share as well.
+
         Args:
             in_flight: Calls running, without the one refused.
             now: Present time.
         """
-        self._held_until = now + SHED_HOLD_S
-        if now - self._cut_at < SHED_REPEAT_S:
-            return
-        self._trial = None
-        limit = min(self._limit - 1.0, float(in_flight))
-        if now - self._cut_at < 2 * SHED_REPEAT_S:
+        since_cut_s = now - self._cut_at
+        limit = min(self._limit, float(in_flight))
+        if SHED_SETTLE_S < since_cut_s < SHED_REPEAT_S:
             limit = min(limit, self._limit * SHED_CUT)
+        if since_cut_s > SHED_SETTLE_S:
+            self._hold_growth(now)
+            self._cut_at = now
+        self._trial = None
+        self._step = 1.0
         self._limit = max(1.0, limit)
         self._slow_start_end = self._limit
-        self._cut_at = now
+
+    def _hold_growth(self, now: float) -> None:
+        is_same = abs(self._limit - self._shed_limit) <= SAME_LIMIT_CALLS
+        hold_s = min(LONGEST_HOLD_S, 2.0 * self._hold_s)
+        self._hold_s = hold_s if is_same else SHED_HOLD_S
+        self._shed_limit = self._limit
+        self._held_until = now + self._hold_s
 
     def _close_window(self, now: float) -> None:
         ratio = self._baselines.measure_ratio()
         if self._trial:
-            self._judge_trial(ratio)
+            self._judge_trial(ratio.value)
         else:
             self._adjust(ratio, now)
         self._baselines.close_window()
@@ -139,25 +159,31 @@
         self._peak = 0
         self._is_saturated = False
 
-    def _adjust(self, ratio: float, now: float) -> None:
+    def _adjust(self, ratio: RunRatio, now: float) -> None:
         used = min(self._limit, float(self._peak))
         scale = math.log10(used + 1.0)
-        queued = used * (1.0 - 1.0 / ratio)
-        if queued > HIGH_QUEUE_FACTOR * scale:
+        queued = used * (1.0 - 1.0 / ratio.value)
+        surely = max(1.0, ratio.value - CERTAIN_ERRORS * ratio.error)
+        if used * (1.0 - 1.0 / surely) > HIGH_QUEUE_FACTOR * scale:
             self._cut(used, ratio, now)
         elif queued < LOW_QUEUE_FACTOR * scale:
             self._grow(now)
+        else:
+            self._step = 1.0
 
     def _grow(self, now: float) -> None:
         if not self._is_saturated or now < self._held_until:
             return
-        self._limit += max(1.0, math.log10(self._limit))
-
-    def _cut(self, used: float, ratio: float, now: float) -> None:
-        limit = max(used * LARGEST_CUT, used / ratio, 1.0)
-        settle_s = SETTLE_RUNS * self._baselines.mean_run_s
-        self._trial = CutTrial(used, limit, ratio, now + settle_s)
+        self._limit += self._step
+        most = max(1.0, self._limit * LARGEST_STEP_SHARE)
+        self._step = min(most, 2.0 * self._step)
+
+    def _cut(self, used: float, ratio: RunRatio, now: float) -> None:
+        limit = max(used * LARGEST_CUT, used / ratio.value, 1.0)
+        settled_at = now + SETTLE_RUNS * ratio.mean_s
+        self._trial = CutTrial(used, limit, ratio.value, settled_at)
         self._limit = limit
+        self._step = 1.0
         self._slow_start_end = limit
 
     def _judge_trial(self, ratio: float) -> None:
--- a/kumquatwalk/admission/state.py
+++ b/kumquatwalk/admission/state.py
@@ -15,6 +15,7 @@
 from kumquatwalk.admission.queue import WaitingQueue
 from kumquatwalk.admission.sample import RunSample
 from kumquatwalk.admission.usage import EntryUsage
+from kumquatwalk.admission.utilization import Utilization
 from kumquatwalk.catalogue.entry import Entry
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.member import TargetState
@@ -23,7 +24,11 @@
 __all__ = ["AdmissionState"]
 
 TARGET_WAIT_S = 0.005
+TARGET_WAIT_SHARE = 0.25
+STALE_WAIT_FACTOR = 4.0
+DEEP_WAIT_FACTOR = 2.0
 STANDING_INTERVAL_S = 0.1
+RUN_TIME_WEIGHT = 0.05
 QUEUE_PER_SLOT = 2
 SHORTEST_QUEUE = 8
 
@@ -67,6 +72,9 @@
         self._suspects = 0
         self._sequence = 0
         self._standing_since = float("inf")
+        self._use = Utilization(now)
+        self._run_time_s = 0.0
+        self._is_overloaded = False
 
     @property
     def in_flight(self) -> int:
@@ -147,7 +155,9 @@
         if code:
             return [Refused(call.call_id, code)]
         self._level.note_offer(call.priority)
-        if not self._queue and len(self._running) < self._limit.value:
+        if not self._passes_level(call):
+            notices = [Refused(call.call_id, codes.OVERLOADED)]
+        elif not self._queue and len(self._running) < self._limit.value:
             notices = [self._start(call, 0.0, now)]
         else:
             notices = self._enqueue(call, now)
@@ -168,6 +178,7 @@
         Returns:
             Verdicts on calls that waited.
         """
+        self._use.note(len(self._running), self._limit.value, now)
         running = self._running.pop(call_id, None)
         if running is None:
             return []
@@ -176,6 +187,9 @@
         was_run = sample.outcome is not Outcome.NOT_RUN
         run_time_s = now - running.started_at if was_run else None
         self._usages[call.entry.name].finish(run_time_s)
+        if was_run:
+            change_s = run_time_s - self._run_time_s
+            self._run_time_s += RUN_TIME_WEIGHT * change_s
         if sample.shed_by_target:
             self._limit.note_shed(len(self._running), now)
         elif sample.outcome is Outcome.DONE:
@@ -195,11 +209,20 @@
         self._dispatch(notices, now)
         self._trim(notices, now)
         if self._level.is_due(now):
-            oldest_s = max(0.0, now - self._queue.get_oldest_arrival())
-            if self._level.close_window(oldest_s, now):
-                notices += self._refuse_below_level()
+            notices += self._close_window(now)
         return notices
 
+    def _close_window(self, now: float) -> list[Notice]:
+        self._use.note(len(self._running), self._limit.value, now)
+        is_lower = self._level.close_window(
+            self._use.take(), self._is_overloaded, now
+        )
+        self._is_overloaded = False
+        return self._refuse_below_level() if is_lower else []
+
+    def _get_target_wait(self) -> float:
+        return max(TARGET_WAIT_S, TARGET_WAIT_SHARE * self._run_time_s)
+
     def _refusal_to_all(self) -> str:
         return self._shutdown_code or self._closed_code
 
@@ -221,16 +244,17 @@
     def _start(
         self, call: AdmissionCall, waited_s: float, now: float
     ) -> Admitted:
+        self._use.note(len(self._running), self._limit.value, now)
         self._running[call.call_id] = RunningCall(call, now)
         self._usages[call.entry.name].start()
         self._suspects += call.is_suspect
         self._limit.note_start(len(self._running))
-        self._level.note_start(waited_s)
+        self._level.note_start()
+        if waited_s > self._get_target_wait():
+            self._is_overloaded = True
         return Admitted(call.call_id, waited_s)
 
     def _enqueue(self, call: AdmissionCall, now: float) -> list[Notice]:
-        if not self._passes_level(call):
-            return [Refused(call.call_id, codes.OVERLOADED)]
         if not self._queue:
             self._standing_since = now
         self._sequence += 1
@@ -239,7 +263,7 @@
         bound = max(SHORTEST_QUEUE, QUEUE_PER_SLOT * self._limit.value)
         if len(self._queue) <= bound:
             return []
-        self._level.note_refusal()
+        self._is_overloaded = True
         worst = self._queue.pop_worst()
         return [Refused(worst.call.call_id, codes.QUEUE_FULL)]
 
@@ -261,8 +285,6 @@
             notices.append(self._start(call, waited_s, now))
         if not self._queue:
             self._standing_since = float("inf")
-            if len(self._running) < self._limit.value:
-                self._level.note_room()
 
     def _trim(self, notices: list[Notice], now: float) -> None:
         late = self._queue.remove_where(lambda q: q.call.deadline <= now)
@@ -272,11 +294,12 @@
         while self._queue and self._is_stale(self._queue.worst, now):
             worst = self._queue.pop_worst()
             notices.append(Refused(worst.call.call_id, codes.OVERLOADED))
-            self._level.note_refusal()
+            self._is_overloaded = True
 
     def _is_stale(self, queued: QueuedCall, now: float) -> bool:
-        is_new = queued.call.depth == 0
-        bound_s = TARGET_WAIT_S if is_new else STANDING_INTERVAL_S
+        bound_s = STALE_WAIT_FACTOR * self._get_target_wait()
+        if queued.call.depth > 0:
+            bound_s *= DEEP_WAIT_FACTOR
         return now - queued.queued_at > bound_s
 
     def _refuse_below_level(self) -> list[Notice]:
