--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show how kumquatwalk is used."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,174 @@
+"""Show three availability zones under overload control, in half a minute.
+
+Starts a stand-in for the platform, six nodes and six targets as processes on
+loopback, serves a chain of three services, presses on it until browsing is
+refused while payments pass, edits a limit and watches the edit take effect,
+and stops everything.
+"""
+
+import argparse
+import collections
+import random
+import subprocess
+import sys
+import threading
+import time
+
+from kumquatwalk import Entry
+from kumquatwalk import Importance
+from kumquatwalk import Limits
+from kumquatwalk.standin.caller_answer import CallerAnswer
+from kumquatwalk.standin.fleet import LocalFleet
+from kumquatwalk.standin.fleet import make_host
+from kumquatwalk.standin.fleet import wait_until
+
+ZONES = 3
+SURGE_S = 4.0
+BROWSERS_PER_NODE = 30
+PAYERS = 3
+_LIMITS = Limits(in_flight=500, rate_per_s=10_000, retries=3, time_ms=2000)
+
+ENTRIES = [
+    Entry(
+        "browse",
+        "web",
+        "portal",
+        Importance.SHEDDABLE,
+        True,
+        _LIMITS,
+        ("list",),
+    ),
+    Entry(
+        "renew", "web", "portal", Importance.CRITICAL, False, _LIMITS, ("pay",)
+    ),
+    Entry(
+        "pay",
+        "money",
+        "payments",
+        Importance.CRITICAL,
+        False,
+        _LIMITS,
+        ("verify",),
+    ),
+    Entry("list", "registry", "registry", Importance.NORMAL, True, _LIMITS),
+    Entry("verify", "registry", "registry", Importance.HIGH, True, _LIMITS),
+]
+TARGETS = [
+    ("portal", ("--calls", "browse=list", "--calls", "renew=pay")),
+    ("payments", ("--calls", "pay=verify")),
+    ("registry", ()),
+]
+
+
+def main() -> int:
+    """Run the demo.
+
+    Returns:
+        Zero when each step showed what it should.
+    """
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    fleet = LocalFleet()
+    try:
+        start_fleet(fleet, seed)
+        steps = [show_chain(fleet), show_surge(fleet, seed), show_edit(fleet)]
+    finally:
+        fleet.close()
+    print("stopped everything that was started")
+    return 0 if all(steps) else 1
+
+
+def start_fleet(fleet: LocalFleet, seed: int) -> None:
+    """Start the platform, two VMs a zone and their targets."""
+    fleet.start_platform()
+    fleet.put_catalogue(ENTRIES)
+    for zone in range(1, ZONES + 1):
+        service, calls = TARGETS[zone - 1]
+        for number in (1, 2):
+            node_id = f"z{zone}-vm{number}"
+            fleet.start_node(node_id, f"z{zone}", make_host(zone, number))
+            options = ("--slots", "8", "--service-ms", "20")
+            options += ("--seed", str(seed + zone * 10 + number))
+            fleet.start_target(node_id, service, options + calls)
+    fleet.wait_ready()
+    print(f"started {len(fleet.nodes)} nodes in {ZONES} zones")
+
+
+def show_chain(fleet: LocalFleet) -> bool:
+    """Serve one renewal through three services, twice under one key."""
+    first = fleet.make_caller("z3-vm1").call("renew", b"bar 17", key="k-17")
+    again = fleet.make_caller("z1-vm2").call("renew", b"bar 17", key="k-17")
+    print(f"renewal: {first.status} {first.outcome}")
+    is_same = first.body == again.body
+    print(f"the same key at another node, same answer: {is_same}")
+    return first.status == 200 and is_same
+
+
+def show_surge(fleet: LocalFleet, seed: int) -> bool:
+    """Press with browsing on all nodes while a few callers renew."""
+    browsed: collections.Counter = collections.Counter()
+    renewed: collections.Counter = collections.Counter()
+    stop_at = time.monotonic() + SURGE_S
+    threads = []
+    for index, node_id in enumerate(fleet.nodes):
+        for number in range(BROWSERS_PER_NODE):
+            rng = random.Random(seed * 1000 + index * 100 + number)
+            arguments = (fleet, node_id, "browse", browsed, stop_at, rng)
+            threads.append(threading.Thread(target=press, args=arguments))
+    for number in range(PAYERS):
+        rng = random.Random(seed + number)
+        arguments = (fleet, "z2-vm1", "renew", renewed, stop_at, rng)
+        threads.append(threading.Thread(target=press, args=arguments))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    print(f"browsing under pressure: {dict(browsed)}")
+    print(f"renewals meanwhile:      {dict(renewed)}")
+    return browsed["not_run"] > 0 and set(renewed) == {"done"}
+
+
+def press(
+    fleet: LocalFleet,
+    node_id: str,
+    entry: str,
+    outcomes: collections.Counter,
+    stop_at: float,
+    rng: random.Random,
+) -> None:
+    """Call an entry again and again and count the outcomes."""
+    caller = fleet.make_caller(node_id, connections=1)
+    while time.monotonic() < stop_at:
+        number = rng.getrandbits(64)
+        key = f"{number:x}" if entry == "renew" else ""
+        answer = caller.call(entry, b"%d" % number, key=key)
+        outcomes[answer.outcome] += 1
+        if answer.outcome == "not_run":
+            time.sleep(rng.uniform(0.01, 0.05))
+    caller.close()
+
+
+def show_edit(fleet: LocalFleet) -> bool:
+    """Remove an entry by an operator's command and watch all nodes."""
+    command = [sys.executable, "-m", "kumquatwalk", "catalogue", "remove"]
+    options = ["--platform", fleet.platform_address, "--author", "web"]
+    options += ["--reason", "close browsing", "browse"]
+    started = time.monotonic()
+    subprocess.run([*command, *options], check=True)
+    callers = [fleet.make_caller(node_id) for node_id in fleet.nodes]
+    wait_until(
+        lambda: all(_is_gone(c.call("browse", b"x")) for c in callers),
+        "the edit to be in force",
+    )
+    elapsed_s = time.monotonic() - started
+    print(f"edit in force at all nodes after {elapsed_s:.2f} s")
+    return True
+
+
+def _is_gone(answer: CallerAnswer) -> bool:
+    return answer.code == "entry_unknown"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kumquatwalk/standin/fleet.py
@@ -0,0 +1,207 @@
+"""A small fleet of real processes on loopback addresses."""
+
+import json
+import time
+from collections.abc import Callable
+
+import urllib3
+
+from kumquatwalk.catalogue.codec import encode_catalogue
+from kumquatwalk.catalogue.document import Catalogue
+from kumquatwalk.catalogue.entry import Entry
+from kumquatwalk.exception import KumquatwalkError
+from kumquatwalk.platform.client import PlatformClient
+from kumquatwalk.standin.caller import StandinCaller
+from kumquatwalk.standin.child import ChildProcess
+
+__all__ = ["LocalFleet", "make_host", "split_address", "wait_until"]
+
+_CATALOGUE_KEY = "catalogue"
+_HANG_GUARD_S = 60.0
+_POLL_S = 0.02
+
+
+class LocalFleet:
+    """Platform stand-in, nodes and targets, started and stopped together.
+
+    Attributes:
+        platform: Process of the platform's stand-in.
+        nodes: Processes of nodes by node id.
+        targets: Processes of targets by the node id of their VM.
+    """
+
+    def __init__(self):
+        self.platform: ChildProcess | None = None
+        self.nodes: dict[str, ChildProcess] = {}
+        self.targets: dict[str, ChildProcess] = {}
+        self._http = urllib3.PoolManager(retries=False, timeout=10.0)
+
+    @property
+    def platform_address(self) -> str:
+        """Address of the platform's stand-in."""
+        return self.platform.addresses[""]
+
+    def start_platform(self, listen: str = "127.0.0.1:0") -> None:
+        """Start the platform's stand-in."""
+        arguments = ["standin", "platform", "--listen", listen]
+        self.platform = ChildProcess(arguments)
+        self.platform.start()
+
+    def put_catalogue(self, entries: list[Entry]) -> None:
+        """Write a first catalogue into the platform."""
+        catalogue = Catalogue(1, {entry.name: entry for entry in entries})
+        client = PlatformClient(self.platform_address)
+        client.put(_CATALOGUE_KEY, encode_catalogue(catalogue), 0)
+        client.close()
+
+    def start_node(
+        self,
+        node_id: str,
+        zone: str,
+        host: str,
+        peers: tuple[str, ...] = (),
+        extra: tuple[str, ...] = (),
+    ) -> ChildProcess:
+        """Start a node on ports of the system's choice.
+
+        Args:
+            node_id: Name of the node.
+            zone: Its availability zone.
+            host: Its loopback address.
+            peers: Gossip addresses; by default those of the running nodes.
+            extra: Further arguments.
+
+        Returns:
+            Its process; ``addresses`` has ``http``, ``local``, ``link`` and
+            ``gossip``.
+        """
+        peers = peers or tuple(
+            node.addresses["gossip"]
+            for node in list(self.nodes.values())[:3]
+            if node.is_running()
+        )
+        arguments = ["node", "--node-id", node_id, "--zone", zone]
+        arguments += ["--host", host, "--enable-faults", "true"]
+        for port in ("http", "local", "link", "gossip"):
+            arguments += [f"--{port}-port", "0"]
+        if self.platform is not None:
+            arguments += ["--platform", self.platform_address]
+        if peers:
+            arguments += ["--peers", ",".join(peers)]
+        node = ChildProcess([*arguments, *extra])
+        node.start()
+        self.nodes[node_id] = node
+        return node
+
+    def start_target(
+        self, node_id: str, service: str, extra: tuple[str, ...] = ()
+    ) -> ChildProcess:
+        """Start a target on the VM of a node.
+
+        Args:
+            node_id: Node of the VM.
+            service: Service of the target.
+            extra: Further arguments.
+        """
+        local = self.nodes[node_id].addresses["local"]
+        arguments = ["standin", "target", "--service", service]
+        target = ChildProcess([*arguments, "--node", local, *extra])
+        target.start()
+        self.targets[node_id] = target
+        return target
+
+    def make_caller(self, node_id: str, **options) -> StandinCaller:
+        """Return a caller of a node."""
+        host, port = split_address(self.nodes[node_id].addresses["http"])
+        return StandinCaller(host, port, **options)
+
+    def read_members(self, node_id: str) -> list[dict]:
+        """Return the members that a node knows."""
+        local = self.nodes[node_id].addresses["local"]
+        url = f"http://{local}/kumquatwalk/members"
+        return self._http.request("GET", url).json()["members"]
+
+    def read_json(self, address: str, path: str) -> object:
+        """Return a JSON document that a process serves."""
+        return self._http.request("GET", f"http://{address}{path}").json()
+
+    def put_json(self, address: str, path: str, document: object) -> int:
+        """Send a JSON document to a process and return the HTTP status."""
+        body = json.dumps(document).encode()
+        return self._http.request("PUT", f"http://{address}{path}", body=body)
+
+    def cut(self, node_id: str, prefixes: tuple[str, ...]) -> None:
+        """Cut a node off from hosts; no prefixes end the cut."""
+        local = self.nodes[node_id].addresses["local"]
+        document = {"blocked_hosts": list(prefixes)}
+        self.put_json(local, "/kumquatwalk/faults", document)
+
+    def wait_ready(self, revision: int = 1) -> None:
+        """Wait until all nodes know all targets and have the catalogue."""
+        wait_until(lambda: self._is_ready(revision), "the fleet to be ready")
+
+    def close(self) -> None:
+        """Stop everything that was started."""
+        children = [*self.targets.values(), *self.nodes.values()]
+        if self.platform is not None:
+            children.append(self.platform)
+        running = [child for child in children if child.is_running()]
+        for child in running:
+            child.thaw()
+            child.signal(15)
+        for child in running:
+            child.wait()
+
+    def _is_ready(self, revision: int) -> bool:
+        running = [n for n, child in self.nodes.items() if child.is_running()]
+        for node_id in running:
+            rows = {row["node_id"]: row for row in self.read_members(node_id)}
+            if rows[node_id]["catalogue_revision"] < revision:
+                return False
+            for other in self.targets:
+                row = rows.get(other)
+                if row is None or row["target_state"] != "ready":
+                    return False
+        return True
+
+
+def make_host(zone: int, number: int) -> str:
+    """Return the loopback address of a VM.
+
+    Args:
+        zone: Number of the zone, from 1.
+        number: Number of the VM in its zone, from 1.
+
+    Example:
+        >>> make_host(2, 1)
+        '127.2.0.1'
+    """
+    return f"127.{zone}.0.{number}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def wait_until(
+    is_true: Callable[[], bool],
+    what: str,
+    hang_guard_s: float = _HANG_GUARD_S,
+) -> None:
+    """Poll until a condition holds.
+
+    Args:
+        is_true: The condition.
+        what: What is waited for, for the error.
+        hang_guard_s: Time after which to give up.
+
+    Raises:
+        KumquatwalkError: The condition did not hold in time.
+    """
+    give_up_at = time.monotonic() + hang_guard_s
+    while not is_true():
+        if time.monotonic() > give_up_at:
+            raise KumquatwalkError("hang_guard", f"waited for {what}")
+        time.sleep(_POLL_S)
