Drain a node before it stops; split the composition root from its life

Cause: a stop closed links and connections with requests in progress. Change: on SIGTERM the gate refuses new work as not run, the target's state is published as draining, callers' connections close after their next answer, what has arrived is served, then links drain, within shutdown-timeout-s.

--- a/kumquatwalk/cli/node.py
+++ b/kumquatwalk/cli/node.py
@@ -18,7 +18,7 @@
     """Run a node until it is told to stop by SIGTERM or SIGINT."""
     from kumquatwalk.logs import close_logs  # pylint: disable=C0415
     from kumquatwalk.logs import start_logs  # pylint: disable=C0415
-    from kumquatwalk.node.composition import Node  # pylint: disable=C0415
+    from kumquatwalk.node.process import Node  # pylint: disable=C0415
 
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -34,5 +34,6 @@
     )
     sys.stdout.flush()
     stopping.wait()
+    process.drain()
     process.close()
     close_logs()
--- a/kumquatwalk/gateway/server.py
+++ b/kumquatwalk/gateway/server.py
@@ -97,11 +97,30 @@
 
 
 class _Server(cheroot_server.HTTPServer):
-    """cheroot's server without its error log on standard error."""
+    """cheroot's server with a stop that serves what has already arrived."""
 
     def error_log(self, msg="", level=20, traceback=False):
         """Drop the message: callers' faults are answered, not logged."""
 
+    def stop(self):
+        """Serve connections and requests that have arrived, then stop."""
+        if not self.ready:
+            return
+        # cheroot has no public way to take what is left in its selector.
+        # pylint: disable=protected-access
+        connections = self._connections
+        connections.stop()
+        self.socket.setblocking(False)
+        for descriptor, connection in list(connections._selector.select(0)):
+            if connection is not self:
+                connections._selector.unregister(descriptor)
+                self.process_conn(connection)
+        while (
+            late := connections._from_server_socket(self.socket)
+        ) is not None:
+            self.process_conn(late)
+        super().stop()
+
 
 class _Gateway(cheroot_server.Gateway):
     """Turns a parsed request into an answer sent with one system call."""
--- a/kumquatwalk/link/connection.py
+++ b/kumquatwalk/link/connection.py
@@ -82,6 +82,10 @@
             sent_at_us=max(self.estimate_peer_clock(now), 0),
         )
 
+    def is_stale(self) -> bool:
+        """Return whether the peer has closed the idle connection."""
+        return self._stream.has_input()
+
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
--- a/kumquatwalk/link/pool.py
+++ b/kumquatwalk/link/pool.py
@@ -127,7 +127,7 @@
                     self._partition,
                     self._payload_bytes_max,
                 )
-            if link.last_used >= oldest_use:
+            if link.last_used >= oldest_use and not link.is_stale():
                 return link
             link.close()
 
--- a/kumquatwalk/link/server.py
+++ b/kumquatwalk/link/server.py
@@ -23,6 +23,7 @@
 _HEARTBEAT_S = 0.25
 _HELLO_TIMEOUT_S = 2.0
 _BACKLOG = 512
+_DRAIN_POLL_S = 0.01
 
 
 class LinkServer:
@@ -71,6 +72,15 @@
             )
             thread.start()
 
+    def drain(self, deadline: float) -> None:
+        """Wait until no link has an exchange in progress.
+
+        Args:
+            deadline: Monotonic time after which to give up.
+        """
+        while self.count_busy() and time.monotonic() < deadline:
+            time.sleep(_DRAIN_POLL_S)
+
     def close(self) -> None:
         """Stop accepting and close all links."""
         self._is_closed.set()
--- a/kumquatwalk/link/stream.py
+++ b/kumquatwalk/link/stream.py
@@ -1,5 +1,6 @@
 """Frames over one TCP connection."""
 
+import select
 import socket
 from typing import Any
 
@@ -72,6 +73,12 @@
         del self._buffer[:end]
         return decode_message(kind, payload)
 
+    def has_input(self) -> bool:
+        """Return whether bytes or the peer's close wait to be received."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Close the connection; a thread that receives on it wakes up."""
         try:
--- a/kumquatwalk/node/target_watch.py
+++ b/kumquatwalk/node/target_watch.py
@@ -1,5 +1,6 @@
 """What the target on this VM announces, and what follows from it."""
 
+import dataclasses
 import json
 import threading
 
@@ -48,6 +49,7 @@
         self._lock = threading.Lock()
         self._info = TargetInfo()
         self._client: TargetClient | None = None
+        self._is_leaving = False
 
     @property
     def info(self) -> TargetInfo:
@@ -66,6 +68,8 @@
         """
         info, port = parse_announcement(body)
         with self._lock:
+            if self._is_leaving:
+                info = dataclasses.replace(info, state=TargetState.DRAINING)
             if self._client is None or self._client.port != port:
                 self._client = TargetClient(self._host, port)
             self._runner.attach(info.service, self._client)
@@ -81,6 +85,15 @@
             slots=info.slots,
         )
 
+    def leave(self, now: float) -> None:
+        """Announce from now on that the target is leaving."""
+        with self._lock:
+            self._is_leaving = True
+            draining = TargetState.DRAINING
+            self._info = dataclasses.replace(self._info, state=draining)
+            self._admission.set_target(self._info, now)
+            self._membership.publish(self._info)
+
 
 def parse_announcement(body: bytes) -> tuple[TargetInfo, int]:
     """Return what a target announces and its port.
