Refuse a body cut short, and keep a non-idempotent attempt on its gate

Cause: a body shorter than its declared length reached the target as whole; an oversize chunked body closed the connection without an answer; after a silent link one failed reconnect ended a non-idempotent attempt as unknown although its gate could still tell. Ruled out: resending to another gate, which could run the call twice. Change: lengths are checked, a line without end is bounded, reconnects go on until the deadline unless the gate's port refuses.

--- a/kumquatwalk/gateway/server.py
+++ b/kumquatwalk/gateway/server.py
@@ -1,6 +1,7 @@
 """HTTP listener of a node, built on cheroot below its WSGI layer."""
 
 import http
+import json
 import threading
 from collections.abc import Callable
 
@@ -14,15 +15,23 @@
 
 __all__ = ["HttpServer"]
 
+
+def _make_refusal(status: int, code: str, message: str) -> HttpResponse:
+    lines = f"Kumquat-Outcome: not_run\r\nKumquat-Code: {code}\r\n"
+    document = {"code": code, "message": message, "outcome": "not_run"}
+    return HttpResponse(
+        status,
+        lines.encode() + b"Content-Type: application/json\r\n",
+        json.dumps(document).encode() + b"\n",
+    )
+
+
 _BACKLOG = 512
 _IDLE_TIMEOUT_S = 60
-_TOO_LARGE = HttpResponse(
-    413,
-    b"Kumquat-Outcome: not_run\r\nKumquat-Code: body_too_large\r\n"
-    b"Content-Type: application/json\r\n",
-    b'{"code": "body_too_large", "message": "the body exceeds the limit",'
-    b' "outcome": "not_run"}\n',
-)
+# cheroot raises this text for a chunked body over the limit.
+_TOO_LARGE_TEXT = "Request Entity Too Large"
+_TOO_LARGE = _make_refusal(413, "body_too_large", "the body is over the limit")
+_MALFORMED = _make_refusal(400, "request_malformed", "the body is malformed")
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _CLOSE = b"Connection: close\r\n"
 _KEEP_ALIVE = b"Connection: Keep-Alive\r\n"
@@ -133,17 +142,35 @@
         """Read the body, call the handler and send its answer."""
         request = self.req
         try:
-            body = request.rfile.read()
-            response = self._owner.handler(_make_request(request, body))
-        except errors.MaxSizeExceeded:
+            body = _read_body(request)
+        except (OSError, ValueError) as error:
             request.close_connection = True
-            response = _TOO_LARGE
+            response = _explain_bad_body(error)
+        else:
+            response = self._owner.handler(_make_request(request, body))
         if self._owner.is_draining:
             request.close_connection = True
         request.sent_headers = True
         request.conn.wfile.write(_join(request, response))
 
 
+def _read_body(request) -> bytes:
+    try:
+        body = request.rfile.read()
+    except errors.MaxSizeExceeded as error:
+        raise OSError(_TOO_LARGE_TEXT) from error
+    length = int(request.inheaders.get(b"Content-Length", 0))
+    if not request.chunked_read and len(body) != length:
+        raise ValueError("the body was cut short")
+    return body
+
+
+def _explain_bad_body(error: Exception) -> HttpResponse:
+    if error.args and error.args[0] == _TOO_LARGE_TEXT:
+        return _TOO_LARGE
+    return _MALFORMED
+
+
 def _make_request(request, body: bytes) -> HttpRequest:
     return HttpRequest(
         method=request.method.decode("ascii", "replace"),
--- a/kumquatwalk/gateway/stream.py
+++ b/kumquatwalk/gateway/stream.py
@@ -9,6 +9,7 @@
 __all__ = ["StreamReader", "StreamWriter", "make_stream"]
 
 _READ_BYTES = 65536
+_LINE_BYTES_MAX = 65536
 
 
 class StreamReader:
@@ -24,19 +25,22 @@
         self.bytes_read = 0
 
     def readline(self, size: int | None = None) -> bytes:
-        """Return a line with its end, at most ``size`` bytes of it."""
+        """Return a line with its end, at most ``size`` bytes of it.
+
+        Without a size a line is cut at ``_LINE_BYTES_MAX``.
+        """
+        if size is None:
+            size = _LINE_BYTES_MAX
         searched = 0
         while True:
             end = self._buffer.find(b"\n", searched) + 1
-            if end or (size is not None and len(self._buffer) >= size):
+            if end or len(self._buffer) >= size:
                 break
             searched = len(self._buffer)
             if not self._fill():
                 end = len(self._buffer)
                 break
-        if size is not None:
-            end = min(end or size, size)
-        return self._hand_out(end)
+        return self._hand_out(min(end or size, size))
 
     def read(self, size: int | None = None) -> bytes:
         """Return ``size`` bytes, fewer only when the peer closed."""
--- a/kumquatwalk/link/connection.py
+++ b/kumquatwalk/link/connection.py
@@ -131,6 +131,8 @@
             timeout=CONNECT_TIMEOUT_S,
             source_address=(identity.host, 0),
         )
+    except ConnectionRefusedError as error:
+        raise LinkError("link_refused", str(error), sent=False) from error
     except OSError as error:
         raise LinkError("link_failed", str(error), sent=False) from error
     stream = FrameStream(sock, payload_bytes_max)
--- a/kumquatwalk/link/pool.py
+++ b/kumquatwalk/link/pool.py
@@ -17,6 +17,7 @@
 
 _IDLE_MAX_S = 30.0
 _IDLE_PER_PEER_MAX = 64
+_RECONNECT_PAUSE_S = 0.1
 _US = 1_000_000
 
 
@@ -55,24 +56,16 @@
             LinkError: No reply; ``sent`` tells whether the gate may have got
                 the call.
         """
-        sent_to: int | None = None
+        link = self._take(peer)
+        incarnation = link.incarnation
         while True:
-            now = time.monotonic()
-            if now >= deadline and sent_to is not None:
-                raise LinkError("link_silent", "no reply in time", sent=True)
-            try:
-                link = self._take(peer)
-            except LinkError as error:
-                raise LinkError(
-                    error.code, error.message, sent_to is not None
-                ) from error
-            if sent_to not in (None, link.incarnation):
-                self._give_back(link)
-                raise LinkError("target_crashed", "the node restarted", True)
-            sent_to = link.incarnation
             reply = self._try_exchange(link, call, deadline)
             if reply is not None:
                 return reply
+            link = self._reconnect(peer, call, deadline)
+            if link.incarnation != incarnation:
+                self._give_back(link)
+                raise LinkError("target_crashed", "the node restarted", True)
 
     def request(self, peer: Peer, message: Any) -> Any:
         """Exchange one message other than a call.
@@ -101,6 +94,24 @@
         for link in idle:
             link.close()
 
+    def _reconnect(
+        self, peer: Peer, call: Call, deadline: float
+    ) -> LinkConnection:
+        """Connect again after an attempt may have reached the peer.
+
+        A call that must not run elsewhere is worth waiting for; an idempotent
+        one is better tried at another target.
+        """
+        while True:
+            if time.monotonic() >= deadline:
+                raise LinkError("link_silent", "no reply in time", sent=True)
+            try:
+                return self._take(peer)
+            except LinkError as error:
+                if call.idempotent or error.code == "link_refused":
+                    raise LinkError(error.code, error.message, True) from error
+            time.sleep(_RECONNECT_PAUSE_S)
+
     def _try_exchange(
         self, link: LinkConnection, call: Call, deadline: float
     ) -> Any:
