--- a/kumquatwalk/idempotency/__init__.py
+++ b/kumquatwalk/idempotency/__init__.py
@@ -1,4 +1,13 @@
-"""At most one run of a non-idempotent call."""
+"""At most one run of a non-idempotent call.
+
+An entry node asks ``RequestTable.begin``. On ``RunNow`` for a caller's own key
+it claims the key with the same ``claim_id`` each time: ``Claimed`` lets it run
+and then ``finish``; ``ClaimUnavailable`` is finished as not run; ``OwnedBy``
+means ``release``, then passing the request to the owner, which asks
+``RequestTable.resume``. A request with a ticket needs no claim. A gate asks
+``AttemptTable.begin`` for each frame. A frame is stamped before the last check
+of its claim, so that a pause after the check shows as age at the gate.
+"""
 
 from kumquatwalk.idempotency.attempt_table import AttemptTable
 from kumquatwalk.idempotency.begin_result import AnswerDropped
--- a/kumquatwalk/idempotency/attempt_table.py
+++ b/kumquatwalk/idempotency/attempt_table.py
@@ -52,8 +52,10 @@
 
     Every attempt is kept longer than the age at which a copy without a record
     is refused, so a missing record of a young frame proves that it never ran
-    here. The rule is that of a bounded history of requests in Birrell and
-    Nelson, "Implementing Remote Procedure Calls" (TOCS 2(1), 1984).
+    here. Frames sent before the table was last full are refused: a copy may
+    have been refused without a record. The rule is that of a bounded history
+    of requests in Birrell and Nelson, "Implementing Remote Procedure Calls"
+    (TOCS 2(1), 1984).
 
     Args:
         measure: Returns the size of an answer in bytes.
@@ -63,7 +65,7 @@
     Example:
         >>> table = AttemptTable(len)
         >>> table.begin(b"a" * 16, False, 0.0, 10.0)
-        RunNow(is_repeat=False)
+        RunNow(claim_id='')
         >>> table.finish(b"a" * 16, b"paid", 10.1)
         >>> table.begin(b"a" * 16, False, 0.2, 10.2)
         Answered(answer=b'paid')
@@ -92,7 +94,7 @@
             attempt_id: Identifier of the attempt, the same in each copy.
             is_idempotent: Whether running it again is harmless.
             age_s: Time since the frame was sent, in seconds, by this gate's
-                estimate.
+                estimate, right within ``AGE_ERROR_S``.
             now: Present time, in seconds.
 
         Returns:
@@ -111,10 +113,15 @@
                 return TooOld()
             if len(self._attempts) >= self._max_attempts:
                 self._full_at = now
-            if now - age_s - AGE_ERROR_S <= self._full_at:
                 return TableFull()
-            self._attempts[attempt_id] = _Attempt(PendingRun(), is_idempotent)
-            return _RUN_NOW
+            attempt = _Attempt(PendingRun(), is_idempotent)
+            if now - age_s - AGE_ERROR_S > self._full_at:
+                self._attempts[attempt_id] = attempt
+                return _RUN_NOW
+            if now - age_s + AGE_ERROR_S > self._full_at:
+                self._attempts[attempt_id] = attempt
+                self._mark_ended(attempt_id, attempt, True, now)
+            return TableFull()
 
     def finish(self, attempt_id: bytes, answer: AnswerT, now: float) -> None:
         """Record the end of a run.
@@ -146,18 +153,27 @@
             attempt = self._attempts.get(attempt_id)
             if attempt is None or attempt.ended_at is not None:
                 return
-            attempt.ended_at = now
-            attempt.is_refused = is_refused
-            self._answers.put(attempt_id, answer)
-            ended = (
-                self._ended_idempotent if attempt.is_idempotent else self._ended
-            )
-            ended.append((now, attempt_id))
             run = attempt.run
-            attempt.run = None
+            self._mark_ended(attempt_id, attempt, is_refused, now)
+            self._answers.put(attempt_id, answer)
         if run is not None:
             run.resolve(answer)
 
+    def _mark_ended(
+        self,
+        attempt_id: bytes,
+        attempt: _Attempt[AnswerT],
+        is_refused: bool,
+        now: float,
+    ) -> None:
+        attempt.ended_at = now
+        attempt.is_refused = is_refused
+        attempt.run = None
+        if attempt.is_idempotent:
+            self._ended_idempotent.append((now, attempt_id))
+        else:
+            self._ended.append((now, attempt_id))
+
     def _expire(self, now: float) -> None:
         self._expire_from(self._ended, now - ATTEMPT_RETENTION_S)
         self._expire_from(self._ended_idempotent, now - IDEMPOTENT_RETENTION_S)
--- a/kumquatwalk/idempotency/begin_result.py
+++ b/kumquatwalk/idempotency/begin_result.py
@@ -25,10 +25,11 @@
     """The call is new here: run it, then report its end to the table.
 
     Attributes:
-        is_repeat: Whether an earlier run under the same key ended as not run.
+        claim_id: Random identifier of the record of a request, the same each
+            time that this record lets it run; empty for attempts at a gate.
     """
 
-    is_repeat: bool = False
+    claim_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/idempotency/claim.py
+++ b/kumquatwalk/idempotency/claim.py
@@ -21,7 +21,7 @@
         incarnation: Incarnation of that node.
         host: IP number of that node's VM.
         link_port: Port of that node for links.
-        attempt_id: Random identifier of the write, in hexadecimal.
+        claim_id: Random identifier of the owner's record of the request.
         fingerprint: Digest of the entry and the body, in hexadecimal.
     """
 
@@ -29,7 +29,7 @@
     incarnation: int
     host: str
     link_port: int
-    attempt_id: str
+    claim_id: str
     fingerprint: str
 
 
--- a/kumquatwalk/idempotency/claim_keeper.py
+++ b/kumquatwalk/idempotency/claim_keeper.py
@@ -1,7 +1,6 @@
 """Claims requests in the platform before their first run."""
 
 import dataclasses
-import secrets
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -27,7 +26,6 @@
 ]
 
 CLAIM_START_BOUND_S = 5.0
-ATTEMPT_ID_BYTES = 16
 
 
 class StoredValue(Protocol):
@@ -123,8 +121,8 @@
         self,
         key: str,
         fingerprint: bytes,
+        claim_id: str,
         importance: Importance,
-        is_repeat: bool,
         deadline: float,
     ) -> ClaimResult:
         """Claim a request whose record in this node says ``RunNow``.
@@ -132,8 +130,8 @@
         Args:
             key: Key of the claim.
             fingerprint: Digest of the entry and the body.
+            claim_id: Identifier that came with ``RunNow``.
             importance: Class of the request.
-            is_repeat: Whether this node holds a record that it did not run.
             deadline: Time at which the request's time is up, in seconds.
 
         Returns:
@@ -145,69 +143,59 @@
         lease_id = self._lease.get_id()
         if lease_id is None:
             return ClaimUnavailable("platform_unavailable")
-        claim = self._make_claim(fingerprint)
-        result = self._write(key, claim, lease_id, is_repeat)
+        claim = self._make_claim(fingerprint, claim_id)
+        result = self._write(key, claim, lease_id)
         is_late = is_claim_late(started_at, deadline, self._clock())
         if isinstance(result, Claimed) and is_late:
             return ClaimUnavailable("claim_late")
         return result
 
-    def _make_claim(self, fingerprint: bytes) -> Claim:
+    def _make_claim(self, fingerprint: bytes, claim_id: str) -> Claim:
         identity = self._identity
         return Claim(
             node_id=identity.node_id,
             incarnation=identity.incarnation,
             host=identity.host,
             link_port=identity.link_port,
-            attempt_id=secrets.token_hex(ATTEMPT_ID_BYTES),
+            claim_id=claim_id,
             fingerprint=fingerprint.hex(),
         )
 
-    def _write(
-        self, key: str, claim: Claim, lease_id: str, is_repeat: bool
-    ) -> ClaimResult:
+    def _write(self, key: str, claim: Claim, lease_id: str) -> ClaimResult:
         try:
             self._client.put(key, encode_claim(claim), 0, lease_id)
             return Claimed()
         except PlatformUnavailableError:
             return ClaimUnavailable("platform_unavailable")
         except PlatformError:
-            return self._read_back(key, claim, is_repeat)
+            return self._read_back(key, claim)
 
-    def _read_back(
-        self, key: str, claim: Claim, is_repeat: bool
-    ) -> ClaimResult:
+    def _read_back(self, key: str, claim: Claim) -> ClaimResult:
         try:
             stored = self._client.get(key)
             found = None if stored is None else decode_claim(stored.value)
         except PlatformError:
             return ClaimUnavailable("claim_unknown")
-        return judge_claim(claim, found, is_repeat)
+        return judge_claim(claim, found)
 
 
-def judge_claim(
-    written: Claim, found: Claim | None, is_repeat: bool
-) -> ClaimResult:
+def judge_claim(written: Claim, found: Claim | None) -> ClaimResult:
     """Decide from the claim read back after a write that did not succeed.
 
     Args:
         written: Claim whose write was refused or lost its answer.
         found: Claim in the platform; None when there is none.
-        is_repeat: Whether this node holds a record that it did not run, so
-            that any claim by this incarnation is its own to use.
 
     Returns:
-        ``Claimed`` when the claim found is this node's to use.
+        ``Claimed`` when the claim found belongs to the same record. A claim by
+        an earlier record of the same node is not enough: that record may have
+        been forgotten after it ran.
     """
     if found is None:
         return ClaimUnavailable("claim_unknown")
     if found.fingerprint != written.fingerprint:
         return ClaimUnavailable("key_reused")
-    is_same = (
-        found.node_id == written.node_id
-        and found.incarnation == written.incarnation
-    )
-    if is_same and (is_repeat or found.attempt_id == written.attempt_id):
+    if found == written:
         return Claimed()
     return OwnedBy(found)
 
--- a/kumquatwalk/idempotency/request_table.py
+++ b/kumquatwalk/idempotency/request_table.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import secrets
 import threading
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -23,6 +24,7 @@
 __all__ = ["REQUEST_RETENTION_S", "RequestState", "RequestTable"]
 
 REQUEST_RETENTION_S = 600.0
+CLAIM_ID_BYTES = 16
 MAX_REQUESTS = 20_000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
@@ -42,6 +44,7 @@
 class _Request(Generic[AnswerT]):
     fingerprint: bytes
     issued_at: float | None
+    claim_id: str
     run: PendingRun[AnswerT]
     state: RequestState = RequestState.RUNNING
     ended_at: float = 0.0
@@ -61,8 +64,8 @@
 
     Example:
         >>> table = RequestTable(len)
-        >>> table.begin("k", b"pay 7", None, 1.0)
-        RunNow(is_repeat=False)
+        >>> table.begin("k", b"pay 7", None, 1.0)  # doctest: +ELLIPSIS
+        RunNow(claim_id='...')
         >>> table.finish("k", b"paid", Outcome.DONE, 1.2)
         >>> table.begin("k", b"pay 7", None, 2.0)
         Answered(answer=b'paid')
@@ -100,8 +103,8 @@
             now: Present time, in seconds.
 
         Returns:
-            ``RunNow`` obliges the caller to call ``finish``; otherwise what to
-            do instead.
+            ``RunNow`` obliges the caller to call ``finish`` or ``release``;
+            otherwise what to do instead.
         """
         with self._lock:
             self._expire(now)
@@ -112,8 +115,11 @@
                 return TooOld()
             if not self._make_room():
                 return TableFull()
-            self._requests[key] = _Request(fingerprint, issued_at, PendingRun())
-            return RunNow()
+            claim_id = secrets.token_hex(CLAIM_ID_BYTES)
+            self._requests[key] = _Request(
+                fingerprint, issued_at, claim_id, PendingRun()
+            )
+            return RunNow(claim_id)
 
     def resume(self, key: str, fingerprint: bytes, now: float) -> BeginResult:
         """Decide on a request that another node passed on to its owner.
@@ -157,6 +163,20 @@
             run = request.run
         run.resolve(answer)
 
+    def release(self, key: str, answer: AnswerT) -> None:
+        """Forget a request that another node owns.
+
+        Args:
+            key: Key for which ``begin`` returned ``RunNow``.
+            answer: The owner's answer, passed on to repeats that wait here.
+        """
+        with self._lock:
+            request = self._requests.get(key)
+            if request is None or request.state is not RequestState.RUNNING:
+                return
+            del self._requests[key]
+        request.run.resolve(answer)
+
     def __len__(self) -> int:
         return len(self._requests)
 
@@ -171,7 +191,7 @@
             request.state = RequestState.RUNNING
             request.run = PendingRun()
             del self._ended[key]
-            return RunNow(is_repeat=True)
+            return RunNow(request.claim_id)
         answer = self._answers.get(key)
         return AnswerDropped() if answer is None else Answered(answer)
 
--- a/kumquatwalk/idempotency/ticket.py
+++ b/kumquatwalk/idempotency/ticket.py
@@ -81,7 +81,7 @@
         host_end = fields[6]
         if fields[0] != VERSION or len(names) != fields[6] + fields[7]:
             raise ValueError("unknown version or wrong length")
-        return Ticket(
+        ticket = Ticket(
             node_id=names[host_end:].decode(),
             incarnation=fields[1],
             host=names[:host_end].decode(),
@@ -90,5 +90,8 @@
             nonce=fields[4],
             mac=fields[5],
         )
+        if encode_ticket(ticket) != text:
+            raise ValueError("not in the canonical form")
+        return ticket
     except (ValueError, struct.error, binascii.Error) as error:
         raise RequestError("ticket_malformed", str(error)) from error
