Tie a claim to the record of its request at the entry node

The node passed a flag where the keeper now takes the record's identifier. A request that another node owns is released, so an answer of unknown because the owner could not be reached is not kept for later repeats.

--- a/kumquatwalk/idempotency/request_table.py
+++ b/kumquatwalk/idempotency/request_table.py
@@ -141,7 +141,12 @@
             return self._repeat(key, request, fingerprint)
 
     def finish(
-        self, key: str, answer: AnswerT, outcome: Outcome, now: float
+        self,
+        key: str,
+        answer: AnswerT,
+        outcome: Outcome,
+        now: float,
+        claim_id: str = "",
     ) -> None:
         """Record the end of a run.
 
@@ -150,10 +155,12 @@
             answer: Answer, passed on to each repeat.
             outcome: What became of the run. After ``NOT_RUN`` a repeat runs.
             now: Present time, in seconds.
+            claim_id: Identifier that came with ``RunNow``; a record with
+                another one is left as it is.
         """
         with self._lock:
-            request = self._requests.get(key)
-            if request is None or request.state is not RequestState.RUNNING:
+            request = self._find_running(key, claim_id)
+            if request is None:
                 return
             request.state = _STATE[outcome]
             request.ended_at = now
@@ -163,16 +170,17 @@
             run = request.run
         run.resolve(answer)
 
-    def release(self, key: str, answer: AnswerT) -> None:
+    def release(self, key: str, answer: AnswerT, claim_id: str = "") -> None:
         """Forget a request that another node owns.
 
         Args:
             key: Key for which ``begin`` returned ``RunNow``.
             answer: The owner's answer, passed on to repeats that wait here.
+            claim_id: As for ``finish``.
         """
         with self._lock:
-            request = self._requests.get(key)
-            if request is None or request.state is not RequestState.RUNNING:
+            request = self._find_running(key, claim_id)
+            if request is None:
                 return
             del self._requests[key]
         request.run.resolve(answer)
@@ -180,6 +188,16 @@
     def __len__(self) -> int:
         return len(self._requests)
 
+    def _find_running(
+        self, key: str, claim_id: str
+    ) -> _Request[AnswerT] | None:
+        request = self._requests.get(key)
+        if request is None or request.state is not RequestState.RUNNING:
+            return None
+        if claim_id and request.claim_id != claim_id:
+            return None
+        return request
+
     def _repeat(
         self, key: str, request: _Request[AnswerT], fingerprint: bytes
     ) -> BeginResult:
--- a/kumquatwalk/node/once.py
+++ b/kumquatwalk/node/once.py
@@ -117,7 +117,7 @@
             return self._take_ticket(check, request, entry, deadline)
         key = forward.key_digest.decode("latin-1")
         result = self._table.resume(key, fingerprint, now)
-        run = functools.partial(self._run_claimed, key, True)
+        run = functools.partial(self._run_claimed, key, result)
         return self._follow(result, key, run, request, entry, deadline)
 
     def _serve_ticket(
@@ -152,14 +152,13 @@
         fingerprint = _make_fingerprint(request)
         now = time.monotonic()
         result = self._table.begin(key, fingerprint, None, now)
-        is_repeat = getattr(result, "is_repeat", False)
-        run = functools.partial(self._run_claimed, key, is_repeat)
+        run = functools.partial(self._run_claimed, key, result)
         return self._follow(result, key, run, request, entry, deadline)
 
     def _run_claimed(
         self,
         key: str,
-        is_repeat: bool,
+        begun: begin_result.RunNow,
         request: HttpRequest,
         entry: Entry,
         deadline: float,
@@ -169,8 +168,8 @@
         claim = self._keeper.claim(
             key,
             _make_fingerprint(request),
+            begun.claim_id,
             entry.importance,
-            is_repeat,
             deadline,
         )
         if isinstance(claim, Claimed):
@@ -182,7 +181,9 @@
             return fail_unknown(codes.OUTCOME_UNKNOWN)
         peer = Peer(owner.node_id, owner.host, owner.link_port)
         forward = _make_forward(request, deadline, key_digest=key.encode())
-        return self._pass_on(peer, forward)
+        reply = self._pass_on(peer, forward)
+        self._table.release(key, reply, begun.claim_id)
+        return reply
 
     def _follow(
         self,
@@ -199,7 +200,9 @@
         try:
             reply = run(request, entry, deadline)
         finally:
-            self._table.finish(key, reply, reply.outcome, time.monotonic())
+            self._table.finish(
+                key, reply, reply.outcome, time.monotonic(), result.claim_id
+            )
         return reply
 
     def _pass_on(self, peer: Peer, forward: Forward) -> Reply:
