Let the queue's order decide at the gate and publish the level for callers

Change: the queue's order alone decides at the gate; a call that waits over the bound under a standing queue is refused with all after it; the level is what callers hold back. The limit is judged by the standard error of run times and a cut that does not shorten runs is undone; the level comes from started volume over utilization.

--- a/kumquatwalk/admission/level.py
+++ b/kumquatwalk/admission/level.py
@@ -1,4 +1,4 @@
-"""Admission level: the least important priority that a gate takes."""
+"""Admission level: the least important priority that a gate has room for."""
 
 import bisect
 import itertools
@@ -15,8 +15,7 @@
 LEAST_OFFERS = 0.001
 FIRST_STEP = 8
 LARGEST_STEP = 256
-TARGET_LOAD = 1.0
-OVERLOAD_SHARE = 0.95
+TARGET_LOAD = 1.05
 LEAST_UTILIZATION = 0.05
 
 
@@ -26,9 +25,10 @@
     The rule follows DAGOR (Zhou et al., "Overload Control for Scaling WeChat
     Microservices", SoCC 2018): a histogram of the priorities offered gives the
     level at which the volume admitted equals the capacity. The capacity is the
-    volume started over the utilization. While calls wait too long, the volume
-    is cut below that. Priorities that callers already hold back do not show
-    in the histogram; towards these the level rises in steps that double.
+    volume started over the utilization. Priorities that callers already hold
+    back do not show in the histogram; towards these the level rises in steps
+    that double, unless calls wait too long. The level tells callers what to
+    hold back; the gate itself goes by the order of its queue.
 
     Args:
         now: Present time.
@@ -69,25 +69,20 @@
 
     def close_window(
         self, utilization: float, is_overloaded: bool, now: float
-    ) -> bool:
+    ) -> None:
         """Set the level from the window that has ended and begin a new one.
 
         Args:
             utilization: Share of the concurrency limit used in the window.
             is_overloaded: Whether calls waited too long in the window.
             now: Present time.
-
-        Returns:
-            Whether the level was lowered.
         """
-        before = self.value
         windows = 1 + int((now - self._window_end) / WINDOW_S)
         weight = self._get_weight(windows)
         utilization = max(LEAST_UTILIZATION, utilization)
         self._capacity += self._starts / utilization
         self._set_level(is_overloaded, windows)
         self._begin_window(weight, now)
-        return self.value < before
 
     def _get_weight(self, windows: int) -> float:
         many = self._offer_count >= MANY_OFFERS
@@ -97,12 +92,12 @@
     def _set_level(self, is_overloaded: bool, windows: int) -> None:
         volumes = list(itertools.accumulate(self._offers))
         wanted = self._capacity * TARGET_LOAD
-        if is_overloaded:
-            wanted = min(wanted, volumes[self.value]) * OVERLOAD_SHARE
         if wanted < volumes[-1]:
             self._step = FIRST_STEP
             self.value = max(0, bisect.bisect_right(volumes, wanted) - 1)
             return
+        if is_overloaded:
+            return
         for _ in range(min(windows, 8)):
             self.value = min(FULL_LEVEL, self.value + self._step)
             self._step = min(LARGEST_STEP, 2 * self._step)
--- a/kumquatwalk/admission/limit.py
+++ b/kumquatwalk/admission/limit.py
@@ -23,6 +23,7 @@
 LARGEST_STEP_SHARE = 0.1
 SETTLE_RUNS = 1.5
 TRIAL_SHARE = 0.5
+RISING_RATIO = 1.1
 CERTAIN_ERRORS = 2.0
 
 
@@ -31,12 +32,14 @@
     """A cut of the limit whose effect is not known yet.
 
     Attributes:
+        restored: Limit to restore when the cuts since then had no effect.
         limit_before: Limit before the cut.
         limit_after: Limit after the cut.
         ratio_before: Run time over its baseline before the cut.
         settled_at: Time from which finished runs show the effect.
     """
 
+    restored: float
     limit_before: float
     limit_after: float
     ratio_before: float
@@ -51,8 +54,9 @@
     their uncongested time gives the number of calls that queue inside the
     target. The limit grows while few queue and is cut while many do. A cut that
     does not shorten the runs shows that the target is slow and not full; then
-    the limit is restored and the longer time becomes the baseline. A call that
-    the target sheds cuts the limit at once, to what was running.
+    the limit is restored and the longer time becomes the baseline. While the
+    time still rises, the cut is repeated before it is judged. A call that the
+    target sheds cuts the limit at once, to what was running.
     """
 
     def __init__(self):
@@ -150,7 +154,7 @@
     def _close_window(self, now: float) -> None:
         ratio = self._baselines.measure_ratio()
         if self._trial:
-            self._judge_trial(ratio.value)
+            self._judge_trial(ratio, now)
         else:
             self._adjust(ratio, now)
         self._baselines.close_window()
@@ -180,17 +184,21 @@
 
     def _cut(self, used: float, ratio: RunRatio, now: float) -> None:
         limit = max(used * LARGEST_CUT, used / ratio.value, 1.0)
+        restored = self._trial.restored if self._trial else used
         settled_at = now + SETTLE_RUNS * ratio.mean_s
-        self._trial = CutTrial(used, limit, ratio.value, settled_at)
+        self._trial = CutTrial(restored, used, limit, ratio.value, settled_at)
         self._limit = limit
         self._step = 1.0
         self._slow_start_end = limit
 
-    def _judge_trial(self, ratio: float) -> None:
+    def _judge_trial(self, ratio: RunRatio, now: float) -> None:
         trial = self._trial
+        if ratio.value > trial.ratio_before * RISING_RATIO:
+            self._cut(self._limit, ratio, now)
+            return
         cut = 1.0 - trial.limit_after / trial.limit_before
         needed = trial.ratio_before * (1.0 - TRIAL_SHARE * cut)
         self._trial = None
-        if ratio > needed:
+        if ratio.value > needed:
             self._baselines.rebase()
-            self._limit = trial.limit_before
+            self._limit = trial.restored
--- a/kumquatwalk/admission/queue.py
+++ b/kumquatwalk/admission/queue.py
@@ -37,11 +37,6 @@
     def __iter__(self):
         return iter(self._calls)
 
-    @property
-    def worst(self) -> QueuedCall:
-        """The least important call."""
-        return self._calls[-1]
-
     def add(self, queued: QueuedCall) -> None:
         """Add a call at its place.
 
@@ -81,10 +76,18 @@
             self._calls = kept
         return removed
 
-    def get_oldest_arrival(self) -> float:
-        """Return the time of arrival of the call that waits longest.
+    def cut_from(self, predicate) -> list[QueuedCall]:
+        """Remove the first call for which the predicate holds and all after it.
+
+        Args:
+            predicate: Function of a queued call.
 
         Returns:
-            The time; infinity for an empty queue.
+            The calls removed, most important first.
         """
-        return min((q.queued_at for q in self._calls), default=float("inf"))
+        for index, queued in enumerate(self._calls):
+            if predicate(queued):
+                removed = self._calls[index:]
+                del self._calls[index:]
+                return removed
+        return []
--- a/kumquatwalk/admission/state.py
+++ b/kumquatwalk/admission/state.py
@@ -25,9 +25,10 @@
 
 TARGET_WAIT_S = 0.005
 TARGET_WAIT_SHARE = 0.25
-STALE_WAIT_FACTOR = 4.0
+STALE_WAIT_FACTOR = 8.0
 DEEP_WAIT_FACTOR = 2.0
 STANDING_INTERVAL_S = 0.1
+TRIM_INTERVAL_S = 0.002
 RUN_TIME_WEIGHT = 0.05
 QUEUE_PER_SLOT = 2
 SHORTEST_QUEUE = 8
@@ -49,6 +50,11 @@
 class AdmissionState:
     """Decides which calls run at the target, and which are refused.
 
+    The queue is controlled as by CoDel (Nichols and Jacobson, "Controlling
+    Queue Delay", ACM Queue 2012): it may absorb a burst, but once it has not
+    been empty for an interval, no call may wait longer than a bound. A call
+    that waits longer is refused together with all that come after it.
+
     Order: at any moment, no call is refused for load (codes ``overloaded``
     and ``queue_full``) while a call that comes after it in the order of
     ``order_key`` waits in the queue and may later be admitted. Refusals for
@@ -72,6 +78,7 @@
         self._suspects = 0
         self._sequence = 0
         self._standing_since = float("inf")
+        self._trim_at = now
         self._use = Utilization(now)
         self._run_time_s = 0.0
         self._is_overloaded = False
@@ -155,9 +162,7 @@
         if code:
             return [Refused(call.call_id, code)]
         self._level.note_offer(call.priority)
-        if not self._passes_level(call):
-            notices = [Refused(call.call_id, codes.OVERLOADED)]
-        elif not self._queue and len(self._running) < self._limit.value:
+        if not self._queue and len(self._running) < self._limit.value:
             notices = [self._start(call, 0.0, now)]
         else:
             notices = self._enqueue(call, now)
@@ -209,16 +214,13 @@
         self._dispatch(notices, now)
         self._trim(notices, now)
         if self._level.is_due(now):
-            notices += self._close_window(now)
+            self._close_window(now)
         return notices
 
-    def _close_window(self, now: float) -> list[Notice]:
+    def _close_window(self, now: float) -> None:
         self._use.note(len(self._running), self._limit.value, now)
-        is_lower = self._level.close_window(
-            self._use.take(), self._is_overloaded, now
-        )
+        self._level.close_window(self._use.take(), self._is_overloaded, now)
         self._is_overloaded = False
-        return self._refuse_below_level() if is_lower else []
 
     def _get_target_wait(self) -> float:
         return max(TARGET_WAIT_S, TARGET_WAIT_SHARE * self._run_time_s)
@@ -267,12 +269,6 @@
         worst = self._queue.pop_worst()
         return [Refused(worst.call.call_id, codes.QUEUE_FULL)]
 
-    def _passes_level(self, call: AdmissionCall) -> bool:
-        level = self._level.value
-        if call.depth > 0:
-            return call.priority >> 8 <= level >> 8
-        return call.priority <= level
-
     def _dispatch(self, notices: list[Notice], now: float) -> None:
         while self._queue and len(self._running) < self._limit.value:
             queued = self._queue.pop_best()
@@ -287,14 +283,16 @@
             self._standing_since = float("inf")
 
     def _trim(self, notices: list[Notice], now: float) -> None:
+        if not self._queue or now < self._trim_at:
+            return
+        self._trim_at = now + TRIM_INTERVAL_S
         late = self._queue.remove_where(lambda q: q.call.deadline <= now)
         notices += _refuse(late, codes.DEADLINE_EXCEEDED)
         if now - self._standing_since < STANDING_INTERVAL_S:
             return
-        while self._queue and self._is_stale(self._queue.worst, now):
-            worst = self._queue.pop_worst()
-            notices.append(Refused(worst.call.call_id, codes.OVERLOADED))
-            self._is_overloaded = True
+        stale = self._queue.cut_from(lambda q: self._is_stale(q, now))
+        notices += _refuse(stale, codes.OVERLOADED)
+        self._is_overloaded = self._is_overloaded or bool(stale)
 
     def _is_stale(self, queued: QueuedCall, now: float) -> bool:
         bound_s = STALE_WAIT_FACTOR * self._get_target_wait()
@@ -302,12 +300,6 @@
             bound_s *= DEEP_WAIT_FACTOR
         return now - queued.queued_at > bound_s
 
-    def _refuse_below_level(self) -> list[Notice]:
-        below = self._queue.remove_where(
-            lambda queued: not self._passes_level(queued.call)
-        )
-        return _refuse(below, codes.OVERLOADED)
-
     def _close(self, code: str) -> list[Notice]:
         self._closed_code = code
         return self._refuse_all(code)
--- a/kumquatwalk/admission/tests/test_state.py
+++ b/kumquatwalk/admission/tests/test_state.py
@@ -184,3 +184,71 @@
                 done = call_id - 20
                 state.finish(done, samples.DONE, call_id * 0.001)
         self.assertGreaterEqual(state.limit, 15)
+
+    def test_announcing_again_keeps_the_learnt_limit(self):
+        self.offer(1)
+        self.offer(2)
+        self.state.finish(2, samples.SHED, 0.001)
+        self.assertEqual(self.state.limit, 1)
+        self.state.set_target(samples.make_target(slots=2), 0.01)
+        self.assertEqual(self.state.limit, 1)
+
+
+class AdmissionLevelTest(unittest.TestCase):
+    """Effects of a level that half of the calls overrun."""
+
+    def setUp(self):
+        self.state = AdmissionState(0.0)
+        self.state.set_target(samples.make_target(slots=10), 0.0)
+        self.count = 0
+        self.waiting = set()
+        self.running = set()
+        for step in range(2000):
+            self.tick(step * 0.001)
+
+    def tick(self, now):
+        """Offer twice what ten slots with runs of 10 ms can do."""
+        for priority in (100, 600):
+            self.count += 1
+            call = samples.make_call(self.count, priority)
+            self.waiting.add(self.count)
+            self.book(self.state.offer(call, now))
+        running = sorted(self.running)
+        if len(running) >= 10:
+            self.running.discard(running[0])
+            self.book(self.state.finish(running[0], samples.DONE, now))
+
+    def book(self, notices):
+        """Record verdicts."""
+        for notice in notices:
+            self.waiting.discard(notice.call_id)
+            if isinstance(notice, Admitted):
+                self.running.add(notice.call_id)
+
+    def test_level_lies_between_the_two_priorities(self):
+        self.assertIn(self.state.get_level(), range(100, 600))
+
+    def test_level_recovers_without_load(self):
+        while self.running:
+            call_id = self.running.pop()
+            self.book(self.state.finish(call_id, samples.DONE, 2.0))
+        self.state.advance(2.5)
+        self.state.advance(3.5)
+        self.assertEqual(self.state.get_level(), 1023)
+
+
+class StandingQueueTest(unittest.TestCase):
+    """A queue that does not empty is kept short."""
+
+    def test_stale_call_is_refused_with_those_after_it(self):
+        state = AdmissionState(0.0)
+        state.set_target(samples.make_target(slots=1), 0.0)
+        state.offer(samples.make_call(1), 0.0)
+        for call_id in (2, 3):
+            state.offer(samples.make_call(call_id, 100 * call_id), 0.0)
+        self.assertEqual(state.advance(0.05), [])
+        state.offer(samples.make_call(4, 400), 0.095)
+        state.offer(samples.make_call(5, 100), 0.095)
+        refused = state.advance(0.11)
+        expected = [Refused(call_id, codes.OVERLOADED) for call_id in (2, 3, 4)]
+        self.assertEqual(refused, expected)
--- a/kumquatwalk/retry/tests/test_tokens.py
+++ b/kumquatwalk/retry/tests/test_tokens.py
@@ -103,6 +103,12 @@
         tokens.close()
         self.assertEqual(pool.left, 2)
 
+    def test_nothing_is_spent_from_an_empty_pool(self):
+        tokens = CallTokens(TokenPool(1))
+        self.assertTrue(tokens.spend())
+        self.assertFalse(tokens.spend())
+        self.assertEqual(tokens.send(), 0)
+
 
 class DecideRetryTest(unittest.TestCase):
     """Single rules of the decision."""
--- a/kumquatwalk/routing/levels.py
+++ b/kumquatwalk/routing/levels.py
@@ -10,16 +10,19 @@
 __all__ = ["EntryLevels"]
 
 
+REPLY_WEIGHT = 0.2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenLevel:
-    """Level seen on the latest reply of one entry.
+    """Level seen on the replies of one entry.
 
     Attributes:
-        level: The level.
-        at: Time of the reply.
+        level: Moving average over the replies, which come from many gates.
+        at: Time of the latest reply.
     """
 
-    level: int
+    level: float
     at: float
 
 
@@ -40,13 +43,20 @@
     def note_reply(self, entry: str, level: int, now: float) -> None:
         """Record the effective level on a reply.
 
+        A negative level says that one target takes nothing; it says nothing
+        of the entry and is passed over.
+
         Args:
             entry: Name of the entry called.
             level: Effective level on the reply.
             now: Present time.
         """
+        if level < 0:
+            return
         with self._lock:
-            self._seen[entry] = SeenLevel(level, now)
+            before = self.get_level(entry, now)
+            average = before + REPLY_WEIGHT * (level - before)
+            self._seen[entry] = SeenLevel(average, now)
 
     def get_level(self, entry: str, now: float) -> int:
         """Return the level to act on for one entry.
@@ -61,7 +71,7 @@
         seen = self._seen.get(entry)
         if seen is None:
             return FULL_LEVEL
-        return decay_level(seen.level, now - seen.at)
+        return decay_level(round(seen.level), now - seen.at)
 
     def combine(self, own_level: int, calls: Iterable[str], now: float) -> int:
         """Return the effective level to put on a reply.
--- a/kumquatwalk/routing/table.py
+++ b/kumquatwalk/routing/table.py
@@ -15,6 +15,8 @@
 
 __all__ = ["RouteTable"]
 
+CLASS_MASK = ~255
+
 _NONE_EXCLUDED: frozenset[str] = frozenset()
 
 
@@ -77,6 +79,7 @@
         priority: int,
         now: float,
         excluded: frozenset[str] = _NONE_EXCLUDED,
+        depth: int = 0,
     ) -> Choice:
         """Choose the target for one attempt of a call.
 
@@ -85,11 +88,15 @@
             priority: Priority of the call.
             now: Present time.
             excluded: Node names of targets already tried for the call.
+            depth: Depth of the call; one in progress is held back only by a
+                level below its class, as at the gates.
 
         Returns:
             The choice; report the attempt to its view.
         """
         found = self.get_candidates(service)
+        if depth > 0:
+            priority &= CLASS_MASK
         return choose_target(found, priority, excluded, self._random, now)
 
     def _refresh(self, member: Member) -> TargetView:
