--- a/kumquatwalk/node/caller_listener.py
+++ b/kumquatwalk/node/caller_listener.py
@@ -9,6 +9,7 @@
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.node.answer import make_answer
 from kumquatwalk.node.answer import make_json
+from kumquatwalk.node.meters import NodeMeters
 from kumquatwalk.node.once import OnceRequests
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.requests import OutsideRequests
@@ -28,6 +29,7 @@
         requests: Serves requests for idempotent entries.
         once: Serves requests for the others.
         issuer: Issues tickets.
+        meters: Metrics of the node.
     """
 
     def __init__(
@@ -35,10 +37,12 @@
         requests: OutsideRequests,
         once: OnceRequests,
         issuer: TicketIssuer,
+        meters: NodeMeters,
     ):
         self._requests = requests
         self._once = once
         self._issuer = issuer
+        self._meters = meters
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the answer to one request."""
@@ -57,6 +61,7 @@
         time_s = read_timeout_s(request, entry.limits.time_ms / _MS)
         if time_s is None:
             return refuse("request_malformed")
-        if entry.idempotent:
-            return self._requests.serve(request, entry, now + time_s)
-        return self._once.serve(request, entry, now + time_s)
+        serve = self._requests.serve if entry.idempotent else self._once.serve
+        reply = serve(request, entry, now + time_s)
+        self._meters.note_request(entry.importance, reply)
+        return reply
--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -41,6 +41,8 @@
 from kumquatwalk.node.entry import EntrySide
 from kumquatwalk.node.gate import GateSide
 from kumquatwalk.node.local_listener import LocalListener
+from kumquatwalk.node.meters import NodeMeters
+from kumquatwalk.node.meters import add_state_gauges
 from kumquatwalk.node.once import OnceRequests
 from kumquatwalk.node.requests import OutsideRequests
 from kumquatwalk.node.run_calls import RunCalls
@@ -81,6 +83,7 @@
         identity = Identity(settings.node_id, incarnation, settings.host)
         payload_max = settings.body_bytes_max + _FRAME_OVERHEAD_BYTES
         self.registry = MetricsRegistry()
+        self._meters = NodeMeters(self.registry)
         self.partition = Partition()
         self.replica = CatalogueReplica()
         self._levels = EntryLevels()
@@ -95,6 +98,7 @@
             self._runner,
             AttemptTable(measure_reply),
             self._levels,
+            self._meters,
         )
         self._entry = EntrySide(
             settings.node_id,
@@ -103,6 +107,7 @@
             self._levels,
             self.links,
             RetryBudget(),
+            self._meters,
         )
         self.link_server = LinkServer(
             identity,
@@ -120,6 +125,13 @@
         self.watcher = self._make_watcher()
         self._caller_workers = WorkerPool("caller", settings.workers_max)
         self._local_workers = WorkerPool("local", settings.workers_max)
+        add_state_gauges(
+            self.registry,
+            self.admission,
+            self._runs,
+            self.replica,
+            self.membership,
+        )
         self.caller_server = self._make_caller_server()
         self.local_server = self._make_local_server()
 
@@ -208,7 +220,9 @@
 
     def _make_caller_server(self) -> HttpServer:
         settings = self.settings
-        listener = CallerListener(self._requests, self._once, self._issuer)
+        listener = CallerListener(
+            self._requests, self._once, self._issuer, self._meters
+        )
         return HttpServer(
             settings.host,
             settings.http_port,
--- a/kumquatwalk/node/entry.py
+++ b/kumquatwalk/node/entry.py
@@ -12,6 +12,7 @@
 from kumquatwalk.link.session import read_clock_us
 from kumquatwalk.node.gate import GateSide
 from kumquatwalk.node.intent import CallIntent
+from kumquatwalk.node.meters import NodeMeters
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.outcome import Outcome
@@ -41,6 +42,7 @@
         levels: Admission levels of entries, learnt from replies.
         links: Links to other nodes.
         budget: Bound on this node's retries.
+        meters: Metrics of the node.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         levels: EntryLevels,
         links: LinkPool,
         budget: RetryBudget,
+        meters: NodeMeters,
     ):
         self._node_id = node_id
         self._gate = gate
@@ -58,6 +61,7 @@
         self._levels = levels
         self._links = links
         self._budget = budget
+        self._meters = meters
 
     def make_call(self, intent: CallIntent) -> Reply:
         """Make a call, with further attempts where they are allowed.
@@ -68,10 +72,12 @@
         Returns:
             The reply; the call's tokens are back in their pool.
         """
+        started = time.monotonic()
         try:
             return self._make_attempts(intent)
         finally:
             intent.tokens.close()
+            self._meters.note_call(time.monotonic() - started)
 
     def _make_attempts(self, intent: CallIntent) -> Reply:
         now = time.monotonic()
@@ -127,6 +133,7 @@
         if not decision.is_retry or not intent.tokens.spend():
             return False
         self._budget.note_retry(now)
+        self._meters.note_retry()
         return True
 
     def _attempt(self, intent: CallIntent, view: TargetView) -> Reply:
@@ -143,6 +150,7 @@
             return self._note_failure(intent, view, error)
         intent.tokens.note_reply(reply.tokens)
         ended = time.monotonic()
+        self._meters.note_attempt(reply, ended - now)
         view.note_reply(reply.gate_level, 0, ended)
         self._levels.note_reply(intent.entry.name, reply.entry_level, ended)
         return reply
--- a/kumquatwalk/node/gate.py
+++ b/kumquatwalk/node/gate.py
@@ -14,6 +14,7 @@
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.link.session import read_clock_us
 from kumquatwalk.node.copies import answer_copy
+from kumquatwalk.node.meters import NodeMeters
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.runner import Runner
@@ -35,6 +36,7 @@
         runner: Runs admitted calls at the target.
         attempts: Attempts taken so far.
         levels: Admission levels of entries called from here.
+        meters: Metrics of the node.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         runner: Runner,
         attempts: AttemptTable[Reply],
         levels: EntryLevels,
+        meters: NodeMeters,
     ):
         self._replica = replica
         self._admission = admission
         self._runner = runner
         self._attempts = attempts
         self._levels = levels
+        self._meters = meters
 
     def handle(self, call: Call) -> Reply:
         """Serve one attempt; blocks until there is a reply.
@@ -79,6 +83,7 @@
             reply = self._admit(call, deadline, now)
         finally:
             ended = time.monotonic()
+            self._meters.note_gate(reply, ended - now)
             if reply.outcome is Outcome.NOT_RUN:
                 self._attempts.refuse(call.attempt_id, reply, ended)
             else:
