--- /dev/null
+++ b/kumquatwalk/cli/tests/test_catalogue_status.py
@@ -0,0 +1,122 @@
+"""Tests of the catalogue status command."""
+
+import json
+import socket
+import threading
+import unittest
+
+from click.testing import CliRunner
+
+from kumquatwalk.catalogue.store import CatalogueStore
+from kumquatwalk.catalogue.tests.examples import ADMIN
+from kumquatwalk.catalogue.tests.examples import make_change
+from kumquatwalk.catalogue.tests.examples import make_entry
+from kumquatwalk.cli.main import main
+from kumquatwalk.cli.node_status import merge_views
+from kumquatwalk.cli.node_view import MemberView
+from kumquatwalk.cli.node_view import NodeView
+from kumquatwalk.platform.client import PlatformClient
+from kumquatwalk.standin.platform_server import PlatformServer
+
+HANG_GUARD_S = 30.0
+
+
+def make_view(*members):
+    """Return a view of members given as name, state and revision."""
+    return NodeView("x", tuple(MemberView(n, "z", s, r) for n, s, r in members))
+
+
+class MergeTest(unittest.TestCase):
+
+    def test_reach_and_revision(self):
+        views = (
+            make_view(
+                ("n1", "alive", 5),
+                ("n2", "dead", 3),
+                ("n3", "alive", 4),
+                ("n4", "left", 5),
+                ("n5", "suspect", 5),
+            ),
+            make_view(
+                ("n1", "alive", 4),
+                ("n2", "alive", 5),
+                ("n3", "alive", 4),
+                ("n4", "dead", 5),
+                ("n5", "dead", 5),
+                ("n6", "alive", 5),
+            ),
+            NodeView("y", (), "node_unreachable"),
+        )
+        found = [
+            (s.node_id, s.revision, s.reach, s.is_current)
+            for s in merge_views(views, 5)
+        ]
+        expected = [
+            ("n1", 5, "alive", True),
+            ("n2", 5, "cut_off", True),
+            ("n3", 4, "alive", False),
+            ("n4", 5, "left", None),
+            ("n5", 5, "unknown", None),
+            ("n6", 5, "cut_off", True),
+        ]
+        self.assertEqual(found, expected)
+        unknown = {status.is_current for status in merge_views(views, None)}
+        self.assertEqual(unknown, {None})
+
+
+class StatusTest(unittest.TestCase):
+
+    def setUp(self):
+        server = PlatformServer("127.0.0.1", 0)
+        self.addCleanup(server.close)
+        server.start()
+        self.platform = server.address
+        client = PlatformClient(self.platform, timeout_s=HANG_GUARD_S)
+        self.addCleanup(client.close)
+        change = make_change(make_entry("a"), 1)
+        CatalogueStore(client).edit((change,), ADMIN)
+
+    def serve_members(self, body):
+        """Answer one request with the body and return the address."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(head.encode() + body)
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, HANG_GUARD_S)
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def run_status(self, *bodies, as_json):
+        """Run the command against nodes that answer with the bodies."""
+        arguments = ["catalogue", "status", "--platform", self.platform]
+        arguments += ["--platform-timeout", "30"]
+        for body in bodies:
+            arguments += ["--node", self.serve_members(body)]
+        arguments += ["--json"] if as_json else []
+        result = CliRunner().invoke(main, arguments)
+        self.assertEqual(result.exit_code, 0, result.output)
+        return result.stdout
+
+    def test_nodes_beside_the_platform(self):
+        row = {"node_id": "n1", "zone": "z1", "state": "alive"}
+        row |= {"catalogue_revision": 1, "extra": [1]}
+        body = json.dumps({"members": [row]}).encode()
+        shown = json.loads(self.run_status(body, b"{", as_json=True))
+        self.assertEqual(shown["platform_revision"], 1)
+        errors = [asked["error"] for asked in shown["asked"]]
+        self.assertEqual(errors, ["", "members_malformed"])
+        self.assertEqual(shown["nodes"][0]["is_current"], True)
+        self.assertEqual(shown["nodes"][0]["reach"], "alive")
+
+    def test_nodes_ahead_of_the_platform_are_warned_of(self):
+        row = {"node_id": "n1", "zone": "z1", "state": "alive"}
+        body = json.dumps({"members": [row | {"catalogue_revision": 9}]})
+        shown = self.run_status(body.encode(), as_json=False)
+        self.assertIn("warning: nodes run revision 9", shown)
--- /dev/null
+++ b/kumquatwalk/cli/tests/test_standin_platform.py
@@ -0,0 +1,30 @@
+"""Test of the stand-in platform as a process."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import unittest
+
+from kumquatwalk.platform.client import PlatformClient
+
+HANG_GUARD_S = 60.0
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+
+
+class ProcessTest(unittest.TestCase):
+
+    def test_starts_serves_and_stops_on_sigterm(self):
+        command = [sys.executable, "-m", "kumquatwalk", "standin", "platform"]
+        with subprocess.Popen(
+            command, stdout=subprocess.PIPE, text=True, cwd=ROOT
+        ) as process:
+            self.addCleanup(process.kill)
+            word, address = process.stdout.readline().split()
+            self.assertEqual(word, "listening")
+            client = PlatformClient(address)
+            written = client.put("a", b"1", 0)
+            self.assertEqual(client.get("a"), written)
+            client.close()
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(HANG_GUARD_S), 0)
