Use one set of exit codes for all commands

The catalogue commands and the commands that read a node came with different exit codes for the same failures. Variables of all commands are known to the node's check, which a test now reads from the commands themselves.

--- a/kumquatwalk/cli/exit_codes.py
+++ b/kumquatwalk/cli/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of the program, after sysexits of BSD where one fits."""
+"""Exit codes of the program."""
 
 import enum
 
@@ -8,14 +8,15 @@
 class ExitCode(enum.IntEnum):
     """Exit code of a command.
 
-    ``USAGE`` is what click uses for a malformed command line.
+    ``USAGE`` is what click uses for a malformed command line, and
+    ``CONFIGURATION`` is that of sysexits in BSD.
     """
 
     OK = 0
     FAILED = 1
     USAGE = 2
-    REFUSED = 65
-    UNAVAILABLE = 69
-    CONFLICT = 75
-    UNKNOWN_OUTCOME = 76
+    REFUSED = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    UNKNOWN_OUTCOME = 6
     CONFIGURATION = 78
--- a/kumquatwalk/cli/failure.py
+++ b/kumquatwalk/cli/failure.py
@@ -7,6 +7,7 @@
 
 from kumquatwalk.cli.exit_codes import ExitCode
 from kumquatwalk.exception import CatalogueError
+from kumquatwalk.exception import CompareFailedError
 from kumquatwalk.exception import EditConflictError
 from kumquatwalk.exception import KumquatwalkError
 from kumquatwalk.exception import OutcomeUnknownError
@@ -33,7 +34,7 @@
 
 @choose_exit_code.register
 def _(_error: SettingError) -> ExitCode:
-    return ExitCode.CONFIGURATION
+    return ExitCode.USAGE
 
 
 @choose_exit_code.register
@@ -41,8 +42,9 @@
     return ExitCode.REFUSED
 
 
-@choose_exit_code.register
-def _(_error: EditConflictError) -> ExitCode:
+@choose_exit_code.register(CompareFailedError)
+@choose_exit_code.register(EditConflictError)
+def _(_error: KumquatwalkError) -> ExitCode:
     return ExitCode.CONFLICT
 
 
--- a/kumquatwalk/node/settings_check.py
+++ b/kumquatwalk/node/settings_check.py
@@ -17,7 +17,24 @@
 __all__ = ["check_settings", "find_unknown_variables", "suggest_variable"]
 
 # Variables of commands other than ``node``.
-_OTHER_VARIABLES = frozenset((VARIABLE_PREFIX + "NODE",))
+_OTHER_VARIABLES = frozenset(
+    VARIABLE_PREFIX + name
+    for name in (
+        "AS_ADMIN",
+        "AUTHOR",
+        "DRY_RUN",
+        "ENTRY",
+        "EXPECT",
+        "JSON",
+        "LIMIT",
+        "NODE",
+        "NODES",
+        "OWNER",
+        "PLATFORM_TIMEOUT",
+        "REASON",
+        "STANDIN_PLATFORM_LISTEN",
+    )
+)
 _TCP_PORTS = (
     ("http_port", "host"),
     ("local_port", "local_host"),
--- a/kumquatwalk/node/tests/test_settings.py
+++ b/kumquatwalk/node/tests/test_settings.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from kumquatwalk.cli.main import main
 from kumquatwalk.exception import SettingError
 from kumquatwalk.logs import Level
 from kumquatwalk.node.address import Address
@@ -37,6 +38,16 @@
 }
 
 
+def list_variables(command: click.Command) -> list[str]:
+    """Return the environment variables that a command and those below read."""
+    names = [p.envvar for p in command.params if isinstance(p.envvar, str)]
+    if isinstance(command, click.Group):
+        context = click.Context(command)
+        for name in command.list_commands(context):
+            names += list_variables(command.get_command(context, name))
+    return names
+
+
 class CheckSettingsTest(unittest.TestCase):
 
     def test_values(self):
@@ -87,6 +98,11 @@
         names = ["KUMQUATWALK_ZONE", "KUMQUATWALK_ZNE", "PATH"]
         self.assertEqual(find_unknown_variables(names), ("KUMQUATWALK_ZNE",))
 
+    def test_variables_of_all_commands_are_known(self):
+        names = list_variables(main)
+        self.assertIn("KUMQUATWALK_PLATFORM_TIMEOUT", names)
+        self.assertEqual(find_unknown_variables(names), ())
+
 
 @click.command()
 @node_options
