--- /dev/null
+++ b/kumquatwalk/history/tests/test_check.py
@@ -0,0 +1,78 @@
+"""Tests of the checkers, each on a history that breaks its rule."""
+
+import unittest
+
+from kumquatwalk.history import CallAnswered
+from kumquatwalk.history import CallSent
+from kumquatwalk.history import History
+from kumquatwalk.history import RunRecorded
+from kumquatwalk.history import TargetLeft
+from kumquatwalk.history import check_answers_whole
+from kumquatwalk.history import check_at_most_once
+from kumquatwalk.history import check_attempts_bounded
+from kumquatwalk.history import check_no_work_after_leaving
+from kumquatwalk.history import check_not_run
+
+
+def make_history(*events):
+    """Return a history in which request r was sent twice, then events."""
+    history = History()
+    history.add(CallSent("r/1", "r", "pay", 1.0))
+    history.add(CallSent("r/2", "r", "pay", 2.0))
+    for event in events:
+        history.add(event)
+    return history
+
+
+def make_run(tag, started_at=1.5, entry="pay"):
+    """Return a run."""
+    return RunRecorded("t1", entry, tag, started_at, "done")
+
+
+class CheckTest(unittest.TestCase):
+
+    def names(self, violations):
+        """Return the names concerned."""
+        return [violation.name for violation in violations]
+
+    def test_two_runs_of_one_request_are_found(self):
+        history = make_history(make_run("r/1"), make_run("r/2"))
+        self.assertEqual(
+            self.names(check_at_most_once(history, {"pay"})), ["r"]
+        )
+        self.assertEqual(check_at_most_once(history, {"ship"}), [])
+
+    def test_one_run_and_one_repeat_pass(self):
+        history = make_history(make_run("r/1"))
+        self.assertEqual(check_at_most_once(history, {"pay"}), [])
+
+    def test_run_of_a_sending_answered_as_not_run_is_found(self):
+        refusal = CallAnswered("r/2", "not_run", "overloaded", True, 2.1)
+        before = make_history(make_run("r/2", 2.05), refusal)
+        after = make_history(refusal, make_run("r/2", 9.0, "child"))
+        other = make_history(refusal, make_run("r/1"))
+        self.assertEqual(self.names(check_not_run(before)), ["r/2"])
+        self.assertEqual(self.names(check_not_run(after)), ["r/2"])
+        self.assertEqual(check_not_run(other), [])
+
+    def test_too_many_attempts_are_found(self):
+        history = make_history(*[make_run("r/1") for _ in range(4)])
+        few = check_attempts_bounded(history, {"pay": 2}, {"pay": 1})
+        enough = check_attempts_bounded(history, {"pay": 2}, {"pay": 2})
+        self.assertEqual(self.names(few), ["r/1"])
+        self.assertEqual(enough, [])
+
+    def test_answer_that_is_not_whole_is_found(self):
+        history = make_history(CallAnswered("r/1", "done", "", False, 2.0))
+        self.assertEqual(self.names(check_answers_whole(history)), ["r/1"])
+
+    def test_work_long_after_leaving_is_found(self):
+        history = make_history(
+            TargetLeft("t1", 3.0), make_run("r/1", 4.9), make_run("r/2", 5.1)
+        )
+        violations = check_no_work_after_leaving(history, 2.0)
+        self.assertEqual([v.detail for v in violations], ["r/2 ran late"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/standin/target_handler.py
+++ b/kumquatwalk/standin/target_handler.py
@@ -92,23 +92,26 @@
         target = self.server.target
         target.begin_request()
         try:
-            self._serve(target)
+            is_silent = self._serve(target)
         finally:
             target.end_request()
+        if is_silent:
+            target.wait_closed()
 
-    def _serve(self, target: HandledTarget) -> None:
+    def _serve(self, target: HandledTarget) -> bool:
         length = int(self.headers.get("Content-Length") or 0)
         if length > MAX_BODY_BYTES:
             self.close_connection = True
             self._send(TargetReply(413, b"{}"))
-            return
+            return False
         body = self.rfile.read(length)
         if target.is_silent(self._connection, "requests"):
-            target.wait_closed()
+            return True
         reply = self._answer(target, body)
         if target.is_silent(self._connection, "answers"):
-            target.wait_closed()
+            return True
         self._send(reply)
+        return False
 
     def _answer(self, target: HandledTarget, body: bytes) -> TargetReply:
         match (self.command, self.path):
