Keep healed cuts from costing a side its own members; bound gossip in storms

Now only a node's own timer makes a living member DEAD; a claim makes it be probed.

Records that come from pages are passed on little, those of a joining node not at all; ordinary member gossip leaves more of the budget to probes and pages.

--- a/kumquatwalk/membership/agent.py
+++ b/kumquatwalk/membership/agent.py
@@ -11,6 +11,8 @@
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
+from kumquatwalk.membership.dissemination import BROADCAST_FACTOR
+from kumquatwalk.membership.dissemination import count_transmissions
 from kumquatwalk.membership.itemcodec import decode_items
 from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.joiner import Joiner
@@ -25,6 +27,7 @@
 from kumquatwalk.membership.prober import address_of
 from kumquatwalk.membership.reviver import Reviver
 from kumquatwalk.membership.seen import SeenBroadcasts
+from kumquatwalk.membership.spread import Spread
 from kumquatwalk.membership.synchronizer import Synchronizer
 from kumquatwalk.membership.table import MemberTable
 from kumquatwalk.membership.tier import Tier
@@ -34,7 +37,7 @@
 __all__ = ["Agent"]
 
 FANOUT = 3
-SAMPLE_SIZE = 12
+SAMPLE_SIZE = 4
 STALL_S = 2.0
 EXPIRE_INTERVAL_S = 10.0
 NEWER_REVISION_INTERVAL_S = 1.0
@@ -141,6 +144,7 @@
         self._ticked_at = now
         if stalled_s > STALL_S:
             self._prober.forgive(now)
+            self._reviver.forgive()
             self._merger.suspicions.extend(stalled_s)
         if self.own.state == MemberState.LEFT:
             self._flush(now)
@@ -150,7 +154,8 @@
             self._merger.suspect(failed, now)
         self._merger.end_suspicions(now)
         self._joiner.tick(now)
-        self._reviver.tick(now)
+        for member in self._reviver.tick(now):
+            self._merger.suspect(member, now)
         self._flush(now)
         if now >= self._expire_at:
             self._expire(now)
@@ -172,11 +177,14 @@
         if message.sender == self._own_id:
             return
         changed = False
+        spread = self._choose_spread(message.kind)
         for item in items:
             if isinstance(item, Broadcast):
                 self._take_broadcast(item, now)
             else:
-                changed |= self._merger.apply(item, now)
+                changed |= self._merger.apply(item, spread, now)
+        if changed and spread == Spread.FULL:
+            self._synchronizer.note_change(now)
         self._note_revision(message, now)
         self._dispatch(message, source, changed, now)
 
@@ -235,6 +243,7 @@
             self._compare(message, source, now)
         elif kind == MessageKind.ACK:
             self._prober.take_ack(message.sequence, now)
+            self._reviver.take_ack(message.sequence)
             self._compare(message, source, now)
         elif kind == MessageKind.PING_REQUEST and message.target:
             self._prober.relay_ping(
@@ -251,6 +260,11 @@
             if changed:
                 self._synchronizer.hasten(now)
 
+    def _choose_spread(self, kind: MessageKind) -> Spread:
+        if kind != MessageKind.PAGE:
+            return Spread.FULL
+        return Spread.LITTLE if self.is_joined else Spread.NONE
+
     def _compare(self, message: Message, source: Address, now: float) -> None:
         if self._joiner.is_fetching or self.own.state == MemberState.LEFT:
             return
@@ -274,7 +288,7 @@
         changes.setdefault("version", self.own.version + 1)
         own = dataclasses.replace(self.own, **changes)
         self.table.merge(own, now)
-        self._merger.spread(own, now)
+        self._merger.spread(own, Spread.FULL, now)
 
     def _take_broadcast(self, broadcast: Broadcast, now: float) -> None:
         if not self._seen.add(broadcast.broadcast_id, now):
@@ -284,12 +298,14 @@
 
     def _forward(self, broadcast: Broadcast, now: float) -> None:
         encoded = encode_item(broadcast)
-        self._transmitter.queue.put(broadcast.broadcast_id, encoded)
+        count = count_transmissions(BROADCAST_FACTOR, len(self.table.living))
+        self._transmitter.queue.put(broadcast.broadcast_id, encoded, count)
         for delay_s in IMPORTANT_FLUSHES_S:
-            self._merger.flushes.request(now + delay_s)
+            self._merger.flushes.request(now + delay_s, Tier.GOSSIP)
 
     def _flush(self, now: float) -> None:
-        if not self._merger.flushes.pop(now) or not self._transmitter.queue:
+        tier = self._merger.flushes.pop(now)
+        if tier is None or not self._transmitter.queue:
             return
         own = frozenset((self._own_id,))
         for member in self.table.sample(self._rng, FANOUT, own):
@@ -297,7 +313,7 @@
                 MessageKind.GOSSIP,
                 address_of(member),
                 now,
-                tier=Tier.GOSSIP,
+                tier=tier,
                 receiver=member.node_id,
             )
 
--- a/kumquatwalk/membership/joiner.py
+++ b/kumquatwalk/membership/joiner.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Joiner"]
 
-CONTACTS_AT_ONCE = 3
+CONTACTS_AT_ONCE = 1
 FIRST_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 5.0
 BUCKETS_PER_FETCH = 8
--- a/kumquatwalk/membership/probe.py
+++ b/kumquatwalk/membership/probe.py
@@ -14,10 +14,10 @@
     Attributes:
         member: Member that is probed.
         sequence: Number that its answer carries.
-        indirect_at: When to try through others, monotonic seconds; infinite
-            once that was done.
+        waits_until: When to give up or to try through others, monotonic
+            seconds; infinite once others were asked.
     """
 
     member: Member
     sequence: int
-    indirect_at: float
+    waits_until: float
--- a/kumquatwalk/membership/prober.py
+++ b/kumquatwalk/membership/prober.py
@@ -58,7 +58,7 @@
         """Return when ``tick`` has something to do, monotonic seconds."""
         if self._probe is None:
             return self._next_probe_at
-        return min(self._next_probe_at, self._probe.indirect_at)
+        return min(self._next_probe_at, self._probe.waits_until)
 
     def tick(self, now: float) -> Member | None:
         """Start the next probe or ask others to probe.
@@ -73,7 +73,7 @@
             failed = self._probe
             self._start_probe(now)
             return failed.member if failed else None
-        if self._probe is not None and now >= self._probe.indirect_at:
+        if self._probe is not None and now >= self._probe.waits_until:
             self._ask_others(self._probe, now)
         return None
 
@@ -86,7 +86,9 @@
         self._probe = None
         self._next_probe_at = now + self._timing.probe_interval_s
 
-    def answer_ping(self, address: Address, sequence: int, sender: str, now):
+    def answer_ping(
+        self, address: Address, sequence: int, sender: str, now: float
+    ) -> None:
         """Answer a probe.
 
         Args:
@@ -160,11 +162,11 @@
             receiver=member.node_id,
         )
         if sent:
-            indirect_at = now + self._timing.ack_timeout_s
-            self._probe = Probe(member, sequence, indirect_at)
+            waits_until = now + self._timing.ack_timeout_s
+            self._probe = Probe(member, sequence, waits_until)
 
     def _ask_others(self, probe: Probe, now: float) -> None:
-        self._probe = dataclasses.replace(probe, indirect_at=math.inf)
+        self._probe = dataclasses.replace(probe, waits_until=math.inf)
         exclude = frozenset((self._own_id, probe.member.node_id))
         helpers = self._table.sample(
             self._rng, self._timing.indirect_probes, exclude
--- a/kumquatwalk/membership/reviver.py
+++ b/kumquatwalk/membership/reviver.py
@@ -1,10 +1,13 @@
 """Probes of members that are held to be dead or whose death is hearsay."""
 
-import collections
 import random
 
+from kumquatwalk.membership.claim import StateClaim
+from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.kind import MessageKind
+from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
+from kumquatwalk.membership.probe import Probe
 from kumquatwalk.membership.prober import address_of
 from kumquatwalk.membership.table import MemberTable
 from kumquatwalk.membership.tier import Tier
@@ -38,45 +41,87 @@
         self._rng = rng
         self._revive_at = now + rng.random() * timing.revive_interval_s
         self._verify_at = now
-        self._unverified: collections.deque[str] = collections.deque()
+        self._unverified: dict[str, StateClaim] = {}
+        self._verifying: dict[int, Probe] = {}
 
     @property
     def due_at(self) -> float:
         """Return when ``tick`` has something to do, monotonic seconds."""
+        due_at = self._revive_at
         if self._unverified:
-            return min(self._verify_at, self._revive_at)
-        return self._revive_at
+            due_at = min(due_at, self._verify_at)
+        if self._verifying:
+            oldest = self._verifying[next(iter(self._verifying))]
+            due_at = min(due_at, oldest.waits_until)
+        return due_at
 
-    def verify(self, node_id: str) -> None:
-        """Contact a member soon.
+    def verify(self, claim: StateClaim) -> None:
+        """Contact a member soon that is said to be DEAD.
 
         Args:
-            node_id: Node id of the member.
+            claim: What is said of it.
         """
-        place = self._rng.randint(0, len(self._unverified))
-        self._unverified.insert(place, node_id)
+        self._unverified[claim.node_id] = claim
 
-    def tick(self, now: float) -> None:
+    def take_ack(self, sequence: int) -> None:
+        """Take the answer of a member that was said to be DEAD.
+
+        Args:
+            sequence: Number of the probe.
+        """
+        self._verifying.pop(sequence, None)
+
+    def forgive(self) -> None:
+        """Drop the probes in progress; their answers may have been missed."""
+        self._verifying.clear()
+
+    def tick(self, now: float) -> list[Member]:
         """Contact the members that are due.
 
         Args:
             now: Monotonic time in seconds.
+
+        Returns:
+            Members that were said to be DEAD and did not answer.
         """
-        if now >= self._verify_at:
+        if self._unverified and now >= self._verify_at:
             self._verify_next(now)
         if now >= self._revive_at:
             self._revive_at = now + self._timing.revive_interval_s
             self._revive_one(now)
+        return self._pop_failed(now)
+
+    def _pop_failed(self, now: float) -> list[Member]:
+        failed = []
+        while self._verifying:
+            sequence = next(iter(self._verifying))
+            probe = self._verifying[sequence]
+            if probe.waits_until > now:
+                break
+            del self._verifying[sequence]
+            failed.append(probe.member)
+        return failed
 
     def _verify_next(self, now: float) -> None:
         while self._unverified:
-            node_id = self._unverified.popleft()
+            node_id = self._rng.choice(tuple(self._unverified))
+            claim = self._unverified.pop(node_id)
             member = self._table.get(node_id)
-            if member is not None and member.state == MemberState.SUSPECT:
+            if self._is_open(claim, member):
                 self._verify_at = now + VERIFY_GAP_S
-                self._contact(node_id, now)
+                sequence = self._contact(node_id, now, encode_item(claim))
+                if sequence is not None:
+                    ends_at = now + self._timing.probe_interval_s
+                    probe = Probe(member, sequence, ends_at)
+                    self._verifying[sequence] = probe
                 return
 
+    def _is_open(self, claim: StateClaim, member: Member | None) -> bool:
+        if member is None or member.state != MemberState.ALIVE:
+            return False
+        known = (member.incarnation, member.version)
+        return (claim.incarnation, claim.version) >= known
+
     def _revive_one(self, now: float) -> None:
         dead = [
             node_id
@@ -86,13 +131,18 @@
         if dead:
             self._contact(self._rng.choice(dead), now)
 
-    def _contact(self, node_id: str, now: float) -> None:
-        self._transmitter.send(
+    def _contact(
+        self, node_id: str, now: float, items: bytes = b""
+    ) -> int | None:
+        sequence = self._transmitter.next_sequence()
+        sent = self._transmitter.send(
             MessageKind.PING,
             address_of(self._table.members[node_id]),
             now,
             tier=Tier.GOSSIP,
-            sequence=self._transmitter.next_sequence(),
+            sequence=sequence,
             receiver=node_id,
+            items=items,
             piggyback=False,
         )
+        return sequence if sent else None
--- a/kumquatwalk/membership/synchronizer.py
+++ b/kumquatwalk/membership/synchronizer.py
@@ -21,6 +21,7 @@
 SHARED_TOMBSTONE_S = TOMBSTONE_S / 2
 MAX_PAGES = 16
 EAGER_INTERVAL_S = 1.0
+QUIET_S = 2.0
 
 
 class Synchronizer:
@@ -43,7 +44,18 @@
         self._transmitter = transmitter
         self._timing = timing
         self._rng = rng
+        self._interval_s = EAGER_INTERVAL_S
         self._next_pull_at = 0.0
+        self._latest_pull_at = 0.0
+        self._quiet_at = 0.0
+
+    def note_change(self, now: float) -> None:
+        """Note that gossip changed the table, and is still spreading.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._quiet_at = now + QUIET_S
 
     def compare(self, message: Message, address: Address, now: float) -> None:
         """Ask the sender for what differs, if its table does.
@@ -53,10 +65,18 @@
             address: Address of the sender.
             now: Monotonic time in seconds.
         """
-        if message.digest == self._table.digest or now < self._next_pull_at:
+        if message.digest == self._table.digest:
+            self._interval_s = EAGER_INTERVAL_S
+            return
+        if now < self._next_pull_at:
+            return
+        if now < self._quiet_at and now < self._latest_pull_at:
             return
         jitter = 0.5 + self._rng.random()
-        self._next_pull_at = now + self._timing.sync_interval_s * jitter
+        self._next_pull_at = now + self._interval_s * jitter
+        longest_s = self._timing.sync_interval_s
+        self._latest_pull_at = now + longest_s * jitter
+        self._interval_s = min(self._interval_s * 2, longest_s)
         self.request(bytes(range(BUCKET_COUNT)), address, now)
 
     def hasten(self, now: float) -> None:
@@ -65,6 +85,7 @@
         Args:
             now: Monotonic time in seconds.
         """
+        self._interval_s = EAGER_INTERVAL_S
         soon = now + EAGER_INTERVAL_S
         self._next_pull_at = min(self._next_pull_at, soon)
 
--- a/kumquatwalk/membership/tier.py
+++ b/kumquatwalk/membership/tier.py
@@ -10,4 +10,5 @@
 
     PROBE = 0.0
     GOSSIP = 0.25
-    BULK = 0.5
+    BULK = 0.3
+    MEMBER_GOSSIP = 0.45
--- a/kumquatwalk/membership/timing.py
+++ b/kumquatwalk/membership/timing.py
@@ -18,7 +18,8 @@
         revive_interval_s: Time between two probes of DEAD members.
         seed_interval_s: Time between two contacts with configured peers that
             are not living members.
-        sync_interval_s: Least time between two comparisons of tables.
+        sync_interval_s: Longest time between two comparisons of tables that
+            stay different.
         bytes_per_s: Bytes sent in a second, on average.
         burst_bytes: Bytes that may be sent at once.
     """
--- a/kumquatwalk/membership/transmitter.py
+++ b/kumquatwalk/membership/transmitter.py
@@ -12,7 +12,6 @@
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
 from kumquatwalk.membership.dissemination import DisseminationQueue
-from kumquatwalk.membership.dissemination import retransmit_limit
 from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
@@ -138,8 +137,7 @@
     def _fill(self, space: float) -> bytes:
         if space <= 0 or not self.queue:
             return b""
-        limit = retransmit_limit(len(self._table.living))
-        return self.queue.take(space, limit)
+        return self.queue.take(space)
 
     def _claim_about(self, receiver: str | None) -> bytes:
         member = self._table.get(receiver) if receiver else None
