Quarantine requests that crash targets; never call a lost attempt not run

Cause: after an attempt with an unknown outcome a refusal by the next gate was handed on as not run, although the first gate may have run the call. Ruled out: the gates, whose own refusals are true for their attempts. Change: a refusal after an unknown attempt is answered as unknown. The gate charges the runs in progress when its target crashes and spreads the report; a target that cannot be reached is published as absent. Before: test_refusal_after_a_lost_attempt_is_not_called_not_run failed. After: passes; 261 tests pass.

--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -38,6 +38,7 @@
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.node.caller_listener import CallerListener
 from kumquatwalk.node.catalogue_sync import CatalogueSync
+from kumquatwalk.node.crash_watch import CrashWatch
 from kumquatwalk.node.entry import EntrySide
 from kumquatwalk.node.gate import GateSide
 from kumquatwalk.node.local_listener import LocalListener
@@ -52,6 +53,7 @@
 from kumquatwalk.node.status import NodeStatus
 from kumquatwalk.node.target_watch import TargetWatch
 from kumquatwalk.platform.client import PlatformClient
+from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.retry.budget import RetryBudget
 from kumquatwalk.routing.levels import EntryLevels
 from kumquatwalk.routing.table import RouteTable
@@ -91,12 +93,16 @@
         self.links = LinkPool(identity, self.partition, payload_max)
         self.admission = AdmissionGate(now)
         self._runs = RunTable()
-        self._runner = Runner(self._runs, self.admission)
+        self._crash_watch = CrashWatch(
+            identity, CrashTable(), self._broadcast_crash
+        )
+        self._runner = Runner(self._runs, self.admission, self._crash_watch)
         self._gate = GateSide(
             self.replica,
             self.admission,
             self._runner,
             AttemptTable(measure_reply),
+            self._crash_watch,
             self._levels,
             self._meters,
         )
@@ -173,6 +179,11 @@
     def _take_broadcast(self, kind: BroadcastKind, payload: bytes) -> None:
         if kind is BroadcastKind.CATALOGUE_RECORD:
             self.sync.take_broadcast(payload)
+        else:
+            self._crash_watch.take_broadcast(payload, time.monotonic())
+
+    def _broadcast_crash(self, payload: bytes) -> None:
+        self.membership.broadcast(BroadcastKind.CRASH_REPORT, payload)
 
     def _note_newer(self, member, revision: int) -> None:
         self.sync.note_newer(member, revision)
--- a/kumquatwalk/node/entry.py
+++ b/kumquatwalk/node/entry.py
@@ -89,6 +89,7 @@
         if choice.target is None:
             return refuse(choice.code)
         attempts = 0
+        may_have_run = False
         while True:
             view = choice.target
             reply = self._attempt(intent, view)
@@ -97,6 +98,7 @@
             if reply.outcome in (Outcome.DONE, Outcome.FAILED):
                 self._budget.note_success(now)
                 return reply
+            may_have_run = may_have_run or reply.outcome is Outcome.UNKNOWN
             excluded |= {view.node_id}
             choice = self._routes.choose(
                 service, intent.priority, now, excluded
@@ -105,7 +107,7 @@
             if not self._retries(
                 intent, reply, attempts, has_other_target, now
             ):
-                return reply
+                return fail_unknown(reply.code) if may_have_run else reply
 
     def _is_overloaded(self, intent: CallIntent, now: float) -> bool:
         level = self._levels.get_level(intent.entry.name, now)
--- a/kumquatwalk/node/gate.py
+++ b/kumquatwalk/node/gate.py
@@ -14,11 +14,14 @@
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.link.session import read_clock_us
 from kumquatwalk.node.copies import answer_copy
+from kumquatwalk.node.crash_watch import CrashWatch
 from kumquatwalk.node.meters import NodeMeters
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.runner import Runner
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.quarantine import CrashVerdict
+from kumquatwalk.quarantine import make_fingerprint
 from kumquatwalk.routing.levels import EntryLevels
 
 __all__ = ["GateSide"]
@@ -35,6 +38,7 @@
         admission: Admission at the target.
         runner: Runs admitted calls at the target.
         attempts: Attempts taken so far.
+        crash_watch: Requests that crashed targets.
         levels: Admission levels of entries called from here.
         meters: Metrics of the node.
     """
@@ -45,6 +49,7 @@
         admission: AdmissionGate,
         runner: Runner,
         attempts: AttemptTable[Reply],
+        crash_watch: CrashWatch,
         levels: EntryLevels,
         meters: NodeMeters,
     ):
@@ -52,6 +57,7 @@
         self._admission = admission
         self._runner = runner
         self._attempts = attempts
+        self._crash_watch = crash_watch
         self._levels = levels
         self._meters = meters
 
@@ -96,6 +102,12 @@
             return refuse(codes.ENTRY_UNKNOWN, call.tokens)
         if not self._runner.serves(entry.service):
             return refuse(codes.TARGET_ABSENT, call.tokens)
+        fingerprint = make_fingerprint(
+            call.entry, call.method, call.url, call.body
+        )
+        crash_verdict = self._crash_watch.judge(fingerprint, now)
+        if crash_verdict is CrashVerdict.QUARANTINED:
+            return refuse(codes.QUARANTINED, call.tokens)
         verdict = self._admission.acquire(
             AdmissionCall(
                 call_id=call.attempt_id,
@@ -103,13 +115,14 @@
                 priority=call.priority,
                 depth=call.depth,
                 deadline=deadline,
+                is_suspect=crash_verdict is CrashVerdict.SUSPECT,
             ),
             now,
         )
         if not verdict.is_admitted:
             reply = refuse(verdict.code, call.tokens)
         else:
-            reply = self._runner.run(call, deadline)
+            reply = self._runner.run(call, fingerprint, crash_verdict, deadline)
         return self._add_levels(reply, entry, verdict.waited_s)
 
     def _add_levels(self, reply: Reply, entry: Entry, waited_s: float) -> Reply:
--- a/kumquatwalk/node/process.py
+++ b/kumquatwalk/node/process.py
@@ -12,6 +12,7 @@
 
 _LEAVE_NOTICE_S = 1.0
 _ROUTES_INTERVAL_S = 0.05
+_TARGET_CHECK_INTERVAL_S = 1.0
 
 
 class Node:
@@ -60,10 +61,11 @@
         self._parts.local_server.start()
         if self._parts.watcher is not None:
             self._parts.watcher.start()
-        thread = threading.Thread(
-            target=self._follow_members, name="routes", daemon=True
-        )
-        thread.start()
+        for name, task in (
+            ("routes", self._follow_members),
+            ("target-check", self._check_target),
+        ):
+            threading.Thread(target=task, name=name, daemon=True).start()
         self._parts.caller_server.start()
         log_event(
             "node_started",
@@ -106,6 +108,10 @@
         self._parts.membership.close()
         log_event("node_stopped")
 
+    def _check_target(self) -> None:
+        while not self._is_closed.wait(_TARGET_CHECK_INTERVAL_S):
+            self._parts.target_watch.check(time.monotonic())
+
     def _follow_members(self) -> None:
         while not self._is_closed.wait(_ROUTES_INTERVAL_S):
             snapshot = self._parts.membership.snapshot()
--- a/kumquatwalk/node/runner.py
+++ b/kumquatwalk/node/runner.py
@@ -1,6 +1,7 @@
 """Runs admitted calls at the target on this VM."""
 
 import time
+from collections.abc import Callable
 
 from kumquatwalk import codes
 from kumquatwalk.admission.gate import AdmissionGate
@@ -10,11 +11,13 @@
 from kumquatwalk.gateway.target import TargetClient
 from kumquatwalk.link.call import Call
 from kumquatwalk.link.reply import Reply
+from kumquatwalk.node.crash_watch import CrashWatch
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.run import Run
 from kumquatwalk.node.runs import RunTable
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.quarantine import CrashVerdict
 
 __all__ = ["Runner"]
 
@@ -28,17 +31,25 @@
     Args:
         runs: Runs in progress, where the target's own calls find them.
         admission: Admission, told of each end.
+        crash_watch: Told of each start, end and crash.
     """
 
     def __init__(
         self,
         runs: RunTable,
         admission: AdmissionGate,
+        crash_watch: CrashWatch,
     ):
         self._runs = runs
         self._admission = admission
+        self._crash_watch = crash_watch
         self._service = ""
         self._target: TargetClient | None = None
+        self._on_absent: Callable[[], None] = lambda: None
+
+    def watch_absence(self, on_absent: Callable[[], None]) -> None:
+        """Call a function whenever the target cannot be reached."""
+        self._on_absent = on_absent
 
     def attach(self, service: str, target: TargetClient | None) -> None:
         """Take the target that announced itself; None when it is gone."""
@@ -49,11 +60,19 @@
         """Return whether the target of this VM serves the service."""
         return self._target is not None and service == self._service
 
-    def run(self, call: Call, deadline: float) -> Reply:
+    def run(
+        self,
+        call: Call,
+        fingerprint: bytes,
+        verdict: CrashVerdict,
+        deadline: float,
+    ) -> Reply:
         """Run an admitted call and release its place.
 
         Args:
             call: The call.
+            fingerprint: Fingerprint of the request.
+            verdict: What is known of its crashes.
             deadline: Monotonic time by which it must have ended.
 
         Returns:
@@ -63,11 +82,14 @@
         started = time.monotonic()
         reply = fail_unknown("internal_error")
         self._runs.add(run)
+        self._crash_watch.begin(run.run_id, fingerprint, verdict)
         try:
             reply = self._send(run, deadline - started)
         finally:
             self._runs.remove(run)
             ended = time.monotonic()
+            has_answer = reply.outcome in (Outcome.DONE, Outcome.FAILED)
+            self._crash_watch.end(run.run_id, has_answer, ended)
             own_time_s = ended - started - run.measure_children(ended)
             is_shed = reply.code == codes.TARGET_SHED
             sample = RunSample(own_time_s, reply.outcome, is_shed)
@@ -93,7 +115,11 @@
             return fail_unknown(codes.DEADLINE_EXCEEDED)
         except LinkError as error:
             if not error.sent:
+                self._on_absent()
                 return refuse(codes.TARGET_ABSENT)
+            if not target.probe():
+                self._crash_watch.note_crash(run.run_id, time.monotonic())
+                self._on_absent()
             return fail_unknown(codes.TARGET_CRASHED)
         return _judge(answer)
 
--- a/kumquatwalk/node/target_watch.py
+++ b/kumquatwalk/node/target_watch.py
@@ -7,6 +7,7 @@
 from kumquatwalk.admission.gate import AdmissionGate
 from kumquatwalk.exception import RequestError
 from kumquatwalk.gateway.target import TargetClient
+from kumquatwalk.logs import Level
 from kumquatwalk.logs import log_event
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.member import TargetState
@@ -20,6 +21,7 @@
     "ready": TargetState.READY,
     "draining": TargetState.DRAINING,
 }
+_SILENCE_S = 2.0
 _SLOTS_MAX = 100_000
 _PORT_MAX = 65535
 _SERVICE_CHARS_MAX = 64
@@ -53,6 +55,8 @@
         self._info = TargetInfo()
         self._client: TargetClient | None = None
         self._is_leaving = False
+        self._announced_at = 0.0
+        runner.watch_absence(self.note_absent)
 
     @property
     def info(self) -> TargetInfo:
@@ -71,6 +75,7 @@
         """
         info, port = parse_announcement(body)
         with self._lock:
+            self._announced_at = now
             if self._is_leaving:
                 info = dataclasses.replace(info, state=TargetState.DRAINING)
             if self._client is None or self._client.port != port:
@@ -90,6 +95,28 @@
             slots=info.slots,
         )
 
+    def note_absent(self) -> None:
+        """Publish that the target cannot be reached, until it announces."""
+        with self._lock:
+            if self._info.state is TargetState.ABSENT:
+                return
+            absent = TargetState.ABSENT
+            self._info = dataclasses.replace(self._info, state=absent)
+            self._membership.publish(self._info)
+        log_event("target_absent", Level.WARNING)
+
+    def check(self, now: float) -> None:
+        """Find out whether a target that has fallen silent is still there.
+
+        Args:
+            now: Present time.
+        """
+        client = self._client
+        is_silent = now - self._announced_at > _SILENCE_S
+        if client is None or not is_silent or client.probe():
+            return
+        self.note_absent()
+
     def leave(self, now: float) -> None:
         """Announce from now on that the target is leaving."""
         with self._lock:
