Add tests of the bounds that no test noticed

Each bound and rule of the codec and the checks was taken out on a scratch change. Eight went unnoticed: the printable text, the list length, the repeated entry, the format, the number of calls and of entries, the name an entry is kept under, and the longest of several ways. Each has a test that fails now without it. A check for finite limits could go, as the range excludes NaN.

--- a/kumquatwalk/catalogue/check.py
+++ b/kumquatwalk/catalogue/check.py
@@ -1,6 +1,5 @@
 """Rules that a catalogue must keep; pure validation."""
 
-import math
 from collections.abc import Mapping
 
 from kumquatwalk.catalogue import bounds
@@ -88,7 +87,7 @@
         ("time_ms", limits.time_ms, bounds.MIN_TIME_MS, bounds.MAX_TIME_MS),
     )
     for field, value, least, most in ranges:
-        if not math.isfinite(value) or not least <= value <= most:
+        if not least <= value <= most:
             raise CatalogueError(
                 "limit_out_of_range",
                 f"{name}: {field} {value!r} must be {least} to {most}",
--- a/kumquatwalk/catalogue/tests/test_check.py
+++ b/kumquatwalk/catalogue/tests/test_check.py
@@ -23,6 +23,24 @@
     return [*others[:-1], last]
 
 
+def make_chain_with_short_cut():
+    """Return a chain that is too deep only by its longest way."""
+    last = f"e{bounds.MAX_DEPTH}"
+    return [make_entry("f", calls=(last,)), *make_chain(bounds.MAX_DEPTH + 1)]
+
+
+def make_flat(count):
+    """Return entries that call nothing."""
+    return [make_entry(f"e{i}") for i in range(count)]
+
+
+def make_star(count):
+    """Return entries of which one calls all others."""
+    flat = make_flat(count)
+    names = tuple(entry.name for entry in flat)
+    return [make_entry("star", calls=names), *flat]
+
+
 def find_code(*entries):
     """Return the code of the rule that the entries break, if any."""
     try:
@@ -51,10 +69,20 @@
             ("idempotence_broken", (a, pure)),
             (None, make_chain(bounds.MAX_DEPTH)),
             ("calls_too_deep", make_chain(bounds.MAX_DEPTH + 1)),
+            ("calls_too_deep", make_chain_with_short_cut()),
+            ("calls_too_deep", make_chain_with_short_cut()[::-1]),
+            ("calls_too_many", make_star(bounds.MAX_CALLS + 1)),
+            (None, make_star(bounds.MAX_CALLS)),
+            ("entries_too_many", make_flat(bounds.MAX_ENTRIES + 1)),
         ]
         for code, entries in cases:
             self.assertEqual(find_code(*entries), code, entries)
 
+    def test_entry_is_kept_under_its_own_name(self):
+        with self.assertRaises(CatalogueError) as caught:
+            check_catalogue(Catalogue(1, {"b": make_entry("a")}))
+        self.assertEqual(caught.exception.code, "name_invalid")
+
     def test_limit_ranges(self):
         nan = float("nan")
         cases = [
--- a/kumquatwalk/catalogue/tests/test_codec.py
+++ b/kumquatwalk/catalogue/tests/test_codec.py
@@ -116,6 +116,24 @@
                 codec.decode_catalogue(data)
             self.assertEqual(caught.exception.code, code, data[:20])
 
+    def test_each_bound_has_its_code(self):
+        def change(path, value):
+            changed = copy.deepcopy(self.document)
+            find_parent(changed, path)[path[-1]] = value
+            return changed
+
+        calls = [f"e{i}" for i in range(bounds.MAX_CALLS + 1)]
+        twice = self.document["entries"][:1] * 2
+        cases = [
+            (("format",), 2, "format_unknown"),
+            (("entries",), twice, "entry_repeated"),
+            (("entries", 0, "calls"), calls, "field_too_long"),
+            (("records", 0, "reason"), "a\x1b[0m", "text_invalid"),
+            (("records", 0, "reason"), "a" * 301, "field_too_long"),
+        ]
+        for path, value, code in cases:
+            self.check_refused(change(path, value), path, code)
+
     def test_oversized_document_is_not_written(self):
         calls = tuple(f"{i:064}" for i in range(bounds.MAX_CALLS))
         entries = [make_entry(f"{i:064}", calls=calls) for i in range(500)]
--- a/kumquatwalk/cli/tests/test_catalogue.py
+++ b/kumquatwalk/cli/tests/test_catalogue.py
@@ -114,6 +114,13 @@
         self.run_command("set a --retries 1 --author shop/kofi")
         shown = self.run_command("set a --retries 0 --expect 2", 4)
         self.assertIn("shop/kofi changed a in revision 3", shown)
+        self.run_command("set b --no-calls")
+        self.check_error("remove a --expect 2", 4, "edit_conflict")
+        document = json.loads(self.run_command("export"))
+        document["entries"][0]["limits"]["retries"] = 0
+        data = json.dumps(document)
+        self.check_error("import - --expect 2", 4, "edit_conflict", data)
+        self.run_command("import - --expect 3", data=data)
 
     def test_race_between_read_and_write_is_lost(self):
         edit = catalogue_write.run_edit
