--- a/kumquatwalk/membership/__init__.py
+++ b/kumquatwalk/membership/__init__.py
@@ -9,6 +9,9 @@
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.member import TargetState
+from kumquatwalk.membership.rendezvous import Rendezvous
+from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.membership.snapshot import Snapshot
 from kumquatwalk.membership.timing import Timing
@@ -22,8 +25,11 @@
     "Membership",
     "MembershipCallbacks",
     "MembershipConfig",
+    "Rendezvous",
+    "RendezvousConfig",
     "Snapshot",
     "TargetInfo",
     "TargetState",
     "Timing",
+    "choose_representatives",
 ]
--- a/kumquatwalk/membership/agent.py
+++ b/kumquatwalk/membership/agent.py
@@ -6,31 +6,27 @@
 from kumquatwalk.exception import MembershipError
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.broadcast import Broadcast
+from kumquatwalk.membership.broadcaster import Broadcaster
 from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
-from kumquatwalk.membership.dissemination import BROADCAST_FACTOR
-from kumquatwalk.membership.dissemination import count_transmissions
 from kumquatwalk.membership.itemcodec import decode_items
-from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.joiner import Joiner
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetInfo
-from kumquatwalk.membership.merger import IMPORTANT_FLUSHES_S
 from kumquatwalk.membership.merger import Merger
 from kumquatwalk.membership.message import Message
 from kumquatwalk.membership.prober import Prober
 from kumquatwalk.membership.prober import address_of
 from kumquatwalk.membership.reviver import Reviver
-from kumquatwalk.membership.seen import SeenBroadcasts
+from kumquatwalk.membership.revisionwatch import RevisionWatch
 from kumquatwalk.membership.spread import Spread
 from kumquatwalk.membership.synchronizer import Synchronizer
 from kumquatwalk.membership.table import MemberTable
-from kumquatwalk.membership.tier import Tier
 from kumquatwalk.membership.timing import Timing
 from kumquatwalk.membership.transmitter import Transmitter
 
@@ -40,7 +36,6 @@
 SAMPLE_SIZE = 4
 STALL_S = 2.0
 EXPIRE_INTERVAL_S = 10.0
-NEWER_REVISION_INTERVAL_S = 1.0
 
 
 class Agent:
@@ -79,20 +74,14 @@
         self._joiner = Joiner(
             node_id, table, sender, self._synchronizer, timing, rng, now
         )
-        self._merger = Merger(
-            node_id,
-            table,
-            sender,
-            self._prober,
-            self._reviver,
-            timing,
-            self._judge_own,
+        parts = (self._prober, self._reviver, timing, self._judge_own)
+        self._merger = Merger(node_id, table, sender, *parts)
+        self._broadcaster = Broadcaster(
+            table, sender, self._merger.flushes, rng, callbacks.on_broadcast
         )
-        self._seen = SeenBroadcasts()
+        self._revisions = RevisionWatch(table, callbacks.on_newer_revision)
         self._ticked_at = now
         self._expire_at = now + EXPIRE_INTERVAL_S
-        self._newer_revision = 0
-        self._newer_revision_at = now
 
     @property
     def own(self) -> Member:
@@ -180,12 +169,12 @@
         spread = self._choose_spread(message.kind)
         for item in items:
             if isinstance(item, Broadcast):
-                self._take_broadcast(item, now)
+                self._broadcaster.take(item, now)
             else:
                 changed |= self._merger.apply(item, spread, now)
         if changed and spread == Spread.FULL:
             self._synchronizer.note_change(now)
-        self._note_revision(message, now)
+        self._revisions.note(message, self._transmitter.revision, now)
         self._dispatch(message, source, changed, now)
 
     def publish(self, target: TargetInfo, now: float) -> None:
@@ -219,9 +208,7 @@
             payload: At most ``MAX_PAYLOAD_BYTES`` bytes.
             now: Monotonic time in seconds.
         """
-        broadcast = Broadcast(self._rng.getrandbits(64), kind, payload)
-        self._seen.add(broadcast.broadcast_id, now)
-        self._forward(broadcast, now)
+        self._broadcaster.send(kind, payload, now)
 
     def leave(self, now: float) -> None:
         """Spread that this node leaves for good.
@@ -290,19 +277,6 @@
         self.table.merge(own, now)
         self._merger.spread(own, Spread.FULL, now)
 
-    def _take_broadcast(self, broadcast: Broadcast, now: float) -> None:
-        if not self._seen.add(broadcast.broadcast_id, now):
-            return
-        self._forward(broadcast, now)
-        self._callbacks.on_broadcast(broadcast.kind, broadcast.payload)
-
-    def _forward(self, broadcast: Broadcast, now: float) -> None:
-        encoded = encode_item(broadcast)
-        count = count_transmissions(BROADCAST_FACTOR, len(self.table.living))
-        self._transmitter.queue.put(broadcast.broadcast_id, encoded, count)
-        for delay_s in IMPORTANT_FLUSHES_S:
-            self._merger.flushes.request(now + delay_s, Tier.GOSSIP)
-
     def _flush(self, now: float) -> None:
         tier = self._merger.flushes.pop(now)
         if tier is None or not self._transmitter.queue:
@@ -317,22 +291,8 @@
                 receiver=member.node_id,
             )
 
-    def _note_revision(self, message: Message, now: float) -> None:
-        revision = message.catalogue_revision
-        self.table.note_revision(message.sender, message.incarnation, revision)
-        if revision <= self._transmitter.revision:
-            return
-        repeated = revision <= self._newer_revision
-        if repeated and now < self._newer_revision_at:
-            return
-        member = self.table.get(message.sender)
-        if member is not None:
-            self._newer_revision = revision
-            self._newer_revision_at = now + NEWER_REVISION_INTERVAL_S
-            self._callbacks.on_newer_revision(member, revision)
-
     def _expire(self, now: float) -> None:
         self._expire_at = now + EXPIRE_INTERVAL_S
         self.table.expire(now)
-        self._seen.expire(now)
+        self._broadcaster.expire(now)
         self._prober.expire(now)
--- /dev/null
+++ b/kumquatwalk/membership/broadcaster.py
@@ -0,0 +1,80 @@
+"""Spreads broadcasts and recognises repeated ones."""
+
+import random
+from collections.abc import Callable
+
+from kumquatwalk.membership.broadcast import Broadcast
+from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.dissemination import BROADCAST_FACTOR
+from kumquatwalk.membership.dissemination import count_transmissions
+from kumquatwalk.membership.flush import FlushSchedule
+from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.merger import IMPORTANT_FLUSHES_S
+from kumquatwalk.membership.seen import SeenBroadcasts
+from kumquatwalk.membership.table import MemberTable
+from kumquatwalk.membership.tier import Tier
+from kumquatwalk.membership.transmitter import Transmitter
+
+__all__ = ["Broadcaster"]
+
+
+class Broadcaster:
+    """Spreads broadcasts and recognises repeated ones.
+
+    A broadcast is forwarded to a few random members when it is first received
+    and shortly afterwards, and then piggybacked.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        transmitter: Transmitter,
+        flushes: FlushSchedule,
+        rng: random.Random,
+        on_broadcast: Callable[[BroadcastKind, bytes], None],
+    ):
+        self._table = table
+        self._transmitter = transmitter
+        self._flushes = flushes
+        self._rng = rng
+        self._on_broadcast = on_broadcast
+        self._seen = SeenBroadcasts()
+
+    def send(self, kind: BroadcastKind, payload: bytes, now: float) -> None:
+        """Spread a new payload; it is not delivered here.
+
+        Args:
+            kind: What the payload means to its receivers.
+            payload: At most ``MAX_PAYLOAD_BYTES`` bytes.
+            now: Monotonic time in seconds.
+        """
+        broadcast = Broadcast(self._rng.getrandbits(64), kind, payload)
+        self._seen.add(broadcast.broadcast_id, now)
+        self._forward(broadcast, now)
+
+    def take(self, broadcast: Broadcast, now: float) -> None:
+        """Deliver and forward a received broadcast, unless it is a repetition.
+
+        Args:
+            broadcast: The broadcast.
+            now: Monotonic time in seconds.
+        """
+        if not self._seen.add(broadcast.broadcast_id, now):
+            return
+        self._forward(broadcast, now)
+        self._on_broadcast(broadcast.kind, broadcast.payload)
+
+    def expire(self, now: float) -> None:
+        """Forget the identifiers of old broadcasts.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._seen.expire(now)
+
+    def _forward(self, broadcast: Broadcast, now: float) -> None:
+        count = count_transmissions(BROADCAST_FACTOR, len(self._table.living))
+        encoded = encode_item(broadcast)
+        self._transmitter.queue.put(broadcast.broadcast_id, encoded, count)
+        for delay_s in IMPORTANT_FLUSHES_S:
+            self._flushes.request(now + delay_s, Tier.GOSSIP)
--- a/kumquatwalk/membership/counters.py
+++ b/kumquatwalk/membership/counters.py
@@ -19,6 +19,7 @@
         dropped_blocked: Datagrams dropped because their host is blocked.
         dropped_budget: Datagrams not sent for want of budget.
         refutations: Times this node refuted a claim that it had failed.
+        failures: Errors in the service's thread, callbacks included.
     """
 
     datagrams_sent: int = 0
@@ -29,3 +30,4 @@
     dropped_blocked: int = 0
     dropped_budget: int = 0
     refutations: int = 0
+    failures: int = 0
--- a/kumquatwalk/membership/service.py
+++ b/kumquatwalk/membership/service.py
@@ -6,6 +6,7 @@
 import random
 import select
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 from kumquatwalk.membership.codec import load_schema
 from kumquatwalk.membership.config import MembershipConfig
 from kumquatwalk.membership.counters import Counters
-from kumquatwalk.membership.datagram import Datagram
+from kumquatwalk.membership.endpoint import Endpoint
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.snapshot import EMPTY_SNAPSHOT
@@ -28,12 +29,11 @@
 
 __all__ = ["Membership"]
 
-RECEIVE_BYTES = 65536
-RECEIVE_BATCH = 64
-RECEIVE_BUFFER_BYTES = 1 << 20
+WAKE_BYTES = 4096
 SNAPSHOT_INTERVAL_S = 0.05
 REVISION_INTERVAL_S = 1.0
 LEAVE_FLUSH_S = 1.0
+FAILURE_PAUSE_S = 0.05
 
 
 def _allow_all(_: str) -> bool:
@@ -66,13 +66,13 @@
         self._is_blocked = is_blocked
         self._commands: queue.SimpleQueue[command.Command] = queue.SimpleQueue()
         self._snapshot = EMPTY_SNAPSHOT
-        self._traffic = Counters()
         self._joined = threading.Event()
         self._closing = False
+        self._failures = 0
         self._leave_until = 0.0
         self._snapshot_at = 0.0
         self._revision_sequence = 0
-        self._socket: socket.socket | None = None
+        self._endpoint: Endpoint | None = None
         self._wake_reader: socket.socket | None = None
         self._wake_writer: socket.socket | None = None
         self._agent: Agent | None = None
@@ -81,7 +81,7 @@
     @property
     def gossip_port(self) -> int:
         """Return the UDP port that is bound, after ``start``."""
-        return self._socket.getsockname()[1]
+        return self._endpoint.port
 
     def start(self) -> None:
         """Bind the socket and start the thread.
@@ -90,7 +90,8 @@
             MembershipError: If the address cannot be bound.
         """
         load_schema()
-        self._socket = self._bind()
+        address = Address(self._config.host, self._config.gossip_port)
+        self._endpoint = Endpoint(address, self._is_blocked)
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
@@ -116,7 +117,7 @@
         self._command(command.Close())
         self._thread.join()
         self._thread = None
-        for owned in (self._socket, self._wake_reader, self._wake_writer):
+        for owned in (self._endpoint, self._wake_reader, self._wake_writer):
             owned.close()
 
     def snapshot(self) -> Snapshot:
@@ -137,13 +138,14 @@
     def counters(self) -> Counters:
         """Return a copy of the counts of traffic."""
         if self._agent is None:
-            return dataclasses.replace(self._traffic)
+            return Counters()
         protocol = self._agent.counters
         return dataclasses.replace(
-            self._traffic,
+            self._endpoint.counters,
             dropped_malformed=protocol.dropped_malformed,
             dropped_budget=protocol.dropped_budget,
             refutations=protocol.refutations,
+            failures=self._failures,
         )
 
     def publish(self, target: TargetInfo) -> None:
@@ -195,19 +197,6 @@
         except BlockingIOError:
             pass  # The thread has wake-ups waiting already.
 
-    def _bind(self) -> socket.socket:
-        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        bound.setblocking(False)
-        bound.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        try:
-            bound.bind((self._config.host, self._config.gossip_port))
-        except OSError as error:
-            bound.close()
-            raise MembershipError("bind_failed", str(error)) from error
-        return bound
-
     def _make_own_record(self) -> Member:
         config = self._config
         return Member(
@@ -222,7 +211,17 @@
 
     def _run(self) -> None:
         while not self._is_finished(time.monotonic()):
-            self._step()
+            try:
+                self._step()
+            except Exception:  # pylint: disable=broad-exception-caught
+                self._report_failure()
+
+    def _report_failure(self) -> None:
+        """Report an error without ending the thread, and not in a busy loop."""
+        self._failures += 1
+        exception = (*sys.exc_info(), threading.current_thread())
+        threading.excepthook(threading.ExceptHookArgs(exception))
+        time.sleep(FAILURE_PAUSE_S)
 
     def _is_finished(self, now: float) -> bool:
         return self._closing and now >= self._leave_until
@@ -230,15 +229,16 @@
     def _step(self) -> None:
         timeout_s = max(0.0, self._next_due() - time.monotonic())
         readable, _, _ = select.select(
-            (self._socket, self._wake_reader), (), (), timeout_s
+            (self._endpoint, self._wake_reader), (), (), timeout_s
         )
         now = time.monotonic()
         self._agent.tick(now)
         if self._wake_reader in readable:
             self._take_commands(now)
-        if self._socket in readable:
-            self._receive(now)
-        self._send(self._agent.drain())
+        if self._endpoint in readable:
+            for datagram in self._endpoint.receive():
+                self._agent.receive(datagram.data, datagram.address, now)
+        self._endpoint.send(self._agent.drain())
         self._publish_snapshot(now)
 
     def _next_due(self) -> float:
@@ -250,7 +250,7 @@
         return due_at
 
     def _take_commands(self, now: float) -> None:
-        self._wake_reader.recv(RECEIVE_BYTES)
+        self._wake_reader.recv(WAKE_BYTES)
         while not self._commands.empty():
             self._execute(self._commands.get(), now)
 
@@ -285,33 +285,6 @@
         self._closing = True
         self._leave_until = max(self._leave_until, now)
 
-    def _receive(self, now: float) -> None:
-        for _ in range(RECEIVE_BATCH):
-            try:
-                data, source = self._socket.recvfrom(RECEIVE_BYTES)
-            except BlockingIOError:
-                return
-            except OSError:
-                continue  # An earlier datagram could not be delivered.
-            self._traffic.datagrams_received += 1
-            self._traffic.bytes_received += len(data)
-            if self._is_blocked(source[0]):
-                self._traffic.dropped_blocked += 1
-                continue
-            self._agent.receive(data, Address(*source), now)
-
-    def _send(self, datagrams: list[Datagram]) -> None:
-        for datagram in datagrams:
-            if self._is_blocked(datagram.address.host):
-                self._traffic.dropped_blocked += 1
-                continue
-            try:
-                self._socket.sendto(datagram.data, datagram.address)
-            except OSError:
-                continue  # Lost datagrams are part of the protocol.
-            self._traffic.datagrams_sent += 1
-            self._traffic.bytes_sent += len(datagram.data)
-
     def _snapshot_is_old(self) -> bool:
         return self._snapshot.sequence != self._agent.table.sequence
 
