--- a/kumquatwalk/membership/service.py
+++ b/kumquatwalk/membership/service.py
@@ -117,8 +117,9 @@
         self._command(command.Close())
         self._thread.join()
         self._thread = None
-        for owned in (self._endpoint, self._wake_reader, self._wake_writer):
-            owned.close()
+        self._endpoint.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
 
     def snapshot(self) -> Snapshot:
         """Return the present view of the membership, without a lock."""
@@ -210,7 +211,7 @@
         )
 
     def _run(self) -> None:
-        while not self._is_finished(time.monotonic()):
+        while not self._closing or time.monotonic() < self._leave_until:
             try:
                 self._step()
             except Exception:  # pylint: disable=broad-exception-caught
@@ -223,9 +224,6 @@
         threading.excepthook(threading.ExceptHookArgs(exception))
         time.sleep(FAILURE_PAUSE_S)
 
-    def _is_finished(self, now: float) -> bool:
-        return self._closing and now >= self._leave_until
-
     def _step(self) -> None:
         timeout_s = max(0.0, self._next_due() - time.monotonic())
         readable, _, _ = select.select(
@@ -292,14 +290,11 @@
         if self._agent.is_joined:
             self._joined.set()
         table = self._agent.table
-        if not self._snapshot_is_old():
-            if table.revision_sequence == self._revision_sequence:
-                return
-        if now < self._snapshot_at:
+        is_old = self._snapshot_is_old()
+        unchanged = table.revision_sequence == self._revision_sequence
+        if now < self._snapshot_at or (unchanged and not is_old):
             return
-        interval_s = SNAPSHOT_INTERVAL_S
-        if not self._snapshot_is_old():
-            interval_s = REVISION_INTERVAL_S
+        interval_s = SNAPSHOT_INTERVAL_S if is_old else REVISION_INTERVAL_S
         self._snapshot_at = now + interval_s
         self._revision_sequence = table.revision_sequence
         self._snapshot = Snapshot.of(table.sequence, table.members.values())
