--- a/kumquatwalk/idempotency/claim_lease.py
+++ b/kumquatwalk/idempotency/claim_lease.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from kumquatwalk.exception import OutcomeUnknownError
 from kumquatwalk.exception import PlatformError
 
 __all__ = ["CLAIM_LEASE_S", "ClaimLease", "LeaseClient"]
@@ -11,6 +12,7 @@
 CLAIM_LEASE_S = 86_400.0
 LEASE_REUSE_S = 3_600.0
 LEASE_MIN_LEFT_S = 43_200.0
+GRANT_ATTEMPTS = 2
 GRANT_RETRY_S = 1.0
 
 
@@ -30,7 +32,8 @@
 class ClaimLease:
     """Lease for claims, asked for when used and at most once an hour.
 
-    It is never renewed: a claim lapses a day after the lease was granted.
+    It is never renewed: a claim lapses a day after the lease was granted. A
+    grant whose answer was lost is asked for once more; the lost lease lapses.
 
     Args:
         client: Client of the platform.
@@ -57,9 +60,14 @@
     def _grant(self, now: float) -> None:
         if now - self._tried_at < GRANT_RETRY_S:
             return
-        try:
-            self._lease_id = self._client.grant_lease(CLAIM_LEASE_S).lease_id
+        for _ in range(GRANT_ATTEMPTS):
+            try:
+                lease = self._client.grant_lease(CLAIM_LEASE_S)
+            except OutcomeUnknownError:
+                continue
+            except PlatformError:
+                break
+            self._lease_id = lease.lease_id
             self._granted_at = now
-        except PlatformError:
-            pass
+            break
         self._tried_at = self._clock()
--- /dev/null
+++ b/kumquatwalk/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs under failure: real processes, recorded histories and checkers."""
--- /dev/null
+++ b/kumquatwalk/proofs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs with real processes under faults."""
