--- a/kumquatwalk/link/reply.py
+++ b/kumquatwalk/link/reply.py
@@ -4,7 +4,7 @@
 
 from kumquatwalk.outcome import Outcome
 
-__all__ = ["LEVEL_MAX", "Reply"]
+__all__ = ["LEVEL_MAX", "Reply", "measure_reply"]
 
 LEVEL_MAX = 1023
 
@@ -37,3 +37,8 @@
     entry_level: int = LEVEL_MAX
     queue_us: int = 0
     run_us: int = 0
+
+
+def measure_reply(reply: Reply) -> int:
+    """Return the bytes that a kept reply holds."""
+    return len(reply.headers) + len(reply.body)
--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -26,6 +26,7 @@
 from kumquatwalk.link.partition import Partition
 from kumquatwalk.link.pool import LinkPool
 from kumquatwalk.link.reply import Reply
+from kumquatwalk.link.reply import measure_reply
 from kumquatwalk.link.schema import load_schema
 from kumquatwalk.link.server import LinkServer
 from kumquatwalk.logs import Level
@@ -34,6 +35,9 @@
 from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.config import MembershipConfig
+from kumquatwalk.membership.rendezvous import Rendezvous
+from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.node.caller_listener import CallerListener
@@ -129,6 +133,7 @@
         self._client = self._make_client()
         self._once = self._make_once(identity)
         self.watcher = self._make_watcher()
+        self.rendezvous = self._make_rendezvous()
         self._caller_workers = WorkerPool("caller", settings.workers_max)
         self._local_workers = WorkerPool("local", settings.workers_max)
         add_state_gauges(
@@ -200,11 +205,25 @@
         return CatalogueWatcher(
             self._client,
             self.replica,
-            lambda: True,
+            self._is_representative,
             self.sync.spread,
             self.sync.report,
         )
 
+    def _is_representative(self) -> bool:
+        members = self.membership.snapshot().members.values()
+        chosen = choose_representatives(members, self.settings.zone)
+        return any(m.node_id == self.settings.node_id for m in chosen)
+
+    def _make_rendezvous(self) -> Rendezvous | None:
+        if self._client is None:
+            return None
+        settings = self.settings
+        config = RendezvousConfig(
+            settings.node_id, settings.zone, settings.zones
+        )
+        return Rendezvous(config, self.membership, self._client)
+
     def _make_once(self, identity: Identity) -> OnceRequests:
         owner = NodeIdentity(
             identity.node_id,
@@ -255,7 +274,7 @@
         listener = LocalListener(
             RunCalls(self.replica, self._runs, self._entry),
             self.target_watch,
-            NodeStatus(settings, self.membership, self.replica),
+            NodeStatus(settings, self.membership, self.replica, self.routes),
             self.registry,
             self.partition if settings.enable_faults else None,
         )
@@ -269,11 +288,6 @@
         )
 
 
-def measure_reply(reply: Reply) -> int:
-    """Return the bytes that a kept reply holds."""
-    return len(reply.headers) + len(reply.body)
-
-
 def _log_bad_frame(host: str, error: FrameError) -> None:
     log_event(
         "frame_rejected",
--- a/kumquatwalk/node/process.py
+++ b/kumquatwalk/node/process.py
@@ -61,6 +61,7 @@
         self._parts.local_server.start()
         if self._parts.watcher is not None:
             self._parts.watcher.start()
+            self._parts.rendezvous.start()
         for name, task in (
             ("routes", self._follow_members),
             ("target-check", self._check_target),
@@ -99,6 +100,7 @@
         self._is_closed.set()
         if self._parts.watcher is not None:
             self._parts.watcher.close()
+            self._parts.rendezvous.close()
         self._parts.sync.close()
         self._parts.caller_server.close(0.0)
         self._parts.local_server.close(0.0)
--- a/kumquatwalk/node/settings.py
+++ b/kumquatwalk/node/settings.py
@@ -29,6 +29,8 @@
     Attributes:
         node_id: Name of the node, unique in the fleet.
         zone: Availability zone of the VM.
+        zones: All availability zones, whose first nodes are looked up in the
+            platform.
         host: IP number of the VM, used by all listeners but the local one.
         http_port: TCP port for outside callers.
         local_host: Loopback address of the local listener.
@@ -49,6 +51,7 @@
 
     node_id: str
     zone: str
+    zones: tuple[str, ...]
     host: str
     http_port: int
     local_host: str
--- a/kumquatwalk/node/settings_spec.py
+++ b/kumquatwalk/node/settings_spec.py
@@ -13,6 +13,7 @@
 from kumquatwalk.node.settings_kinds import SecondsKind
 from kumquatwalk.node.settings_kinds import SettingKind
 from kumquatwalk.node.settings_kinds import SwitchKind
+from kumquatwalk.node.settings_names import NameListKind
 
 __all__ = ["SETTING_SPECS", "SettingSpec", "VARIABLE_PREFIX"]
 
@@ -53,6 +54,12 @@
         "node_id", NameKind(64), None, "Name of the node, unique in the fleet."
     ),
     SettingSpec("zone", NameKind(32), None, "Availability zone of the VM."),
+    SettingSpec(
+        "zones",
+        NameListKind(32),
+        "",
+        "All availability zones, whose first nodes are looked up.",
+    ),
     SettingSpec("host", IpKind(), None, "IP number of the VM."),
     SettingSpec(
         "http_port", _PORT, "8080", "TCP port for outside callers; 0: any."
--- a/kumquatwalk/node/status.py
+++ b/kumquatwalk/node/status.py
@@ -7,6 +7,7 @@
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.node.answer import make_json
 from kumquatwalk.node.settings import NodeSettings
+from kumquatwalk.routing.table import RouteTable
 
 __all__ = ["NodeStatus"]
 
@@ -18,6 +19,7 @@
         settings: Settings of the node.
         membership: Members known.
         replica: The node's catalogue.
+        routes: What this node has seen of all targets.
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         settings: NodeSettings,
         membership: Membership,
         replica: CatalogueReplica,
+        routes: RouteTable,
     ):
         self._settings = settings
         self._membership = membership
         self._replica = replica
+        self._routes = routes
 
     def describe_members(self, _: HttpRequest) -> HttpResponse:
         """Return all members known, in any state."""
@@ -42,12 +46,18 @@
         )
 
     def describe_node(self, _: HttpRequest) -> HttpResponse:
-        """Return the node's own state."""
+        """Return the node's own state and the targets it can route to."""
+        catalogue = self._replica.current()
+        services = {entry.service for entry in catalogue.entries.values()}
         return make_json(
             {
                 "node_id": self._settings.node_id,
                 "zone": self._settings.zone,
-                "catalogue_revision": self._replica.current().revision,
+                "catalogue_revision": catalogue.revision,
+                "targets": {
+                    service: self._routes.count_targets(service)
+                    for service in sorted(services)
+                },
             }
         )
 
