--- /dev/null
+++ b/benchmarks/process_meter.py
@@ -0,0 +1,59 @@
+"""Reads what a node's process has used."""
+
+import dataclasses
+import pathlib
+
+from benchmarks.processes import ProgramProcess
+from kumquatwalk.cli.node_client import parse_node
+from kumquatwalk.cli.node_client import read_node
+from kumquatwalk.metrics import parse_text
+
+__all__ = ["ProcessReading", "read_private_mb", "read_process"]
+
+_GOSSIP_COUNTERS = (
+    "kumquatwalk_gossip_sent_bytes",
+    "kumquatwalk_gossip_received_bytes",
+)
+_KB_PER_MB = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessReading:
+    """What a node's process has used since its start.
+
+    Attributes:
+        pid: Process id.
+        cpu_s: Processor time, in seconds.
+        gossip_bytes: Bytes that its membership service sent and received.
+    """
+
+    pid: int
+    cpu_s: float
+    gossip_bytes: float
+
+
+def read_process(process: ProgramProcess) -> ProcessReading:
+    """Return what a node's process has used since its start.
+
+    Args:
+        process: Process of a node that is running.
+    """
+    address = parse_node(process.addresses["local"])
+    text = read_node(address, "/kumquatwalk/metrics").decode()
+    samples = parse_text(text)
+    gossip = sum(s.value for s in samples if s.name in _GOSSIP_COUNTERS)
+    return ProcessReading(process.pid, process.read_cpu_s(), gossip)
+
+
+def read_private_mb(process: ProgramProcess) -> float:
+    """Return the memory that a process shares with no other, in megabytes.
+
+    Args:
+        process: Process that is running.
+    """
+    path = pathlib.Path(f"/proc/{process.pid}/smaps_rollup")
+    total_kb = 0
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.startswith("Private_"):
+            total_kb += int(line.split()[1])
+    return total_kb / _KB_PER_MB
--- a/kumquatwalk/membership/__init__.py
+++ b/kumquatwalk/membership/__init__.py
@@ -12,6 +12,7 @@
 from kumquatwalk.membership.rendezvous import Rendezvous
 from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
 from kumquatwalk.membership.representatives import choose_representatives
+from kumquatwalk.membership.representatives import is_representative
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.membership.snapshot import Snapshot
 from kumquatwalk.membership.timing import Timing
@@ -32,4 +33,5 @@
     "TargetState",
     "Timing",
     "choose_representatives",
+    "is_representative",
 ]
--- a/kumquatwalk/membership/representatives.py
+++ b/kumquatwalk/membership/representatives.py
@@ -6,7 +6,11 @@
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.table import is_living
 
-__all__ = ["REPRESENTATIVE_COUNT", "choose_representatives"]
+__all__ = [
+    "REPRESENTATIVE_COUNT",
+    "choose_representatives",
+    "is_representative",
+]
 
 REPRESENTATIVE_COUNT = 2
 
@@ -35,3 +39,17 @@
     living = [m for m in members if m.zone == zone and is_living(m)]
     living.sort(key=lambda m: _weigh(zone, m.node_id), reverse=True)
     return tuple(living[:count])
+
+
+def is_representative(
+    members: Iterable[Member], zone: str, node_id: str
+) -> bool:
+    """Return whether a node is one of its zone's representatives.
+
+    Args:
+        members: All known members.
+        zone: Zone of the node.
+        node_id: Node id of the node.
+    """
+    chosen = choose_representatives(members, zone)
+    return any(member.node_id == node_id for member in chosen)
