--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -17,14 +17,16 @@
 
     Args:
         *arguments: Arguments of the program.
+        module: Module that is run.
 
     Attributes:
         addresses: Addresses printed, by their names; an address without a
             name is called ``main``. Empty before ``start``.
     """
 
-    def __init__(self, *arguments: str):
+    def __init__(self, *arguments: str, module: str = "kumquatwalk"):
         self._arguments = arguments
+        self._module = module
         self._process: subprocess.Popen | None = None
         self.addresses: dict[str, str] = {}
 
@@ -40,7 +42,7 @@
             RuntimeError: It ended without listening.
         """
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "kumquatwalk", *self._arguments],
+            [sys.executable, "-m", self._module, *self._arguments],
             cwd=_ROOT,
             stdout=subprocess.PIPE,
             text=True,
--- /dev/null
+++ b/benchmarks/surge_fleet.py
@@ -0,0 +1,223 @@
+"""Processes of one fleet under surge."""
+
+import concurrent.futures
+import enum
+import json
+import time
+
+import urllib3
+
+from benchmarks.processes import ProgramProcess
+from benchmarks.surge_shape import ServiceShape
+from benchmarks.surge_shape import SurgeShape
+from kumquatwalk.catalogue.codec import encode_catalogue
+from kumquatwalk.platform.client import PlatformClient
+
+__all__ = ["Control", "Fault", "SurgeFleet"]
+
+SERVICE_MS = 300
+ZONES = "abc"
+QUEUE_FACTOR = 4
+QUEUE_MS = 1500
+SLOW_FACTOR = 3.0
+READY_TIMEOUT_S = 40
+
+
+class Control(enum.Enum):
+    """Overload control that the fleet runs under."""
+
+    FULL = "full"
+    STATIC = "static"
+    NONE = "none"
+
+
+class Fault(enum.Enum):
+    """Fault that is injected during the surge."""
+
+    NONE = "none"
+    SLOW_DEEP = "slow_deep"
+    HARD_RETRIES = "hard_retries"
+    PLATFORM_DOWN = "platform_down"
+    ZONE_CUT = "zone_cut"
+
+
+class SurgeFleet:
+    """A fleet of targets, each with its node or its plain forwarder.
+
+    Args:
+        shape: Services and chains.
+        control: Whether nodes or plain forwarders run.
+        seed: Seed of the service times.
+    """
+
+    def __init__(self, shape: SurgeShape, control: Control, seed: int):
+        self._shape = shape
+        self._control = control
+        self._seed = seed
+        self._http = urllib3.PoolManager()
+        self._processes: list[ProgramProcess] = []
+        self._platform: ProgramProcess | None = None
+        self._nodes: list[tuple[ServiceShape, str, ProgramProcess]] = []
+        self._targets: list[tuple[ServiceShape, ProgramProcess]] = []
+
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses that outside callers use."""
+        name = "http" if self._control is Control.FULL else "main"
+        return [node.addresses[name] for _, _, node in self._nodes]
+
+    def start(self) -> None:
+        """Start all processes and wait until the chains are served."""
+        if self._control is Control.FULL:
+            self._start_platform()
+        for service in self._shape.services:
+            for number in range(service.targets):
+                self._start_pair(service, number)
+        if self._control is not Control.FULL:
+            self._send_routes()
+        self._wait_until_ready()
+
+    def close(self) -> None:
+        """Stop all processes."""
+        with concurrent.futures.ThreadPoolExecutor(32) as executor:
+            list(executor.map(ProgramProcess.close, self._processes[::-1]))
+
+    def set_fault(self, fault: Fault, is_on: bool) -> None:
+        """Switch a fault on or off."""
+        match fault:
+            case Fault.SLOW_DEEP:
+                self._slow_narrow_targets(SLOW_FACTOR if is_on else 1.0)
+            case Fault.PLATFORM_DOWN if self._platform is not None:
+                address = self._platform.addresses["main"]
+                self._put(address, "/faults", {"outage": is_on})
+            case Fault.ZONE_CUT if self._control is Control.FULL:
+                self._cut_zone(is_on)
+
+    def read_runs(self) -> list[dict]:
+        """Return the logs of runs of all targets."""
+        runs: list[dict] = []
+        for _, target in self._targets:
+            address = target.addresses["main"]
+            response = self._http.request("GET", f"http://{address}/runs")
+            runs += response.json()
+        return runs
+
+    def read_cpu_s(self) -> dict[str, float]:
+        """Return the processor time so far, of nodes and of all processes."""
+        nodes = sum(node.read_cpu_s() for _, _, node in self._nodes)
+        return {
+            "nodes": nodes,
+            "all": sum(p.read_cpu_s() for p in self._processes),
+        }
+
+    def _start_platform(self) -> None:
+        self._platform = self._start(ProgramProcess("standin", "platform"))
+        client = PlatformClient(self._platform.addresses["main"])
+        catalogue = encode_catalogue(self._shape.make_catalogue())
+        client.put("catalogue", catalogue, 0)
+        client.close()
+
+    def _start_pair(self, service: ServiceShape, number: int) -> None:
+        if self._control is Control.FULL:
+            zone = ZONES[number % len(ZONES)]
+            node = self._start_node(service, zone)
+            local = node.addresses["local"]
+        else:
+            zone = ""
+            node = self._start_forwarder(service)
+            local = node.addresses["main"]
+        self._nodes.append((service, zone, node))
+        target = ProgramProcess(
+            *("standin", "target", "--service", service.name, "--node", local),
+            *("--slots", str(service.slots)),
+            *("--connections", str(service.connections)),
+            *("--service-ms", str(SERVICE_MS), "--queue-ms", str(QUEUE_MS)),
+            *("--queue", str(QUEUE_FACTOR * service.slots)),
+            *("--seed", str(self._seed * 100 + len(self._nodes))),
+            *self._list_calls(service),
+        )
+        self._targets.append((service, self._start(target)))
+
+    def _start_node(self, service: ServiceShape, zone: str) -> ProgramProcess:
+        number = len(self._nodes) + 1
+        host = f"127.0.{ZONES.index(zone) + 1}.{number}"
+        ports = ("http", "local", "link", "gossip")
+        peers = [n.addresses["gossip"] for _, _, n in self._nodes[:1]]
+        return self._start(
+            ProgramProcess(
+                *("node", "--node-id", f"{service.name}-{number}"),
+                *("--zone", zone, "--host", host, "--log-level", "error"),
+                *("--platform", self._platform.addresses["main"]),
+                *("--enable-faults", "true", "--workers-max", "1024"),
+                *(f"--{port}-port=0" for port in ports),
+                *(["--peers", peers[0]] if peers else []),
+            )
+        )
+
+    def _start_forwarder(self, service: ServiceShape) -> ProgramProcess:
+        is_static = self._control is Control.STATIC
+        limit = service.slots if is_static else 0
+        return self._start(
+            ProgramProcess("--limit", str(limit), module="benchmarks.forwarder")
+        )
+
+    def _start(self, process: ProgramProcess) -> ProgramProcess:
+        self._processes.append(process)
+        process.start()
+        return process
+
+    def _list_calls(self, service: ServiceShape) -> list[str]:
+        flags = []
+        for entry in self._shape.make_catalogue().entries.values():
+            if entry.service == service.name and entry.calls:
+                flags += ["--calls", f"{entry.name}={','.join(entry.calls)}"]
+        return flags
+
+    def _send_routes(self) -> None:
+        entries = self._shape.make_catalogue().entries.values()
+        peers: dict[str, list[str]] = {}
+        for service, _, node in self._nodes:
+            peers.setdefault(service.name, []).append(node.addresses["main"])
+        routes = {"services": {e.name: e.service for e in entries}}
+        for address in self.addresses:
+            self._put(address, "/routes", routes | {"peers": peers})
+
+    def _slow_narrow_targets(self, factor: float) -> None:
+        for service, target in self._targets:
+            if service is self._shape.narrow:
+                address = target.addresses["main"]
+                self._put(address, "/faults", {"service_factor": factor})
+
+    def _cut_zone(self, is_on: bool) -> None:
+        prefixes = {z: f"127.0.{i + 1}." for i, z in enumerate(ZONES)}
+        for _, zone, node in self._nodes:
+            blocked = [
+                prefixes[z] for z in ZONES if (z == "c") != (zone == "c")
+            ]
+            document = {"blocked_hosts": blocked if is_on else []}
+            address = node.addresses["local"]
+            self._put(address, "/kumquatwalk/faults", document)
+
+    def _put(self, address: str, path: str, document: dict) -> None:
+        response = self._http.request(
+            "PUT", f"http://{address}{path}", body=json.dumps(document)
+        )
+        if response.status != 200:
+            raise RuntimeError(f"{path} was answered with {response.status}")
+
+    def _wait_until_ready(self) -> None:
+        give_up_at = time.monotonic() + READY_TIMEOUT_S
+        idempotent = [k for k in self._shape.kinds if not k.is_once]
+        entries = {kind.list_entries()[0] for kind in idempotent}
+        for address in self.addresses:
+            for entry in entries:
+                while not self._is_served(address, entry):
+                    if time.monotonic() > give_up_at:
+                        raise TimeoutError(f"{address} does not serve {entry}")
+                    time.sleep(0.2)
+
+    def _is_served(self, address: str, entry: str) -> bool:
+        response = self._http.request(
+            "POST", f"http://{address}/{entry}", body=b"warm-up"
+        )
+        return response.status == 200
--- a/kumquatwalk/admission/gate.py
+++ b/kumquatwalk/admission/gate.py
@@ -45,6 +45,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._waiters: dict[int | str, Waiter] = {}
+        self._latest = now
 
     @property
     def in_flight(self) -> int:
@@ -72,6 +73,7 @@
             The verdict. An admitted call must be released.
         """
         with self._lock:
+            now = self._order_time(now)
             notices = self._state.offer(call, now)
             if len(notices) == 1 and notices[0].call_id == call.call_id:
                 return _to_verdict(notices[0])
@@ -91,6 +93,7 @@
             now: Present time.
         """
         with self._lock:
+            now = self._order_time(now)
             self._deliver(self._state.finish(call_id, sample, now))
 
     def set_target(self, info: TargetInfo, now: float) -> None:
@@ -101,6 +104,7 @@
             now: Present time.
         """
         with self._lock:
+            now = self._order_time(now)
             self._deliver(self._state.set_target(info, now))
 
     def set_shares(self, targets: int) -> None:
@@ -131,9 +135,15 @@
             Lowest importance taken, 0 to 1023; -1 when nothing is taken.
         """
         with self._lock:
+            now = self._order_time(now)
             self._deliver(self._state.advance(now))
             return self._state.get_level()
 
+    def _order_time(self, now: float) -> float:
+        # A thread may get the lock long after it has read the clock.
+        self._latest = max(self._latest, now)
+        return self._latest
+
     def _deliver(self, notices: list[Notice]) -> None:
         for notice in notices:
             waiter = self._waiters.pop(notice.call_id)
@@ -148,8 +158,8 @@
             waiter.lock.acquire(timeout=max(SHORTEST_SLEEP_S, sleep_s))
             if waiter.verdict is not None:
                 return waiter.verdict
-            now = self._clock()
             with self._lock:
+                now = self._order_time(self._clock())
                 self._deliver(self._state.advance(now))
 
 
--- a/kumquatwalk/admission/tests/test_gate.py
+++ b/kumquatwalk/admission/tests/test_gate.py
@@ -66,3 +66,22 @@
         self.assertEqual(self.codes, [codes.SHUTTING_DOWN] * 4)
         self.assertEqual(self.gate.level(0.0), -1)
         self.assertEqual(self.gate.in_flight, 3)
+
+    def test_time_read_before_another_thread_does_not_run_backwards(self):
+        for call_id in range(3):
+            self.gate.acquire(samples.make_call(call_id), 5.0)
+        verdicts = []
+        thread = threading.Thread(
+            target=lambda: verdicts.append(
+                self.gate.acquire(samples.make_call(9), 5.0)
+            ),
+            daemon=True,
+        )
+        thread.start()
+        guard = time.monotonic() + HANG_GUARD_S
+        while not self.gate.queued:
+            self.assertLess(time.monotonic(), guard)
+            time.sleep(0.001)
+        self.gate.release(0, samples.DONE, 4.0)
+        thread.join(HANG_GUARD_S)
+        self.assertEqual(verdicts[0].waited_s, 0.0)
