Spend less processor time on each call

Cause: a profile of the in-process path showed copies of frozen messages, made to change two fields, and the collector running over long-lived state. Change: the frame takes its times as arguments, the gate builds its reply once, the collector skips what exists at the start.

--- a/kumquatwalk/cli/standin_target.py
+++ b/kumquatwalk/cli/standin_target.py
@@ -48,7 +48,11 @@
 @click.option("--node", type=AddressType(), help="Node's local listener.")
 @click.option("--slots", type=click.IntRange(1, 10_000), default=10)
 @click.option("--connections", type=click.IntRange(1, 100_000), default=100)
-@click.option("--service-ms", type=click.FloatRange(0), default=10.0)
+@click.option(
+    "--service-ms",
+    type=click.FloatRange(0, min_open=True),
+    default=10.0,
+)
 @click.option("--cold-start-ms", type=click.FloatRange(0), default=0.0)
 @click.option(
     "--calls",
--- a/kumquatwalk/link/codec.py
+++ b/kumquatwalk/link/codec.py
@@ -30,6 +30,7 @@
     "HEADER_BYTES",
     "decode_header",
     "decode_message",
+    "encode_call",
     "encode_message",
 ]
 
@@ -140,6 +141,17 @@
 
 @encode_message.register
 def _encode_call(message: Call) -> bytes:
+    return encode_call(message, message.remaining_us, message.sent_at_us)
+
+
+def encode_call(message: Call, remaining_us: int, sent_at_us: int) -> bytes:
+    """Return the frame of a call with its times set anew.
+
+    Args:
+        message: The call.
+        remaining_us: Time left for the call, microseconds.
+        sent_at_us: The gate's clock as the sender estimates it.
+    """
     fields = load_schema().Call.new_message()
     fields.attemptId = message.attempt_id
     fields.requestId = message.request_id
@@ -153,8 +165,8 @@
     fields.tokens = message.tokens
     fields.idempotent = message.idempotent
     fields.protected = message.protected
-    fields.remainingUs = message.remaining_us
-    fields.sentAtUs = message.sent_at_us
+    fields.remainingUs = remaining_us
+    fields.sentAtUs = sent_at_us
     return _join(FrameKind.CALL, fields.to_bytes())
 
 
--- a/kumquatwalk/link/connection.py
+++ b/kumquatwalk/link/connection.py
@@ -1,6 +1,5 @@
 """A link to a peer, from the side that connects."""
 
-import dataclasses
 import socket
 import time
 from typing import Any
@@ -8,6 +7,8 @@
 from kumquatwalk.exception import FrameError
 from kumquatwalk.exception import LinkError
 from kumquatwalk.link.call import Call
+from kumquatwalk.link.codec import encode_call
+from kumquatwalk.link.codec import encode_message
 from kumquatwalk.link.hello import Hello
 from kumquatwalk.link.identity import Identity
 from kumquatwalk.link.partition import Partition
@@ -56,6 +57,22 @@
         """
         return int(now * _US) + self._clock_offset_us
 
+    def call(self, call: Call, remaining_us: int, now: float) -> Any:
+        """Send an attempt and wait for its reply.
+
+        Args:
+            call: The attempt.
+            remaining_us: Time left for it, microseconds.
+            now: Present time.
+
+        Raises:
+            TimeoutError: As ``exchange``.
+            LinkError: As ``exchange``.
+        """
+        sent_at_us = max(self.estimate_peer_clock(now), 0)
+        frame = encode_call(call, max(remaining_us, 0), sent_at_us)
+        return self._exchange(frame)
+
     def exchange(self, message: Any) -> Any:
         """Send a message and wait for its reply.
 
@@ -65,23 +82,18 @@
             TimeoutError: The link was silent for ``SILENCE_TIMEOUT_S``.
             LinkError: The connection failed; ``sent`` is true.
         """
+        return self._exchange(encode_message(message))
+
+    def _exchange(self, frame: bytes) -> Any:
         if self._partition.blocks(self.peer.host):
             time.sleep(SILENCE_TIMEOUT_S)
             raise TimeoutError
-        self._stream.send(message)
+        self._stream.send_frame(frame)
         while True:
             reply = self._receive()
             if not isinstance(reply, Running):
                 return reply
 
-    def stamp(self, call: Call, remaining_us: int, now: float) -> Call:
-        """Return the call with its remaining time and the peer's clock."""
-        return dataclasses.replace(
-            call,
-            remaining_us=max(remaining_us, 0),
-            sent_at_us=max(self.estimate_peer_clock(now), 0),
-        )
-
     def is_stale(self) -> bool:
         """Return whether the peer has closed the idle connection."""
         return self._stream.has_input()
--- a/kumquatwalk/link/pool.py
+++ b/kumquatwalk/link/pool.py
@@ -118,7 +118,7 @@
         now = time.monotonic()
         remaining_us = int((deadline - now) * _US)
         try:
-            reply = link.exchange(link.stamp(call, remaining_us, now))
+            reply = link.call(call, remaining_us, now)
         except (TimeoutError, LinkError):
             self._discard(link)
             return None
--- a/kumquatwalk/link/stream.py
+++ b/kumquatwalk/link/stream.py
@@ -50,11 +50,19 @@
     def send(self, message: Any) -> None:
         """Send one message.
 
+        Raises:
+            LinkError: The connection failed; part may have been sent.
+        """
+        self.send_frame(encode_message(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Send one encoded message.
+
         Raises:
             LinkError: The connection failed; part may have been sent.
         """
         try:
-            self._sock.sendall(encode_message(message))
+            self._sock.sendall(frame)
         except OSError as error:
             raise LinkError("link_failed", str(error), sent=True) from error
 
--- a/kumquatwalk/node/gate.py
+++ b/kumquatwalk/node/gate.py
@@ -1,6 +1,5 @@
 """Gate side: the only way to the target on this VM."""
 
-import dataclasses
 import time
 
 from kumquatwalk import codes
@@ -16,9 +15,10 @@
 from kumquatwalk.node.copies import answer_copy
 from kumquatwalk.node.crash_watch import CrashWatch
 from kumquatwalk.node.meters import NodeMeters
-from kumquatwalk.node.refusal import fail_unknown
+from kumquatwalk.node.refusal import INTERNAL_ERROR
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.runner import Runner
+from kumquatwalk.node.runner import RunResult
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import CrashVerdict
 from kumquatwalk.quarantine import make_fingerprint
@@ -84,7 +84,7 @@
         return answer_copy(result, deadline, now)
 
     def _take(self, call: Call, deadline: float, now: float) -> Reply:
-        reply = fail_unknown("internal_error")
+        reply = INTERNAL_ERROR
         try:
             reply = self._admit(call, deadline, now)
         finally:
@@ -119,18 +119,29 @@
             ),
             now,
         )
-        if not verdict.is_admitted:
-            reply = refuse(verdict.code, call.tokens)
+        if verdict.is_admitted:
+            result = self._runner.run(
+                call, fingerprint, crash_verdict, deadline
+            )
         else:
-            reply = self._runner.run(call, fingerprint, crash_verdict, deadline)
-        return self._add_levels(reply, entry, verdict.waited_s)
+            result = RunResult(refuse(verdict.code), call.tokens, 0.0)
+        return self._complete(result, entry, verdict.waited_s)
 
-    def _add_levels(self, reply: Reply, entry: Entry, waited_s: float) -> Reply:
+    def _complete(
+        self, result: RunResult, entry: Entry, waited_s: float
+    ) -> Reply:
         now = time.monotonic()
         level = self._admission.level(now)
-        return dataclasses.replace(
-            reply,
+        reply = result.reply
+        return Reply(
+            outcome=reply.outcome,
+            code=reply.code,
+            status=reply.status,
+            headers=reply.headers,
+            body=reply.body,
+            tokens=result.tokens,
             gate_level=level,
             entry_level=self._levels.combine(level, entry.calls, now),
             queue_us=int(waited_s * _US),
+            run_us=int(result.elapsed_s * _US),
         )
--- a/kumquatwalk/node/process.py
+++ b/kumquatwalk/node/process.py
@@ -1,5 +1,6 @@
 """Life of a node process: start, graceful stop, close."""
 
+import gc
 import threading
 import time
 
@@ -10,6 +11,7 @@
 
 __all__ = ["Node"]
 
+_GC_ALLOCATIONS = 50_000
 _LEAVE_NOTICE_S = 1.0
 _ROUTES_INTERVAL_S = 0.05
 _TARGET_CHECK_INTERVAL_S = 1.0
@@ -68,6 +70,8 @@
         ):
             threading.Thread(target=task, name=name, daemon=True).start()
         self._parts.caller_server.start()
+        gc.freeze()
+        gc.set_threshold(_GC_ALLOCATIONS)
         log_event(
             "node_started",
             zone=self._settings.zone,
--- a/kumquatwalk/node/refusal.py
+++ b/kumquatwalk/node/refusal.py
@@ -3,7 +3,7 @@
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.outcome import Outcome
 
-__all__ = ["fail_unknown", "refuse"]
+__all__ = ["INTERNAL_ERROR", "fail_unknown", "refuse"]
 
 _STATUS_BY_CODE = {
     "body_too_large": 413,
@@ -42,3 +42,6 @@
 def fail_unknown(code: str, tokens: int = 0) -> Reply:
     """Return a reply that promises nothing about whether the call ran."""
     return Reply(Outcome.UNKNOWN, code, _STATUS_UNKNOWN, tokens=tokens)
+
+
+INTERNAL_ERROR = fail_unknown("internal_error")
--- a/kumquatwalk/node/runner.py
+++ b/kumquatwalk/node/runner.py
@@ -1,5 +1,6 @@
 """Runs admitted calls at the target on this VM."""
 
+import dataclasses
 import time
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from kumquatwalk.link.call import Call
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.node.crash_watch import CrashWatch
+from kumquatwalk.node.refusal import INTERNAL_ERROR
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.run import Run
@@ -19,12 +21,26 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import CrashVerdict
 
-__all__ = ["Runner"]
+__all__ = ["RunResult", "Runner"]
 
-_US = 1_000_000
 _SERVER_ERROR = 500
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunResult:
+    """End of a run.
+
+    Attributes:
+        reply: What to reply, without levels, tokens and times.
+        tokens: Retry tokens left.
+        elapsed_s: Time at the target.
+    """
+
+    reply: Reply
+    tokens: int
+    elapsed_s: float
+
+
 class Runner:
     """Sends admitted calls to the target and reports their ends.
 
@@ -66,7 +82,7 @@
         fingerprint: bytes,
         verdict: CrashVerdict,
         deadline: float,
-    ) -> Reply:
+    ) -> RunResult:
         """Run an admitted call and release its place.
 
         Args:
@@ -76,11 +92,11 @@
             deadline: Monotonic time by which it must have ended.
 
         Returns:
-            The reply, without admission levels.
+            The reply and what the run used.
         """
         run = Run(call, deadline)
         started = time.monotonic()
-        reply = fail_unknown("internal_error")
+        reply = INTERNAL_ERROR
         self._runs.add(run)
         self._crash_watch.begin(run.run_id, fingerprint, verdict)
         try:
@@ -94,7 +110,7 @@
             is_shed = reply.code == codes.TARGET_SHED
             sample = RunSample(own_time_s, reply.outcome, is_shed)
             self._admission.release(call.attempt_id, sample, ended)
-        return _complete(reply, run, ended - started)
+        return RunResult(reply, run.tokens.left, ended - started)
 
     def _send(self, run: Run, timeout_s: float) -> Reply:
         target = self._target
@@ -147,15 +163,3 @@
         headers=answer.headers,
         body=answer.body,
     )
-
-
-def _complete(reply: Reply, run: Run, elapsed_s: float) -> Reply:
-    return Reply(
-        outcome=reply.outcome,
-        code=reply.code,
-        status=reply.status,
-        headers=reply.headers,
-        body=reply.body,
-        tokens=run.tokens.left,
-        run_us=int(elapsed_s * _US),
-    )
