Use the shared table, node client and exit codes in the catalogue commands

The commands of members brought the same parsing, fetching and printing; the copies of it in the catalogue commands are gone. A refusal of the platform ends with status 1 as in the other commands, which the help says.

--- a/kumquatwalk/cli/catalogue.py
+++ b/kumquatwalk/cli/catalogue.py
@@ -33,6 +33,7 @@
     \b
     Exit status:
       0  done
+      1  the platform refused the request; nothing was changed
       2  wrong usage
       3  refused; nothing was changed
       4  lost a race with another edit; nothing was changed
--- a/kumquatwalk/cli/catalogue_import.py
+++ b/kumquatwalk/cli/catalogue_import.py
@@ -1,7 +1,5 @@
 """The ``catalogue import`` command."""
 
-import json
-
 import click
 
 from kumquatwalk.catalogue import bounds
@@ -19,6 +17,7 @@
 from kumquatwalk.cli.catalogue_write import run_edit
 from kumquatwalk.cli.command_error import convert_errors
 from kumquatwalk.cli.edit_settings import take_settings
+from kumquatwalk.cli.output import print_json
 from kumquatwalk.exception import CatalogueError
 
 __all__ = ["import_entries"]
@@ -50,7 +49,7 @@
         run_edit(store, changes, settings)
     elif settings.as_json:
         document = {"dry_run": settings.dry_run, "revision": seen.revision}
-        click.echo(json.dumps({**document, "records": []}))
+        print_json({**document, "records": []})
     else:
         click.echo(f"nothing to change at revision {seen.revision}")
 
--- a/kumquatwalk/cli/catalogue_read.py
+++ b/kumquatwalk/cli/catalogue_read.py
@@ -12,15 +12,16 @@
 from kumquatwalk.cli.catalogue_options import make_store
 from kumquatwalk.cli.catalogue_text import format_entry
 from kumquatwalk.cli.catalogue_text import format_record
-from kumquatwalk.cli.catalogue_text import format_table
 from kumquatwalk.cli.command_error import convert_errors
+from kumquatwalk.cli.output import print_json
+from kumquatwalk.cli.output import print_table
 from kumquatwalk.exception import CatalogueError
 
 __all__ = ["export_entries", "list_entries", "show_entry", "show_history"]
 
 MAX_HISTORY = 10_000
 FILE_FORMAT = 1
-_TITLES = (
+_HEADINGS = (
     "NAME",
     "OWNER",
     "SERVICE",
@@ -45,10 +46,10 @@
     entries = [e for e in entries if owner in (None, e.owner)]
     if as_json:
         documents = [make_entry_document(entry) for entry in entries]
-        _print_json({"revision": catalogue.revision, "entries": documents})
+        print_json({"revision": catalogue.revision, "entries": documents})
         return
     click.echo(f"revision {catalogue.revision}")
-    click.echo(format_table([_TITLES, *map(_make_row, entries)]))
+    print_table(_HEADINGS, map(_make_cells, entries))
 
 
 @click.command("show")
@@ -63,7 +64,7 @@
     entry = catalogue.entries[name]
     reachable = list_reachable(catalogue, name)
     if as_json:
-        _print_json(
+        print_json(
             {
                 "revision": catalogue.revision,
                 "entry": make_entry_document(entry),
@@ -94,7 +95,7 @@
     records = [r for r in records if entry in (None, r.entry_name)]
     if as_json:
         documents = [make_record_document(record) for record in records]
-        _print_json({"records": documents})
+        print_json({"records": documents})
         return
     click.echo("\n\n".join(map(format_record, records)))
 
@@ -112,7 +113,7 @@
     click.echo(json.dumps(document, indent=2, ensure_ascii=False))
 
 
-def _make_row(entry: Entry) -> tuple[str, ...]:
+def _make_cells(entry: Entry) -> tuple[str, ...]:
     return (
         entry.name,
         entry.owner,
@@ -125,7 +126,3 @@
         str(entry.limits.time_ms),
         ",".join(entry.calls) or "-",
     )
-
-
-def _print_json(document: dict[str, object]) -> None:
-    click.echo(json.dumps(document, ensure_ascii=False))
--- a/kumquatwalk/cli/catalogue_status.py
+++ b/kumquatwalk/cli/catalogue_status.py
@@ -1,28 +1,24 @@
 """The ``catalogue status`` command."""
 
 import dataclasses
-import json
+from collections.abc import Sequence
 
 import click
-import urllib3
 
 from kumquatwalk.cli.catalogue_options import add_platform_options
 from kumquatwalk.cli.catalogue_options import make_store
-from kumquatwalk.cli.catalogue_text import format_table
 from kumquatwalk.cli.command_error import convert_errors
+from kumquatwalk.cli.node_answer import NodeAnswer
+from kumquatwalk.cli.node_answer import ask_node
 from kumquatwalk.cli.node_status import NodeStatus
-from kumquatwalk.cli.node_status import merge_views
-from kumquatwalk.cli.node_view import NodeView
-from kumquatwalk.cli.node_view import parse_view
-from kumquatwalk.exception import KumquatwalkError
-from kumquatwalk.exception import MembershipError
+from kumquatwalk.cli.node_status import merge_tables
+from kumquatwalk.cli.output import print_json
+from kumquatwalk.cli.output import print_table
 from kumquatwalk.exception import PlatformError
 
 __all__ = ["show_status"]
 
-MEMBERS_PATH = "/kumquatwalk/members"
-MAX_ANSWER_BYTES = 4_000_000
-_TITLES = ("NODE", "ZONE", "REVISION", "REACH", "IN_FORCE")
+_HEADINGS = ("NODE", "ZONE", "REVISION", "REACH", "IN_FORCE")
 _IN_FORCE = {True: "yes", False: "no", None: "unknown"}
 
 
@@ -33,6 +29,7 @@
     multiple=True,
     metavar="HOST:PORT",
     envvar="KUMQUATWALK_NODES",
+    show_envvar=True,
     help="Local listener of a node to ask; repeat it, one a zone is best.",
 )
 @add_platform_options
@@ -49,82 +46,51 @@
         revision = make_store(platform, timeout_s).load().catalogue.revision
     except PlatformError as caught:
         error = caught
-    views = tuple(_ask(address, timeout_s) for address in nodes)
-    statuses = merge_views(views, revision)
+    answers = [ask_node(address) for address in nodes]
+    tables = [answer.table for answer in answers if answer.table is not None]
+    statuses = merge_tables(tables, revision)
     if as_json:
-        _print_json(revision, views, statuses)
+        _print_json(revision, answers, statuses)
     else:
-        _print_text(revision, views, statuses)
+        _print_text(revision, answers, statuses)
     if error is not None:
         raise error
 
 
-def _ask(address: str, timeout_s: float) -> NodeView:
-    try:
-        return parse_view(address, _fetch(address, timeout_s))
-    except KumquatwalkError as error:
-        return NodeView(address, (), error.code)
-
-
-def _fetch(address: str, timeout_s: float) -> bytes:
-    try:
-        with urllib3.PoolManager(retries=False) as manager:
-            answer = manager.request(
-                "GET",
-                f"http://{address}{MEMBERS_PATH}",
-                timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
-                preload_content=False,
-            )
-            body = answer.read(MAX_ANSWER_BYTES + 1)
-            answer.close()
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-        raise MembershipError("node_unreachable", address) from error
-    if answer.status != 200 or len(body) > MAX_ANSWER_BYTES:
-        raise MembershipError("members_malformed", address)
-    return body
-
-
 def _print_json(
     revision: int | None,
-    views: tuple[NodeView, ...],
-    statuses: tuple[NodeStatus, ...],
+    answers: Sequence[NodeAnswer],
+    statuses: Sequence[NodeStatus],
 ) -> None:
-    document = {
-        "platform_revision": revision,
-        "nodes": [dataclasses.asdict(status) for status in statuses],
-        "asked": [{"address": v.address, "error": v.error} for v in views],
-    }
-    click.echo(json.dumps(document))
+    asked = [{"address": a.address, "error": a.error} for a in answers]
+    nodes = [dataclasses.asdict(status) for status in statuses]
+    print_json({"platform_revision": revision, "asked": asked, "nodes": nodes})
 
 
 def _print_text(
     revision: int | None,
-    views: tuple[NodeView, ...],
-    statuses: tuple[NodeStatus, ...],
+    answers: Sequence[NodeAnswer],
+    statuses: Sequence[NodeStatus],
 ) -> None:
     shown = "unknown" if revision is None else revision
     click.echo(f"platform revision: {shown}")
-    for view in views:
-        if view.error:
-            click.echo(f"no answer from {view.address}: {view.error}")
-    ahead = [
-        s for s in statuses if revision is not None and s.revision > revision
-    ]
-    if ahead:
-        highest = max(status.revision for status in ahead)
+    for answer in answers:
+        if answer.error:
+            click.echo(f"no answer from {answer.address}: {answer.error}")
+    highest = max((status.revision for status in statuses), default=0)
+    if revision is not None and highest > revision:
         click.echo(
             f"warning: nodes run revision {highest}, which the platform lost;"
             " they keep it until the platform has a higher one"
         )
-    if statuses:
-        click.echo(format_table([_TITLES, *map(_make_row, statuses)]))
+    print_table(_HEADINGS, map(_make_cells, statuses))
 
 
-def _make_row(status: NodeStatus) -> tuple[str, ...]:
+def _make_cells(status: NodeStatus) -> tuple[object, ...]:
     return (
         status.node_id,
         status.zone,
-        str(status.revision),
+        status.revision,
         status.reach,
         _IN_FORCE[status.is_current],
     )
--- a/kumquatwalk/cli/catalogue_text.py
+++ b/kumquatwalk/cli/catalogue_text.py
@@ -10,20 +10,9 @@
     "format_difference",
     "format_entry",
     "format_record",
-    "format_table",
 ]
 
 
-def format_table(rows: list[tuple[str, ...]]) -> str:
-    """Return rows as columns; the first row holds the titles."""
-    widths = [max(map(len, column)) for column in zip(*rows)]
-    lines = []
-    for row in rows:
-        cells = [cell.ljust(width) for cell, width in zip(row, widths)]
-        lines.append("  ".join(cells).rstrip())
-    return "\n".join(lines)
-
-
 def format_entry(entry: Entry) -> str:
     """Return an entry with one field a line."""
     fields = _list_fields(entry)
--- a/kumquatwalk/cli/catalogue_write.py
+++ b/kumquatwalk/cli/catalogue_write.py
@@ -1,7 +1,5 @@
 """Commands that change one entry of the catalogue."""
 
-import json
-
 import click
 
 from kumquatwalk.catalogue import bounds
@@ -18,6 +16,7 @@
 from kumquatwalk.cli.edit_settings import EditSettings
 from kumquatwalk.cli.edit_settings import take_settings
 from kumquatwalk.cli.entry_fields import EntryFields
+from kumquatwalk.cli.output import print_json
 
 __all__ = ["remove_entry", "run_edit", "set_entry"]
 
@@ -111,7 +110,7 @@
             "revision": records[-1].revision,
             "records": documents,
         }
-        click.echo(json.dumps(document, ensure_ascii=False))
+        print_json(document)
         return
     for record in records:
         click.echo(format_difference(record))
--- a/kumquatwalk/cli/command_error.py
+++ b/kumquatwalk/cli/command_error.py
@@ -6,31 +6,11 @@
 
 import click
 
-from kumquatwalk.exception import CompareFailedError
-from kumquatwalk.exception import EditConflictError
+from kumquatwalk.cli.failure import choose_exit_code
 from kumquatwalk.exception import KumquatwalkError
-from kumquatwalk.exception import OutcomeUnknownError
-from kumquatwalk.exception import PlatformReadError
-from kumquatwalk.exception import PlatformUnavailableError
-from kumquatwalk.exception import SettingError
 
 __all__ = ["CommandError", "convert_errors"]
 
-EXIT_USAGE = 2
-EXIT_REFUSED = 3
-EXIT_LOST_RACE = 4
-EXIT_UNAVAILABLE = 5
-EXIT_UNKNOWN = 6
-_STATUSES = (
-    (SettingError, EXIT_USAGE),
-    (EditConflictError, EXIT_LOST_RACE),
-    (CompareFailedError, EXIT_LOST_RACE),
-    (PlatformUnavailableError, EXIT_UNAVAILABLE),
-    (PlatformReadError, EXIT_UNAVAILABLE),
-    (OutcomeUnknownError, EXIT_UNKNOWN),
-    (KumquatwalkError, EXIT_REFUSED),
-)
-
 
 class CommandError(click.ClickException):
     """Failure of a command; shown on the standard error stream.
@@ -44,9 +24,7 @@
         super().__init__(str(error))
         self._error = error
         self._as_json = as_json
-        self.exit_code = next(
-            status for kind, status in _STATUSES if isinstance(error, kind)
-        )
+        self.exit_code = choose_exit_code(error)
 
     def show(self, file=None) -> None:
         """Print the error."""
--- a/kumquatwalk/cli/node_status.py
+++ b/kumquatwalk/cli/node_status.py
@@ -1,10 +1,12 @@
 """Which revision each node runs, put together from several views."""
 
 import dataclasses
+from collections.abc import Sequence
 
-from kumquatwalk.cli.node_view import NodeView
+from kumquatwalk.cli.member_row import MemberRow
+from kumquatwalk.cli.member_row import MemberTable
 
-__all__ = ["NodeStatus", "merge_views"]
+__all__ = ["NodeStatus", "merge_tables"]
 
 _LEFT = "left"
 _ALIVE = "alive"
@@ -33,46 +35,44 @@
     is_current: bool | None
 
 
-def merge_views(
-    views: tuple[NodeView, ...], platform_revision: int | None
+def merge_tables(
+    tables: Sequence[MemberTable], platform_revision: int | None
 ) -> tuple[NodeStatus, ...]:
     """Return the status of all nodes that any of the asked nodes knows.
 
     Args:
-        views: Answers of the asked nodes.
+        tables: Members as seen by each node that answered.
         platform_revision: Revision in the platform; None when not known.
 
     Returns:
         One status for each node, sorted by zone and name.
     """
-    answered = [view for view in views if not view.error]
-    seen: dict[str, list] = {}
-    for view in answered:
-        for member in view.members:
-            seen.setdefault(member.node_id, []).append(member)
+    seen: dict[str, list[MemberRow]] = {}
+    for table in tables:
+        for row in table.rows:
+            seen.setdefault(row.node_id, []).append(row)
     statuses = [
-        _merge(members, len(answered), platform_revision)
-        for members in seen.values()
+        _merge(rows, len(tables), platform_revision) for rows in seen.values()
     ]
     return tuple(sorted(statuses, key=lambda s: (s.zone, s.node_id)))
 
 
 def _merge(
-    members: list, answered: int, platform_revision: int | None
+    rows: list[MemberRow], asked: int, platform_revision: int | None
 ) -> NodeStatus:
-    states = [member.state for member in members]
-    revision = max(member.revision for member in members)
-    reach = _judge_reach(states, answered)
+    states = [row.state for row in rows]
+    revision = max(row.catalogue_revision for row in rows)
+    reach = _judge_reach(states, asked)
     is_current = None
     if platform_revision is not None and _ALIVE in states:
         is_current = revision >= platform_revision
-    first = members[0]
+    first = rows[0]
     return NodeStatus(first.node_id, first.zone, revision, reach, is_current)
 
 
-def _judge_reach(states: list[str], answered: int) -> str:
+def _judge_reach(states: list[str], asked: int) -> str:
     alive = states.count(_ALIVE)
-    if alive == answered:
+    if alive == asked:
         return _ALIVE
     if alive:
         return "cut_off"
--- a/kumquatwalk/cli/tests/test_catalogue_status.py
+++ b/kumquatwalk/cli/tests/test_catalogue_status.py
@@ -1,5 +1,6 @@
 """Tests of the catalogue status command."""
 
+import dataclasses
 import json
 import socket
 import threading
@@ -12,32 +13,43 @@
 from kumquatwalk.catalogue.tests.examples import make_change
 from kumquatwalk.catalogue.tests.examples import make_entry
 from kumquatwalk.cli.main import main
-from kumquatwalk.cli.node_status import merge_views
-from kumquatwalk.cli.node_view import MemberView
-from kumquatwalk.cli.node_view import NodeView
+from kumquatwalk.cli.member_row import MemberRow
+from kumquatwalk.cli.member_row import MemberTable
+from kumquatwalk.cli.node_status import merge_tables
 from kumquatwalk.platform.client import PlatformClient
 from kumquatwalk.standin.platform_server import PlatformServer
 
 HANG_GUARD_S = 30.0
 
 
-def make_view(*members):
-    """Return a view of members given as name, state and revision."""
-    return NodeView("x", tuple(MemberView(n, "z", s, r) for n, s, r in members))
+def make_table(*members):
+    """Return a table of members given as name, state and revision."""
+    rows = [
+        MemberRow(name, 1, "z", "h", state, "", "absent", 0, revision)
+        for name, state, revision in members
+    ]
+    return MemberTable("x", "z", tuple(rows))
+
+
+def make_body(revision):
+    """Return a node's answer with one member at a revision."""
+    member = dataclasses.asdict(make_table(("n1", "alive", revision)).rows[0])
+    document = {"node_id": "x", "zone": "z", "members": [member]}
+    return json.dumps(document).encode()
 
 
 class MergeTest(unittest.TestCase):
 
     def test_reach_and_revision(self):
         views = (
-            make_view(
+            make_table(
                 ("n1", "alive", 5),
                 ("n2", "dead", 3),
                 ("n3", "alive", 4),
                 ("n4", "left", 5),
                 ("n5", "suspect", 5),
             ),
-            make_view(
+            make_table(
                 ("n1", "alive", 4),
                 ("n2", "alive", 5),
                 ("n3", "alive", 4),
@@ -45,11 +57,10 @@
                 ("n5", "dead", 5),
                 ("n6", "alive", 5),
             ),
-            NodeView("y", (), "node_unreachable"),
         )
         found = [
             (s.node_id, s.revision, s.reach, s.is_current)
-            for s in merge_views(views, 5)
+            for s in merge_tables(views, 5)
         ]
         expected = [
             ("n1", 5, "alive", True),
@@ -60,7 +71,7 @@
             ("n6", 5, "cut_off", True),
         ]
         self.assertEqual(found, expected)
-        unknown = {status.is_current for status in merge_views(views, None)}
+        unknown = {status.is_current for status in merge_tables(views, None)}
         self.assertEqual(unknown, {None})
 
 
@@ -105,18 +116,14 @@
         return result.stdout
 
     def test_nodes_beside_the_platform(self):
-        row = {"node_id": "n1", "zone": "z1", "state": "alive"}
-        row |= {"catalogue_revision": 1, "extra": [1]}
-        body = json.dumps({"members": [row]}).encode()
-        shown = json.loads(self.run_status(body, b"{", as_json=True))
+        bodies = make_body(1), b"{", make_body("1")
+        shown = json.loads(self.run_status(*bodies, as_json=True))
         self.assertEqual(shown["platform_revision"], 1)
         errors = [asked["error"] for asked in shown["asked"]]
-        self.assertEqual(errors, ["", "members_malformed"])
+        self.assertEqual(errors, ["", "answer_malformed", "answer_malformed"])
         self.assertEqual(shown["nodes"][0]["is_current"], True)
         self.assertEqual(shown["nodes"][0]["reach"], "alive")
 
     def test_nodes_ahead_of_the_platform_are_warned_of(self):
-        row = {"node_id": "n1", "zone": "z1", "state": "alive"}
-        body = json.dumps({"members": [row | {"catalogue_revision": 9}]})
-        shown = self.run_status(body.encode(), as_json=False)
+        shown = self.run_status(make_body(9), as_json=False)
         self.assertIn("warning: nodes run revision 9", shown)
