--- a/kumquatwalk/membership/tests/test_agent.py
+++ b/kumquatwalk/membership/tests/test_agent.py
@@ -15,6 +15,7 @@
 
 SIZE = 60
 IN_FORCE_S = 4.0
+PROMPT_S = 1.0
 JOIN_S = 3.0
 KILL_KNOWN_S = 20.0
 LEAVE_KNOWN_S = 3.0
@@ -167,20 +168,22 @@
 
     def test_broadcast_reaches_all_once(self):
         fleet = self._make_fleet()
-        self._check_broadcast(fleet, b"x" * 1000)
+        self._check_broadcast(fleet, b"x" * 1000, PROMPT_S)
 
     def test_broadcast_reaches_all_in_a_large_lossy_fleet(self):
         fleet = self._make_fleet(size=150, loss=0.05)
-        self._check_broadcast(fleet, b"x" * 600)
+        self._check_broadcast(fleet, b"x" * 600, IN_FORCE_S)
 
-    def _check_broadcast(self, fleet: Fleet, payload: bytes) -> None:
+    def _check_broadcast(
+        self, fleet: Fleet, payload: bytes, limit_s: float
+    ) -> None:
         kind = BroadcastKind.CATALOGUE_RECORD
         fleet.act(5, lambda agent, now: agent.broadcast(kind, payload, now))
         others = [n for n in fleet.agents if n != 5]
         taken = fleet.run(
             SETTLE_S, lambda: all(fleet.received[n] for n in others)
         )
-        self.assertLess(taken, IN_FORCE_S)
+        self.assertLess(taken, limit_s)
         fleet.run(20.0)
         self.assertEqual(
             [[payload]] * len(others), [fleet.received[n] for n in others]
--- a/kumquatwalk/membership/tests/test_agent_rules.py
+++ b/kumquatwalk/membership/tests/test_agent_rules.py
@@ -17,6 +17,7 @@
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.message import Message
 from kumquatwalk.membership.record import MemberRecord
+from kumquatwalk.membership.table import BUCKET_COUNT
 from kumquatwalk.membership.timing import Timing
 
 OWN = Member("own", 5, 0, "zone-1", "127.0.0.1", 1, 7)
@@ -109,6 +110,44 @@
         self.agent.tick(self.now)
         self.assertEqual(MemberState.SUSPECT, self._state(THIRD))
 
+    def _flood(self, messages: list[Message]) -> int:
+        """Receive many messages in one second; return the bytes sent."""
+        sent = 0
+        for message in messages:
+            self.now += 1.0 / len(messages)
+            self.agent.receive(encode(message), SOURCE, self.now)
+            sent += sum(len(datagram.data) for datagram in self.agent.drain())
+        return sent
+
+    def _ask_for_all(self, count: int) -> list[Message]:
+        buckets = bytes(range(BUCKET_COUNT))
+        digests = (0,) * BUCKET_COUNT
+        return [
+            Message(
+                MessageKind.SYNC, n, "x", 1, buckets=buckets, digests=digests
+            )
+            for n in range(count)
+        ]
+
+    def test_floods_of_questions_stay_within_the_budget(self):
+        self._hear(MemberRecord(OTHER), MemberRecord(THIRD))
+        timing = Timing()
+        bound = timing.burst_bytes + timing.bytes_per_s
+        pings = [Message(MessageKind.PING, n, "x", 1) for n in range(2000)]
+        joins = [Message(MessageKind.JOIN, n, "x", 1) for n in range(2000)]
+        for flood in (pings, joins, self._ask_for_all(2000)):
+            self.setUp()
+            self.assertLessEqual(self._flood(flood), bound)
+        self.assertGreater(self.agent.counters.dropped_budget, 0)
+
+    def test_bulk_transfers_leave_room_for_answers_to_probes(self):
+        self._flood(self._ask_for_all(2000))
+        ping = Message(MessageKind.PING, 9, "other", 1)
+        for _ in range(50):
+            self.agent.receive(encode(ping), SOURCE, self.now)
+        kinds = [message.kind for message in self._drain()]
+        self.assertEqual(50, kinds.count(MessageKind.ACK))
+
     def test_own_datagram_that_comes_back_is_ignored(self):
         message = Message(MessageKind.PING, 1, "own", 5)
         self.agent.receive(encode(message), SOURCE, self.now)
--- a/kumquatwalk/membership/tests/test_codec.py
+++ b/kumquatwalk/membership/tests/test_codec.py
@@ -96,9 +96,16 @@
         with self.assertRaisesRegex(MembershipError, "datagram_foreign"):
             decode(bytes(datagram))
 
+    def test_cut_off_items_are_refused(self):
+        for item in ITEMS:
+            data = encode_item(item)
+            for size in range(1, len(data)):
+                with self.assertRaises(MembershipError, msg=f"{size} bytes"):
+                    decode_items(data[:size])
+
     def test_bad_fields_are_refused(self):
         good = encode_item(ITEMS[0])
-        for offset, value in ((21, 9), (22, 9), (25, 0), (46, 255)):
+        for offset, value in ((0, 9), (21, 9), (22, 9), (25, 0), (37, 101)):
             bad = bytearray(good)
             bad[offset] = value
             if offset == 25:
