--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -71,7 +71,7 @@
 
     def choose(self) -> int:
         """Return the number of a node that is not a peer of the others."""
-        return self._rng.choice([n for n in self.nodes if n >= PEERS])
+        return self._rng.choice(sorted(n for n in self.nodes if n >= PEERS))
 
     def change_catalogue(self) -> int:
         """Change an entry and return the catalogue's new revision."""
--- a/kumquatwalk/membership/agent.py
+++ b/kumquatwalk/membership/agent.py
@@ -101,6 +101,8 @@
     @property
     def due_at(self) -> float:
         """Return when ``tick`` is to be called, monotonic seconds."""
+        if self.own.state == MemberState.LEFT:
+            return self._merger.flushes.due_at
         return min(
             self._expire_at,
             self._prober.due_at,
--- a/kumquatwalk/membership/dissemination.py
+++ b/kumquatwalk/membership/dissemination.py
@@ -7,6 +7,7 @@
 __all__ = [
     "BROADCAST_FACTOR",
     "DisseminationQueue",
+    "LEAVING_FACTOR",
     "MEMBER_FACTOR",
     "SUSPICION_FACTOR",
     "count_transmissions",
@@ -14,6 +15,7 @@
 
 BROADCAST_FACTOR = 2.0
 SUSPICION_FACTOR = 2.0
+LEAVING_FACTOR = 2.5
 MEMBER_FACTOR = 1.0
 MAX_SCANNED = 64
 
--- a/kumquatwalk/membership/merger.py
+++ b/kumquatwalk/membership/merger.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from kumquatwalk.membership.claim import StateClaim
+from kumquatwalk.membership.dissemination import LEAVING_FACTOR
 from kumquatwalk.membership.dissemination import MEMBER_FACTOR
 from kumquatwalk.membership.dissemination import SUSPICION_FACTOR
 from kumquatwalk.membership.dissemination import count_transmissions
@@ -164,7 +165,7 @@
             self.flushes.request(now, Tier.MEMBER_GOSSIP)
             return
         for delay_s in IMPORTANT_FLUSHES_S:
-            self.flushes.request(now + delay_s, Tier.GOSSIP)
+            self.flushes.request(now + delay_s, Tier.URGENT)
 
     def _follow(
         self,
@@ -188,8 +189,11 @@
     def _count_transmissions(self, member: Member, spread: Spread) -> int:
         if spread == Spread.LITTLE:
             return LITTLE_TRANSMISSIONS
-        suspect = member.state == MemberState.SUSPECT
-        factor = SUSPICION_FACTOR if suspect else MEMBER_FACTOR
+        factor = MEMBER_FACTOR
+        if member.state == MemberState.SUSPECT:
+            factor = SUSPICION_FACTOR
+        elif _is_leaving(member):
+            factor = LEAVING_FACTOR
         return count_transmissions(factor, len(self._table.living))
 
     def _is_hearsay(self, old: Member | None, said: Member) -> bool:
--- a/kumquatwalk/membership/service.py
+++ b/kumquatwalk/membership/service.py
@@ -34,11 +34,7 @@
 REVISION_INTERVAL_S = 1.0
 LEAVE_FLUSH_S = 1.0
 FAILURE_PAUSE_S = 0.05
-
-
-def _allow_all(_: str) -> bool:
-    """Return that no host is blocked."""
-    return False
+MAX_WAIT_S = 5.0
 
 
 class Membership:
@@ -59,7 +55,7 @@
         self,
         config: MembershipConfig,
         callbacks: MembershipCallbacks = MembershipCallbacks(),
-        is_blocked: Callable[[str], bool] = _allow_all,
+        is_blocked: Callable[[str], bool] = lambda _: False,
     ):
         self._config = config
         self._callbacks = callbacks
@@ -226,6 +222,7 @@
 
     def _step(self) -> None:
         timeout_s = max(0.0, self._next_due() - time.monotonic())
+        timeout_s = min(timeout_s, MAX_WAIT_S)
         readable, _, _ = select.select(
             (self._endpoint, self._wake_reader), (), (), timeout_s
         )
--- a/kumquatwalk/membership/tests/test_agent.py
+++ b/kumquatwalk/membership/tests/test_agent.py
@@ -174,11 +174,36 @@
         fleet = self._make_fleet(size=150, loss=0.05)
         self._check_broadcast(fleet, b"x" * 600, IN_FORCE_S)
 
+    def test_record_that_many_nodes_spread_costs_as_one(self):
+        fleet = self._make_fleet()
+        payload = b"x" * 600
+        before = dict(fleet.sent_bytes)
+        kind = BroadcastKind.CATALOGUE_RECORD
+        for number in range(SIZE):
+            self._spread(fleet, number, kind, payload)
+        fleet.run(20.0)
+        for number, sent in fleet.sent_bytes.items():
+            self.assertLess(sent - before[number], 30 * len(payload))
+
+    def test_leave_is_known_during_a_flood_of_broadcasts(self):
+        fleet = self._make_fleet()
+        kind = BroadcastKind.CRASH_REPORT
+        for number in range(3 * SIZE):
+            payload = bytes((number,)) * 900
+            self._spread(fleet, number % SIZE, kind, payload)
+        fleet.run(5.0)
+        fleet.act(8, Agent.leave)
+        taken = fleet.run(SETTLE_S, lambda: fleet.all_see(LEFT, {8}))
+        self.assertLess(taken, LEAVE_KNOWN_S)
+
+    def _spread(self, fleet, number, kind, payload) -> None:
+        fleet.act(number, lambda a, now: a.broadcast(kind, payload, now))
+
     def _check_broadcast(
         self, fleet: Fleet, payload: bytes, limit_s: float
     ) -> None:
         kind = BroadcastKind.CATALOGUE_RECORD
-        fleet.act(5, lambda agent, now: agent.broadcast(kind, payload, now))
+        self._spread(fleet, 5, kind, payload)
         others = [n for n in fleet.agents if n != 5]
         taken = fleet.run(
             SETTLE_S, lambda: all(fleet.received[n] for n in others)
