Prove leaving, planned stops and crashing requests with processes

A target that leaves under load ends by itself with status 0, also when a frozen or cut off node keeps a stale view; a planned stop of a node cuts off no answer. A wall-clock bound on the last run was ruled out: the target's own end is the event. The target now ends with status 1 when it cuts a request off.

--- a/kumquatwalk/cli/standin_target.py
+++ b/kumquatwalk/cli/standin_target.py
@@ -1,6 +1,7 @@
 """The ``standin target`` command."""
 
 import signal
+import sys
 
 import click
 
@@ -9,6 +10,8 @@
 
 __all__ = ["target"]
 
+_EXIT_CUT_OFF = 1
+
 
 class AddressType(click.ParamType):
     """Parameter of the form ``HOST:PORT``."""
@@ -82,3 +85,4 @@
     standin.start()
     click.echo(f"listening {host}:{standin.port}")
     standin.wait_closed()
+    sys.exit(0 if standin.is_drained else _EXIT_CUT_OFF)
--- a/kumquatwalk/history/events.py
+++ b/kumquatwalk/history/events.py
@@ -15,12 +15,15 @@
             and so the runs of its chain carry it.
         entry: Entry called.
         at: Time, in seconds.
+        key: Key or ticket sent with it; a request sent again with another key
+            may run once more.
     """
 
     tag: str
     request: str
     entry: str
     at: float
+    key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/history/tests/test_check.py
+++ b/kumquatwalk/history/tests/test_check.py
@@ -48,6 +48,14 @@
         )
         self.assertEqual(check_at_most_once(history, {"ship"}), [])
 
+    def test_a_run_for_each_key_passes(self):
+        history = make_history(make_run("q"), make_run("q"))
+        self.assertEqual(
+            self.names(check_at_most_once(history, {"pay"})), ["q"]
+        )
+        history.add(CallSent("q/2", "q", "pay", 3.0, key="another"))
+        self.assertEqual(check_at_most_once(history, {"pay"}), [])
+
     def test_one_run_passes(self):
         history = make_history(make_run("r"))
         self.assertEqual(check_at_most_once(history, {"pay"}), [])
--- a/kumquatwalk/proofs/chain.py
+++ b/kumquatwalk/proofs/chain.py
@@ -143,7 +143,9 @@
         """
         tag = f"{request}/{next(self._numbers)}"
         path = f"{entry}?size={size}" if size else entry
-        self.history.add(CallSent(tag, request, entry, time.monotonic()))
+        self.history.add(
+            CallSent(tag, request, entry, time.monotonic(), key or ticket)
+        )
         answer = self.get_caller(node_id).call(
             path, request.encode(), key=key, ticket=ticket
         )
--- a/kumquatwalk/standin/target.py
+++ b/kumquatwalk/standin/target.py
@@ -79,6 +79,11 @@
             lambda: self._faults,
         )
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether no request was cut off when the target closed."""
+        return not self._requests.running
+
     @property
     def port(self) -> int:
         """Port listened on."""
