--- a/kumquatwalk/membership/agent.py
+++ b/kumquatwalk/membership/agent.py
@@ -6,38 +6,36 @@
 from kumquatwalk.exception import MembershipError
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.broadcast import Broadcast
+from kumquatwalk.membership.broadcaster import Broadcaster
 from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
 from kumquatwalk.membership.itemcodec import decode_items
-from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.joiner import Joiner
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetInfo
-from kumquatwalk.membership.merger import IMPORTANT_FLUSHES_S
 from kumquatwalk.membership.merger import Merger
 from kumquatwalk.membership.message import Message
 from kumquatwalk.membership.prober import Prober
 from kumquatwalk.membership.prober import address_of
 from kumquatwalk.membership.reviver import Reviver
-from kumquatwalk.membership.seen import SeenBroadcasts
+from kumquatwalk.membership.revisionwatch import RevisionWatch
+from kumquatwalk.membership.spread import Spread
 from kumquatwalk.membership.synchronizer import Synchronizer
 from kumquatwalk.membership.table import MemberTable
-from kumquatwalk.membership.tier import Tier
 from kumquatwalk.membership.timing import Timing
 from kumquatwalk.membership.transmitter import Transmitter
 
 __all__ = ["Agent"]
 
 FANOUT = 3
-SAMPLE_SIZE = 12
+SAMPLE_SIZE = 4
 STALL_S = 2.0
 EXPIRE_INTERVAL_S = 10.0
-NEWER_REVISION_INTERVAL_S = 1.0
 
 
 class Agent:
@@ -76,20 +74,14 @@
         self._joiner = Joiner(
             node_id, table, sender, self._synchronizer, timing, rng, now
         )
-        self._merger = Merger(
-            node_id,
-            table,
-            sender,
-            self._prober,
-            self._reviver,
-            timing,
-            self._judge_own,
+        parts = (self._prober, self._reviver, timing, self._judge_own)
+        self._merger = Merger(node_id, table, sender, *parts)
+        self._broadcaster = Broadcaster(
+            table, sender, self._merger.flushes, rng, callbacks.on_broadcast
         )
-        self._seen = SeenBroadcasts()
+        self._revisions = RevisionWatch(table, callbacks.on_newer_revision)
         self._ticked_at = now
         self._expire_at = now + EXPIRE_INTERVAL_S
-        self._newer_revision = 0
-        self._newer_revision_at = now
 
     @property
     def own(self) -> Member:
@@ -141,6 +133,7 @@
         self._ticked_at = now
         if stalled_s > STALL_S:
             self._prober.forgive(now)
+            self._reviver.forgive()
             self._merger.suspicions.extend(stalled_s)
         if self.own.state == MemberState.LEFT:
             self._flush(now)
@@ -150,7 +143,8 @@
             self._merger.suspect(failed, now)
         self._merger.end_suspicions(now)
         self._joiner.tick(now)
-        self._reviver.tick(now)
+        for member in self._reviver.tick(now):
+            self._merger.suspect(member, now)
         self._flush(now)
         if now >= self._expire_at:
             self._expire(now)
@@ -172,12 +166,15 @@
         if message.sender == self._own_id:
             return
         changed = False
+        spread = self._choose_spread(message.kind)
         for item in items:
             if isinstance(item, Broadcast):
-                self._take_broadcast(item, now)
+                self._broadcaster.take(item, now)
             else:
-                changed |= self._merger.apply(item, now)
-        self._note_revision(message, now)
+                changed |= self._merger.apply(item, spread, now)
+        if changed and spread == Spread.FULL:
+            self._synchronizer.note_change(now)
+        self._revisions.note(message, self._transmitter.revision, now)
         self._dispatch(message, source, changed, now)
 
     def publish(self, target: TargetInfo, now: float) -> None:
@@ -211,9 +208,7 @@
             payload: At most ``MAX_PAYLOAD_BYTES`` bytes.
             now: Monotonic time in seconds.
         """
-        broadcast = Broadcast(self._rng.getrandbits(64), kind, payload)
-        self._seen.add(broadcast.broadcast_id, now)
-        self._forward(broadcast, now)
+        self._broadcaster.send(kind, payload, now)
 
     def leave(self, now: float) -> None:
         """Spread that this node leaves for good.
@@ -235,6 +230,7 @@
             self._compare(message, source, now)
         elif kind == MessageKind.ACK:
             self._prober.take_ack(message.sequence, now)
+            self._reviver.take_ack(message.sequence)
             self._compare(message, source, now)
         elif kind == MessageKind.PING_REQUEST and message.target:
             self._prober.relay_ping(
@@ -251,6 +247,11 @@
             if changed:
                 self._synchronizer.hasten(now)
 
+    def _choose_spread(self, kind: MessageKind) -> Spread:
+        if kind != MessageKind.PAGE:
+            return Spread.FULL
+        return Spread.LITTLE if self.is_joined else Spread.NONE
+
     def _compare(self, message: Message, source: Address, now: float) -> None:
         if self._joiner.is_fetching or self.own.state == MemberState.LEFT:
             return
@@ -274,22 +275,11 @@
         changes.setdefault("version", self.own.version + 1)
         own = dataclasses.replace(self.own, **changes)
         self.table.merge(own, now)
-        self._merger.spread(own, now)
-
-    def _take_broadcast(self, broadcast: Broadcast, now: float) -> None:
-        if not self._seen.add(broadcast.broadcast_id, now):
-            return
-        self._forward(broadcast, now)
-        self._callbacks.on_broadcast(broadcast.kind, broadcast.payload)
-
-    def _forward(self, broadcast: Broadcast, now: float) -> None:
-        encoded = encode_item(broadcast)
-        self._transmitter.queue.put(broadcast.broadcast_id, encoded)
-        for delay_s in IMPORTANT_FLUSHES_S:
-            self._merger.flushes.request(now + delay_s)
+        self._merger.spread(own, Spread.FULL, now)
 
     def _flush(self, now: float) -> None:
-        if not self._merger.flushes.pop(now) or not self._transmitter.queue:
+        tier = self._merger.flushes.pop(now)
+        if tier is None or not self._transmitter.queue:
             return
         own = frozenset((self._own_id,))
         for member in self.table.sample(self._rng, FANOUT, own):
@@ -297,26 +287,12 @@
                 MessageKind.GOSSIP,
                 address_of(member),
                 now,
-                tier=Tier.GOSSIP,
+                tier=tier,
                 receiver=member.node_id,
             )
 
-    def _note_revision(self, message: Message, now: float) -> None:
-        revision = message.catalogue_revision
-        self.table.note_revision(message.sender, message.incarnation, revision)
-        if revision <= self._transmitter.revision:
-            return
-        repeated = revision <= self._newer_revision
-        if repeated and now < self._newer_revision_at:
-            return
-        member = self.table.get(message.sender)
-        if member is not None:
-            self._newer_revision = revision
-            self._newer_revision_at = now + NEWER_REVISION_INTERVAL_S
-            self._callbacks.on_newer_revision(member, revision)
-
     def _expire(self, now: float) -> None:
         self._expire_at = now + EXPIRE_INTERVAL_S
         self.table.expire(now)
-        self._seen.expire(now)
+        self._broadcaster.expire(now)
         self._prober.expire(now)
--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -26,6 +26,7 @@
 from kumquatwalk.link.partition import Partition
 from kumquatwalk.link.pool import LinkPool
 from kumquatwalk.link.reply import Reply
+from kumquatwalk.link.reply import measure_reply
 from kumquatwalk.link.schema import load_schema
 from kumquatwalk.link.server import LinkServer
 from kumquatwalk.logs import Level
@@ -34,13 +35,19 @@
 from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.config import MembershipConfig
+from kumquatwalk.membership.rendezvous import Rendezvous
+from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.node.caller_listener import CallerListener
 from kumquatwalk.node.catalogue_sync import CatalogueSync
+from kumquatwalk.node.crash_watch import CrashWatch
 from kumquatwalk.node.entry import EntrySide
 from kumquatwalk.node.gate import GateSide
 from kumquatwalk.node.local_listener import LocalListener
+from kumquatwalk.node.meters import NodeMeters
+from kumquatwalk.node.meters import add_state_gauges
 from kumquatwalk.node.once import OnceRequests
 from kumquatwalk.node.requests import OutsideRequests
 from kumquatwalk.node.run_calls import RunCalls
@@ -50,6 +57,7 @@
 from kumquatwalk.node.status import NodeStatus
 from kumquatwalk.node.target_watch import TargetWatch
 from kumquatwalk.platform.client import PlatformClient
+from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.retry.budget import RetryBudget
 from kumquatwalk.routing.levels import EntryLevels
 from kumquatwalk.routing.table import RouteTable
@@ -81,6 +89,7 @@
         identity = Identity(settings.node_id, incarnation, settings.host)
         payload_max = settings.body_bytes_max + _FRAME_OVERHEAD_BYTES
         self.registry = MetricsRegistry()
+        self._meters = NodeMeters(self.registry)
         self.partition = Partition()
         self.replica = CatalogueReplica()
         self._levels = EntryLevels()
@@ -88,13 +97,18 @@
         self.links = LinkPool(identity, self.partition, payload_max)
         self.admission = AdmissionGate(now)
         self._runs = RunTable()
-        self._runner = Runner(self._runs, self.admission)
+        self._crash_watch = CrashWatch(
+            identity, CrashTable(), self._broadcast_crash
+        )
+        self._runner = Runner(self._runs, self.admission, self._crash_watch)
         self._gate = GateSide(
             self.replica,
             self.admission,
             self._runner,
             AttemptTable(measure_reply),
+            self._crash_watch,
             self._levels,
+            self._meters,
         )
         self._entry = EntrySide(
             settings.node_id,
@@ -103,6 +117,7 @@
             self._levels,
             self.links,
             RetryBudget(),
+            self._meters,
         )
         self.link_server = LinkServer(
             identity,
@@ -118,8 +133,16 @@
         self._client = self._make_client()
         self._once = self._make_once(identity)
         self.watcher = self._make_watcher()
+        self.rendezvous = self._make_rendezvous()
         self._caller_workers = WorkerPool("caller", settings.workers_max)
         self._local_workers = WorkerPool("local", settings.workers_max)
+        add_state_gauges(
+            self.registry,
+            self.admission,
+            self._runs,
+            self.replica,
+            self.membership,
+        )
         self.caller_server = self._make_caller_server()
         self.local_server = self._make_local_server()
 
@@ -161,6 +184,11 @@
     def _take_broadcast(self, kind: BroadcastKind, payload: bytes) -> None:
         if kind is BroadcastKind.CATALOGUE_RECORD:
             self.sync.take_broadcast(payload)
+        else:
+            self._crash_watch.take_broadcast(payload, time.monotonic())
+
+    def _broadcast_crash(self, payload: bytes) -> None:
+        self.membership.broadcast(BroadcastKind.CRASH_REPORT, payload)
 
     def _note_newer(self, member, revision: int) -> None:
         self.sync.note_newer(member, revision)
@@ -177,11 +205,25 @@
         return CatalogueWatcher(
             self._client,
             self.replica,
-            lambda: True,
+            self._is_representative,
             self.sync.spread,
             self.sync.report,
         )
 
+    def _is_representative(self) -> bool:
+        members = self.membership.snapshot().members.values()
+        chosen = choose_representatives(members, self.settings.zone)
+        return any(m.node_id == self.settings.node_id for m in chosen)
+
+    def _make_rendezvous(self) -> Rendezvous | None:
+        if self._client is None:
+            return None
+        settings = self.settings
+        config = RendezvousConfig(
+            settings.node_id, settings.zone, settings.zones
+        )
+        return Rendezvous(config, self.membership, self._client)
+
     def _make_once(self, identity: Identity) -> OnceRequests:
         owner = NodeIdentity(
             identity.node_id,
@@ -208,7 +250,9 @@
 
     def _make_caller_server(self) -> HttpServer:
         settings = self.settings
-        listener = CallerListener(self._requests, self._once, self._issuer)
+        listener = CallerListener(
+            self._requests, self._once, self._issuer, self._meters
+        )
         return HttpServer(
             settings.host,
             settings.http_port,
@@ -221,12 +265,16 @@
     def _make_local_server(self) -> HttpServer:
         settings = self.settings
         self.target_watch = TargetWatch(
-            settings.local_host, self.admission, self._runner, self.membership
+            settings.local_host,
+            self.admission,
+            self._runner,
+            self.membership,
+            settings.body_bytes_max,
         )
         listener = LocalListener(
             RunCalls(self.replica, self._runs, self._entry),
             self.target_watch,
-            NodeStatus(settings, self.membership, self.replica),
+            NodeStatus(settings, self.membership, self.replica, self.routes),
             self.registry,
             self.partition if settings.enable_faults else None,
         )
@@ -240,11 +288,6 @@
         )
 
 
-def measure_reply(reply: Reply) -> int:
-    """Return the bytes that a kept reply holds."""
-    return len(reply.headers) + len(reply.body)
-
-
 def _log_bad_frame(host: str, error: FrameError) -> None:
     log_event(
         "frame_rejected",
