--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -9,7 +9,8 @@
 other VM less the same quantiles of the direct calls. ``added_over_direct_p99``
 is ``added_p99_ms`` divided by ``direct_p99_ms``. Keys that begin with ``same_``
 are for the target's own node. ``stage_`` keys are quantiles of the nodes' own
-histograms.
+histograms since their start, the warm-up included; ``entry`` is the whole call at
+the entry side and ``link`` an attempt less queue and target.
 """
 
 import argparse
@@ -29,7 +30,6 @@
 from benchmarks.raw_caller import RawCaller
 from kumquatwalk.cli.node_client import parse_node
 from kumquatwalk.cli.node_client import read_node
-from kumquatwalk.metrics import Sample
 from kumquatwalk.metrics import parse_text
 
 __all__ = ["main"]
@@ -39,6 +39,8 @@
 _READY_TIMEOUT_S = 30
 _SWITCH_INTERVAL_S = 0.0005
 _MS = 1000
+_STAGE_METRIC = "kumquatwalk_stage_seconds"
+_QUANTILE_NAMES = {"0.5": "p50", "0.99": "p99"}
 
 
 def wait_until_served(address: str) -> None:
@@ -115,16 +117,15 @@
     address = parse_node(node.addresses["local"])
     body = read_node(address, "/kumquatwalk/metrics")
     samples = parse_text(body.decode())
-    return {
-        f"stage_{name}_{_name_stage(sample)}_ms": round(sample.value * _MS, 4)
-        for sample in samples
-        if {"quantile"} <= {label.name for label in sample.labels}
-    }
-
-
-def _name_stage(sample: Sample) -> str:
-    values = [label.value for label in sample.labels]
-    return "_".join([sample.name, *values])
+    stages = [s for s in samples if s.name == _STAGE_METRIC]
+    result = {}
+    for sample in stages:
+        labels = {label.name: label.value for label in sample.labels}
+        quantile = _QUANTILE_NAMES.get(labels.get("quantile"))
+        if quantile is not None:
+            key = f"stage_{name}_{labels['stage']}_{quantile}_ms"
+            result[key] = round(sample.value * _MS, 4)
+    return result
 
 
 def measure(bench: LatencyBench, rounds: int, seed: int) -> dict[str, float]:
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -4,10 +4,26 @@
 import unittest
 
 from kumquatwalk import codes
+from kumquatwalk.catalogue import Importance
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.link.reply import Reply
+from kumquatwalk.metrics import MetricsRegistry
+from kumquatwalk.node.meters import NodeMeters
+from kumquatwalk.node.meters import add_state_gauges
+from kumquatwalk.node.refusal import _STATUS_BY_CODE
 from kumquatwalk.node.settings_kinds import describe_range
 from kumquatwalk.node.settings_spec import SETTING_SPECS
+from kumquatwalk.outcome import Outcome
 
+_OTHER_CODES = {
+    "claim_budget",
+    "claim_late",
+    "claim_unknown",
+    "internal_error",
+    "owner_unreachable",
+    "platform_unavailable",
+    "ticket_expired",
+}
 _PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "OPERATORS.md"
 
 
@@ -24,6 +40,17 @@
     return rows
 
 
+def register_metrics() -> MetricsRegistry:
+    """Return a registry with all metrics of a node."""
+    registry = MetricsRegistry()
+    meters = NodeMeters(registry)
+    add_state_gauges(registry, None, None, None, None)
+    reply = Reply(outcome=Outcome.DONE, code="", status=200)
+    meters.note_request(Importance.HIGH, reply)
+    meters.note_gate(reply, 0.0)
+    return registry
+
+
 class OperatorsPageTest(unittest.TestCase):
     maxDiff = None
 
@@ -48,4 +75,14 @@
     def test_refusal_codes(self):
         shown = [row[0].strip("`") for row in read_table("### Table of codes")]
         expected = {getattr(codes, name) for name in codes.__all__}
+        expected |= set(_STATUS_BY_CODE) | _OTHER_CODES
         self.assertEqual(shown, sorted(expected - {""}))
+
+    def test_metrics(self):
+        shown = [row[:3] for row in read_table("### Table of metrics")]
+        expected = []
+        for family in register_metrics().list_families():
+            labels = {label.name for key in family.series for label in key}
+            names = ", ".join(sorted(labels)) or "-"
+            expected.append([f"`{family.name}`", family.kind.value, names])
+        self.assertEqual(shown, expected)
