--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -9,8 +9,8 @@
 other VM less the same quantiles of the direct calls. ``added_over_direct_p99``
 is ``added_p99_ms`` divided by ``direct_p99_ms``. Keys that begin with ``same_``
 are for the target's own node. ``stage_`` keys are quantiles of the nodes' own
-histograms since their start, the warm-up included; ``entry`` is the whole call at
-the entry side and ``link`` an attempt less queue and target.
+histograms since their start, the warm-up included; ``entry`` is the whole call
+at the entry side and ``link`` an attempt less queue and target.
 """
 
 import argparse
