Tell the next gate of a crash with the call itself

Cause: after a crash an idempotent call is tried at another target at once, before the broadcast of the crash arrives, so the second gate did not run it as a suspect and two crashes did not confirm it. Ruled out: waiting for the broadcast, which adds time to each such retry. Change: the reply carries a mark of the crash, the next attempt carries the marks of all before it. Before: test_request_is_refused_after_two_crashes_and_others_run failed with 4 crashes where 2 are allowed.

--- a/kumquatwalk/link/call.py
+++ b/kumquatwalk/link/call.py
@@ -25,6 +25,8 @@
         remaining_us: Time left for the call, microseconds.
         sent_at_us: The gate's own clock at the time of sending, as estimated
             by the sender; never later than the true time.
+        crash_marks: Marks of the crashes that earlier attempts were charged
+            with.
     """
 
     attempt_id: bytes
@@ -41,3 +43,4 @@
     protected: bool
     remaining_us: int
     sent_at_us: int = 0
+    crash_marks: bytes = b""
--- a/kumquatwalk/link/codec.py
+++ b/kumquatwalk/link/codec.py
@@ -167,6 +167,8 @@
     fields.protected = message.protected
     fields.remainingUs = remaining_us
     fields.sentAtUs = sent_at_us
+    if message.crash_marks:
+        fields.crashMarks = message.crash_marks
     return _join(FrameKind.CALL, fields.to_bytes())
 
 
@@ -187,6 +189,7 @@
             protected=fields.protected,
             remaining_us=fields.remainingUs,
             sent_at_us=fields.sentAtUs,
+            crash_marks=fields.crashMarks,
         )
 
 
@@ -209,6 +212,8 @@
     fields.entryLevel = message.entry_level
     fields.queueUs = message.queue_us
     fields.runUs = message.run_us
+    if message.crash_mark:
+        fields.crashMark = message.crash_mark
     return _join(FrameKind.REPLY, fields.to_bytes())
 
 
@@ -225,6 +230,7 @@
             entry_level=fields.entryLevel,
             queue_us=fields.queueUs,
             run_us=fields.runUs,
+            crash_mark=fields.crashMark,
         )
 
 
--- a/kumquatwalk/link/link.capnp
+++ b/kumquatwalk/link/link.capnp
@@ -29,6 +29,7 @@
   protected @11 :Bool;
   remainingUs @12 :UInt64;
   sentAtUs @13 :UInt64;
+  crashMarks @14 :Data;
 }
 
 struct Reply {
@@ -42,6 +43,7 @@
   entryLevel @7 :Int16;
   queueUs @8 :UInt32;
   runUs @9 :UInt32;
+  crashMark @10 :Data;
 }
 
 struct Forward {
--- a/kumquatwalk/link/reply.py
+++ b/kumquatwalk/link/reply.py
@@ -25,6 +25,7 @@
             the called entry calls in turn.
         queue_us: Time in the admission queue, microseconds.
         run_us: Time at the target, microseconds.
+        crash_mark: Mark of the crash that this attempt is charged with.
     """
 
     outcome: Outcome
@@ -37,6 +38,7 @@
     entry_level: int = LEVEL_MAX
     queue_us: int = 0
     run_us: int = 0
+    crash_mark: bytes = b""
 
 
 def measure_reply(reply: Reply) -> int:
--- a/kumquatwalk/link/tests/test_codec.py
+++ b/kumquatwalk/link/tests/test_codec.py
@@ -41,6 +41,7 @@
         protected=st.booleans(),
         remaining_us=_U64,
         sent_at_us=_U64,
+        crash_marks=st.binary(),
     ),
     st.builds(
         Reply,
@@ -54,6 +55,7 @@
         entry_level=st.integers(-1, 1023),
         queue_us=st.integers(0, 2**32 - 1),
         run_us=st.integers(0, 2**32 - 1),
+        crash_mark=st.binary(),
     ),
     st.builds(Forward, _TEXT, st.binary(), st.binary(), st.binary(), _U64),
     st.builds(CatalogueRequest, _U64),
--- a/kumquatwalk/node/crash_watch.py
+++ b/kumquatwalk/node/crash_watch.py
@@ -12,7 +12,9 @@
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.quarantine import CrashVerdict
 from kumquatwalk.quarantine import RunningCall
+from kumquatwalk.quarantine import decode_marks
 from kumquatwalk.quarantine import decode_report
+from kumquatwalk.quarantine import encode_mark
 from kumquatwalk.quarantine import encode_report
 from kumquatwalk.quarantine import make_crash_reports
 from kumquatwalk.quarantine import select_charged
@@ -40,7 +42,7 @@
         self._broadcast = broadcast
         self._lock = threading.Lock()
         self._running: dict[str, RunningCall] = {}
-        self._charged: set[str] = set()
+        self._charged: dict[str, bytes] = {}
         self._sequence = itertools.count(1)
 
     def judge(self, fingerprint: bytes, now: float) -> CrashVerdict:
@@ -54,7 +56,7 @@
         is_suspect = verdict is CrashVerdict.SUSPECT
         self._running[run_id] = RunningCall(fingerprint, is_suspect)
 
-    def note_crash(self, run_id: str, now: float) -> None:
+    def note_crash(self, run_id: str, now: float) -> bytes:
         """Charge the runs in progress with a crash of the target.
 
         The first of them to be reported charges all; the others then change
@@ -63,13 +65,29 @@
         Args:
             run_id: A run whose connection broke while the target was gone.
             now: Present time.
+
+        Returns:
+            Mark of the crash for the reply; empty when the run is not charged.
         """
         with self._lock:
-            if run_id in self._charged:
-                return
-            running = dict(self._running)
-            self._charged.update(running)
-            sequence = next(self._sequence)
+            if run_id not in self._charged:
+                self._charge(now)
+            return self._charged.get(run_id, b"")
+
+    def take_marks(self, marks: bytes, fingerprint: bytes, now: float) -> None:
+        """Take the marks that a call brought from other gates."""
+        try:
+            reports = decode_marks(marks, fingerprint)
+        except FrameError as error:
+            log_event("report_rejected", Level.WARNING, error=error.message)
+            return
+        for report in reports:
+            self._table.note(report, now)
+
+    def _charge(self, now: float) -> None:
+        running = dict(self._running)
+        self._charged.update((run_id, b"") for run_id in running)
+        sequence = next(self._sequence)
         charged = select_charged(running.values())
         log_event("target_crashed", Level.ERROR, charged=len(charged))
         identity = self._identity
@@ -78,6 +96,18 @@
         ):
             self._table.note(report, now)
             self._broadcast(encode_report(report))
+            self._mark(report, running)
+
+    def _mark(
+        self, report: CrashReport, running: dict[str, RunningCall]
+    ) -> None:
+        marks = {
+            call.fingerprint: encode_mark(report.crash_id, call.is_confirmed)
+            for call in report.calls
+        }
+        for run_id, call in running.items():
+            if call.fingerprint in marks:
+                self._charged[run_id] = marks[call.fingerprint]
 
     def end(self, run_id: str, has_answer: bool, now: float) -> None:
         """Record that a run ended; an answer clears a suspect.
@@ -89,7 +119,7 @@
         """
         call = self._running.pop(run_id, None)
         with self._lock:
-            self._charged.discard(run_id)
+            self._charged.pop(run_id, None)
         if call is None or not has_answer or not call.is_suspect:
             return
         report = self._table.make_clear(call.fingerprint)
--- a/kumquatwalk/node/entry.py
+++ b/kumquatwalk/node/entry.py
@@ -90,9 +90,11 @@
             return refuse(choice.code)
         attempts = 0
         may_have_run = False
+        crash_marks = b""
         while True:
             view = choice.target
-            reply = self._attempt(intent, view)
+            reply = self._attempt(intent, view, crash_marks)
+            crash_marks += reply.crash_mark
             attempts += 1
             now = time.monotonic()
             if reply.outcome in (Outcome.DONE, Outcome.FAILED):
@@ -138,13 +140,15 @@
         self._meters.note_retry()
         return True
 
-    def _attempt(self, intent: CallIntent, view: TargetView) -> Reply:
+    def _attempt(
+        self, intent: CallIntent, view: TargetView, crash_marks: bytes
+    ) -> Reply:
         now = time.monotonic()
         deadline = intent.deadline - _HOP_MARGIN_S
         if deadline <= now:
             return refuse(codes.DEADLINE_EXCEEDED)
         tokens = intent.tokens.send()
-        call = _make_call(intent, tokens, deadline - now)
+        call = _make_call(intent, tokens, deadline - now, crash_marks)
         view.note_sent(now)
         try:
             reply = self._send(view, call, deadline)
@@ -175,7 +179,9 @@
         return fail_unknown(error.code)
 
 
-def _make_call(intent: CallIntent, tokens: int, remaining_s: float) -> Call:
+def _make_call(
+    intent: CallIntent, tokens: int, remaining_s: float, crash_marks: bytes
+) -> Call:
     return Call(
         attempt_id=secrets.token_bytes(_ATTEMPT_ID_BYTES),
         request_id=intent.request_id,
@@ -191,4 +197,5 @@
         protected=intent.protected,
         remaining_us=int(remaining_s * _US),
         sent_at_us=read_clock_us(),
+        crash_marks=crash_marks,
     )
--- a/kumquatwalk/node/gate.py
+++ b/kumquatwalk/node/gate.py
@@ -105,6 +105,8 @@
         fingerprint = make_fingerprint(
             call.entry, call.method, call.url, call.body
         )
+        if call.crash_marks:
+            self._crash_watch.take_marks(call.crash_marks, fingerprint, now)
         crash_verdict = self._crash_watch.judge(fingerprint, now)
         if crash_verdict is CrashVerdict.QUARANTINED:
             return refuse(codes.QUARANTINED, call.tokens)
@@ -144,4 +146,5 @@
             entry_level=self._levels.combine(level, entry.calls, now),
             queue_us=int(waited_s * _US),
             run_us=int(result.elapsed_s * _US),
+            crash_mark=reply.crash_mark,
         )
--- a/kumquatwalk/node/runner.py
+++ b/kumquatwalk/node/runner.py
@@ -133,12 +133,17 @@
             if not error.sent:
                 self._on_absent()
                 return refuse(codes.TARGET_ABSENT)
-            if not target.probe():
-                self._crash_watch.note_crash(run.run_id, time.monotonic())
-                self._on_absent()
-            return fail_unknown(codes.TARGET_CRASHED)
+            return self._judge_break(run, target)
         return _judge(answer)
 
+    def _judge_break(self, run: Run, target: TargetClient) -> Reply:
+        reply = fail_unknown(codes.TARGET_CRASHED)
+        if target.probe():
+            return reply
+        mark = self._crash_watch.note_crash(run.run_id, time.monotonic())
+        self._on_absent()
+        return dataclasses.replace(reply, crash_mark=mark)
+
 
 def _make_headers(run: Run, timeout_s: float) -> bytes:
     return run.call.headers + (
--- a/kumquatwalk/node/tests/test_crash_watch.py
+++ b/kumquatwalk/node/tests/test_crash_watch.py
@@ -58,3 +58,19 @@
     def test_malformed_report_changes_nothing(self):
         self._send(b"nonsense")
         self.assertIs(self.watches[0].judge(BAD, 0.0), CrashVerdict.CLEAR)
+
+    def test_mark_reaches_the_next_gate_before_the_broadcast(self):
+        self.watches = ()
+        self._run(self.one, "r1", BAD)
+        mark = self.one.note_crash("r1", 0.0)
+        self.assertIs(self.two.judge(BAD, 0.0), CrashVerdict.CLEAR)
+        self.two.take_marks(mark, BAD, 0.0)
+        self._run(self.two, "r2", BAD)
+        marks = mark + self.two.note_crash("r2", 0.0)
+        three = CrashWatch(Identity("n3", 1, ""), CrashTable(), self._send)
+        three.take_marks(marks, BAD, 0.0)
+        self.assertIs(three.judge(BAD, 0.0), CrashVerdict.QUARANTINED)
+
+    def test_malformed_marks_change_nothing(self):
+        self.one.take_marks(b"nonsense", BAD, 0.0)
+        self.assertIs(self.one.judge(BAD, 0.0), CrashVerdict.CLEAR)
--- a/kumquatwalk/quarantine/__init__.py
+++ b/kumquatwalk/quarantine/__init__.py
@@ -6,6 +6,8 @@
 A suspect that ends without a crash is cleared everywhere.
 """
 
+from kumquatwalk.quarantine.crash_mark import decode_marks
+from kumquatwalk.quarantine.crash_mark import encode_mark
 from kumquatwalk.quarantine.crash_report import ClearReport
 from kumquatwalk.quarantine.crash_report import CrashReport
 from kumquatwalk.quarantine.crash_report import decode_report
@@ -25,7 +27,9 @@
     "CrashTable",
     "CrashVerdict",
     "RunningCall",
+    "decode_marks",
     "decode_report",
+    "encode_mark",
     "encode_report",
     "make_crash_reports",
     "make_fingerprint",
