--- a/kumquatwalk/membership/table.py
+++ b/kumquatwalk/membership/table.py
@@ -58,7 +58,7 @@
         self._ended_at: dict[str, float] = {}
         self._living: list[str] = []
         self._positions: dict[str, int] = {}
-        self._buckets: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
+        self._buckets: list[dict[str, None]] = [{} for _ in range(BUCKET_COUNT)]
         self._bucket_digests = [0] * BUCKET_COUNT
         self.digest = 0
         self.sequence = 0
@@ -162,7 +162,7 @@
         for node_id in old:
             del self._ended_at[node_id]
             del self._members[node_id]
-            self._buckets[_bucket_of(node_id)].discard(node_id)
+            del self._buckets[_bucket_of(node_id)][node_id]
             self.sequence += 1
 
     def sample(
@@ -220,7 +220,7 @@
     def _store(self, member: Member, ended_at: float) -> None:
         node_id = member.node_id
         self._members[node_id] = member
-        self._buckets[_bucket_of(node_id)].add(node_id)
+        self._buckets[_bucket_of(node_id)][node_id] = None
         self.sequence += 1
         if not is_living(member):
             self._ended_at[node_id] = ended_at
--- a/kumquatwalk/membership/tests/test_agent_rules.py
+++ b/kumquatwalk/membership/tests/test_agent_rules.py
@@ -6,10 +6,15 @@
 
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.agent import Agent
+from kumquatwalk.membership.broadcast import Broadcast
+from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.claim import StateClaim
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.codec import encode
+from kumquatwalk.membership.dissemination import LEAVING_FACTOR
+from kumquatwalk.membership.dissemination import count_transmissions
+from kumquatwalk.membership.flush import FLUSH_GAP_S
 from kumquatwalk.membership.itemcodec import Item
 from kumquatwalk.membership.itemcodec import encode_item
 from kumquatwalk.membership.kind import MessageKind
@@ -148,6 +153,26 @@
         kinds = [message.kind for message in self._drain()]
         self.assertEqual(50, kinds.count(MessageKind.ACK))
 
+    def test_leave_is_sent_when_other_gossip_has_used_its_share(self):
+        self._hear(MemberRecord(OTHER), MemberRecord(THIRD))
+        joins = [Message(MessageKind.JOIN, n, "x", 1) for n in range(2000)]
+        self._flood(joins)
+        for number in range(3):
+            kind = BroadcastKind.CRASH_REPORT
+            self._hear(Broadcast(number, kind, bytes((number,)) * 900))
+        self.agent.leave(self.now)
+        record = encode_item(MemberRecord(self.agent.own))
+        sent = 0
+        for _ in range(20):
+            self.now += FLUSH_GAP_S
+            for join in joins[:20]:
+                self.agent.receive(encode(join), SOURCE, self.now)
+            self.agent.tick(self.now)
+            for message in self._drain():
+                gossip = message.kind == MessageKind.GOSSIP
+                sent += gossip and record in message.items
+        self.assertEqual(count_transmissions(LEAVING_FACTOR, 2), sent)
+
     def test_own_datagram_that_comes_back_is_ignored(self):
         message = Message(MessageKind.PING, 1, "own", 5)
         self.agent.receive(encode(message), SOURCE, self.now)
--- a/kumquatwalk/membership/transmitter.py
+++ b/kumquatwalk/membership/transmitter.py
@@ -107,7 +107,7 @@
             self.counters.dropped_budget += 1
             return False
         if piggyback:
-            gossip = max(tier, Tier.GOSSIP, key=lambda t: t.value)
+            gossip = Tier.GOSSIP if tier == Tier.PROBE else tier
             items += self._fill(self._allowance(gossip, now) - size)
         message = Message(
             kind,
