--- a/kumquatwalk/cli/standin_target.py
+++ b/kumquatwalk/cli/standin_target.py
@@ -1,6 +1,7 @@
 """The ``standin target`` command."""
 
 import signal
+import sys
 
 import click
 
@@ -9,6 +10,8 @@
 
 __all__ = ["target"]
 
+_EXIT_CUT_OFF = 1
+
 
 class AddressType(click.ParamType):
     """Parameter of the form ``HOST:PORT``."""
@@ -48,7 +51,11 @@
 @click.option("--node", type=AddressType(), help="Node's local listener.")
 @click.option("--slots", type=click.IntRange(1, 10_000), default=10)
 @click.option("--connections", type=click.IntRange(1, 100_000), default=100)
-@click.option("--service-ms", type=click.FloatRange(0), default=10.0)
+@click.option(
+    "--service-ms",
+    type=click.FloatRange(0, min_open=True),
+    default=10.0,
+)
 @click.option("--cold-start-ms", type=click.FloatRange(0), default=0.0)
 @click.option(
     "--calls",
@@ -82,3 +89,4 @@
     standin.start()
     click.echo(f"listening {host}:{standin.port}")
     standin.wait_closed()
+    sys.exit(0 if standin.is_drained else _EXIT_CUT_OFF)
--- a/kumquatwalk/link/codec.py
+++ b/kumquatwalk/link/codec.py
@@ -30,6 +30,7 @@
     "HEADER_BYTES",
     "decode_header",
     "decode_message",
+    "encode_call",
     "encode_message",
 ]
 
@@ -140,6 +141,17 @@
 
 @encode_message.register
 def _encode_call(message: Call) -> bytes:
+    return encode_call(message, message.remaining_us, message.sent_at_us)
+
+
+def encode_call(message: Call, remaining_us: int, sent_at_us: int) -> bytes:
+    """Return the frame of a call with its times set anew.
+
+    Args:
+        message: The call.
+        remaining_us: Time left for the call, microseconds.
+        sent_at_us: The gate's clock as the sender estimates it.
+    """
     fields = load_schema().Call.new_message()
     fields.attemptId = message.attempt_id
     fields.requestId = message.request_id
@@ -153,8 +165,10 @@
     fields.tokens = message.tokens
     fields.idempotent = message.idempotent
     fields.protected = message.protected
-    fields.remainingUs = message.remaining_us
-    fields.sentAtUs = message.sent_at_us
+    fields.remainingUs = remaining_us
+    fields.sentAtUs = sent_at_us
+    if message.crash_marks:
+        fields.crashMarks = message.crash_marks
     return _join(FrameKind.CALL, fields.to_bytes())
 
 
@@ -175,6 +189,7 @@
             protected=fields.protected,
             remaining_us=fields.remainingUs,
             sent_at_us=fields.sentAtUs,
+            crash_marks=fields.crashMarks,
         )
 
 
@@ -197,6 +212,8 @@
     fields.entryLevel = message.entry_level
     fields.queueUs = message.queue_us
     fields.runUs = message.run_us
+    if message.crash_mark:
+        fields.crashMark = message.crash_mark
     return _join(FrameKind.REPLY, fields.to_bytes())
 
 
@@ -213,6 +230,7 @@
             entry_level=fields.entryLevel,
             queue_us=fields.queueUs,
             run_us=fields.runUs,
+            crash_mark=fields.crashMark,
         )
 
 
