--- a/kumquatwalk/tests/test_binary.py
+++ b/kumquatwalk/tests/test_binary.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -117,6 +118,19 @@
         self.assertEqual(process.returncode, 5)
         self.assertEqual(list(self.empty.iterdir()), [])
 
+    def test_node_runs_as_one_process_and_stops_gracefully(self):
+        ports = [f"--{n}-port=0" for n in ("http", "local", "link", "gossip")]
+        process = self._start(
+            *("node", "--node-id=a1", "--zone=a", "--host=127.0.0.1"), *ports
+        )
+        self.assertRegex(process.stdout.readline(), "^listening http=127")
+        self.assertEqual(find_children(process.pid), [])
+        self.assertEqual(list_written_files(process.pid), [])
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=_HANG_GUARD_S)
+        self.assertEqual(process.returncode, 0)
+        self.assertEqual(list(self.empty.iterdir()), [])
+
     def test_place_that_is_not_in_memory_is_refused(self):
         mounts = pathlib.Path("/proc/self/mounts").read_text(encoding="utf-8")
         points = [line.split()[1:3] for line in mounts.splitlines()]
