Let nodes share the platform's writes by slowing down when it is slow

Cause: a fixed 20 claims a second at each node would let 1,300 nodes send 26,000 a second to a service that takes several hundred. Ruled out: an equal share of a fleet-wide figure, which starves the few nodes that callers reach; a shared counter, one more thing to agree on. Change: additive increase, multiplicative decrease on slow or missing answers.

--- a/kumquatwalk/idempotency/claim_keeper.py
+++ b/kumquatwalk/idempotency/claim_keeper.py
@@ -14,6 +14,7 @@
 from kumquatwalk.idempotency.claim_budget import ClaimBudget
 from kumquatwalk.idempotency.claim_lease import ClaimLease
 from kumquatwalk.idempotency.claim_lease import LeaseClient
+from kumquatwalk.idempotency.claim_rate import ClaimRate
 
 __all__ = [
     "ClaimClient",
@@ -26,6 +27,7 @@
 ]
 
 CLAIM_START_BOUND_S = 5.0
+_UNANSWERED_CODES = frozenset(("platform_unavailable", "claim_unknown"))
 
 
 class StoredValue(Protocol):
@@ -116,6 +118,7 @@
         self._budget = budget
         self._clock = clock
         self._lease = ClaimLease(client, clock)
+        self._rate = ClaimRate()
 
     def claim(
         self,
@@ -145,11 +148,21 @@
             return ClaimUnavailable("platform_unavailable")
         claim = self._make_claim(fingerprint, claim_id)
         result = self._write(key, claim, lease_id)
-        is_late = is_claim_late(started_at, deadline, self._clock())
+        ended_at = self._clock()
+        self._adjust_rate(result, ended_at - started_at, ended_at)
+        is_late = is_claim_late(started_at, deadline, ended_at)
         if isinstance(result, Claimed) and is_late:
             return ClaimUnavailable("claim_late")
         return result
 
+    def _adjust_rate(
+        self, result: ClaimResult, elapsed_s: float, now: float
+    ) -> None:
+        code = result.code if isinstance(result, ClaimUnavailable) else ""
+        is_answered = code not in _UNANSWERED_CODES
+        per_s = self._rate.note_answer(elapsed_s, is_answered, now)
+        self._budget.set_rate(per_s, now)
+
     def _make_claim(self, fingerprint: bytes, claim_id: str) -> Claim:
         identity = self._identity
         return Claim(
