--- a/kumquatwalk/membership/tests/test_rendezvous.py
+++ b/kumquatwalk/membership/tests/test_rendezvous.py
@@ -2,21 +2,27 @@
 
 import dataclasses
 import random
+import time
 import unittest
 
 from kumquatwalk.exception import CompareFailedError
 from kumquatwalk.exception import PlatformUnavailableError
 from kumquatwalk.membership.address import Address
+from kumquatwalk.membership.config import MembershipConfig
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
+from kumquatwalk.membership.rendezvous import Rendezvous
 from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
 from kumquatwalk.membership.rendezvouskeeper import RendezvousKeeper
 from kumquatwalk.membership.rendezvouskeeper import parse_point
 from kumquatwalk.membership.representatives import choose_representatives
+from kumquatwalk.membership.service import Membership
 from kumquatwalk.membership.snapshot import Snapshot
 from kumquatwalk.platform.key_value import KeyValue
 from kumquatwalk.platform.lease import Lease
 
+HANG_GUARD_S = 60.0
+
 
 class FakeStore:
     """Keys with leases that lapse, on the test's own time."""
@@ -91,6 +97,28 @@
         self.assertEqual(first, choose_representatives(fewer, "zone-2"))
 
 
+class RendezvousTest(unittest.TestCase):
+    """The thread, with a membership service over real sockets."""
+
+    def test_lone_node_takes_its_key_and_closes(self):
+        store = FakeStore()
+        config = MembershipConfig("new", 1, "zone-1", "127.1.0.1", 1, 0)
+        membership = Membership(config)
+        membership.start()
+        self.addCleanup(membership.close)
+        settings = RendezvousConfig("new", "zone-1", ("zone-1",))
+        rendezvous = Rendezvous(settings, membership, store)
+        rendezvous.start()
+        guard = time.monotonic() + HANG_GUARD_S
+        while not store.values:
+            self.assertLess(time.monotonic(), guard, "hang guard")
+            time.sleep(0.01)
+        rendezvous.close()
+        point = parse_point(store.values["rendezvous/zone-1/0"].value)
+        address = Address("127.1.0.1", membership.gossip_port)
+        self.assertEqual(("new", address), point)
+
+
 class RendezvousKeeperTest(unittest.TestCase):
     """Keys held and read, driven by now."""
 
--- a/kumquatwalk/membership/tests/test_service.py
+++ b/kumquatwalk/membership/tests/test_service.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+import unittest.mock
 
 from kumquatwalk.membership import Address
 from kumquatwalk.membership import BroadcastKind
@@ -60,6 +61,10 @@
         members = self.services[index].snapshot().members
         return [members[node_id].state for node_id in sorted(members)]
 
+    def _count_failed(self) -> int:
+        """Return the number of services that have had an error."""
+        return sum(s.counters().failures > 0 for s in self.services)
+
     def _await_all_alive(self) -> None:
         alive = [MemberState.ALIVE] * 3
         self._await(lambda: all(self._states(i) == alive for i in range(3)))
@@ -97,6 +102,17 @@
         self.blocked.clear()
         self._await_all_alive()
 
+    def test_error_in_a_callback_does_not_end_the_service(self):
+        self._await_all_alive()
+        hook = unittest.mock.Mock()
+        with unittest.mock.patch("threading.excepthook", hook):
+            self.received = None  # Makes the callbacks raise.
+            self.services[0].broadcast(BroadcastKind.CRASH_REPORT, b"x")
+            self._await(lambda: self._count_failed() == 2)
+        self.assertTrue(hook.called)
+        self.services[0].leave()
+        self._await(lambda: MemberState.LEFT in self._states(2))
+
     def test_close_from_several_threads_ends(self):
         closers = [
             threading.Thread(target=service.close) for service in self.services
