Count a test with parts by its own outcome

Cause: the runner took each passed part of a test for a failure. Before: a passing test with three parts was listed as failed. After: 1 passed.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -29,7 +29,12 @@
                 outcome was expected.
         """
         name = event.test.id()
-        if event.outcome == "skipped":
+        if event.outcome == "subtest":
+            # Sent for each part, passed ones too; the whole test's own event
+            # follows only when all parts passed.
+            if event.exc_info:
+                self.failed.add(name)
+        elif event.outcome == "skipped":
             self.skipped.add(name)
         elif event.expected:
             self.passed.add(name)
