Run a run's own call that is not idempotent once

Cause: a target that repeats such a call after an unknown outcome made a second attempt, which the first could not stop. Ruled out: refusing every second call, which breaks targets that make two. Change: a run keeps its calls by key, or by URL and body without a key; a repeat gets the first one's answer, and runs only after a refusal. Before: test_repeat_after_an_unknown_outcome_is_not_run_again needs the table; without it two attempts are made. After: passes.

--- a/kumquatwalk/node/once.py
+++ b/kumquatwalk/node/once.py
@@ -1,7 +1,6 @@
 """Outside requests that must run at most once."""
 
 import functools
-import hashlib
 import time
 from collections.abc import Callable
 from typing import Any
@@ -29,9 +28,11 @@
 from kumquatwalk.link.pool import LinkPool
 from kumquatwalk.link.reply import Reply
 from kumquatwalk.node.copies import answer_copy
+from kumquatwalk.node.refusal import INTERNAL_ERROR
 from kumquatwalk.node.refusal import fail_unknown
 from kumquatwalk.node.refusal import refuse
 from kumquatwalk.node.requests import OutsideRequests
+from kumquatwalk.node.requests import digest_request
 
 __all__ = ["OnceRequests"]
 
@@ -109,7 +110,7 @@
         entry = self._requests.find_entry(request)
         if entry is None:
             return refuse(codes.ENTRY_UNKNOWN)
-        fingerprint = _make_fingerprint(request)
+        fingerprint = digest_request(request)
         if forward.ticket:
             check = self._issuer.check(forward.ticket, now)
             if isinstance(check, ForeignTicket):
@@ -139,7 +140,7 @@
         key = check.ticket.nonce.hex()
         result = self._table.begin(
             key,
-            _make_fingerprint(request),
+            digest_request(request),
             check.ticket.issued_at,
             time.monotonic(),
         )
@@ -149,7 +150,7 @@
     def _serve_key(
         self, key: str, request: HttpRequest, entry: Entry, deadline: float
     ) -> Reply:
-        fingerprint = _make_fingerprint(request)
+        fingerprint = digest_request(request)
         now = time.monotonic()
         result = self._table.begin(key, fingerprint, None, now)
         run = functools.partial(self._run_claimed, key, result)
@@ -167,7 +168,7 @@
             return refuse(codes.CLAIM_UNAVAILABLE)
         claim = self._keeper.claim(
             key,
-            _make_fingerprint(request),
+            digest_request(request),
             begun.claim_id,
             entry.importance,
             deadline,
@@ -196,7 +197,7 @@
     ) -> Reply:
         if not isinstance(result, begin_result.RunNow):
             return answer_copy(result, deadline, time.monotonic())
-        reply = fail_unknown("internal_error")
+        reply = INTERNAL_ERROR
         try:
             reply = run(request, entry, deadline)
         finally:
@@ -215,12 +216,6 @@
         return reply
 
 
-def _make_fingerprint(request: HttpRequest) -> bytes:
-    digest = hashlib.sha256(request.method.encode() + b"\0" + request.url)
-    digest.update(b"\0" + request.body)
-    return digest.digest()
-
-
 def _find_ticket_owner(ticket: Ticket) -> Peer:
     return Peer(ticket.node_id, ticket.host, ticket.link_port)
 
--- a/kumquatwalk/node/requests.py
+++ b/kumquatwalk/node/requests.py
@@ -16,7 +16,13 @@
 from kumquatwalk.retry.share import CallTokens
 from kumquatwalk.retry.tokens import TokenPool
 
-__all__ = ["OutsideRequests", "find_entry", "make_priority", "read_timeout_s"]
+__all__ = [
+    "OutsideRequests",
+    "digest_request",
+    "find_entry",
+    "make_priority",
+    "read_timeout_s",
+]
 
 _REQUEST_ID_BYTES = 16
 _TIMEOUT_HEADER = b"Kumquat-Timeout-Ms"
@@ -92,6 +98,13 @@
     return entry.importance * _HASH_VALUES + digest[0]
 
 
+def digest_request(request: HttpRequest) -> bytes:
+    """Return a digest of method, URL and body, which a repeat shares."""
+    digest = hashlib.sha256(request.method.encode() + b"\0" + request.url)
+    digest.update(b"\0" + request.body)
+    return digest.digest()
+
+
 def find_entry(replica: CatalogueReplica, path: bytes) -> Entry | None:
     """Return the entry that a path names; None when there is none."""
     name = path[1:].partition(b"/")[0].decode("latin-1")
--- a/kumquatwalk/node/run.py
+++ b/kumquatwalk/node/run.py
@@ -1,9 +1,13 @@
 """A run in progress at the target on this VM."""
 
+import functools
 import secrets
 import threading
 
+from kumquatwalk.idempotency.request_table import RequestTable
 from kumquatwalk.link.call import Call
+from kumquatwalk.link.reply import Reply
+from kumquatwalk.link.reply import measure_reply
 from kumquatwalk.retry.tokens import TokenPool
 
 __all__ = ["Run"]
@@ -31,6 +35,11 @@
         self._children_since = 0.0
         self._children_s = 0.0
 
+    @functools.cached_property
+    def once(self) -> RequestTable[Reply]:
+        """The run's own calls that are not idempotent."""
+        return RequestTable(measure_reply)
+
     def begin_child(self, now: float) -> None:
         """Record that the run waits for a call of its own."""
         with self._lock:
--- a/kumquatwalk/node/run_calls.py
+++ b/kumquatwalk/node/run_calls.py
@@ -6,10 +6,14 @@
 from kumquatwalk.catalogue.replica import CatalogueReplica
 from kumquatwalk.gateway.headers import list_forwarded
 from kumquatwalk.gateway.request import HttpRequest
+from kumquatwalk.idempotency.begin_result import RunNow
 from kumquatwalk.link.reply import Reply
+from kumquatwalk.node.copies import answer_copy
 from kumquatwalk.node.entry import EntrySide
 from kumquatwalk.node.intent import CallIntent
+from kumquatwalk.node.refusal import INTERNAL_ERROR
 from kumquatwalk.node.refusal import refuse
+from kumquatwalk.node.requests import digest_request
 from kumquatwalk.node.requests import find_entry
 from kumquatwalk.node.requests import read_timeout_s
 from kumquatwalk.node.run import Run
@@ -19,6 +23,7 @@
 __all__ = ["RunCalls"]
 
 _CONTEXT_HEADER = b"Kumquat-Context"
+_KEY_HEADER = b"Idempotency-Key"
 _DEPTH_MAX = 32
 
 
@@ -81,4 +86,30 @@
             tokens=CallTokens(run.tokens),
             protected=run.call.protected,
         )
-        return self._entry_side.make_call(intent)
+        if entry.idempotent:
+            return self._entry_side.make_call(intent)
+        return self._call_once(request, run, intent)
+
+    def _call_once(
+        self, request: HttpRequest, run: Run, intent: CallIntent
+    ) -> Reply:
+        """Make a call that is not idempotent, once for its run.
+
+        A repeat by the target gets the answer of the first call: one with the
+        same key, or without a key one with the same URL and body.
+        """
+        fingerprint = digest_request(request)
+        key = request.headers.get(_KEY_HEADER, fingerprint).hex()
+        name = f"{intent.entry.name} {key}"
+        now = time.monotonic()
+        result = run.once.begin(name, fingerprint, None, now)
+        if not isinstance(result, RunNow):
+            intent.tokens.close()
+            return answer_copy(result, intent.deadline, now)
+        reply = INTERNAL_ERROR
+        try:
+            reply = self._entry_side.make_call(intent)
+        finally:
+            ended = time.monotonic()
+            run.once.finish(name, reply, reply.outcome, ended, result.claim_id)
+        return reply
