Weigh sparse replies fully and let the level drain a backlog

Change: a reply counts for more the longer there was none; the level aims at the capacity less a small share of the backlog, at least 0.9 of the capacity.

--- a/kumquatwalk/admission/level.py
+++ b/kumquatwalk/admission/level.py
@@ -15,7 +15,9 @@
 LEAST_OFFERS = 0.001
 FIRST_STEP = 8
 LARGEST_STEP = 256
-TARGET_LOAD = 1.05
+TARGET_LOAD = 1.0
+LEAST_LOAD = 0.9
+DRAIN_SHARE = 0.05
 LEAST_UTILIZATION = 0.05
 
 
@@ -24,8 +26,9 @@
 
     The rule follows DAGOR (Zhou et al., "Overload Control for Scaling WeChat
     Microservices", SoCC 2018): a histogram of the priorities offered gives the
-    level at which the volume admitted equals the capacity. The capacity is the
-    volume started over the utilization. Priorities that callers already hold
+    level at which the volume admitted equals the capacity less a share of the
+    calls that wait, so that a backlog drains. The capacity is the volume
+    started over the utilization. Priorities that callers already hold
     back do not show in the histogram; towards these the level rises in steps
     that double, unless calls wait too long. The level tells callers what to
     hold back; the gate itself goes by the order of its queue.
@@ -68,20 +71,26 @@
         return now >= self._window_end
 
     def close_window(
-        self, utilization: float, is_overloaded: bool, now: float
+        self,
+        utilization: float,
+        is_overloaded: bool,
+        queued: int,
+        now: float,
     ) -> None:
         """Set the level from the window that has ended and begin a new one.
 
         Args:
             utilization: Share of the concurrency limit used in the window.
             is_overloaded: Whether calls waited too long in the window.
+            queued: Calls that wait.
             now: Present time.
         """
         windows = 1 + int((now - self._window_end) / WINDOW_S)
         weight = self._get_weight(windows)
         utilization = max(LEAST_UTILIZATION, utilization)
         self._capacity += self._starts / utilization
-        self._set_level(is_overloaded, windows)
+        backlog = queued * DRAIN_SHARE / (1.0 - weight)
+        self._set_level(is_overloaded, backlog, windows)
         self._begin_window(weight, now)
 
     def _get_weight(self, windows: int) -> float:
@@ -89,9 +98,12 @@
         weight = MANY_OFFERS_WEIGHT if many else FEW_OFFERS_WEIGHT
         return weight**windows
 
-    def _set_level(self, is_overloaded: bool, windows: int) -> None:
+    def _set_level(
+        self, is_overloaded: bool, backlog: float, windows: int
+    ) -> None:
         volumes = list(itertools.accumulate(self._offers))
-        wanted = self._capacity * TARGET_LOAD
+        least = self._capacity * LEAST_LOAD
+        wanted = max(least, self._capacity * TARGET_LOAD - backlog)
         if wanted < volumes[-1]:
             self._step = FIRST_STEP
             self.value = max(0, bisect.bisect_right(volumes, wanted) - 1)
--- a/kumquatwalk/admission/state.py
+++ b/kumquatwalk/admission/state.py
@@ -219,7 +219,9 @@
 
     def _close_window(self, now: float) -> None:
         self._use.note(len(self._running), self._limit.value, now)
-        self._level.close_window(self._use.take(), self._is_overloaded, now)
+        self._level.close_window(
+            self._use.take(), self._is_overloaded, len(self._queue), now
+        )
         self._is_overloaded = False
 
     def _get_target_wait(self) -> float:
--- a/kumquatwalk/routing/levels.py
+++ b/kumquatwalk/routing/levels.py
@@ -10,7 +10,8 @@
 __all__ = ["EntryLevels"]
 
 
-REPLY_WEIGHT = 0.2
+LEAST_WEIGHT = 0.2
+FULL_WEIGHT_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,7 +19,8 @@
     """Level seen on the replies of one entry.
 
     Attributes:
-        level: Moving average over the replies, which come from many gates.
+        level: Moving average over the replies, which come from many gates; a
+            reply counts for more the longer there was none.
         at: Time of the latest reply.
     """
 
@@ -55,7 +57,8 @@
             return
         with self._lock:
             before = self.get_level(entry, now)
-            average = before + REPLY_WEIGHT * (level - before)
+            weight = self._get_weight(entry, now)
+            average = before + weight * (level - before)
             self._seen[entry] = SeenLevel(average, now)
 
     def get_level(self, entry: str, now: float) -> int:
@@ -73,6 +76,11 @@
             return FULL_LEVEL
         return decay_level(round(seen.level), now - seen.at)
 
+    def _get_weight(self, entry: str, now: float) -> float:
+        seen = self._seen.get(entry)
+        age_s = now - seen.at if seen else FULL_WEIGHT_S
+        return min(1.0, max(LEAST_WEIGHT, age_s / FULL_WEIGHT_S))
+
     def combine(self, own_level: int, calls: Iterable[str], now: float) -> int:
         """Return the effective level to put on a reply.
 
