--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -69,6 +69,7 @@
 _FRAME_OVERHEAD_BYTES = 65536
 _CLAIMS_PER_S = 20.0
 _CLAIM_BURST = 40.0
+_ALONE_S = 2.0
 _MS = 1000
 
 
@@ -85,6 +86,7 @@
         load_schema()
         self.settings = settings
         now = time.monotonic()
+        self._started_at = now
         incarnation = int(time.time() * _MS)
         identity = Identity(settings.node_id, incarnation, settings.host)
         payload_max = settings.body_bytes_max + _FRAME_OVERHEAD_BYTES
@@ -211,6 +213,11 @@
         )
 
     def _is_representative(self) -> bool:
+        # A node that has just started knows nobody and would take itself for
+        # its zone's representative.
+        age_s = time.monotonic() - self._started_at
+        if age_s < _ALONE_S and not self.membership.wait_joined(0.0):
+            return False
         members = self.membership.snapshot().members.values()
         chosen = choose_representatives(members, self.settings.zone)
         return any(m.node_id == self.settings.node_id for m in chosen)
