Share levels among entries of one chain and probe with one request

Change: entries that pass the same services share a level, and while replies are missing one request in half a second probes. The entry side asks admits() and passes the depth to the choice of targets.

--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -92,7 +92,7 @@
         self._meters = NodeMeters(self.registry)
         self.partition = Partition()
         self.replica = CatalogueReplica()
-        self._levels = EntryLevels()
+        self._levels = EntryLevels(lambda: self.replica.current().entries)
         self.routes = RouteTable(settings.zone, random.Random())
         self.links = LinkPool(identity, self.partition, payload_max)
         self.admission = AdmissionGate(now)
--- a/kumquatwalk/node/entry.py
+++ b/kumquatwalk/node/entry.py
@@ -85,7 +85,9 @@
             return refuse(codes.OVERLOADED)
         service = intent.entry.service
         excluded: frozenset[str] = frozenset()
-        choice = self._routes.choose(service, intent.priority, now)
+        choice = self._routes.choose(
+            service, intent.priority, now, depth=intent.depth
+        )
         if choice.target is None:
             return refuse(choice.code)
         attempts = 0
@@ -101,7 +103,7 @@
             may_have_run = may_have_run or reply.outcome is Outcome.UNKNOWN
             excluded |= {view.node_id}
             choice = self._routes.choose(
-                service, intent.priority, now, excluded
+                service, intent.priority, now, excluded, intent.depth
             )
             has_other_target = choice.target is not None
             if not self._retries(
@@ -110,8 +112,7 @@
                 return fail_unknown(reply.code) if may_have_run else reply
 
     def _is_overloaded(self, intent: CallIntent, now: float) -> bool:
-        level = self._levels.get_level(intent.entry.name, now)
-        return intent.priority > level
+        return not self._levels.admits(intent.entry.name, intent.priority, now)
 
     def _retries(
         self,
--- a/kumquatwalk/routing/tests/test_routing.py
+++ b/kumquatwalk/routing/tests/test_routing.py
@@ -4,6 +4,9 @@
 import unittest
 
 from kumquatwalk import codes
+from kumquatwalk.catalogue.entry import Entry
+from kumquatwalk.catalogue.importance import Importance
+from kumquatwalk.catalogue.limits import Limits
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetInfo
@@ -107,6 +110,38 @@
 class EntryLevelsTest(unittest.TestCase):
     """Levels that replies carry."""
 
+    def make_levels(self):
+        """Return levels of two entries of one chain and one of another."""
+        limits = Limits(1, 1.0, 0, 1000)
+        entries = {
+            name: Entry(
+                name, "o", service, Importance.NORMAL, True, limits, calls
+            )
+            for name, service, calls in (
+                ("pay", "front", ("charge",)),
+                ("browse", "front", ("look",)),
+                ("charge", "deep", ()),
+                ("look", "deep", ()),
+                ("help", "front", ()),
+            )
+        }
+        return EntryLevels(lambda: entries)
+
+    def test_entries_with_the_same_services_share_a_level(self):
+        levels = self.make_levels()
+        levels.note_reply("pay", 300, 0.0)
+        self.assertTrue(levels.admits("browse", 300, 0.0))
+        self.assertFalse(levels.admits("browse", 900, 0.0))
+        self.assertTrue(levels.admits("help", 900, 0.0))
+
+    def test_one_request_at_a_time_probes_after_silence(self):
+        levels = self.make_levels()
+        levels.note_reply("pay", 300, 0.0)
+        admitted = [levels.admits("browse", 900, 2.0) for _ in range(3)]
+        self.assertEqual(admitted, [True, False, False])
+        levels.note_reply("browse", 1023, 2.1)
+        self.assertTrue(levels.admits("browse", 900, 2.1))
+
     def test_lowest_level_of_the_chain_reaches_the_front(self):
         levels = EntryLevels()
         for _ in range(50):
