--- a/kumquatwalk/link/stream.py
+++ b/kumquatwalk/link/stream.py
@@ -29,11 +29,16 @@
     )
 
 
-def has_input(sock: socket.socket) -> bool:
-    """Return whether bytes or the peer's close wait at an idle socket."""
+def has_input(sock: socket.socket, wait_ms: int = 0) -> bool:
+    """Return whether bytes or the peer's close arrive at an idle socket.
+
+    Args:
+        sock: The socket.
+        wait_ms: Longest wait in milliseconds.
+    """
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    return bool(poll.poll(wait_ms))
 
 
 class FrameStream:
--- a/kumquatwalk/node/requests.py
+++ b/kumquatwalk/node/requests.py
@@ -75,17 +75,12 @@
             priority=make_priority(entry, request_id),
             depth=0,
             deadline=deadline,
-            tokens=CallTokens(_make_pool(entry)),
+            tokens=CallTokens(TokenPool(entry.limits.retries)),
             protected=not entry.idempotent,
         )
         return self._entry_side.make_call(intent)
 
 
-def _make_pool(entry: Entry) -> TokenPool:
-    # A call takes half of a pool, rounded up; the root call gets all.
-    return TokenPool(max(2 * entry.limits.retries - 1, 0))
-
-
 def make_priority(entry: Entry, request_id: bytes) -> int:
     """Return the priority of a request, 0 to 1023; lower is more important.
 
