--- a/kumquatwalk/gateway/target.py
+++ b/kumquatwalk/gateway/target.py
@@ -16,6 +16,7 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _IDLE_MAX_S = 5.0
+_PROBE_HOLD_MS = 50
 _READ_BYTES = 65536
 _SHED_STATUS = 503
 
@@ -110,12 +111,17 @@
         )
 
     def probe(self) -> bool:
-        """Return whether the target takes a new connection."""
+        """Return whether the target takes a new connection and keeps it.
+
+        A target that is dying may still take one before its listener closes.
+        """
         try:
-            self._open().close()
+            sock = self._open()
         except LinkError:
             return False
-        return True
+        is_closed = has_input(sock, _PROBE_HOLD_MS)
+        sock.close()
+        return not is_closed
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/kumquatwalk/link/connection.py
+++ b/kumquatwalk/link/connection.py
@@ -49,27 +49,27 @@
         self._partition = partition
         self._clock_offset_us = welcome.clock_us - int(now * _US)
 
-    def estimate_peer_clock(self, now: float) -> int:
-        """Return the peer's clock, microseconds; never ahead of the truth.
+    def estimate_peer_clock(self, at: float) -> int:
+        """Return the peer's clock at a time, microseconds; never ahead of it.
 
         The offset was taken when the peer's answer had arrived, so it errs by
         the time that the answer travelled.
         """
-        return int(now * _US) + self._clock_offset_us
+        return int(at * _US) + self._clock_offset_us
 
-    def call(self, call: Call, remaining_us: int, now: float) -> Any:
+    def call(self, call: Call, remaining_us: int, sent_at: float) -> Any:
         """Send an attempt and wait for its reply.
 
         Args:
             call: The attempt.
-            remaining_us: Time left for it, microseconds.
-            now: Present time.
+            remaining_us: Time left for it when it was first sent, microseconds.
+            sent_at: When it was first sent, by this node's clock.
 
         Raises:
             TimeoutError: As ``exchange``.
             LinkError: As ``exchange``.
         """
-        sent_at_us = max(self.estimate_peer_clock(now), 0)
+        sent_at_us = max(self.estimate_peer_clock(sent_at), 0)
         frame = encode_call(call, max(remaining_us, 0), sent_at_us)
         return self._exchange(frame)
 
--- a/kumquatwalk/link/pool.py
+++ b/kumquatwalk/link/pool.py
@@ -42,7 +42,8 @@
 
         A link that falls silent or fails after sending is replaced, and the
         same attempt is sent again: the gate attaches it to its first run. So
-        a resend never runs a call twice.
+        a resend never runs a call twice. Each copy carries the time of the
+        first, so that the gate can tell one that outlived its record.
 
         Args:
             peer: Node of the chosen target.
@@ -58,8 +59,10 @@
         """
         link = self._take(peer)
         incarnation = link.incarnation
+        sent_at = time.monotonic()
+        remaining_us = int((deadline - sent_at) * _US)
         while True:
-            reply = self._try_exchange(link, call, deadline)
+            reply = self._try_exchange(link, call, remaining_us, sent_at)
             if reply is not None:
                 return reply
             link = self._reconnect(peer, call, deadline)
@@ -113,12 +116,14 @@
             time.sleep(_RECONNECT_PAUSE_S)
 
     def _try_exchange(
-        self, link: LinkConnection, call: Call, deadline: float
+        self,
+        link: LinkConnection,
+        call: Call,
+        remaining_us: int,
+        sent_at: float,
     ) -> Any:
-        now = time.monotonic()
-        remaining_us = int((deadline - now) * _US)
         try:
-            reply = link.call(call, remaining_us, now)
+            reply = link.call(call, remaining_us, sent_at)
         except (TimeoutError, LinkError):
             self._discard(link)
             return None
--- a/kumquatwalk/link/tests/test_pool.py
+++ b/kumquatwalk/link/tests/test_pool.py
@@ -8,6 +8,7 @@
 from kumquatwalk.exception import FrameError
 from kumquatwalk.exception import LinkError
 from kumquatwalk.link.call import Call
+from kumquatwalk.link.connection import SILENCE_TIMEOUT_S
 from kumquatwalk.link.identity import Identity
 from kumquatwalk.link.partition import Partition
 from kumquatwalk.link.peer import Peer
@@ -103,6 +104,25 @@
             {call.attempt_id for call in self.received}, {CALL.attempt_id}
         )
 
+    def test_resent_attempt_keeps_the_time_of_its_first_sending(self):
+        self._call()
+        cut = threading.Timer(
+            0.1, self.server_partition.set_prefixes, (("127.0.0.1",),)
+        )
+        heal = threading.Timer(1.5, self.server_partition.set_prefixes, ((),))
+        self.release.clear()
+        let_go = threading.Timer(0.3, self.release.set)
+        for timer in (cut, let_go, heal):
+            timer.start()
+            self.addCleanup(timer.cancel)
+        self._call()
+        _, first, *copies = self.received
+        self.assertTrue(copies)
+        for copy in copies:
+            later_us = copy.sent_at_us - first.sent_at_us
+            self.assertLess(later_us, SILENCE_TIMEOUT_S * 1_000_000)
+            self.assertEqual(copy.remaining_us, first.remaining_us)
+
     def test_long_call_is_kept_alive_by_heartbeats(self):
         self.release.clear()
         timer = threading.Timer(2.0, self.release.set)
--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -29,15 +29,13 @@
 from kumquatwalk.link.reply import measure_reply
 from kumquatwalk.link.schema import load_schema
 from kumquatwalk.link.server import LinkServer
-from kumquatwalk.logs import Level
-from kumquatwalk.logs import log_event
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.broadcastkind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.config import MembershipConfig
+from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.rendezvous import Rendezvous
 from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
-from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.node.caller_listener import CallerListener
@@ -49,6 +47,7 @@
 from kumquatwalk.node.meters import NodeMeters
 from kumquatwalk.node.meters import add_state_gauges
 from kumquatwalk.node.once import OnceRequests
+from kumquatwalk.node.rejection import log_rejection
 from kumquatwalk.node.requests import OutsideRequests
 from kumquatwalk.node.run_calls import RunCalls
 from kumquatwalk.node.runner import Runner
@@ -56,6 +55,7 @@
 from kumquatwalk.node.settings import NodeSettings
 from kumquatwalk.node.status import NodeStatus
 from kumquatwalk.node.target_watch import TargetWatch
+from kumquatwalk.node.zone_role import ZoneRole
 from kumquatwalk.platform.client import PlatformClient
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.retry.budget import RetryBudget
@@ -92,7 +92,7 @@
         self._meters = NodeMeters(self.registry)
         self.partition = Partition()
         self.replica = CatalogueReplica()
-        self._levels = EntryLevels()
+        self._levels = EntryLevels(lambda: self.replica.current().entries)
         self.routes = RouteTable(settings.zone, random.Random())
         self.links = LinkPool(identity, self.partition, payload_max)
         self.admission = AdmissionGate(now)
@@ -123,7 +123,7 @@
             identity,
             settings.link_port,
             self._handle_link,
-            _log_bad_frame,
+            log_rejection,
             self.partition,
             payload_max,
             settings.link_connections_max,
@@ -132,6 +132,9 @@
         self.sync = CatalogueSync(self.replica, self.membership, self.links)
         self._client = self._make_client()
         self._once = self._make_once(identity)
+        self._role = ZoneRole(
+            settings.node_id, settings.zone, self.membership, now
+        )
         self.watcher = self._make_watcher()
         self.rendezvous = self._make_rendezvous()
         self._caller_workers = WorkerPool("caller", settings.workers_max)
@@ -205,16 +208,11 @@
         return CatalogueWatcher(
             self._client,
             self.replica,
-            self._is_representative,
+            self._role.is_representative,
             self.sync.spread,
             self.sync.report,
         )
 
-    def _is_representative(self) -> bool:
-        members = self.membership.snapshot().members.values()
-        chosen = choose_representatives(members, self.settings.zone)
-        return any(m.node_id == self.settings.node_id for m in chosen)
-
     def _make_rendezvous(self) -> Rendezvous | None:
         if self._client is None:
             return None
@@ -241,6 +239,7 @@
         )
         return OnceRequests(
             identity,
+            self._find_member,
             self._requests,
             self._issuer,
             RequestTable(measure_reply),
@@ -248,6 +247,9 @@
             self.links,
         )
 
+    def _find_member(self, node_id: str) -> Member | None:
+        return self.membership.snapshot().get(node_id)
+
     def _make_caller_server(self) -> HttpServer:
         settings = self.settings
         listener = CallerListener(
@@ -286,13 +288,3 @@
             settings.body_bytes_max,
             settings.header_bytes_max,
         )
-
-
-def _log_bad_frame(host: str, error: FrameError) -> None:
-    log_event(
-        "frame_rejected",
-        Level.WARNING,
-        peer=host,
-        code=error.code,
-        error=error.message,
-    )
--- a/kumquatwalk/node/once.py
+++ b/kumquatwalk/node/once.py
@@ -17,7 +17,6 @@
 from kumquatwalk.idempotency.claim_keeper import ClaimKeeper
 from kumquatwalk.idempotency.claim_keeper import ClaimUnavailable
 from kumquatwalk.idempotency.request_table import RequestTable
-from kumquatwalk.idempotency.ticket import Ticket
 from kumquatwalk.idempotency.ticket_issuer import ExpiredTicket
 from kumquatwalk.idempotency.ticket_issuer import ForeignTicket
 from kumquatwalk.idempotency.ticket_issuer import OwnTicket
@@ -27,6 +26,7 @@
 from kumquatwalk.link.peer import Peer
 from kumquatwalk.link.pool import LinkPool
 from kumquatwalk.link.reply import Reply
+from kumquatwalk.membership.member import Member
 from kumquatwalk.node.copies import answer_copy
 from kumquatwalk.node.refusal import INTERNAL_ERROR
 from kumquatwalk.node.refusal import fail_unknown
@@ -51,6 +51,7 @@
 
     Args:
         identity: This node.
+        find_member: Returns the member of a name; None when not known.
         requests: Runs a request as the root of a chain.
         issuer: Issues and checks tickets.
         table: Requests that this node owns.
@@ -61,6 +62,7 @@
     def __init__(
         self,
         identity: Identity,
+        find_member: Callable[[str], Member | None],
         requests: OutsideRequests,
         issuer: TicketIssuer,
         table: RequestTable[Reply],
@@ -68,6 +70,7 @@
         links: LinkPool,
     ):
         self._identity = identity
+        self._find_member = find_member
         self._requests = requests
         self._issuer = issuer
         self._table = table
@@ -127,8 +130,12 @@
         check = self._issuer.check(text, time.monotonic())
         if not isinstance(check, ForeignTicket):
             return self._take_ticket(check, request, entry, deadline)
+        owner = self._find_member(check.ticket.node_id)
+        if owner is None or owner.incarnation != check.ticket.incarnation:
+            return fail_unknown("owner_unreachable")
+        peer = Peer(owner.node_id, owner.host, owner.link_port)
         forward = _make_forward(request, deadline, ticket=text)
-        return self._pass_on(_find_ticket_owner(check.ticket), forward)
+        return self._pass_on(peer, forward)
 
     def _take_ticket(
         self, check: Any, request: HttpRequest, entry: Entry, deadline: float
@@ -216,10 +223,6 @@
         return reply
 
 
-def _find_ticket_owner(ticket: Ticket) -> Peer:
-    return Peer(ticket.node_id, ticket.host, ticket.link_port)
-
-
 def _make_forward(
     request: HttpRequest,
     deadline: float,
