Answer a fault of ours as unknown; drop the setting that did nothing

Causes: a reply that cannot be encoded broke the link, and the entry node sent the attempt again and again; the setting control was read and never used. Before: test_reply_that_cannot_be_encoded_is_unknown hung on resends. After: passes.

--- a/kumquatwalk/link/server.py
+++ b/kumquatwalk/link/server.py
@@ -8,15 +8,20 @@
 
 from kumquatwalk.exception import FrameError
 from kumquatwalk.exception import LinkError
+from kumquatwalk.link.codec import encode_message
 from kumquatwalk.link.hello import Hello
 from kumquatwalk.link.hello import PROTOCOL_VERSION
 from kumquatwalk.link.identity import Identity
 from kumquatwalk.link.partition import Partition
+from kumquatwalk.link.reply import Reply
 from kumquatwalk.link.session import Session
 from kumquatwalk.link.session import read_clock_us
 from kumquatwalk.link.stream import FrameStream
 from kumquatwalk.link.stream import tune_socket
 from kumquatwalk.link.welcome import Welcome
+from kumquatwalk.logs import Level
+from kumquatwalk.logs import log_event
+from kumquatwalk.outcome import Outcome
 
 __all__ = ["LinkServer"]
 
@@ -24,6 +29,7 @@
 _HELLO_TIMEOUT_S = 2.0
 _BACKLOG = 512
 _DRAIN_POLL_S = 0.01
+_FAULT = Reply(Outcome.UNKNOWN, "internal_error", 504)
 
 
 class LinkServer:
@@ -166,10 +172,20 @@
             if self._partition.blocks(session.peer_host):
                 continue
             session.begin(time.monotonic())
-            reply = self._handler(message)
+            frame = self._make_reply(message)
             if self._partition.blocks(session.peer_host):
                 continue
-            session.reply(reply)
+            session.reply(frame)
+
+    def _make_reply(self, message: Any) -> bytes:
+        """Return the encoded reply; a fault of ours is answered as unknown."""
+        try:
+            return encode_message(self._handler(message))
+        except FrameError:
+            raise
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            log_event("handler_failed", Level.ERROR, error=repr(error))
+            return encode_message(_FAULT)
 
     def _beat(self) -> None:
         while not self._is_closed.wait(_HEARTBEAT_S):
--- a/kumquatwalk/link/session.py
+++ b/kumquatwalk/link/session.py
@@ -33,11 +33,11 @@
         """Mark the start of an exchange."""
         self._busy_since = now
 
-    def reply(self, message: Any) -> None:
-        """Send the reply and mark the end of the exchange."""
+    def reply(self, frame: bytes) -> None:
+        """Send the encoded reply and mark the end of the exchange."""
         with self._lock:
             self._busy_since = None
-            self._stream.send(message)
+            self._stream.send_frame(frame)
 
     def beat(self, now: float, after_s: float) -> None:
         """Send a heartbeat when the exchange has lasted for ``after_s``."""
--- a/kumquatwalk/link/tests/test_pool.py
+++ b/kumquatwalk/link/tests/test_pool.py
@@ -41,6 +41,7 @@
     def setUp(self):
         self.errors: list[FrameError] = []
         self.received: list[Call] = []
+        self.reply_status = 200
         self.release = threading.Event()
         self.release.set()
         self.server_partition = Partition()
@@ -69,7 +70,7 @@
     def _handle(self, message: Call) -> Reply:
         self.received.append(message)
         self.release.wait(FAR_S)
-        return Reply(Outcome.DONE, "", 200, body=message.body)
+        return Reply(Outcome.DONE, "", self.reply_status, body=message.body)
 
     def _call(self, call: Call = CALL) -> Reply:
         return self.pool.call(self.peer, call, time.monotonic() + FAR_S)
@@ -143,6 +144,13 @@
             self._call()
         self.assertFalse(caught.exception.sent)
 
+    def test_reply_that_cannot_be_encoded_is_unknown(self):
+        self.reply_status = -1
+        reply = self._call()
+        self.assertIs(reply.outcome, Outcome.UNKNOWN)
+        self.assertEqual(reply.code, "internal_error")
+        self.assertEqual(len(self.received), 1)
+
     def test_restarted_peer_does_not_get_the_attempt_again(self):
         self.release.clear()
         failures = []
--- a/kumquatwalk/node/settings.py
+++ b/kumquatwalk/node/settings.py
@@ -1,23 +1,11 @@
 """Settings of a node, checked before anything is started."""
 
 import dataclasses
-import enum
 
 from kumquatwalk.logs.level import Level
 from kumquatwalk.node.address import Address
 
-__all__ = ["ControlMode", "NodeSettings"]
-
-
-class ControlMode(enum.Enum):
-    """Overload control applied by the node.
-
-    ``STATIC`` and ``OFF`` are baselines for measurements.
-    """
-
-    FULL = "full"
-    STATIC = "static"
-    OFF = "off"
+__all__ = ["NodeSettings"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,7 +34,6 @@
         header_bytes_max: Largest header section, in bytes.
         log_level: Lowest level that is logged.
         enable_faults: Whether faults can be injected for tests.
-        control: Overload control applied.
     """
 
     node_id: str
@@ -67,4 +54,3 @@
     header_bytes_max: int
     log_level: Level
     enable_faults: bool
-    control: ControlMode
--- a/kumquatwalk/node/settings_spec.py
+++ b/kumquatwalk/node/settings_spec.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from kumquatwalk.logs.level import Level
-from kumquatwalk.node.settings import ControlMode
 from kumquatwalk.node.settings_kinds import PORT_MAX
 from kumquatwalk.node.settings_kinds import AddressListKind
 from kumquatwalk.node.settings_kinds import ChoiceKind
@@ -127,10 +126,4 @@
         "false",
         "Allow faults to be injected; for tests only.",
     ),
-    SettingSpec(
-        "control",
-        ChoiceKind(ControlMode),
-        "full",
-        "Overload control; static and off are baselines.",
-    ),
 )
--- a/kumquatwalk/node/tests/test_settings.py
+++ b/kumquatwalk/node/tests/test_settings.py
@@ -13,7 +13,6 @@
 from kumquatwalk.logs import Level
 from kumquatwalk.node.address import Address
 from kumquatwalk.node.options import node_options
-from kumquatwalk.node.settings import ControlMode
 from kumquatwalk.node.settings import NodeSettings
 from kumquatwalk.node.settings_check import check_settings
 from kumquatwalk.node.settings_check import find_unknown_variables
@@ -34,7 +33,7 @@
     "body_bytes_max": ("-1",),
     "log_level": ("loud",),
     "enable_faults": ("maybe",),
-    "control": ("half",),
+    "zones": ("z1,,z2", "z1,", "é", "z" * 33, ",".join(["z"] * 65)),
 }
 
 
@@ -59,7 +58,7 @@
                 "platform": "127.0.0.1:9, [::1]:10",
                 "log_level": "DEBUG",
                 "enable_faults": "true",
-                "control": "static",
+                "zones": "z1,z2",
             }
         )
         self.assertEqual((checked.http_port, checked.local_port), (0, 8081))
@@ -67,7 +66,7 @@
         self.assertEqual(checked.platform, platform)
         self.assertIs(checked.log_level, Level.DEBUG)
         self.assertIs(checked.enable_faults, True)
-        self.assertIs(checked.control, ControlMode.STATIC)
+        self.assertEqual(checked.zones, ("z1", "z2"))
 
     def test_bad_value_names_setting_value_and_range(self):
         for name, texts in _BAD.items():
