--- a/kumquatwalk/node/tests/test_process.py
+++ b/kumquatwalk/node/tests/test_process.py
@@ -50,9 +50,14 @@
 
     def test_nodes_find_each_other_through_the_platform(self):
         for node_id in ("vm1", "vm2"):
-            rows = self.fleet.read_members(node_id)
-            alive = {r["node_id"] for r in rows if r["state"] == "alive"}
-            self.assertEqual(alive, {"vm1", "vm2"})
+            wait_until(
+                lambda n=node_id: self._list_alive(n) == {"vm1", "vm2"},
+                f"{node_id} to hold both nodes to be alive",
+            )
+
+    def _list_alive(self, node_id: str) -> set[str]:
+        rows = self.fleet.read_members(node_id)
+        return {row["node_id"] for row in rows if row["state"] == "alive"}
 
     def test_outside_caller_cannot_pass_for_a_run(self):
         headers = {"Kumquat-Context": "a" * 32}
