--- a/kumquatwalk/admission/state.py
+++ b/kumquatwalk/admission/state.py
@@ -1,7 +1,5 @@
 """Admission of calls at one target: a pure state machine."""
 
-import dataclasses
-
 from kumquatwalk import codes
 from kumquatwalk.admission.call import AdmissionCall
 from kumquatwalk.admission.call import order_key
@@ -13,8 +11,10 @@
 from kumquatwalk.admission.notice import Refused
 from kumquatwalk.admission.queue import QueuedCall
 from kumquatwalk.admission.queue import WaitingQueue
+from kumquatwalk.admission.running import RunningCall
 from kumquatwalk.admission.sample import RunSample
 from kumquatwalk.admission.usage import EntryUsage
+from kumquatwalk.admission.renewal import is_new_target
 from kumquatwalk.admission.utilization import Utilization
 from kumquatwalk.catalogue.entry import Entry
 from kumquatwalk.membership.member import TargetInfo
@@ -34,19 +34,6 @@
 SHORTEST_QUEUE = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunningCall:
-    """A call that runs.
-
-    Attributes:
-        call: The call.
-        started_at: Time of admission.
-    """
-
-    call: AdmissionCall
-    started_at: float
-
-
 class AdmissionState:
     """Decides which calls run at the target, and which are refused.
 
@@ -119,10 +106,12 @@
         before = self._target
         self._target = info
         if info.state is TargetState.ABSENT:
-            return self._close(codes.TARGET_ABSENT)
+            self._closed_code = codes.TARGET_ABSENT
+            return self._refuse_all(codes.TARGET_ABSENT)
         if info.state is TargetState.DRAINING:
-            return self._close(codes.TARGET_LEAVING)
-        if _is_new_target(before.state, info.state):
+            self._closed_code = codes.TARGET_LEAVING
+            return self._refuse_all(codes.TARGET_LEAVING)
+        if is_new_target(before.state, info.state):
             is_cold = info.state is TargetState.WARMING
             self._limit.restart(info.slots, info.connections, is_cold)
         self._closed_code = ""
@@ -302,19 +291,9 @@
             bound_s *= DEEP_WAIT_FACTOR
         return now - queued.queued_at > bound_s
 
-    def _close(self, code: str) -> list[Notice]:
-        self._closed_code = code
-        return self._refuse_all(code)
-
     def _refuse_all(self, code: str) -> list[Notice]:
         return _refuse(self._queue.remove_where(lambda _: True), code)
 
 
 def _refuse(queued: list[QueuedCall], code: str) -> list[Notice]:
     return [Refused(q.call.call_id, code) for q in queued]
-
-
-def _is_new_target(before: TargetState, after: TargetState) -> bool:
-    if before in (TargetState.ABSENT, TargetState.DRAINING):
-        return True
-    return before is TargetState.READY and after is TargetState.WARMING
--- a/kumquatwalk/link/codec.py
+++ b/kumquatwalk/link/codec.py
@@ -24,12 +24,10 @@
 from kumquatwalk.link.running import Running
 from kumquatwalk.link.schema import load_schema
 from kumquatwalk.link.welcome import Welcome
-from kumquatwalk.outcome import Outcome
 
 __all__ = [
     "HEADER_BYTES",
     "decode_header",
-    "decode_message",
     "encode_call",
     "encode_message",
 ]
@@ -76,31 +74,6 @@
     raise TypeError(f"not a link message: {type(message).__name__}")
 
 
-def decode_message(kind: int, payload: bytes) -> Any:
-    """Return the message of a frame.
-
-    Args:
-        kind: Kind from the header.
-        payload: The whole payload.
-
-    Returns:
-        One of the message types of this package.
-
-    Raises:
-        FrameError: The kind is unknown or the payload is malformed.
-    """
-    decode = _DECODERS.get(kind)
-    if decode is None:
-        raise FrameError("frame_kind_unknown", f"kind {kind}")
-    try:
-        return decode(payload)
-    except FrameError:
-        raise
-    except Exception as error:  # pylint: disable=broad-exception-caught
-        # The library raises several unrelated types on malformed input.
-        raise FrameError("frame_malformed", str(error)) from error
-
-
 def _join(kind: FrameKind, payload: bytes) -> bytes:
     return _HEADER.pack(_MAGIC, kind, len(payload)) + payload
 
@@ -115,13 +88,6 @@
     return _join(FrameKind.HELLO, fields.to_bytes())
 
 
-def _decode_hello(payload: bytes) -> Hello:
-    with load_schema().Hello.from_bytes(payload) as fields:
-        return Hello(
-            fields.nodeId, fields.incarnation, fields.host, fields.protocol
-        )
-
-
 @encode_message.register
 def _encode_welcome(message: Welcome) -> bytes:
     fields = load_schema().Welcome.new_message()
@@ -132,13 +98,6 @@
     return _join(FrameKind.WELCOME, fields.to_bytes())
 
 
-def _decode_welcome(payload: bytes) -> Welcome:
-    with load_schema().Welcome.from_bytes(payload) as fields:
-        return Welcome(
-            fields.nodeId, fields.incarnation, fields.clockUs, fields.protocol
-        )
-
-
 @encode_message.register
 def _encode_call(message: Call) -> bytes:
     return encode_call(message, message.remaining_us, message.sent_at_us)
@@ -172,33 +131,6 @@
     return _join(FrameKind.CALL, fields.to_bytes())
 
 
-def _decode_call(payload: bytes) -> Call:
-    with load_schema().Call.from_bytes(payload) as fields:
-        return Call(
-            attempt_id=_check_id(fields.attemptId),
-            request_id=_check_id(fields.requestId),
-            entry=fields.entry,
-            method=fields.method,
-            url=fields.url,
-            headers=fields.headers,
-            body=fields.body,
-            priority=fields.priority,
-            depth=fields.depth,
-            tokens=fields.tokens,
-            idempotent=fields.idempotent,
-            protected=fields.protected,
-            remaining_us=fields.remainingUs,
-            sent_at_us=fields.sentAtUs,
-            crash_marks=fields.crashMarks,
-        )
-
-
-def _check_id(value: bytes) -> bytes:
-    if len(value) != 16:
-        raise FrameError("frame_malformed", "an identifier is not 16 bytes")
-    return value
-
-
 @encode_message.register
 def _encode_reply(message: Reply) -> bytes:
     fields = load_schema().Reply.new_message()
@@ -217,32 +149,11 @@
     return _join(FrameKind.REPLY, fields.to_bytes())
 
 
-def _decode_reply(payload: bytes) -> Reply:
-    with load_schema().Reply.from_bytes(payload) as fields:
-        return Reply(
-            outcome=Outcome(fields.outcome),
-            code=fields.code,
-            status=fields.status,
-            headers=fields.headers,
-            body=fields.body,
-            tokens=fields.tokens,
-            gate_level=fields.gateLevel,
-            entry_level=fields.entryLevel,
-            queue_us=fields.queueUs,
-            run_us=fields.runUs,
-            crash_mark=fields.crashMark,
-        )
-
-
 @encode_message.register
 def _encode_running(_: Running) -> bytes:
     return _join(FrameKind.RUNNING, b"")
 
 
-def _decode_running(_: bytes) -> Running:
-    return Running()
-
-
 @encode_message.register
 def _encode_forward(message: Forward) -> bytes:
     fields = load_schema().Forward.new_message()
@@ -256,19 +167,6 @@
     return _join(FrameKind.FORWARD, fields.to_bytes())
 
 
-def _decode_forward(payload: bytes) -> Forward:
-    with load_schema().Forward.from_bytes(payload) as fields:
-        return Forward(
-            method=fields.method,
-            url=fields.url,
-            headers=fields.headers,
-            body=fields.body,
-            remaining_us=fields.remainingUs,
-            key_digest=fields.keyDigest,
-            ticket=fields.ticket,
-        )
-
-
 @encode_message.register
 def _encode_catalogue_request(message: CatalogueRequest) -> bytes:
     fields = load_schema().CatalogueRequest.new_message()
@@ -276,31 +174,9 @@
     return _join(FrameKind.CATALOGUE_REQUEST, fields.to_bytes())
 
 
-def _decode_catalogue_request(payload: bytes) -> CatalogueRequest:
-    with load_schema().CatalogueRequest.from_bytes(payload) as fields:
-        return CatalogueRequest(fields.afterRevision)
-
-
 @encode_message.register
 def _encode_catalogue_reply(message: CatalogueReply) -> bytes:
     fields = load_schema().CatalogueReply.new_message()
     fields.revision = message.revision
     fields.document = message.document
     return _join(FrameKind.CATALOGUE_REPLY, fields.to_bytes())
-
-
-def _decode_catalogue_reply(payload: bytes) -> CatalogueReply:
-    with load_schema().CatalogueReply.from_bytes(payload) as fields:
-        return CatalogueReply(fields.revision, fields.document)
-
-
-_DECODERS = {
-    FrameKind.HELLO: _decode_hello,
-    FrameKind.WELCOME: _decode_welcome,
-    FrameKind.CALL: _decode_call,
-    FrameKind.REPLY: _decode_reply,
-    FrameKind.RUNNING: _decode_running,
-    FrameKind.FORWARD: _decode_forward,
-    FrameKind.CATALOGUE_REQUEST: _decode_catalogue_request,
-    FrameKind.CATALOGUE_REPLY: _decode_catalogue_reply,
-}
--- a/kumquatwalk/link/stream.py
+++ b/kumquatwalk/link/stream.py
@@ -8,8 +8,8 @@
 from kumquatwalk.exception import LinkError
 from kumquatwalk.link.codec import HEADER_BYTES
 from kumquatwalk.link.codec import decode_header
-from kumquatwalk.link.codec import decode_message
 from kumquatwalk.link.codec import encode_message
+from kumquatwalk.link.decoder import decode_message
 
 __all__ = ["FrameStream", "has_input", "tune_socket"]
 
--- a/kumquatwalk/link/tests/test_codec.py
+++ b/kumquatwalk/link/tests/test_codec.py
@@ -11,6 +11,7 @@
 from kumquatwalk.link.call import Call
 from kumquatwalk.link.catalogue_reply import CatalogueReply
 from kumquatwalk.link.catalogue_request import CatalogueRequest
+from kumquatwalk.link.decoder import decode_message
 from kumquatwalk.link.forward import Forward
 from kumquatwalk.link.hello import Hello
 from kumquatwalk.link.reply import Reply
@@ -69,7 +70,7 @@
     kind, length = codec.decode_header(header, PAYLOAD_BYTES_MAX)
     payload = frame[codec.HEADER_BYTES :]
     assert len(payload) == length
-    return codec.decode_message(kind, payload)
+    return decode_message(kind, payload)
 
 
 class CodecTest(unittest.TestCase):
@@ -83,7 +84,7 @@
     @given(st.integers(0, 255), st.binary(max_size=200))
     def test_random_payload_is_a_frame_error_or_a_message(self, kind, payload):
         try:
-            codec.decode_message(kind, payload)
+            decode_message(kind, payload)
         except FrameError as error:
             self.assertTrue(error.code.startswith("frame_"))
 
@@ -96,7 +97,7 @@
         header = bytes(frame[: codec.HEADER_BYTES])
         try:
             kind, _ = codec.decode_header(header, PAYLOAD_BYTES_MAX)
-            codec.decode_message(kind, bytes(frame[codec.HEADER_BYTES :]))
+            decode_message(kind, bytes(frame[codec.HEADER_BYTES :]))
         except FrameError as error:
             self.assertTrue(error.code.startswith("frame_"))
 
--- a/kumquatwalk/membership/__init__.py
+++ b/kumquatwalk/membership/__init__.py
@@ -1,7 +1,7 @@
 """Membership of the fleet: who is there and what each target announces."""
 
 from kumquatwalk.membership.address import Address
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.config import MembershipConfig
 from kumquatwalk.membership.counters import Counters
@@ -10,7 +10,7 @@
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.member import TargetState
 from kumquatwalk.membership.rendezvous import Rendezvous
-from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.rendezvous_config import RendezvousConfig
 from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.representatives import is_representative
 from kumquatwalk.membership.service import Membership
--- a/kumquatwalk/membership/agent.py
+++ b/kumquatwalk/membership/agent.py
@@ -7,12 +7,12 @@
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.broadcast import Broadcast
 from kumquatwalk.membership.broadcaster import Broadcaster
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
-from kumquatwalk.membership.itemcodec import decode_items
+from kumquatwalk.membership.item_codec import decode_items
 from kumquatwalk.membership.joiner import Joiner
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
--- a/kumquatwalk/membership/broadcast.py
+++ b/kumquatwalk/membership/broadcast.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 
 __all__ = ["Broadcast", "MAX_PAYLOAD_BYTES"]
 
--- a/kumquatwalk/membership/broadcaster.py
+++ b/kumquatwalk/membership/broadcaster.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 
 from kumquatwalk.membership.broadcast import Broadcast
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.dissemination import BROADCAST_FACTOR
 from kumquatwalk.membership.dissemination import count_transmissions
 from kumquatwalk.membership.flush import FlushSchedule
 from kumquatwalk.membership.forwarding import Forwarding
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.merger import IMPORTANT_FLUSHES_S
 from kumquatwalk.membership.seen import SeenBroadcasts
 from kumquatwalk.membership.table import MemberTable
--- a/kumquatwalk/membership/callbacks.py
+++ b/kumquatwalk/membership/callbacks.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.member import Member
 
 __all__ = ["MembershipCallbacks"]
--- a/kumquatwalk/membership/command.py
+++ b/kumquatwalk/membership/command.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from kumquatwalk.membership.address import Address
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.member import TargetInfo
 
 __all__ = [
--- a/kumquatwalk/membership/dissemination.py
+++ b/kumquatwalk/membership/dissemination.py
@@ -2,7 +2,7 @@
 
 import math
 
-from kumquatwalk.membership.itemcodec import MIN_ITEM_BYTES
+from kumquatwalk.membership.item_codec import MIN_ITEM_BYTES
 
 __all__ = [
     "BROADCAST_FACTOR",
--- a/kumquatwalk/membership/itemcodec.py
+++ b/kumquatwalk/membership/item_codec.py
@@ -11,7 +11,7 @@
 from kumquatwalk.exception import MembershipError
 from kumquatwalk.membership.broadcast import MAX_PAYLOAD_BYTES
 from kumquatwalk.membership.broadcast import Broadcast
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.claim import StateClaim
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
--- a/kumquatwalk/membership/joiner.py
+++ b/kumquatwalk/membership/joiner.py
@@ -4,7 +4,7 @@
 import random
 
 from kumquatwalk.membership.address import Address
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.prober import address_of
 from kumquatwalk.membership.record import MemberRecord
--- a/kumquatwalk/membership/merger.py
+++ b/kumquatwalk/membership/merger.py
@@ -10,7 +10,7 @@
 from kumquatwalk.membership.dissemination import SUSPICION_FACTOR
 from kumquatwalk.membership.dissemination import count_transmissions
 from kumquatwalk.membership.flush import FlushSchedule
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetState
--- a/kumquatwalk/membership/rendezvous.py
+++ b/kumquatwalk/membership/rendezvous.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
-from kumquatwalk.membership.rendezvouskeeper import RendezvousKeeper
+from kumquatwalk.membership.rendezvous_config import RendezvousConfig
+from kumquatwalk.membership.rendezvous_keeper import RendezvousKeeper
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.membership.store import Store
 
--- a/kumquatwalk/membership/rendezvouskeeper.py
+++ b/kumquatwalk/membership/rendezvous_keeper.py
@@ -7,7 +7,7 @@
 from kumquatwalk.exception import PlatformError
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.member import Member
-from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.rendezvous_config import RendezvousConfig
 from kumquatwalk.membership.representatives import REPRESENTATIVE_COUNT
 from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.snapshot import Snapshot
--- a/kumquatwalk/membership/reviver.py
+++ b/kumquatwalk/membership/reviver.py
@@ -3,7 +3,7 @@
 import random
 
 from kumquatwalk.membership.claim import StateClaim
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
--- a/kumquatwalk/membership/service.py
+++ b/kumquatwalk/membership/service.py
@@ -16,7 +16,7 @@
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.agent import Agent
 from kumquatwalk.membership.broadcast import MAX_PAYLOAD_BYTES
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.codec import load_schema
 from kumquatwalk.membership.config import MembershipConfig
--- a/kumquatwalk/membership/tests/test_agent.py
+++ b/kumquatwalk/membership/tests/test_agent.py
@@ -3,7 +3,7 @@
 import unittest
 
 from kumquatwalk.membership.agent import Agent
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.member import TargetInfo
 from kumquatwalk.membership.member import TargetState
--- a/kumquatwalk/membership/tests/test_agent_rules.py
+++ b/kumquatwalk/membership/tests/test_agent_rules.py
@@ -7,7 +7,7 @@
 from kumquatwalk.membership.address import Address
 from kumquatwalk.membership.agent import Agent
 from kumquatwalk.membership.broadcast import Broadcast
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.claim import StateClaim
 from kumquatwalk.membership.codec import decode
@@ -15,8 +15,8 @@
 from kumquatwalk.membership.dissemination import LEAVING_FACTOR
 from kumquatwalk.membership.dissemination import count_transmissions
 from kumquatwalk.membership.flush import FLUSH_GAP_S
-from kumquatwalk.membership.itemcodec import Item
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import Item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
--- a/kumquatwalk/membership/tests/test_codec.py
+++ b/kumquatwalk/membership/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Tests of kumquatwalk.membership.codec and itemcodec."""
+"""Tests of kumquatwalk.membership.codec and item_codec."""
 
 import random
 import unittest
@@ -12,15 +12,15 @@
 from kumquatwalk.membership.agent import Agent
 from kumquatwalk.membership.broadcast import MAX_PAYLOAD_BYTES
 from kumquatwalk.membership.broadcast import Broadcast
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.claim import StateClaim
 from kumquatwalk.membership.codec import MAX_DATAGRAM_BYTES
 from kumquatwalk.membership.codec import decode
 from kumquatwalk.membership.codec import encode
 from kumquatwalk.membership.codec import measure_overhead
-from kumquatwalk.membership.itemcodec import decode_items
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import decode_items
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
--- a/kumquatwalk/membership/tests/test_rendezvous.py
+++ b/kumquatwalk/membership/tests/test_rendezvous.py
@@ -1,4 +1,4 @@
-"""Tests of kumquatwalk.membership.rendezvouskeeper and representatives."""
+"""Tests of kumquatwalk.membership.rendezvous_keeper and representatives."""
 
 import dataclasses
 import random
@@ -12,10 +12,10 @@
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
 from kumquatwalk.membership.rendezvous import Rendezvous
-from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
-from kumquatwalk.membership.rendezvouskeeper import RendezvousKeeper
-from kumquatwalk.membership.rendezvouskeeper import format_point
-from kumquatwalk.membership.rendezvouskeeper import parse_point
+from kumquatwalk.membership.rendezvous_config import RendezvousConfig
+from kumquatwalk.membership.rendezvous_keeper import RendezvousKeeper
+from kumquatwalk.membership.rendezvous_keeper import format_point
+from kumquatwalk.membership.rendezvous_keeper import parse_point
 from kumquatwalk.membership.representatives import choose_representatives
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.membership.snapshot import Snapshot
--- a/kumquatwalk/membership/transmitter.py
+++ b/kumquatwalk/membership/transmitter.py
@@ -12,7 +12,7 @@
 from kumquatwalk.membership.counters import Counters
 from kumquatwalk.membership.datagram import Datagram
 from kumquatwalk.membership.dissemination import DisseminationQueue
-from kumquatwalk.membership.itemcodec import encode_item
+from kumquatwalk.membership.item_codec import encode_item
 from kumquatwalk.membership.kind import MessageKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.member import MemberState
--- a/kumquatwalk/node/catalogue_sync.py
+++ b/kumquatwalk/node/catalogue_sync.py
@@ -23,7 +23,7 @@
 from kumquatwalk.logs import Level
 from kumquatwalk.logs import log_event
 from kumquatwalk.membership.broadcast import MAX_PAYLOAD_BYTES
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.service import Membership
 
--- a/kumquatwalk/node/composition.py
+++ b/kumquatwalk/node/composition.py
@@ -30,12 +30,12 @@
 from kumquatwalk.link.schema import load_schema
 from kumquatwalk.link.server import LinkServer
 from kumquatwalk.membership.address import Address
-from kumquatwalk.membership.broadcastkind import BroadcastKind
+from kumquatwalk.membership.broadcast_kind import BroadcastKind
 from kumquatwalk.membership.callbacks import MembershipCallbacks
 from kumquatwalk.membership.config import MembershipConfig
 from kumquatwalk.membership.member import Member
 from kumquatwalk.membership.rendezvous import Rendezvous
-from kumquatwalk.membership.rendezvousconfig import RendezvousConfig
+from kumquatwalk.membership.rendezvous_config import RendezvousConfig
 from kumquatwalk.membership.service import Membership
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.node.caller_listener import CallerListener
