--- a/examples/demo.py
+++ b/examples/demo.py
@@ -150,15 +150,15 @@
 
 
 def show_edit(fleet: LocalFleet) -> bool:
-    """Remove an entry by an operator's command and watch all nodes."""
-    command = [sys.executable, "-m", "kumquatwalk", "catalogue", "remove"]
+    """Lower a limit by an operator's command and watch it at all nodes."""
+    command = [sys.executable, "-m", "kumquatwalk", "catalogue", "set"]
     options = ["--platform", fleet.platform_address, "--author", "web"]
-    options += ["--reason", "close browsing", "browse"]
+    options += ["--reason", "slow browsing", "--rate", "1", "browse"]
     started = time.monotonic()
     subprocess.run([*command, *options], check=True)
     callers = [fleet.make_caller(node_id) for node_id in fleet.nodes]
     wait_until(
-        lambda: all(_is_gone(c.call("browse", b"x")) for c in callers),
+        lambda: all(_is_limited(c.call("browse", b"x")) for c in callers),
         "the edit to be in force",
     )
     elapsed_s = time.monotonic() - started
@@ -166,8 +166,8 @@
     return True
 
 
-def _is_gone(answer: CallerAnswer) -> bool:
-    return answer.code == "entry_unknown"
+def _is_limited(answer: CallerAnswer) -> bool:
+    return answer.code == "rate_limit"
 
 
 if __name__ == "__main__":
