--- a/kumquatwalk/cli/main.py
+++ b/kumquatwalk/cli/main.py
@@ -8,6 +8,7 @@
 
 _COMMANDS = {
     "catalogue": "kumquatwalk.cli.catalogue:catalogue",
+    "daemon": "kumquatwalk.cli.daemon:daemon",
     "members": "kumquatwalk.cli.members:members",
     "metrics": "kumquatwalk.cli.metrics:metrics",
     "node": "kumquatwalk.cli.node:node",
--- a/kumquatwalk/cli/node_client.py
+++ b/kumquatwalk/cli/node_client.py
@@ -6,7 +6,7 @@
 
 from kumquatwalk.cli.failure import NodeUnreachableError
 from kumquatwalk.exception import KumquatwalkError
-from kumquatwalk.node.address import Address
+from kumquatwalk.address import Address
 from kumquatwalk.node.settings_kinds import AddressListKind
 from kumquatwalk.node.settings_kinds import make_setting_error
 from kumquatwalk.node.settings_kinds import parse_value
--- a/kumquatwalk/codes.py
+++ b/kumquatwalk/codes.py
@@ -6,7 +6,11 @@
 
 __all__ = [
     "ADMITTED",
+    "ANSWER_SPOILED",
+    "ATTEMPT_ID_MISSING",
+    "CALL_CANCELLED",
     "CLAIM_UNAVAILABLE",
+    "CONFIG_ABSENT",
     "CONTEXT_UNKNOWN",
     "DEADLINE_EXCEEDED",
     "ENTRY_LIMIT",
@@ -21,16 +25,23 @@
     "RATE_LIMIT",
     "RETRY_BUDGET",
     "SHUTTING_DOWN",
+    "SERVICE_MISMATCH",
     "TARGET_ABSENT",
     "TARGET_CRASHED",
     "TARGET_FAILED",
     "TARGET_LEAVING",
+    "TARGET_REPLACED",
     "TARGET_SHED",
+    "TARGET_UNREACHABLE",
     "TOKENS_SPENT",
 ]
 
 ADMITTED = ""
+ANSWER_SPOILED = "answer_spoiled"
+ATTEMPT_ID_MISSING = "attempt_id_missing"
+CALL_CANCELLED = "call_cancelled"
 CLAIM_UNAVAILABLE = "claim_unavailable"
+CONFIG_ABSENT = "config_absent"
 CONTEXT_UNKNOWN = "context_unknown"
 DEADLINE_EXCEEDED = "deadline_exceeded"
 ENTRY_LIMIT = "entry_limit"
@@ -45,9 +56,12 @@
 RATE_LIMIT = "rate_limit"
 RETRY_BUDGET = "retry_budget"
 SHUTTING_DOWN = "shutting_down"
+SERVICE_MISMATCH = "service_mismatch"
 TARGET_ABSENT = "target_absent"
 TARGET_CRASHED = "target_crashed"
 TARGET_FAILED = "target_failed"
 TARGET_LEAVING = "target_leaving"
+TARGET_REPLACED = "target_replaced"
 TARGET_SHED = "target_shed"
+TARGET_UNREACHABLE = "target_unreachable"
 TOKENS_SPENT = "tokens_spent"
--- /dev/null
+++ b/kumquatwalk/config/__init__.py
@@ -0,0 +1,15 @@
+"""Fleet configuration: routes, services and limits that operators set."""
+
+from kumquatwalk.config.fleet_config import CallerLimits
+from kumquatwalk.config.fleet_config import FleetConfig
+from kumquatwalk.config.fleet_config import ServiceConfig
+from kumquatwalk.config.route import Route
+from kumquatwalk.config.route import ServiceShare
+
+__all__ = [
+    "CallerLimits",
+    "FleetConfig",
+    "Route",
+    "ServiceConfig",
+    "ServiceShare",
+]
--- /dev/null
+++ b/kumquatwalk/config/fleet_config.py
@@ -0,0 +1,88 @@
+"""Configuration of the whole fleet, as the operators last set it."""
+
+import dataclasses
+import functools
+from collections.abc import Mapping
+
+from kumquatwalk.config.route import Route
+
+__all__ = ["CallerLimits", "FleetConfig", "ServiceConfig"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceConfig:
+    """What operators set for a service.
+
+    Attributes:
+        name: Name of the service.
+        health_path: Path of the health check.
+        connections_max: Connections that one of its targets accepts.
+    """
+
+    name: str
+    health_path: str
+    connections_max: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    Attributes:
+        header_bytes_max: Longest request head, in bytes.
+        body_bytes_max: Longest request body, in bytes.
+        header_timeout_s: Longest time for a request head, in seconds.
+        idle_timeout_s: Time after which an idle connection may be closed, in
+            seconds.
+    """
+
+    header_bytes_max: int = 16384
+    body_bytes_max: int = 8 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetConfig:
+    """Routes, services and limits of one version.
+
+    Attributes:
+        version: Number of the version; higher is newer.
+        routes: All routes.
+        services: Services by name.
+        limits: Limits on callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceConfig]
+    limits: CallerLimits
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, dict[str, Route]]:
+        table: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            table.setdefault(route.host, {})[route.path_prefix] = route
+        return table
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path.
+
+        Args:
+            host: Host that the caller named.
+            path: Path, with or without a query.
+
+        Returns:
+            The route, or None when no route of that host matches.
+        """
+        routes = self._routes_by_host.get(host.lower())
+        if routes is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
--- /dev/null
+++ b/kumquatwalk/daemon/process.py
@@ -0,0 +1,258 @@
+"""Composition root of the daemon: makes its parts and wires them."""
+
+import asyncio
+import time
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.config.fleet_config import FleetConfig
+from kumquatwalk.daemon.caller_side import CallerSide
+from kumquatwalk.daemon.config_holder import ConfigHolder
+from kumquatwalk.daemon.heartbeats import HeartbeatHandler
+from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.daemon.readiness import ReadinessHandler
+from kumquatwalk.daemon.roster_keeper import RosterKeeper
+from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.store_watcher import StoreWatcher
+from kumquatwalk.daemon.target_prober import TargetProber
+from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.logs import log_event
+from kumquatwalk.mesh.codec import load_schema
+from kumquatwalk.mesh.link_server import LinkServer
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.peer_link import PeerLink
+from kumquatwalk.platform.names import KEY_FLEET_CONFIG
+from kumquatwalk.platform.names import PREFIX_OPERATORS
+from kumquatwalk.platform.store import Deletion
+from kumquatwalk.platform.store import Snapshot
+from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.platform.store import StoreItem
+from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.roster.entry import RosterEntry
+from kumquatwalk.tasks import start_task
+
+__all__ = ["Daemon"]
+
+# Bound on an answer of the store, in seconds; it answers in milliseconds.
+STORE_TIMEOUT_S = 1.5
+# Time between two tellings of the target's state, in seconds. Replies carry
+# its load besides, and changes of state are told at once.
+STATUS_INTERVAL_S = 0.5
+# Time for which callers are served after SIGTERM, in seconds: they are taken
+# away after two readiness checks, which come once a second.
+CALLERS_LEAVE_S = 2.6
+# Time after SIGTERM at which other nodes are told to choose other targets.
+TARGET_LEAVES_S = 1.6
+# Time without any request after which a stopping daemon ends, in seconds.
+QUIET_S = 0.3
+# Time before SIGKILL at which a stopping daemon ends all the same, in seconds.
+KILL_MARGIN_S = 0.4
+_POLL_S = 0.05
+_US = 1_000_000
+
+
+class Daemon:
+    """One node: both ends of each call on one event loop.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: DaemonSettings):
+        load_schema()
+        self._settings = settings
+        self._incarnation = int(time.time() * _US)
+        self._is_stopping = False
+        self._publisher: asyncio.Task | None = None
+        own_view = TargetView(
+            settings.node_id,
+            settings.availability_zone,
+            settings.service,
+            is_reachable=True,
+        )
+        self.configs = ConfigHolder(self._apply_config)
+        self.target_side = TargetSide(
+            settings, lambda: self.configs.version, self._publish
+        )
+        self.peers = Peers(
+            own_view,
+            self._make_hello,
+            self._take_status,
+            lambda document: self.configs.take(document.document, "peer"),
+        )
+        self.caller_side = CallerSide(
+            settings, self.target_side, own_view, self.peers
+        )
+        self.store = StoreClient(settings.store, STORE_TIMEOUT_S)
+        self.roster = RosterKeeper(self.store, self._make_entry(), self.peers)
+        self._config_watcher = StoreWatcher(
+            self.store,
+            PREFIX_OPERATORS,
+            self._take_config_snapshot,
+            self._take_config_event,
+        )
+        self._prober = TargetProber(settings, self.target_side, self.configs)
+        self._make_servers()
+
+    async def start(self) -> None:
+        """Begin to serve.
+
+        Raises:
+            OSError: An address cannot be listened on.
+        """
+        await self._link_server.start()
+        await self._heartbeat_server.start()
+        await self._caller_server.start()
+        self._config_watcher.start()
+        self.roster.start()
+        self._prober.start()
+        await self._readiness_server.start()
+        self._publisher = start_task(
+            self._publish_at_intervals(), "status_publisher"
+        )
+        log_event(
+            "daemon_started",
+            incarnation=self._incarnation,
+            zone=self._settings.availability_zone,
+            service=self._settings.service,
+            callers=self._settings.caller_listener,
+            links=self._settings.link_listener,
+        )
+
+    async def drain(self) -> None:
+        """Stop gracefully: finish what has arrived, then return."""
+        began_at = read_now()
+        self._is_stopping = True
+        self._caller_server.is_stopping = True
+        log_event("daemon_stopping")
+        last = self._settings.bounds.grace_s - KILL_MARGIN_S
+        quiet_since = began_at
+        while True:
+            await asyncio.sleep(_POLL_S)
+            now = read_now()
+            elapsed_s = now - began_at
+            if elapsed_s > TARGET_LEAVES_S and not self._is_target_leaving:
+                self.target_side.stop()
+                self._publish()
+            if self._count_in_progress():
+                quiet_since = now
+            is_quiet = now - quiet_since > QUIET_S
+            if elapsed_s > last or (elapsed_s > CALLERS_LEAVE_S and is_quiet):
+                break
+
+    def apply_settings(self, settings: DaemonSettings) -> None:
+        """Take changed settings.
+
+        What names this process (its node, service and addresses) holds until
+        it ends.
+
+        Args:
+            settings: The new settings.
+        """
+        self.caller_side.set_bounds(settings.bounds)
+        self.store.set_address(settings.store)
+        log_event("settings_in_force", store=settings.store)
+
+    async def close(self) -> None:
+        """End all tasks and close all sockets."""
+        if self._publisher is not None:
+            self._publisher.cancel()
+        self._config_watcher.close()
+        self.roster.close()
+        self._prober.close()
+        await self._caller_server.close()
+        await self._readiness_server.close()
+        await self._heartbeat_server.close()
+        self.peers.close()
+        await self._link_server.close()
+        self.target_side.close()
+        self.store.close()
+        log_event("daemon_stopped")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self._is_stopping
+            and self.configs.config is not None
+            and self.roster.is_known
+        )
+
+    @property
+    def _is_target_leaving(self) -> bool:
+        return self.target_side.get_status().is_stopping
+
+    def _count_in_progress(self) -> int:
+        return (
+            self._caller_server.requests_in_progress
+            + self._link_server.calls_in_progress
+        )
+
+    def _make_servers(self) -> None:
+        settings = self._settings
+        self._link_server = LinkServer(
+            settings.link_listener,
+            self._make_hello,
+            self.target_side.serve,
+            self.target_side.get_status,
+            lambda: self.configs.document,
+            self.roster.take_peer,
+        )
+        self._caller_server = HttpServer(
+            settings.caller_listener, self.caller_side.serve
+        )
+        self._heartbeat_server = HttpServer(
+            settings.heartbeat_listener,
+            HeartbeatHandler(self.target_side).handle,
+        )
+        self._readiness_server = HttpServer(
+            settings.readiness_listener,
+            ReadinessHandler(lambda: self.is_ready).handle,
+        )
+
+    def _make_hello(self) -> Hello:
+        settings = self._settings
+        return Hello(
+            node_id=settings.node_id,
+            incarnation=self._incarnation,
+            availability_zone=settings.availability_zone,
+            service=settings.service,
+            host=settings.link_listener.host,
+            port=settings.link_listener.port,
+            clock_s=read_now(),
+        )
+
+    def _make_entry(self) -> RosterEntry:
+        settings = self._settings
+        return RosterEntry(
+            settings.node_id,
+            self._incarnation,
+            settings.availability_zone,
+            settings.service,
+            settings.link_listener,
+        )
+
+    def _take_status(self, link: PeerLink, status: TargetStatus) -> None:
+        if status.config_version > self.configs.version:
+            link.request_config(self.configs.version)
+
+    def _take_config_snapshot(self, snapshot: Snapshot) -> None:
+        for item in snapshot.items:
+            self._take_config_event(item)
+
+    def _take_config_event(self, event: StoreItem | Deletion) -> None:
+        if isinstance(event, StoreItem) and event.key == KEY_FLEET_CONFIG:
+            self.configs.take(event.value, "store")
+
+    def _apply_config(self, config: FleetConfig) -> None:
+        self.caller_side.config = config
+        self._caller_server.limits = config.limits
+
+    def _publish(self) -> None:
+        self._link_server.publish()
+
+    async def _publish_at_intervals(self) -> None:
+        while True:
+            await asyncio.sleep(STATUS_INTERVAL_S)
+            self._publish()
--- /dev/null
+++ b/kumquatwalk/daemon/readiness.py
@@ -0,0 +1,28 @@
+"""Listener for readiness checks."""
+
+from collections.abc import Callable
+
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+
+__all__ = ["ReadinessHandler"]
+
+
+class ReadinessHandler:
+    """Answers 200 while the node is ready for callers, and 503 otherwise.
+
+    Args:
+        is_ready: Tells whether it is.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]):
+        self._is_ready = is_ready
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Serve one check.
+
+        Args:
+            request: The check.
+        """
+        del request
+        return HttpResponse(200 if self._is_ready() else 503)
--- /dev/null
+++ b/kumquatwalk/daemon/target_prober.py
@@ -0,0 +1,88 @@
+"""Asks the target for its health while nothing is known of it."""
+
+import asyncio
+
+from kumquatwalk.daemon.config_holder import ConfigHolder
+from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.client_connection import open_connection
+from kumquatwalk.http1.encode import encode_request
+from kumquatwalk.logs import log_event
+from kumquatwalk.platform.target_answer import read_target_id
+from kumquatwalk.platform.target_answer import read_target_slots
+from kumquatwalk.tasks import start_task
+
+__all__ = ["TargetProber"]
+
+# Time between probes while the target is not in use, in seconds. Heartbeats,
+# which come every 1.5 s, usually settle the matter first.
+PROBE_INTERVAL_S = 0.7
+# Bound on a probe, in seconds: it may wait for a slot of the target.
+PROBE_TIMEOUT_S = 1.0
+_ANSWER_BYTES_MAX = 65536
+
+
+class TargetProber:
+    """Probes the target until it is known, and never while it is.
+
+    Args:
+        settings: Settings of the daemon.
+        target_side: Target side of the node.
+        configs: The fleet configuration, which names the health check.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        target_side: TargetSide,
+        configs: ConfigHolder,
+    ):
+        self._settings = settings
+        self._target_side = target_side
+        self._configs = configs
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to probe."""
+        self._task = start_task(self._run(), "target_prober")
+
+    def close(self) -> None:
+        """Stop probing."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            if self._target_side.needs_probe and self._configs.config:
+                await self._probe()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self) -> None:
+        service = self._configs.config.services.get(self._settings.service)
+        if service is None:
+            return
+        data = encode_request(
+            b"GET",
+            service.health_path.encode(),
+            ((b"Host", str(self._settings.target).encode()),),
+            b"",
+        )
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await open_connection(
+                    self._settings.target, PROBE_TIMEOUT_S, _ANSWER_BYTES_MAX
+                )
+                try:
+                    response = await connection.exchange(data)
+                finally:
+                    connection.abort()
+        except (ExchangeError, TimeoutError) as error:
+            log_event("target_probe_failed", error=str(error))
+            return
+        if response.status == 200:
+            self._target_side.take_probe(
+                read_target_id(response), read_target_slots(response)
+            )
+        else:
+            log_event("target_probe_unhealthy", status=response.status)
--- a/kumquatwalk/exception.py
+++ b/kumquatwalk/exception.py
@@ -8,12 +8,16 @@
     "CatalogueError",
     "CompareFailedError",
     "EditConflictError",
+    "ExchangeError",
     "FrameError",
+    "HistoryLostError",
     "KumquatwalkError",
+    "LeaseLostError",
     "LinkError",
     "MembershipError",
     "OutcomeUnknownError",
     "PlatformError",
+    "PlatformFormatError",
     "PlatformReadError",
     "PlatformUnavailableError",
     "RequestError",
@@ -62,10 +66,22 @@
     """
 
 
+class PlatformFormatError(PlatformError):
+    """A document or message of the platform cannot be read."""
+
+
 class CompareFailedError(PlatformError):
     """The key was not at the expected revision; the write had no effect."""
 
 
+class LeaseLostError(PlatformError):
+    """The lease has ended, and its keys are gone."""
+
+
+class HistoryLostError(PlatformError):
+    """The store has dropped the changes that a watch asked for."""
+
+
 class PlatformReadError(PlatformError):
     """A read was sent but got no usable answer; reads have no effect."""
 
@@ -94,5 +110,17 @@
         self.sent = sent
 
 
+class ExchangeError(KumquatwalkError):
+    """An HTTP exchange ended without a whole response.
+
+    Attributes:
+        sent: Whether any part of the request may have reached the server.
+    """
+
+    def __init__(self, code: str, message: str, sent: bool):
+        super().__init__(code, message)
+        self.sent = sent
+
+
 class RequestError(KumquatwalkError):
     """A caller's request cannot be served as it stands."""
--- /dev/null
+++ b/kumquatwalk/http1/tests/test_headers.py
@@ -0,0 +1,25 @@
+"""Tests of headers that are not passed on."""
+
+import unittest
+
+from kumquatwalk.http1.headers import list_end_to_end
+
+
+class HeadersTest(unittest.TestCase):
+
+    def test_headers_of_one_connection_are_left_out(self):
+        headers = (
+            (b"Accept", b"*/*"),
+            (b"Connection", b"close, X-Private"),
+            (b"X-Private", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Content-Length", b"5"),
+            (b"X-Public", b"2"),
+        )
+        kept = list_end_to_end(headers, frozenset((b"accept",)))
+        self.assertEqual(kept, ((b"X-Public", b"2"),))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -0,0 +1,97 @@
+"""Frames on one TCP connection between nodes."""
+
+import asyncio
+from collections.abc import Callable
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.exception import FrameError
+from kumquatwalk.http1.sockets import set_liveness_options
+from kumquatwalk.logs import log_event
+from kumquatwalk.logs.level import Level
+from kumquatwalk.mesh.codec import FrameReader
+from kumquatwalk.mesh.codec import decode
+from kumquatwalk.mesh.codec import encode
+from kumquatwalk.mesh.message import Message
+
+__all__ = ["LinkProtocol"]
+
+# Unsent bytes at which a link counts as congested: several large answers.
+CONGESTED_BYTES = 1024 * 1024
+
+
+class LinkProtocol(asyncio.Protocol):
+    """Sends and receives messages; either end may begin.
+
+    Args:
+        on_open: Called when the connection stands.
+        on_message: Called with each message.
+        on_lost: Called when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        on_open: Callable[["LinkProtocol"], None],
+        on_message: Callable[["LinkProtocol", Message], None],
+        on_lost: Callable[["LinkProtocol"], None],
+    ):
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self.last_heard = read_now()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether many bytes wait to be sent."""
+        if not self.is_open:
+            return True
+        return self._transport.get_write_buffer_size() > CONGESTED_BYTES
+
+    def send(self, message: Message) -> None:
+        """Send a message; without effect once the connection has ended.
+
+        Args:
+            message: The message.
+        """
+        if self.is_open:
+            self._transport.write(encode(message))
+
+    def abort(self) -> None:
+        """Close the connection at once; unsent bytes are lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # The names of the methods below are those that asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        self.last_heard = read_now()
+        set_liveness_options(transport)
+        self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of frames."""
+        self.last_heard = read_now()
+        try:
+            for payload in self._reader.feed(data):
+                self._on_message(self, decode(payload))
+        except FrameError as error:
+            log_event(
+                "link_frame_rejected",
+                Level.WARNING,
+                code=error.code,
+                error=error.message,
+            )
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner."""
+        del exc
+        self._on_lost(self)
--- /dev/null
+++ b/kumquatwalk/mesh/link_server.py
@@ -0,0 +1,161 @@
+"""Accepts links of other nodes and serves their calls."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from kumquatwalk import codes
+from kumquatwalk.address import Address
+from kumquatwalk.logs import log_event
+from kumquatwalk.logs.level import Level
+from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import ConfigDocument
+from kumquatwalk.mesh.message import ConfigRequest
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import Message
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.outcome import Outcome
+
+__all__ = ["LINK_LOST", "LinkServer"]
+
+# Message of a cancellation that says nothing of the caller, who may be there
+# still and send the call again on another link.
+LINK_LOST = "link_lost"
+
+
+@dataclasses.dataclass(slots=True)
+class _Session:
+    link: LinkProtocol
+    peer: Hello | None = None
+    tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+
+
+class LinkServer:
+    """Server end of the links.
+
+    Args:
+        address: Address to listen on.
+        make_hello: Makes this node's first message.
+        serve_call: Serves one call; cancelled when nobody waits any more.
+        get_status: Returns the state of this node's target.
+        get_config: Returns the fleet configuration as the operators wrote it.
+        on_peer: Called with the first message of each peer.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        make_hello: Callable[[], Hello],
+        serve_call: Callable[[Call], Awaitable[Reply]],
+        get_status: Callable[[], TargetStatus],
+        get_config: Callable[[], ConfigDocument | None],
+        on_peer: Callable[[Hello], None],
+    ):
+        self._address = address
+        self._make_hello = make_hello
+        self._serve_call = serve_call
+        self._get_status = get_status
+        self._get_config = get_config
+        self._on_peer = on_peer
+        self._sessions: dict[LinkProtocol, _Session] = {}
+        self._server: asyncio.Server | None = None
+
+    @property
+    def calls_in_progress(self) -> int:
+        """Calls of other nodes that are not answered yet."""
+        return sum(len(s.tasks) for s in self._sessions.values())
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Begin to accept links.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: LinkProtocol(self._open, self._take, self._lose),
+            self._address.host,
+            self._address.port,
+            backlog=1024,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and close all links."""
+        if self._server is not None:
+            self._server.close()
+        for link in tuple(self._sessions):
+            link.abort()
+
+    def publish(self) -> None:
+        """Send the state of the target to all peers."""
+        status = self._get_status()
+        for link, session in self._sessions.items():
+            if session.peer is not None:
+                link.send(status)
+
+    def _open(self, link: LinkProtocol) -> None:
+        self._sessions[link] = _Session(link)
+
+    def _take(self, link: LinkProtocol, message: Message) -> None:
+        session = self._sessions.get(link)
+        if session is None:
+            return
+        match message:
+            case Hello():
+                session.peer = message
+                link.send(self._make_hello())
+                link.send(self._get_status())
+                self._on_peer(message)
+            case Call():
+                self._start_call(session, message)
+            case Cancel():
+                task = session.tasks.pop(message.call_id, None)
+                if task is not None:
+                    task.cancel()
+            case ConfigRequest():
+                self._send_config(link, message)
+            case _:
+                kind = type(message).__name__
+                log_event("link_message_unexpected", kind=kind)
+
+    def _send_config(self, link: LinkProtocol, request: ConfigRequest) -> None:
+        document = self._get_config()
+        if document is not None and document.version > request.after_version:
+            link.send(document)
+
+    def _start_call(self, session: _Session, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._run_call(session, call))
+        session.tasks[call.call_id] = task
+
+    async def _run_call(self, session: _Session, call: Call) -> None:
+        try:
+            reply = await self._serve_call(call)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # A fault of ours must not leave the peer without a reply.
+            log_event(
+                "call_handler_failed",
+                Level.ERROR,
+                attempt=call.attempt_id.decode("latin-1"),
+                error=f"{type(error).__name__}: {error}",
+            )
+            reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
+        finally:
+            session.tasks.pop(call.call_id, None)
+        session.link.send(dataclasses.replace(reply, call_id=call.call_id))
+
+    def _lose(self, link: LinkProtocol) -> None:
+        session = self._sessions.pop(link, None)
+        if session is None:
+            return
+        for task in tuple(session.tasks.values()):
+            task.cancel(LINK_LOST)
--- /dev/null
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -0,0 +1,90 @@
+@0xd2a4c1f09b7e3a55;
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Hello {
+  protocol @0 :UInt16;
+  nodeId @1 :Text;
+  incarnation @2 :UInt64;
+  zone @3 :Text;
+  service @4 :Text;
+  host @5 :Text;
+  port @6 :UInt16;
+  clockUs @7 :UInt64;
+}
+
+struct Call {
+  callId @0 :UInt32;
+  key @1 :UInt64;
+  isResent @2 :Bool;
+  attemptId @3 :Data;
+  route @4 :Text;
+  service @5 :Text;
+  callerService @6 :Text;
+  isIdempotent @7 :Bool;
+  isReturning @8 :Bool;
+  rank @9 :UInt8;
+  deadlineUs @10 :UInt64;
+  method @11 :Data;
+  url @12 :Data;
+  headers @13 :List(Header);
+  body @14 :Data;
+}
+
+struct Reply {
+  callId @0 :UInt32;
+  outcome @1 :UInt8;
+  code @2 :Text;
+  status @3 :UInt16;
+  headers @4 :List(Header);
+  body @5 :Data;
+  running @6 :UInt16;
+  queued @7 :UInt16;
+  retryAfterMs @8 :UInt32;
+  shedByTarget @9 :Bool;
+}
+
+struct Cancel {
+  callId @0 :UInt32;
+}
+
+struct RouteTime {
+  route @0 :Text;
+  runMs @1 :UInt32;
+}
+
+struct TargetStatus {
+  state @0 :UInt8;
+  limit @1 :UInt16;
+  running @2 :UInt16;
+  queued @3 :UInt16;
+  coldLeftMs @4 :UInt32;
+  isStopping @5 :Bool;
+  configVersion @6 :UInt64;
+  routeTimes @7 :List(RouteTime);
+  failurePercent @8 :UInt8;
+}
+
+struct ConfigRequest {
+  afterVersion @0 :UInt64;
+}
+
+struct ConfigDocument {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    call @1 :Call;
+    reply @2 :Reply;
+    cancel @3 :Cancel;
+    status @4 :TargetStatus;
+    configRequest @5 :ConfigRequest;
+    configDocument @6 :ConfigDocument;
+  }
+}
--- /dev/null
+++ b/kumquatwalk/mesh/message.py
@@ -0,0 +1,184 @@
+"""Messages between nodes."""
+
+import dataclasses
+
+from kumquatwalk.http1.message import Header
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.targets.heartbeat import TargetState
+
+__all__ = [
+    "Call",
+    "Cancel",
+    "ConfigDocument",
+    "ConfigRequest",
+    "Hello",
+    "Message",
+    "Reply",
+    "TargetStatus",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on a link, in both directions.
+
+    Attributes:
+        node_id: Name of the sender.
+        incarnation: Start of the sender's process.
+        availability_zone: Zone of the sender.
+        service: Service of the sender's target.
+        host: IP number at which the sender accepts links.
+        port: Port at which the sender accepts links.
+        clock_s: Sender's clock, in seconds.
+    """
+
+    node_id: str
+    incarnation: int
+    availability_zone: str
+    service: str
+    host: str
+    port: int
+    clock_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A request for the target beside the receiver.
+
+    Attributes:
+        call_id: Number of the call on its link.
+        key: Random number that names the call on any link.
+        is_resent: Whether it was sent before on a link that broke.
+        attempt_id: Identifier of the caller's attempt.
+        route: Name of the route.
+        service: Service that is to run it.
+        caller_service: Service on whose VM the request began.
+        is_idempotent: Whether it may run more than once.
+        is_returning: Whether its caller comes back after a refusal.
+        rank: Order under pressure; 0 is the most important.
+        deadline: Time on the receiver's clock at which it is of no use any
+            more, in seconds.
+        method: HTTP method.
+        url: Path with its query.
+        headers: Header lines for the target.
+        body: The whole body.
+    """
+
+    call_id: int
+    key: int
+    is_resent: bool
+    attempt_id: bytes
+    route: str
+    service: str
+    caller_service: str
+    is_idempotent: bool
+    is_returning: bool
+    rank: int
+    deadline: float
+    method: bytes
+    url: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What became of a call.
+
+    Attributes:
+        outcome: DONE with the target's answer, NOT_RUN or UNKNOWN.
+        code: Why there is no answer; empty with DONE.
+        status: Status of the target's answer; 0 without one.
+        headers: Header lines of the answer.
+        body: Whole body of the answer.
+        running: Calls that run at the target.
+        queued: Calls that wait for the target.
+        retry_after_s: Time after which there will be room, in seconds.
+        shed_by_target: Whether the call reached the target, which said that
+            it did not run it.
+        call_id: Number of the call on its link.
+    """
+
+    outcome: Outcome
+    code: str = ""
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    running: int = 0
+    queued: int = 0
+    retry_after_s: float = 0.0
+    shed_by_target: bool = False
+    call_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Nobody waits for the call any more.
+
+    Attributes:
+        call_id: Number of the call on its link.
+    """
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """State of the sender's target, sent at intervals and on change.
+
+    Attributes:
+        state: Whether it takes new work.
+        limit: Calls that may run at once.
+        running: Calls that run.
+        queued: Calls that wait.
+        cold_left_s: How much longer it is slow after its start, in seconds.
+        is_stopping: Whether the sender itself stops.
+        config_version: Version of the fleet configuration in force.
+        route_times: Mean time of a run in seconds, by route.
+        failure_share: Share of recent runs that failed, 0 to 1.
+    """
+
+    state: TargetState = TargetState.UNKNOWN
+    limit: int = 0
+    running: int = 0
+    queued: int = 0
+    cold_left_s: float = 0.0
+    is_stopping: bool = False
+    config_version: int = 0
+    route_times: tuple[tuple[str, float], ...] = ()
+    failure_share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRequest:
+    """Asks for the fleet configuration.
+
+    Attributes:
+        after_version: Version that the sender has.
+    """
+
+    after_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigDocument:
+    """The fleet configuration.
+
+    Attributes:
+        version: Its version.
+        document: The document as the operators wrote it.
+    """
+
+    version: int
+    document: bytes
+
+
+Message = (
+    Hello
+    | Call
+    | Reply
+    | Cancel
+    | TargetStatus
+    | ConfigRequest
+    | ConfigDocument
+)
--- /dev/null
+++ b/kumquatwalk/mesh/peer_link.py
@@ -0,0 +1,260 @@
+"""Link to one other node: dials it again and again, and makes calls."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+
+from kumquatwalk import codes
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.logs import log_event
+from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import ConfigDocument
+from kumquatwalk.mesh.message import ConfigRequest
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import Message
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.tasks import start_task
+
+__all__ = ["PeerLink"]
+
+# Bound on connecting and on the first message, in seconds.
+OPEN_TIMEOUT_S = 1.0
+# First and longest time before dialling again, in seconds. A node that comes
+# back is in use again within about this time.
+REDIAL_FIRST_S = 0.05
+REDIAL_LONGEST_S = 0.8
+# Time without any message after which a link is replaced, in seconds: news
+# comes twice a second, so four in a row are missing.
+SILENT_LINK_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    call: Call
+    reply: asyncio.Future
+
+
+class PeerLink:
+    """Client end of the link to one node.
+
+    Calls that may run twice fail with the link. A call that must not stays
+    pending: it is sent again on the next link to the same process, which
+    knows whether it has run.
+
+    Args:
+        address: Address at which the node accepts links.
+        view: What this node knows of the other's target; kept up to date.
+        make_hello: Makes this node's first message.
+        on_status: Called with each state of the other's target.
+        on_config: Called with a fleet configuration that was asked for.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        view: TargetView,
+        make_hello: Callable[[], Hello],
+        on_status: Callable[["PeerLink", TargetStatus], None],
+        on_config: Callable[[ConfigDocument], None],
+    ):
+        self.address = address
+        self.view = view
+        self.incarnation = 0
+        self._make_hello = make_hello
+        self._on_status = on_status
+        self._on_config = on_config
+        self._link: LinkProtocol | None = None
+        self._clock_offset_s = 0.0
+        self._pending: dict[int, _Pending] = {}
+        self._next_id = 0
+        self._lost = asyncio.Event()
+        self._welcomed = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a call can be sent now."""
+        return (
+            self._welcomed.is_set()
+            and self._link is not None
+            and not self._link.is_congested
+        )
+
+    def start(self) -> None:
+        """Begin to dial."""
+        self._task = start_task(self._run(), "peer_link")
+
+    def close(self) -> None:
+        """Stop, and fail all pending calls."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._link is not None:
+            self._link.abort()
+        self._fail_pending(lambda _: True)
+        self.view.is_reachable = False
+
+    async def call(self, call: Call) -> Reply:
+        """Make a call and wait for its reply.
+
+        When the waiting task is cancelled, the other node is told.
+
+        Args:
+            call: The call, its deadline on this node's clock.
+
+        Returns:
+            The reply; UNKNOWN when the link failed.
+        """
+        if not self.is_usable:
+            return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
+        self._next_id = (self._next_id + 1) & 0xFFFFFFFF
+        call_id = self._next_id
+        call = dataclasses.replace(call, call_id=call_id)
+        future = asyncio.get_running_loop().create_future()
+        self._pending[call_id] = _Pending(call, future)
+        self._send_call(call)
+        self.view.in_flight += 1
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if call_id in self._pending and self._link is not None:
+                self._link.send(Cancel(call_id))
+            raise
+        finally:
+            self._pending.pop(call_id, None)
+            self.view.in_flight -= 1
+
+    def request_config(self, after_version: int) -> None:
+        """Ask the other node for the fleet configuration.
+
+        Args:
+            after_version: Version that this node has.
+        """
+        if self._link is not None:
+            self._link.send(ConfigRequest(after_version))
+
+    def _send_call(self, call: Call) -> None:
+        deadline = call.deadline + self._clock_offset_s
+        self._link.send(dataclasses.replace(call, deadline=deadline))
+
+    async def _run(self) -> None:
+        redial_s = REDIAL_FIRST_S
+        while True:
+            if await self._open():
+                redial_s = REDIAL_FIRST_S
+                await self._watch()
+            self._drop()
+            await asyncio.sleep(redial_s * random.uniform(0.6, 1.0))
+            redial_s = min(REDIAL_LONGEST_S, 2.0 * redial_s)
+
+    async def _open(self) -> bool:
+        loop = asyncio.get_running_loop()
+        self._lost.clear()
+        self._welcomed.clear()
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                _, link = await loop.create_connection(
+                    lambda: LinkProtocol(_ignore, self._take, self._note_lost),
+                    self.address.host,
+                    self.address.port,
+                )
+                self._link = link
+                link.send(self._make_hello())
+                await self._welcomed.wait()
+        except (OSError, TimeoutError):
+            return False  # dialled again soon; the view says unreachable
+        return True
+
+    async def _watch(self) -> None:
+        """Wait until the link has ended or fallen silent."""
+        while True:
+            try:
+                async with asyncio.timeout(SILENT_LINK_S / 4):
+                    await self._lost.wait()
+                return
+            except TimeoutError:
+                silent_s = read_now() - self._link.last_heard
+                if silent_s > SILENT_LINK_S:
+                    log_event(
+                        "link_silent",
+                        peer=self.view.node_id,
+                        silent_s=silent_s,
+                    )
+                    return
+
+    def _drop(self) -> None:
+        self._welcomed.clear()
+        self.view.is_reachable = False
+        link, self._link = self._link, None
+        if link is not None:
+            link.abort()
+        self._fail_pending(lambda p: p.call.is_idempotent)
+
+    def _fail_pending(self, chosen: Callable[[_Pending], bool]) -> None:
+        for pending in tuple(self._pending.values()):
+            if chosen(pending) and not pending.reply.done():
+                reply = Reply(Outcome.UNKNOWN, codes.LINK_FAILED)
+                pending.reply.set_result(reply)
+
+    def _note_lost(self, link: LinkProtocol) -> None:
+        if link is self._link or self._link is None:
+            self._lost.set()
+
+    def _take(self, link: LinkProtocol, message: Message) -> None:
+        if link is not self._link and self._link is not None:
+            return
+        match message:
+            case Hello():
+                self._welcome(message)
+            case Reply():
+                self._take_reply(message)
+            case TargetStatus():
+                self.view.status = message
+                self.view.heard_at = read_now()
+                self.view.in_flight_told = self.view.in_flight
+                self._on_status(self, message)
+            case ConfigDocument():
+                self._on_config(message)
+            case _:
+                kind = type(message).__name__
+                log_event("link_message_unexpected", kind=kind)
+
+    def _welcome(self, hello: Hello) -> None:
+        is_same = hello.incarnation == self.incarnation
+        self.incarnation = hello.incarnation
+        # The other's clock read before the message travelled: the estimate is
+        # never ahead of it, so a deadline never ends late there.
+        self._clock_offset_s = hello.clock_s - read_now()
+        self.view.service = hello.service
+        self.view.availability_zone = hello.availability_zone
+        self.view.is_reachable = True
+        self.view.heard_at = read_now()
+        if not is_same:
+            self._fail_pending(lambda _: True)
+        self._welcomed.set()
+        for pending in tuple(self._pending.values()):
+            if not pending.reply.done():
+                self._send_call(
+                    dataclasses.replace(pending.call, is_resent=True)
+                )
+
+    def _take_reply(self, reply: Reply) -> None:
+        pending = self._pending.get(reply.call_id)
+        if pending is None or pending.reply.done():
+            return  # the caller has gone, or the call was sent twice
+        status = self.view.status
+        self.view.status = dataclasses.replace(
+            status, running=reply.running, queued=reply.queued
+        )
+        self.view.in_flight_told = max(0, self.view.in_flight - 1)
+        pending.reply.set_result(reply)
+
+
+def _ignore(_link: LinkProtocol) -> None:
+    pass
--- /dev/null
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -0,0 +1,107 @@
+"""Tests of the codec of messages between nodes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from kumquatwalk.exception import FrameError
+from kumquatwalk.mesh.codec import FrameReader
+from kumquatwalk.mesh.codec import decode
+from kumquatwalk.mesh.codec import encode
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import ConfigDocument
+from kumquatwalk.mesh.message import ConfigRequest
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.targets.heartbeat import TargetState
+
+_MESSAGES = (
+    Hello("n", 5, "z", "s", "10.0.0.1", 80, 12.5),
+    Call(
+        7,
+        9,
+        True,
+        b"id",
+        "route",
+        "s",
+        "c",
+        False,
+        True,
+        3,
+        99.25,
+        b"POST",
+        b"/a",
+        ((b"A", b"b"), (b"C", b"")),
+        b"\x00body",
+    ),
+    Reply(
+        Outcome.DONE,
+        "",
+        200,
+        ((b"A", b"b"),),
+        b"x" * 70000,
+        3,
+        4,
+        0.5,
+        True,
+        8,
+    ),
+    Cancel(3),
+    TargetStatus(
+        TargetState.DRAINING, 8, 3, 2, 1.5, True, 77, (("r", 0.125),), 0.25
+    ),
+    ConfigRequest(4),
+    ConfigDocument(5, b"{}"),
+)
+
+
+class CodecTest(unittest.TestCase):
+
+    def test_messages_come_back_as_they_were(self):
+        for message in _MESSAGES:
+            with self.subTest(type(message).__name__):
+                frames = FrameReader().feed(encode(message))
+                self.assertEqual([decode(f) for f in frames], [message])
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(st.integers(1, 5000), max_size=8))
+    def test_frames_do_not_depend_on_how_bytes_arrive(self, sizes):
+        data = b"".join(encode(m) for m in _MESSAGES)
+        reader = FrameReader()
+        frames = []
+        start = 0
+        for size in (*sizes, len(data)):
+            frames += reader.feed(data[start : start + size])
+            start += size
+        self.assertEqual([decode(f) for f in frames], list(_MESSAGES))
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_decoded_or_refused(self, data):
+        try:
+            decode(data)
+        except FrameError:
+            pass
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.sampled_from(_MESSAGES), st.integers(0, 400), st.integers(0, 255))
+    def test_damaged_frames_are_decoded_or_refused(self, message, at, value):
+        payload = bytearray(encode(message)[4:])
+        payload[at % len(payload)] = value
+        try:
+            decode(bytes(payload))
+        except FrameError:
+            pass
+
+    def test_overlong_frame_is_refused(self):
+        with self.assertRaises(FrameError):
+            FrameReader().feed(b"\xff\xff\xff\xff")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/node/settings.py
+++ b/kumquatwalk/node/settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from kumquatwalk.logs.level import Level
-from kumquatwalk.node.address import Address
+from kumquatwalk.address import Address
 
 __all__ = ["NodeSettings"]
 
--- a/kumquatwalk/node/settings_check.py
+++ b/kumquatwalk/node/settings_check.py
@@ -22,6 +22,7 @@
     for name in (
         "AS_ADMIN",
         "AUTHOR",
+        "CONFIG",
         "DRY_RUN",
         "ENTRY",
         "EXPECT",
--- a/kumquatwalk/node/settings_kinds.py
+++ b/kumquatwalk/node/settings_kinds.py
@@ -8,7 +8,7 @@
 import re
 
 from kumquatwalk.exception import SettingError
-from kumquatwalk.node.address import Address
+from kumquatwalk.address import Address
 
 __all__ = [
     "AddressListKind",
--- a/kumquatwalk/node/tests/test_settings.py
+++ b/kumquatwalk/node/tests/test_settings.py
@@ -11,7 +11,7 @@
 from kumquatwalk.cli.main import main
 from kumquatwalk.exception import SettingError
 from kumquatwalk.logs import Level
-from kumquatwalk.node.address import Address
+from kumquatwalk.address import Address
 from kumquatwalk.node.options import node_options
 from kumquatwalk.node.settings import NodeSettings
 from kumquatwalk.node.settings_check import check_settings
--- /dev/null
+++ b/kumquatwalk/platform/request_headers.py
@@ -0,0 +1,100 @@
+"""Headers that the platform defines on requests."""
+
+import dataclasses
+
+from kumquatwalk.http1.headers import list_end_to_end
+from kumquatwalk.http1.message import Header
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.platform import names
+
+__all__ = [
+    "CallerRequest",
+    "decode_caller_request",
+    "make_retry_after",
+    "make_target_headers",
+]
+
+_MS = 1000
+# Longest deadline that is read, in milliseconds: a day.
+_DEADLINE_MS_MAX = 86_400_000
+_SET_BY_NODES = frozenset(
+    (
+        names.HEADER_CALLER_SERVICE,
+        names.HEADER_DEADLINE_MS,
+        names.HEADER_TARGET_ID_EXPECTED,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller's request says beside its body.
+
+    Attributes:
+        attempt_id: Identifier of this attempt; empty when missing.
+        host: Host, without a port.
+        timeout_s: Time for which the caller waits, in seconds; None when it
+            does not say.
+        headers: Header lines that are passed on.
+    """
+
+    attempt_id: bytes
+    host: str
+    timeout_s: float | None
+    headers: tuple[Header, ...]
+
+
+def decode_caller_request(request: HttpRequest) -> CallerRequest:
+    """Read the headers of a caller's request.
+
+    Args:
+        request: The request.
+
+    Returns:
+        What it says.
+    """
+    host = (request.find_header(b"host") or b"").decode("latin-1")
+    return CallerRequest(
+        attempt_id=request.find_header(names.HEADER_ATTEMPT_ID) or b"",
+        host=host.rpartition(":")[0] if ":" in host else host,
+        timeout_s=_read_timeout(request),
+        headers=list_end_to_end(request.headers, _SET_BY_NODES),
+    )
+
+
+def make_target_headers(
+    headers: tuple[Header, ...],
+    caller_service: str,
+    target_id: str,
+    remaining_s: float,
+) -> tuple[Header, ...]:
+    """Return the headers of a request as its target gets them.
+
+    Args:
+        headers: Header lines that are passed on.
+        caller_service: Service on whose VM the request began.
+        target_id: Target that is to run it, and no other.
+        remaining_s: Time that is left, in seconds.
+    """
+    remaining_ms = max(1, int(remaining_s * _MS))
+    return headers + (
+        (b"Deadline-Ms", b"%d" % remaining_ms),
+        (b"Expect-Instance", target_id.encode("latin-1", "replace")),
+        (b"Caller-Service", caller_service.encode("latin-1", "replace")),
+    )
+
+
+def make_retry_after(delay_s: float) -> Header:
+    """Return the header that tells a caller when to come back.
+
+    Args:
+        delay_s: Time after which there will be room, in seconds.
+    """
+    return (b"Retry-After", b"%.3f" % delay_s)
+
+
+def _read_timeout(request: HttpRequest) -> float | None:
+    value = request.find_header(names.HEADER_DEADLINE_MS)
+    if value is None or not value.isdigit() or len(value) > 12:
+        return None
+    return min(int(value), _DEADLINE_MS_MAX) / _MS
--- /dev/null
+++ b/kumquatwalk/platform/settings.py
@@ -0,0 +1,135 @@
+"""Decoder of the settings file that the platform writes for a process."""
+
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from kumquatwalk.address import Address
+from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.settings import FleetBounds
+from kumquatwalk.exception import PlatformFormatError
+from kumquatwalk.exception import SettingError
+from kumquatwalk.platform import fields
+
+__all__ = ["decode_address", "decode_settings", "load_settings"]
+
+
+def load_settings(path: str) -> DaemonSettings:
+    """Read and decode the settings file.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingError: The file cannot be read or a field is wrong.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingError("settings_unreadable", str(error)) from error
+    return decode_settings(text)
+
+
+def decode_settings(text: str) -> DaemonSettings:
+    """Decode the text of a settings file.
+
+    Args:
+        text: TOML text. Fields that are not known are passed over.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingError: The text is no TOML, or a field is missing or wrong.
+    """
+    try:
+        return _decode(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise SettingError("settings_malformed", str(error)) from error
+    except PlatformFormatError as error:
+        raise SettingError("settings_invalid", error.message) from error
+
+
+def decode_address(text: str, name: str) -> Address:
+    """Decode ``host:port``.
+
+    Args:
+        text: The text.
+        name: Name of the field, for the error.
+
+    Raises:
+        PlatformFormatError: The text is no address.
+    """
+    host, separator, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not separator or not host or not is_number or int(port) > 65535:
+        raise PlatformFormatError(
+            "field_invalid", f"{name} must be host:port, not {text!r:.80}"
+        )
+    return Address(host, int(port))
+
+
+def _decode(table: Mapping[str, Any]) -> DaemonSettings:
+    listen = fields.read_table(table.get("listen"), "listen")
+    store = fields.read_table(table.get("platform"), "platform")
+    limits = fields.read_table(table.get("limits", {}), "limits")
+    return DaemonSettings(
+        node_id=fields.read_text(table, "node"),
+        availability_zone=fields.read_text(table, "zone"),
+        host=fields.read_text(table, "ip"),
+        service=fields.read_text(table, "service"),
+        target=_read_address(table, "appAddr"),
+        # Requests of callers on this VM and of its target come here.
+        caller_listener=_read_address(listen, "outbound"),
+        # Free for the project's own use: nodes reach each other here.
+        link_listener=_read_address(listen, "inbound"),
+        readiness_listener=_read_address(listen, "ready"),
+        # The target's heartbeats come here; operators never call it.
+        heartbeat_listener=_read_address(listen, "control"),
+        store=_read_address(store, "address"),
+        # The lowest time to live of a lease.
+        lease_ttl_min_s=fields.read_number(store, "minTtlS", 1.0),
+        heartbeat_interval_s=fields.read_number(table, "heartbeatS", 1.5),
+        memory_max_bytes=int(
+            fields.read_number(limits, "memoryMb", 256.0) * 1024 * 1024
+        ),
+        descriptors_max=fields.read_int(limits, "maxFds", 1024),
+        metrics_port=_read_metrics_port(table),
+        bounds=_decode_bounds(table),
+    )
+
+
+def _read_address(table: Mapping[str, Any], name: str) -> Address:
+    return decode_address(fields.read_text(table, name), name)
+
+
+def _read_metrics_port(table: Mapping[str, Any]) -> int:
+    ports = fields.read_list(table, "portRange")
+    if len(ports) != 2 or not all(isinstance(p, int) for p in ports):
+        raise PlatformFormatError(
+            "field_invalid", "portRange must be two numbers"
+        )
+    return ports[0]
+
+
+def _decode_bounds(table: Mapping[str, Any]) -> FleetBounds:
+    values: dict[str, float] = {}
+    for text in table.get("bounds", []):
+        name, _, value = str(text).partition("=")
+        try:
+            values[name] = float(value)
+        except ValueError:
+            continue  # true or false: none of these bounds is read here
+    least = FleetBounds()
+    return FleetBounds(
+        drain_s=values.get("drainS", least.drain_s),
+        grace_s=values.get("graceS", least.grace_s),
+        retry_ratio=values.get("retryBudgetRatio", least.retry_ratio),
+        retry_window_s=values.get("budgetWindowS", least.retry_window_s),
+        retry_slack=values.get("budgetSlack", least.retry_slack),
+        address_reuse_s=values.get("addrReuseS", least.address_reuse_s),
+    )
--- /dev/null
+++ b/kumquatwalk/roster/registration.py
@@ -0,0 +1,106 @@
+"""Task that keeps the node's own entry in the store."""
+
+import asyncio
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.exception import LeaseLostError
+from kumquatwalk.exception import PlatformError
+from kumquatwalk.logs import log_event
+from kumquatwalk.logs.level import Level
+from kumquatwalk.platform.store import Put
+from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.roster.entry import RosterEntry
+from kumquatwalk.roster.entry import encode_entry
+from kumquatwalk.tasks import start_task
+
+__all__ = ["Registration"]
+
+# Time from a renewal until the entry lapses, in seconds: an outage of the
+# store of a few seconds does not end it, and a lost VM is forgotten soon.
+LEASE_TTL_S = 10.0
+# Time between renewals, in seconds: three fit into the lease.
+RENEWAL_INTERVAL_S = 3.0
+# Time before another try after the store failed, in seconds. Entries must be
+# back within two seconds of the store's return.
+RETRY_INTERVAL_S = 0.5
+
+
+class Registration:
+    """Writes the entry under a lease and renews it.
+
+    Args:
+        store: Client of the store.
+        key: Key of the entry.
+        entry: The entry.
+    """
+
+    def __init__(self, store: StoreClient, key: str, entry: RosterEntry):
+        self._store = store
+        self._key = key
+        self._value = encode_entry(entry)
+        self._lease_id = 0
+        self._is_written = False
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task | None = None
+        self.last_success = -1.0
+
+    def start(self) -> None:
+        """Begin to register."""
+        self._task = start_task(self._run(), "roster_registration")
+
+    def note_vanished(self) -> None:
+        """Write the entry again: it was seen to be gone from the store."""
+        if not self._is_written:
+            return  # a write is under way
+        self._is_written = False
+        self._lease_id = 0
+        self._wake.set()
+
+    def close(self) -> None:
+        """Stop renewing; the entry lapses with its lease."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            delay_s = RENEWAL_INTERVAL_S
+            try:
+                await self._keep()
+            except PlatformError as error:
+                log_event(
+                    "roster_registration_failed",
+                    Level.WARNING,
+                    code=error.code,
+                    error=error.message,
+                )
+                delay_s = RETRY_INTERVAL_S
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(delay_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass  # time for the next renewal
+
+    async def _keep(self) -> None:
+        if self._lease_id and self._is_written:
+            try:
+                await self._store.renew_lease(self._lease_id)
+            except LeaseLostError:
+                self._lease_id = 0
+                self._is_written = False
+        if not self._is_written:
+            await self._write()
+        self.last_success = read_now()
+
+    async def _write(self) -> None:
+        if not self._lease_id:
+            self._lease_id = await self._store.grant_lease(LEASE_TTL_S)
+        try:
+            await self._store.commit(
+                [Put(self._key, self._value, self._lease_id)]
+            )
+        except LeaseLostError:
+            self._lease_id = 0
+            raise
+        self._is_written = True
+        log_event("roster_registered", lease=self._lease_id)
--- /dev/null
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -0,0 +1,126 @@
+"""Tests of the choice of a target, without network."""
+
+import collections
+import random
+import unittest
+
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.routing.target_choice import ChoiceContext
+from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.routing.target_choice import choose_target
+from kumquatwalk.targets.heartbeat import TargetState
+
+
+def make_view(node_id: str, zone: str = "a", **status) -> TargetView:
+    """Return a sound target."""
+    run_s = status.pop("run_s", 0.1)
+    values = {
+        "state": TargetState.READY,
+        "limit": 10,
+        "route_times": (("r", run_s),),
+    }
+    return TargetView(
+        node_id,
+        zone,
+        "s",
+        TargetStatus(**{**values, **status}),
+        heard_at=100.0,
+        is_reachable=True,
+    )
+
+
+def count_choices(views, **changes) -> collections.Counter:
+    """Return how often each target is chosen."""
+    values = {
+        "availability_zone": "a",
+        "route": "r",
+        "limit_s": 1.0,
+        "size_kb": 1.0,
+        "excluded": frozenset(),
+        "now": 100.1,
+    }
+    context = ChoiceContext(**{**values, **changes})
+    rng = random.Random(7)
+    chosen = [choose_target(views, context, rng) for _ in range(200)]
+    return collections.Counter(v.node_id if v else None for v in chosen)
+
+
+class TargetChoiceTest(unittest.TestCase):
+
+    def test_near_target_is_chosen_while_time_is_no_concern(self):
+        views = [
+            make_view("near", run_s=0.1),
+            make_view("far", "b", run_s=0.08),
+        ]
+        self.assertEqual(count_choices(views)["near"], 200)
+
+    def test_uneven_targets_late_answers_outweigh_the_bytes(self):
+        # Pattern: the near target works at a third of the far one's speed, so
+        # that part of its answers come late.
+        views = [
+            make_view("near", run_s=0.75),
+            make_view("far", "b", run_s=0.25),
+        ]
+        self.assertEqual(count_choices(views)["far"], 200)
+
+    def test_large_answers_stay_in_the_zone(self):
+        views = [make_view("near", run_s=0.5), make_view("far", "b", run_s=0.3)]
+        self.assertEqual(count_choices(views, size_kb=20.0)["near"], 200)
+
+    def test_full_target_is_left_for_a_free_one(self):
+        # Pattern: a surge fills the targets of one zone.
+        views = [
+            make_view("near", running=10, queued=30),
+            make_view("far", "b"),
+        ]
+        self.assertEqual(count_choices(views)["far"], 200)
+
+    def test_calls_sent_since_the_last_news_count_as_load(self):
+        near = make_view("near")
+        near.in_flight = 40
+        self.assertEqual(
+            count_choices([near, make_view("far", "b")])["far"], 200
+        )
+
+    def test_failing_target_behind_a_good_health_check_is_left(self):
+        views = [make_view("near", failure_share=0.4), make_view("far", "b")]
+        self.assertEqual(count_choices(views)["far"], 200)
+
+    def test_cold_target_gets_fewer_calls(self):
+        views = [
+            make_view("cold", run_s=0.4, cold_left_s=3.0),
+            make_view("warm", run_s=0.4),
+        ]
+        self.assertEqual(count_choices(views)["warm"], 200)
+
+    def test_equal_targets_share_the_calls(self):
+        counts = count_choices([make_view("one"), make_view("two")])
+        self.assertGreater(min(counts["one"], counts["two"]), 60)
+
+    def test_silent_target_is_the_last_choice(self):
+        silent = make_view("silent")
+        silent.heard_at = 90.0
+        self.assertEqual(
+            count_choices([silent, make_view("far", "b", run_s=0.9)])["far"],
+            200,
+        )
+        self.assertEqual(count_choices([silent])["silent"], 200)
+
+    def test_targets_that_take_no_work_are_never_chosen(self):
+        views = [
+            make_view("draining", state=TargetState.DRAINING),
+            make_view("gone", state=TargetState.GONE),
+            make_view("unknown", state=TargetState.UNKNOWN),
+            make_view("stopping", is_stopping=True),
+            make_view("tried"),
+        ]
+        unreachable = make_view("unreachable")
+        unreachable.is_reachable = False
+        counts = count_choices(
+            [*views, unreachable], excluded=frozenset(("tried",))
+        )
+        self.assertEqual(counts[None], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatwalk/standin/daemon_fleet.py
@@ -0,0 +1,275 @@
+"""Daemons, targets and a store on one event loop, for tests and examples."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+
+from kumquatwalk.address import Address
+from kumquatwalk.daemon.process import Daemon
+from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.settings import FleetBounds
+from kumquatwalk.http1.client_connection import open_connection
+from kumquatwalk.http1.encode import encode_request
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.scripted_target import ScriptedTarget
+
+__all__ = ["DaemonFleet", "NodeUnderTest", "make_config"]
+
+HOST = "shop.example"
+_ANSWER_BYTES_MAX = 1 << 26
+_START_TIMEOUT_S = 20.0
+_POLL_S = 0.01
+
+
+def make_config(
+    services: tuple[str, ...], version: int = 1, **route_fields
+) -> bytes:
+    """Return a fleet configuration with two routes for each service.
+
+    ``/<service>/`` is idempotent and ``/<service>-pay/`` is not.
+
+    Args:
+        services: Names of the services.
+        version: Number of the version.
+        **route_fields: Fields set on each route in place of the usual ones.
+    """
+    paths = []
+    for service in services:
+        for suffix, kind, rank in (("", "safe", 2), ("-pay", "unsafe", 0)):
+            path = {
+                "name": f"{service}{suffix}",
+                "pathPrefix": f"/{service}{suffix}/",
+                "routeKind": kind,
+                "timeoutS": 2.0,
+                "targetLatencyS": 0.5,
+                "maxAttempts": 2,
+                "priority": rank,
+                "service": service,
+            }
+            path.update(route_fields)
+            paths.append(path)
+    document = {
+        "version": f"r{version}",
+        "services": [
+            {"name": s, "healthPath": "/health", "maxConnections": 100}
+            for s in services
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1 << 20,
+            "headerTimeoutS": 1,
+            "idleTimeoutS": 5,
+        },
+        "virtualHosts": [{"host": HOST, "paths": paths}],
+    }
+    return json.dumps(document).encode()
+
+
+@dataclasses.dataclass(slots=True)
+class NodeUnderTest:
+    """A daemon with the target beside it.
+
+    Attributes:
+        settings: Settings of the daemon.
+        daemon: The daemon.
+        target: The target.
+        sequence: Number of its last heartbeat.
+    """
+
+    settings: DaemonSettings
+    daemon: Daemon
+    target: ScriptedTarget
+    sequence: int = 0
+
+
+class DaemonFleet:
+    """Store, daemons and targets on loopback; everything closes with it."""
+
+    def __init__(self):
+        self.store = KvStore()
+        self.nodes: dict[str, NodeUnderTest] = {}
+
+    async def start(self, config: bytes) -> None:
+        """Start the store with a configuration.
+
+        Args:
+            config: The configuration.
+        """
+        await self.store.start()
+        self.store.put("op/config", config)
+
+    async def close(self) -> None:
+        """Close everything."""
+        for node in self.nodes.values():
+            await node.daemon.close()
+            await node.target.close()
+        await self.store.close()
+
+    async def add_node(
+        self, name: str, service: str, zone: str = "z1", **bounds: float
+    ) -> NodeUnderTest:
+        """Start a target and the daemon beside it.
+
+        Args:
+            name: Name of the node.
+            service: Service of the target.
+            zone: Availability zone.
+            **bounds: Bounds set in place of the usual ones.
+        """
+        target = ScriptedTarget(f"i-{name}")
+        await target.start()
+        settings = self._make_settings(name, service, zone, target, bounds)
+        node = NodeUnderTest(settings, Daemon(settings), target)
+        self.nodes[name] = node
+        await node.daemon.start()
+        return node
+
+    async def restart_daemon(self, name: str) -> None:
+        """Replace a daemon as after a kill; its target goes on.
+
+        Args:
+            name: Name of the node.
+        """
+        node = self.nodes[name]
+        await node.daemon.close()
+        node.daemon = Daemon(node.settings)
+        await node.daemon.start()
+
+    async def send_heartbeat(self, name: str, **changes) -> HttpResponse:
+        """Send a heartbeat of a node's target to its daemon.
+
+        Args:
+            name: Name of the node.
+            **changes: Fields set in place of the usual ones.
+        """
+        node = self.nodes[name]
+        node.sequence += 1
+        document = {
+            "service": node.settings.service,
+            "address": str(node.settings.target),
+            "zone": node.settings.availability_zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftS": 0,
+            "sequence": node.sequence,
+            "born": 1000,
+        }
+        document.update(changes)
+        return await exchange(
+            node.settings.heartbeat_listener,
+            b"PUT",
+            f"/instances/{node.target.target_id}".encode(),
+            (),
+            json.dumps(document).encode(),
+        )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until each node serves and knows all others."""
+        for name in self.nodes:
+            await self.send_heartbeat(name)
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not all(self._is_ready(n) for n in self.nodes.values()):
+                await asyncio.sleep(_POLL_S)
+
+    async def call(
+        self,
+        name: str,
+        path: str,
+        attempt_id: str,
+        deadline_ms: int = 2000,
+        method: bytes = b"GET",
+        body: bytes = b"",
+    ) -> HttpResponse:
+        """Send a request to a node as a caller on its VM.
+
+        Args:
+            name: Name of the node.
+            path: Path with its query.
+            attempt_id: Identifier of the attempt.
+            deadline_ms: Time for which the caller waits, in milliseconds.
+            method: HTTP method.
+            body: Body of the request.
+        """
+        headers = (
+            (b"Attempt-Id", attempt_id.encode()),
+            (b"Deadline-Ms", str(deadline_ms).encode()),
+        )
+        address = self.nodes[name].settings.caller_listener
+        return await exchange(address, method, path.encode(), headers, body)
+
+    def _is_ready(self, node: NodeUnderTest) -> bool:
+        daemon = node.daemon
+        others = len(self.nodes) - 1
+        return daemon.is_ready and daemon.peers.count_ready() >= others
+
+    def _make_settings(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        target: ScriptedTarget,
+        bounds: dict[str, float],
+    ) -> DaemonSettings:
+        addresses = [Address("127.0.0.1", p) for p in _reserve_ports(4)]
+        return DaemonSettings(
+            node_id=name,
+            availability_zone=zone,
+            host="127.0.0.1",
+            service=service,
+            target=target.address,
+            caller_listener=addresses[0],
+            link_listener=addresses[1],
+            readiness_listener=addresses[2],
+            heartbeat_listener=addresses[3],
+            store=self.store.address,
+            lease_ttl_min_s=1.0,
+            heartbeat_interval_s=1.5,
+            memory_max_bytes=300 * 1024 * 1024,
+            descriptors_max=4096,
+            metrics_port=0,
+            bounds=FleetBounds(**bounds),
+        )
+
+
+async def exchange(
+    address: Address,
+    method: bytes,
+    path: bytes,
+    headers: tuple,
+    body: bytes,
+) -> HttpResponse:
+    """Send one request on a connection of its own.
+
+    Args:
+        address: Address of the server.
+        method: HTTP method.
+        path: Path with its query.
+        headers: Header lines beside the host.
+        body: Body of the request.
+    """
+    connection = await open_connection(address, 5.0, _ANSWER_BYTES_MAX)
+    host = ((b"Host", HOST.encode()),)
+    try:
+        data = encode_request(method, path, host + headers, body)
+        return await connection.exchange(data, method == b"HEAD")
+    finally:
+        connection.abort()
+
+
+def _reserve_ports(count: int) -> list[int]:
+    """Return ports that are free now.
+
+    The sockets are open together, so that the ports differ; another process
+    may take one before it is listened on, which fails the start loudly.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
--- /dev/null
+++ b/kumquatwalk/standin/kv_store.py
@@ -0,0 +1,235 @@
+"""Stand-in of the platform's store: items, watches, leases, transactions."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.server import HttpServer
+
+__all__ = ["KvStore"]
+
+_JSON = (b"Content-Type", b"application/json")
+_LEASE_CHECK_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+class KvStore:
+    """Store in memory, served over HTTP on the running event loop.
+
+    Attributes:
+        is_down: Whether every call is answered 503.
+        loses_answers: Whether calls are done and their connections closed.
+        calls: Calls so far, by path without identifiers.
+    """
+
+    def __init__(self, address: Address = Address("127.0.0.1", 0)):
+        self._server = HttpServer(address, self._handle)
+        self._items: dict[str, _Item] = {}
+        self._history: list[tuple[int, dict[str, Any]]] = []
+        self._dropped_to = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._next_lease = 1
+        self._changed = asyncio.Event()
+        self._expirer: asyncio.Task | None = None
+        self.is_down = False
+        self.calls: dict[str, int] = {}
+
+    @property
+    def address(self) -> Address:
+        """Address that the store listens on."""
+        return Address("127.0.0.1", self._server.port)
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self._server.start()
+        loop = asyncio.get_running_loop()
+        self._expirer = loop.create_task(self._expire_leases())
+
+    async def close(self) -> None:
+        """Stop serving."""
+        self._expirer.cancel()
+        await self._server.close()
+
+    def list_keys(self) -> list[str]:
+        """Return all keys, sorted."""
+        return sorted(self._items)
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item as another writer.
+
+        Args:
+            key: Name of the key.
+            value: Bytes to store.
+        """
+        self._put(key, base64.b64encode(value).decode(), 0)
+
+    def delete(self, key: str) -> None:
+        """Remove an item as another writer.
+
+        Args:
+            key: Name of the key.
+        """
+        self._delete(key)
+
+    def drop_history(self) -> None:
+        """Forget all changes, so that watches answer 410."""
+        self._history.clear()
+        self._dropped_to = self._revision
+        self._notify()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        url = urllib.parse.urlsplit(request.url.decode())
+        query = dict(urllib.parse.parse_qsl(url.query))
+        name = url.path.split("/")[1]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.is_down:
+            return HttpResponse(503)
+        match name:
+            case "kv-key":
+                return self._get(query)
+            case "kv-range":
+                return self._list(query)
+            case "kv-watch":
+                return await self._watch(query)
+            case "kv-txn":
+                return self._commit(json.loads(request.body))
+            case "kv-lease":
+                return self._grant(json.loads(request.body))
+            case "kv-keep":
+                return self._keep(int(url.path.split("/")[2]))
+            case _:
+                return HttpResponse(404)
+
+    def _get(self, query: Mapping[str, str]) -> HttpResponse:
+        item = self._items.get(query["key"])
+        if item is None:
+            return HttpResponse(404)
+        document = self._describe(query["key"], item)
+        return _answer({**document, "at": self._revision})
+
+    def _list(self, query: Mapping[str, str]) -> HttpResponse:
+        keys = [
+            k for k in self.list_keys() if k.startswith(query["pathPrefix"])
+        ]
+        items = [self._describe(k, self._items[k]) for k in keys]
+        return _answer({"items": items, "hasMore": False, "at": self._revision})
+
+    async def _watch(self, query: Mapping[str, str]) -> HttpResponse:
+        until = read_now() + int(query["waitMs"]) / 1000
+        after = int(query["after"])
+        prefix = query["pathPrefix"]
+        while True:
+            if self.is_down:
+                return HttpResponse(503)
+            if after < self._dropped_to:
+                return HttpResponse(410)
+            events = [
+                event
+                for revision, event in self._history
+                if revision > after and event["key"].startswith(prefix)
+            ]
+            remaining_s = until - read_now()
+            if events or remaining_s <= 0:
+                return _answer({"events": events, "at": self._revision})
+            changed = self._changed
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    def _commit(self, document: Mapping[str, Any]) -> HttpResponse:
+        for row in document["expected"]:
+            item = self._items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return _answer({"items": []}, 412)
+        for put in document["puts"]:
+            if put["leaseId"] and put["leaseId"] not in self._leases:
+                return HttpResponse(404)
+        for put in document["puts"]:
+            self._put(put["key"], put["value"], put["leaseId"])
+        for key in document["deletes"]:
+            self._delete(key)
+        return _answer({"revision": self._revision})
+
+    def _grant(self, document: Mapping[str, Any]) -> HttpResponse:
+        lease = self._next_lease
+        self._next_lease += 1
+        ttl_s = document["ttlS"]
+        self._leases[lease] = (read_now() + ttl_s, ttl_s)
+        return _answer({"leaseId": lease, "ttlS": ttl_s})
+
+    def _keep(self, lease: int) -> HttpResponse:
+        if lease not in self._leases:
+            return HttpResponse(404)
+        _, ttl_s = self._leases[lease]
+        self._leases[lease] = (read_now() + ttl_s, ttl_s)
+        return _answer({"ttlS": ttl_s})
+
+    async def _expire_leases(self) -> None:
+        while True:
+            await asyncio.sleep(_LEASE_CHECK_S)
+            now = read_now()
+            for lease, (until, _) in tuple(self._leases.items()):
+                if until < now:
+                    self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys.
+
+        Args:
+            lease: Identifier of the lease.
+        """
+        del self._leases[lease]
+        for key in [k for k, v in self._items.items() if v.lease == lease]:
+            self._delete(key)
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        known = self._items.get(key)
+        created = known.created if known else self._revision
+        item = _Item(value, self._revision, created, lease)
+        self._items[key] = item
+        self._history.append((self._revision, self._describe(key, item)))
+        self._notify()
+
+    def _delete(self, key: str) -> None:
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        event = {"key": key, "revision": self._revision, "deleted": True}
+        self._history.append((self._revision, event))
+        self._notify()
+
+    def _describe(self, key: str, item: _Item) -> dict[str, Any]:
+        return {
+            "key": key,
+            "value": item.value,
+            "revision": item.revision,
+            "createdRev": item.created,
+            "leaseId": item.lease,
+        }
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _answer(document: Mapping[str, Any], status: int = 200) -> HttpResponse:
+    return HttpResponse(status, (_JSON,), json.dumps(document).encode())
--- /dev/null
+++ b/kumquatwalk/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What a node knows of the target beside it."""
--- /dev/null
+++ b/kumquatwalk/targets/client.py
@@ -0,0 +1,117 @@
+"""Client of the target beside the node, with a pool of connections."""
+
+import dataclasses
+
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.http1.client_connection import ClientConnection
+from kumquatwalk.http1.client_connection import open_connection
+from kumquatwalk.http1.message import HttpResponse
+
+__all__ = ["TargetClient"]
+
+# Bound on connecting to a process of the same VM, in seconds.
+CONNECT_TIMEOUT_S = 1.0
+# Longest response body accepted, in bytes.
+RESPONSE_BYTES_MAX = 64 * 1024 * 1024
+# Share of the time that a target keeps idle connections open after which one
+# is not used any more, so that a request does not cross the target's close.
+IDLE_SHARE = 0.6
+# Idle time after which a connection is not used when the target has not said
+# how long it keeps them, in seconds.
+IDLE_UNKNOWN_S = 0.5
+# Idle time after which a request that must not run twice gets a new
+# connection, in seconds: an old one may have gone silent.
+IDLE_FRESH_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Use:
+    connection: ClientConnection
+    is_reused: bool
+
+
+class TargetClient:
+    """Sends requests to one target, one at a time on each connection.
+
+    Args:
+        address: Address of the target.
+    """
+
+    def __init__(self, address: Address):
+        self._address = address
+        self._idle: list[ClientConnection] = []
+        self.connections_opened = 0
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def exchange(
+        self,
+        data: bytes,
+        is_head: bool,
+        is_idempotent: bool,
+        accepts,
+    ) -> HttpResponse:
+        """Send a request and wait for its response.
+
+        Args:
+            data: The whole request.
+            is_head: Whether the method is HEAD.
+            is_idempotent: Whether the request may run more than once.
+            accepts: Tells whether a response belongs to the request.
+
+        Returns:
+            The response.
+
+        Raises:
+            ExchangeError: No whole response came.
+        """
+        use = await self._take(is_idempotent)
+        connection = use.connection
+        response = await connection.exchange(data, is_head, accepts)
+        self._give_back(connection, response)
+        return response
+
+    async def _take(self, is_idempotent: bool) -> _Use:
+        now = read_now()
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = now - connection.idle_since
+            most = connection.keep_alive_s
+            usable_s = IDLE_UNKNOWN_S if most is None else most * IDLE_SHARE
+            if not is_idempotent:
+                usable_s = min(usable_s, IDLE_FRESH_S)
+            if connection.is_usable and idle_s < usable_s:
+                return _Use(connection, True)
+            connection.abort()
+        self.connections_opened += 1
+        connection = await open_connection(
+            self._address, CONNECT_TIMEOUT_S, RESPONSE_BYTES_MAX
+        )
+        return _Use(connection, False)
+
+    def _give_back(
+        self, connection: ClientConnection, response: HttpResponse
+    ) -> None:
+        if not connection.is_usable:
+            return
+        connection.idle_since = read_now()
+        timeout_s = _read_keep_alive(response)
+        if timeout_s is not None:
+            connection.keep_alive_s = timeout_s
+        self._idle.append(connection)
+
+
+def _read_keep_alive(response: HttpResponse) -> float | None:
+    value = response.find_header(b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -0,0 +1,99 @@
+"""Tests of what is believed of a target."""
+
+import unittest
+
+from kumquatwalk.address import Address
+from kumquatwalk.targets.heartbeat import Heartbeat
+from kumquatwalk.targets.heartbeat import TargetState
+from kumquatwalk.targets.record import TargetRecord
+
+
+def make_heartbeat(**changes) -> Heartbeat:
+    """Return a heartbeat with usual values."""
+    values = {
+        "target_id": "i-1",
+        "service": "web",
+        "address": Address("10.0.0.1", 80),
+        "availability_zone": "z1",
+        "slots": 8,
+        "state": TargetState.READY,
+        "cold_left_s": 0.0,
+        "incarnation": 1000,
+        "sequence": 1,
+    }
+    return Heartbeat(**{**values, **changes})
+
+
+def play(*heartbeats: Heartbeat) -> TargetRecord:
+    """Return the record after heartbeats."""
+    record = TargetRecord()
+    for heartbeat in heartbeats:
+        record = record.take_heartbeat(heartbeat, 10.0)
+    return record
+
+
+class TargetRecordTest(unittest.TestCase):
+
+    def test_old_sequence_changes_nothing(self):
+        record = play(
+            make_heartbeat(sequence=5, state=TargetState.DRAINING),
+            make_heartbeat(sequence=4),
+        )
+        self.assertIs(record.state, TargetState.DRAINING)
+
+    def test_old_incarnation_changes_nothing(self):
+        record = play(
+            make_heartbeat(target_id="i-2", incarnation=2000),
+            make_heartbeat(
+                target_id="i-1",
+                incarnation=1000,
+                sequence=99,
+                state=TargetState.DRAINING,
+            ),
+        )
+        self.assertEqual(record.target_id, "i-2")
+        self.assertIs(record.state, TargetState.READY)
+
+    def test_new_incarnation_under_the_same_identifier_counts_anew(self):
+        record = play(
+            make_heartbeat(sequence=50, state=TargetState.DRAINING),
+            make_heartbeat(sequence=1, incarnation=2000),
+        )
+        self.assertIs(record.state, TargetState.READY)
+        self.assertEqual(record.sequence, 1)
+
+    def test_draining_target_does_not_become_ready_again(self):
+        record = play(
+            make_heartbeat(sequence=1, state=TargetState.DRAINING),
+            make_heartbeat(sequence=2, state=TargetState.READY),
+        )
+        self.assertIs(record.state, TargetState.DRAINING)
+
+    def test_departed_target_does_not_become_ready_again(self):
+        record = play(make_heartbeat()).take_departure("i-1")
+        record = record.take_heartbeat(make_heartbeat(sequence=2), 10.0)
+        self.assertIs(record.state, TargetState.GONE)
+
+    def test_departure_of_another_target_changes_nothing(self):
+        record = play(make_heartbeat()).take_departure("i-0")
+        self.assertIs(record.state, TargetState.READY)
+
+    def test_replaced_target_without_incarnation_does_not_come_back(self):
+        record = play(
+            make_heartbeat(target_id="i-1", incarnation=0, sequence=3),
+            make_heartbeat(target_id="i-2", incarnation=0, sequence=1),
+            make_heartbeat(target_id="i-1", incarnation=0, sequence=4),
+        )
+        self.assertEqual(record.target_id, "i-2")
+
+    def test_probe_settles_only_what_is_unknown(self):
+        record = TargetRecord().take_probe("i-1", 8)
+        self.assertIs(record.state, TargetState.READY)
+        record = play(make_heartbeat(state=TargetState.DRAINING)).take_probe(
+            "i-1", 8
+        )
+        self.assertIs(record.state, TargetState.DRAINING)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/scripts/binary_launcher.py
+++ b/scripts/binary_launcher.py
@@ -10,7 +10,7 @@
 import sys
 
 ROOT_VARIABLE = "SHIV_ROOT"
-DEFAULT_PARENT = "/dev/shm"
+DEFAULT_PARENT = "/tmp"
 MEMORY_FILE_SYSTEMS = frozenset(("tmpfs", "ramfs"))
 EXIT_CONFIGURATION = 78
 
