Stop without cutting callers off; ask one node for a configuration

Every node that heard of a newer configuration asked all others at once for a document of tens of kilobytes, across zones. Ruled out: ending before callers are taken away, which would refuse connections. Change: the listener closes 2.6 s after SIGTERM, or once the target's runs have ended; one configuration request at a time, after the own watch; no repeat where the other targets fail too. Frames no longer copy calls and replies.

--- a/kumquatwalk/admission/target_gate.py
+++ b/kumquatwalk/admission/target_gate.py
@@ -68,7 +68,7 @@
 class _Waiting:
     order: tuple[int, int, int]
     call: GateCall = dataclasses.field(compare=False)
-    since: float = dataclasses.field(compare=False)
+    run_s: float = dataclasses.field(compare=False)
 
 
 class TargetGate:
@@ -83,7 +83,8 @@
         self._slots = SLOTS_DEFAULT
         self._limit = float(SLOTS_DEFAULT)
         self._cut_at = -1.0
-        self._running: dict[int, tuple[GateCall, float]] = {}
+        self._running: dict[int, tuple[str, float]] = {}
+        self._running_s = 0.0
         self._waiting: list[_Waiting] = []
         self._sequence = 0
         self._closed_code = codes.TARGET_ABSENT
@@ -150,11 +151,11 @@
         if not self._waiting and len(self._running) < self.limit:
             if not self._can_end(call, 0.0, now):
                 return False, [self._refuse(call, codes.DEADLINE_EXCEEDED)]
-            self._running[call.key] = (call, now)
+            self._begin(call)
             return True, []
         self._sequence += 1
         order = (call.rank, 0 if call.is_returning else 1, self._sequence)
-        place = _Waiting(order, call, now)
+        place = _Waiting(order, call, self.run_times.estimate(call.route))
         index = bisect.bisect(self._waiting, place)
         if not self._can_end(call, self._foresee_wait(index), now):
             return False, [self._refuse(call, codes.OVERLOADED)]
@@ -178,8 +179,10 @@
             Calls that run now, and refusals of calls that waited.
         """
         entry = self._running.pop(key, None)
+        if entry is not None:
+            self._running_s = max(0.0, self._running_s - entry[1])
         if entry is not None and run_s is not None:
-            self.run_times.note(entry[0].route, run_s)
+            self.run_times.note(entry[0], run_s)
             most = self._slots * SLOTS_USED
             if self._limit < most:
                 rise = RISE_PER_RUN / max(1.0, self._limit)
@@ -227,7 +230,7 @@
             if not self._can_end(call, 0.0, now):
                 refused.append(self._refuse(call, codes.DEADLINE_EXCEEDED))
                 continue
-            self._running[call.key] = (call, now)
+            self._begin(call)
             started.append(call.key)
         return started, refused
 
@@ -243,6 +246,11 @@
             self._waiting = [w for w in self._waiting if w.call.key not in keys]
         return [self._refuse(w.call, codes.DEADLINE_EXCEEDED) for w in late]
 
+    def _begin(self, call: GateCall) -> None:
+        run_s = self.run_times.estimate(call.route)
+        self._running[call.key] = (call.route, run_s)
+        self._running_s += run_s
+
     def foresee_room(self) -> float:
         """Return the time until a call that comes now would run, in seconds."""
         if len(self._running) < self.limit and not self._waiting:
@@ -250,18 +258,13 @@
         return self._foresee_wait(len(self._waiting))
 
     def _foresee_wait(self, index: int) -> float:
-        ahead = sum(
-            self.run_times.estimate(w.call.route) for w in self._waiting[:index]
-        )
+        ahead_s = sum(w.run_s for w in self._waiting[:index])
         running = len(self._running)
         if running < self.limit:
-            return ahead / self.limit
+            return ahead_s / self.limit
         # One of the running calls ends, on average, after a share of its run.
-        runs = sum(
-            self.run_times.estimate(call.route)
-            for call, _ in self._running.values()
-        )
-        return (ahead + runs / running) / self.limit
+        next_end_s = self._running_s / running
+        return (ahead_s + next_end_s) / self.limit
 
     def _can_end(self, call: GateCall, wait_s: float, now: float) -> bool:
         run_s = RUN_SHARE * self.run_times.estimate(call.route)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -37,6 +37,10 @@
 GATES_MAX = 3
 # Time after which a target that failed is avoided by this node, in seconds.
 BACKOFF_S = 0.3
+# Share of failed runs above which a target is no help to a request that has
+# failed elsewhere. When all targets fail, what they call is at fault, and a
+# repeat would only multiply the calls below.
+FAILURE_SHARE_MAX = 0.15
 # Delay that a refusal names when nothing is known, in seconds, and the range
 # of the factor by which delays are spread.
 RETRY_AFTER_DEFAULT_S = 0.4
@@ -173,9 +177,9 @@
                 return self._give_up(request, reply)
 
     def _choose(self, request: _Request) -> TargetView | None:
-        self._own_view.status = self._target_side.get_status()
-        self._own_view.heard_at = read_now()
-        self._own_view.in_flight_told = self._own_view.in_flight
+        if request.service == self._own_view.service:
+            status = self._target_side.get_status()
+            self._own_view.take_status(status, read_now())
         route = request.route
         context = ChoiceContext(
             availability_zone=self._settings.availability_zone,
@@ -206,9 +210,7 @@
     def _make_call(self, request: _Request) -> Call:
         route = request.route
         return Call(
-            call_id=0,
             key=secrets.randbits(_KEY_BITS),
-            is_resent=False,
             attempt_id=request.caller.attempt_id,
             route=route.name,
             service=request.service,
@@ -244,6 +246,9 @@
             return True
         if request.arrivals >= request.route.attempts_max:
             return False
+        other = self._choose(request)
+        if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
+            return False
         return budget.take(self._peers.count, 1.0, now)
 
     def _give_up(self, request: _Request, reply: Reply | None) -> HttpResponse:
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -63,13 +63,12 @@
         Args:
             service: Name of the service.
         """
-        views = [
-            link.view
-            for link in self._links.values()
-            if link.view.service == service
-        ]
+        views = []
         for link in self._links.values():
-            link.view.is_reachable = link.is_usable
+            view = link.view
+            if view.service == service:
+                view.is_reachable = link.is_usable
+                views.append(view)
         if self._own_view.service == service:
             views.append(self._own_view)
         return views
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -7,6 +7,7 @@
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.caller_side import CallerSide
 from kumquatwalk.daemon.config_holder import ConfigHolder
+from kumquatwalk.daemon.config_pull import ConfigPull
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.readiness import ReadinessHandler
@@ -44,8 +45,9 @@
 CALLERS_LEAVE_S = 2.6
 # Time after SIGTERM at which other nodes are told to choose other targets.
 TARGET_LEAVES_S = 1.6
-# Time without any request after which a stopping daemon ends, in seconds.
-QUIET_S = 0.3
+# Time after SIGTERM for which the target's own runs keep the callers' listener
+# open, in seconds: they call on through it.
+RUNS_END_S = 4.0
 # Time before SIGKILL at which a stopping daemon ends all the same, in seconds.
 KILL_MARGIN_S = 0.4
 _POLL_S = 0.05
@@ -65,6 +67,7 @@
         self._incarnation = int(time.time() * _US)
         self._is_stopping = False
         self._publisher: asyncio.Task | None = None
+        self._config_pull = ConfigPull()
         own_view = TargetView(
             settings.node_id,
             settings.availability_zone,
@@ -126,20 +129,26 @@
         self._is_stopping = True
         self._caller_server.is_stopping = True
         log_event("daemon_stopping")
-        last = self._settings.bounds.grace_s - KILL_MARGIN_S
-        quiet_since = began_at
+        last_s = self._settings.bounds.grace_s - KILL_MARGIN_S
+        is_accepting = True
         while True:
             await asyncio.sleep(_POLL_S)
-            now = read_now()
-            elapsed_s = now - began_at
-            if elapsed_s > TARGET_LEAVES_S and not self._is_target_leaving:
+            elapsed_s = read_now() - began_at
+            if elapsed_s > TARGET_LEAVES_S and not self.target_side.is_stopping:
                 self.target_side.stop()
                 self._publish()
-            if self._count_in_progress():
-                quiet_since = now
-            is_quiet = now - quiet_since > QUIET_S
-            if elapsed_s > last or (elapsed_s > CALLERS_LEAVE_S and is_quiet):
+            if is_accepting and self._can_leave_callers(elapsed_s):
+                # Callers that still come would be cut off at the end.
+                self._caller_server.stop_accepting()
+                is_accepting = False
+            is_done = not is_accepting and not self._count_in_progress()
+            if is_done or elapsed_s > last_s:
                 break
+        log_event(
+            "daemon_drained",
+            seconds=read_now() - began_at,
+            in_progress=self._count_in_progress(),
+        )
 
     def apply_settings(self, settings: DaemonSettings) -> None:
         """Take changed settings.
@@ -179,9 +188,10 @@
             and self.roster.is_known
         )
 
-    @property
-    def _is_target_leaving(self) -> bool:
-        return self.target_side.get_status().is_stopping
+    def _can_leave_callers(self, elapsed_s: float) -> bool:
+        if elapsed_s < CALLERS_LEAVE_S:
+            return False
+        return not self.target_side.gate.running or elapsed_s > RUNS_END_S
 
     def _count_in_progress(self) -> int:
         return (
@@ -196,6 +206,7 @@
             self._make_hello,
             self.target_side.serve,
             self.target_side.get_status,
+            self.target_side.get_load,
             lambda: self.configs.document,
             self.roster.take_peer,
         )
@@ -234,7 +245,13 @@
         )
 
     def _take_status(self, link: PeerLink, status: TargetStatus) -> None:
-        if status.config_version > self.configs.version:
+        is_due = self._config_pull.is_due(
+            status.config_version,
+            self.configs.version,
+            self._config_watcher.is_reached,
+            read_now(),
+        )
+        if is_due:
             link.request_config(self.configs.version)
 
     def _take_config_snapshot(self, snapshot: Snapshot) -> None:
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -80,7 +80,7 @@
         self._expiry: asyncio.TimerHandle | None = None
         self._next_key = 0
         self._failure_share = 0.0
-        self._is_stopping = False
+        self.is_stopping = False
         self.gate = TargetGate()
         self.record = TargetRecord()
 
@@ -102,7 +102,7 @@
 
     def stop(self) -> None:
         """Take no more calls from other nodes; those in progress go on."""
-        self._is_stopping = True
+        self.is_stopping = True
 
     def get_status(self) -> TargetStatus:
         """Return the state of the target as other nodes are told it."""
@@ -114,12 +114,16 @@
             running=gate.running,
             queued=gate.queued,
             cold_left_s=max(0.0, self.record.cold_until - now),
-            is_stopping=self._is_stopping,
+            is_stopping=self.is_stopping,
             config_version=self._get_config_version(),
             route_times=gate.run_times.list_means(ROUTES_TOLD),
             failure_share=self._failure_share,
         )
 
+    def get_load(self) -> tuple[int, int]:
+        """Return the calls that run at the target and that wait for it."""
+        return self.gate.running, self.gate.queued
+
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat of the target.
 
@@ -234,9 +238,7 @@
             started, refused = self.gate.finish(key, run_s, read_now())
             self._start(started)
             self._resolve(refused)
-        return dataclasses.replace(
-            reply, running=self.gate.running, queued=self.gate.queued
-        )
+        return reply
 
     async def _admit(self, key: int, call: Call) -> Refusal | None:
         asking = GateCall(
@@ -332,8 +334,6 @@
         return Reply(
             Outcome.NOT_RUN,
             code,
-            running=self.gate.running,
-            queued=self.gate.queued,
             retry_after_s=retry_after_s,
         )
 
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -28,6 +28,9 @@
 # a request sent just in time does not cross the close.
 IDLE_MARGIN_S = 1.0
 
+# Time for which a new connection is taken to bring a request, in seconds.
+FRESH_S = 0.5
+
 _STATUS_BY_CODE = {"head_too_long": 431, "body_too_long": 413}
 
 
@@ -56,12 +59,20 @@
         self._is_ending = False
         self._can_write = True
         self._is_reading = True
-        self.idle_since = read_now()
+        self._has_served = False
+        self._opened_at = read_now()
+        self.idle_since = self._opened_at
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is in progress."""
-        return not self._exchanges and not self._parser.is_in_message
+        """Whether no request is in progress or about to come.
+
+        A connection that has just been opened counts as in use, since its
+        first request is on its way.
+        """
+        if self._exchanges or self._parser.is_in_message:
+            return False
+        return self._has_served or read_now() - self._opened_at > FRESH_S
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection when it is idle or slow for too long.
@@ -167,6 +178,7 @@
         self._adjust_reading()
 
     def _write(self, request: HttpRequest, response: HttpResponse) -> None:
+        self._has_served = True
         closes = (
             response.closes
             or not request.is_kept_alive
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -73,6 +73,16 @@
         """Connections on which a request is in progress."""
         return sum(not c.is_idle for c in self.connections)
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections and end idle ones.
+
+        Requests in progress go on; each ends its connection.
+        """
+        self.is_stopping = True
+        self._server.close()
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._checker is not None:
--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -9,12 +9,14 @@
 from kumquatwalk.exception import FrameError
 from kumquatwalk.http1.message import Header
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.targets.heartbeat import TargetState
@@ -133,11 +135,15 @@
 
 
 @_fill.register
-def _(message: Call, frame: Any) -> None:
+def _(message: CallFrame, frame: Any) -> None:
     part = frame.init("call")
     part.callId = message.call_id
-    part.key = message.key
     part.isResent = message.is_resent
+    _fill_call(part, message.call)
+
+
+def _fill_call(part: Any, message: Call) -> None:
+    part.key = message.key
     part.attemptId = message.attempt_id
     part.route = message.route
     part.service = message.service
@@ -153,16 +159,20 @@
 
 
 @_fill.register
-def _(message: Reply, frame: Any) -> None:
+def _(message: ReplyFrame, frame: Any) -> None:
     part = frame.init("reply")
     part.callId = message.call_id
+    part.running = min(message.running, _U16_MAX)
+    part.queued = min(message.queued, _U16_MAX)
+    _fill_reply(part, message.reply)
+
+
+def _fill_reply(part: Any, message: Reply) -> None:
     part.outcome = int(message.outcome)
     part.code = message.code
     part.status = message.status
     _fill_headers(part, message.headers)
     part.body = message.body
-    part.running = min(message.running, _U16_MAX)
-    part.queued = min(message.queued, _U16_MAX)
     part.retryAfterMs = min(int(message.retry_after_s * _MS), _U32_MAX)
     part.shedByTarget = message.shed_by_target
 
@@ -222,11 +232,13 @@
     )
 
 
+def _read_call_frame(part: Any) -> CallFrame:
+    return CallFrame(int(part.callId), bool(part.isResent), _read_call(part))
+
+
 def _read_call(part: Any) -> Call:
     return Call(
-        call_id=int(part.callId),
         key=int(part.key),
-        is_resent=bool(part.isResent),
         attempt_id=bytes(part.attemptId),
         route=str(part.route),
         service=str(part.service),
@@ -242,6 +254,15 @@
     )
 
 
+def _read_reply_frame(part: Any) -> ReplyFrame:
+    return ReplyFrame(
+        call_id=int(part.callId),
+        running=int(part.running),
+        queued=int(part.queued),
+        reply=_read_reply(part),
+    )
+
+
 def _read_reply(part: Any) -> Reply:
     return Reply(
         outcome=Outcome(int(part.outcome)),
@@ -249,11 +270,8 @@
         status=int(part.status),
         headers=_read_headers(part),
         body=bytes(part.body),
-        running=int(part.running),
-        queued=int(part.queued),
         retry_after_s=part.retryAfterMs / _MS,
         shed_by_target=bool(part.shedByTarget),
-        call_id=int(part.callId),
     )
 
 
@@ -293,8 +311,8 @@
 
 _READERS = {
     "hello": _read_hello,
-    "call": _read_call,
-    "reply": _read_reply,
+    "call": _read_call_frame,
+    "reply": _read_reply_frame,
     "cancel": _read_cancel,
     "status": _read_status,
     "configRequest": _read_config_request,
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -11,12 +11,14 @@
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
 
@@ -42,6 +44,7 @@
         make_hello: Makes this node's first message.
         serve_call: Serves one call; cancelled when nobody waits any more.
         get_status: Returns the state of this node's target.
+        get_load: Returns the calls that run at the target and that wait.
         get_config: Returns the fleet configuration as the operators wrote it.
         on_peer: Called with the first message of each peer.
     """
@@ -52,6 +55,7 @@
         make_hello: Callable[[], Hello],
         serve_call: Callable[[Call], Awaitable[Reply]],
         get_status: Callable[[], TargetStatus],
+        get_load: Callable[[], tuple[int, int]],
         get_config: Callable[[], ConfigDocument | None],
         on_peer: Callable[[Hello], None],
     ):
@@ -59,6 +63,7 @@
         self._make_hello = make_hello
         self._serve_call = serve_call
         self._get_status = get_status
+        self._get_load = get_load
         self._get_config = get_config
         self._on_peer = on_peer
         self._sessions: dict[LinkProtocol, _Session] = {}
@@ -115,7 +120,7 @@
                 link.send(self._make_hello())
                 link.send(self._get_status())
                 self._on_peer(message)
-            case Call():
+            case CallFrame():
                 self._start_call(session, message)
             case Cancel():
                 task = session.tasks.pop(message.call_id, None)
@@ -132,12 +137,16 @@
         if document is not None and document.version > request.after_version:
             link.send(document)
 
-    def _start_call(self, session: _Session, call: Call) -> None:
+    def _start_call(self, session: _Session, frame: CallFrame) -> None:
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self._run_call(session, call))
-        session.tasks[call.call_id] = task
+        task = loop.create_task(
+            self._run_call(session, frame.call_id, frame.call)
+        )
+        session.tasks[frame.call_id] = task
 
-    async def _run_call(self, session: _Session, call: Call) -> None:
+    async def _run_call(
+        self, session: _Session, call_id: int, call: Call
+    ) -> None:
         try:
             reply = await self._serve_call(call)
         except Exception as error:  # pylint: disable=broad-exception-caught
@@ -150,8 +159,9 @@
             )
             reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
         finally:
-            session.tasks.pop(call.call_id, None)
-        session.link.send(dataclasses.replace(reply, call_id=call.call_id))
+            session.tasks.pop(call_id, None)
+        running, queued = self._get_load()
+        session.link.send(ReplyFrame(call_id, running, queued, reply))
 
     def _lose(self, link: LinkProtocol) -> None:
         session = self._sessions.pop(link, None)
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -8,12 +8,14 @@
 
 __all__ = [
     "Call",
+    "CallFrame",
     "Cancel",
     "ConfigDocument",
     "ConfigRequest",
     "Hello",
     "Message",
     "Reply",
+    "ReplyFrame",
     "TargetStatus",
 ]
 
@@ -46,9 +48,7 @@
     """A request for the target beside the receiver.
 
     Attributes:
-        call_id: Number of the call on its link.
         key: Random number that names the call on any link.
-        is_resent: Whether it was sent before on a link that broke.
         attempt_id: Identifier of the caller's attempt.
         route: Name of the route.
         service: Service that is to run it.
@@ -56,17 +56,15 @@
         is_idempotent: Whether it may run more than once.
         is_returning: Whether its caller comes back after a refusal.
         rank: Order under pressure; 0 is the most important.
-        deadline: Time on the receiver's clock at which it is of no use any
-            more, in seconds.
+        deadline: Time at which it is of no use any more, in seconds; on a
+            link, a time of the receiver's clock.
         method: HTTP method.
         url: Path with its query.
         headers: Header lines for the target.
         body: The whole body.
     """
 
-    call_id: int
     key: int
-    is_resent: bool
     attempt_id: bytes
     route: str
     service: str
@@ -91,12 +89,9 @@
         status: Status of the target's answer; 0 without one.
         headers: Header lines of the answer.
         body: Whole body of the answer.
-        running: Calls that run at the target.
-        queued: Calls that wait for the target.
         retry_after_s: Time after which there will be room, in seconds.
         shed_by_target: Whether the call reached the target, which said that
             it did not run it.
-        call_id: Number of the call on its link.
     """
 
     outcome: Outcome
@@ -104,11 +99,40 @@
     status: int = 0
     headers: tuple[Header, ...] = ()
     body: bytes = b""
-    running: int = 0
-    queued: int = 0
     retry_after_s: float = 0.0
     shed_by_target: bool = False
-    call_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFrame:
+    """A call as it travels.
+
+    Attributes:
+        call_id: Number of the call on its link.
+        is_resent: Whether it was sent before on a link that broke.
+        call: The call.
+    """
+
+    call_id: int
+    is_resent: bool
+    call: Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyFrame:
+    """A reply as it travels.
+
+    Attributes:
+        call_id: Number of the call on its link.
+        running: Calls that run at the target.
+        queued: Calls that wait for the target.
+        reply: The reply.
+    """
+
+    call_id: int
+    running: int
+    queued: int
+    reply: Reply
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,8 +199,8 @@
 
 Message = (
     Hello
-    | Call
-    | Reply
+    | CallFrame
+    | ReplyFrame
     | Cancel
     | TargetStatus
     | ConfigRequest
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -11,12 +11,14 @@
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.target_choice import TargetView
@@ -115,10 +117,9 @@
             return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
         self._next_id = (self._next_id + 1) & 0xFFFFFFFF
         call_id = self._next_id
-        call = dataclasses.replace(call, call_id=call_id)
         future = asyncio.get_running_loop().create_future()
         self._pending[call_id] = _Pending(call, future)
-        self._send_call(call)
+        self._send_call(call_id, call, is_resent=False)
         self.view.in_flight += 1
         try:
             return await future
@@ -139,9 +140,10 @@
         if self._link is not None:
             self._link.send(ConfigRequest(after_version))
 
-    def _send_call(self, call: Call) -> None:
+    def _send_call(self, call_id: int, call: Call, is_resent: bool) -> None:
         deadline = call.deadline + self._clock_offset_s
-        self._link.send(dataclasses.replace(call, deadline=deadline))
+        there = dataclasses.replace(call, deadline=deadline)
+        self._link.send(CallFrame(call_id, is_resent, there))
 
     async def _run(self) -> None:
         redial_s = REDIAL_FIRST_S
@@ -212,12 +214,10 @@
         match message:
             case Hello():
                 self._welcome(message)
-            case Reply():
+            case ReplyFrame():
                 self._take_reply(message)
             case TargetStatus():
-                self.view.status = message
-                self.view.heard_at = read_now()
-                self.view.in_flight_told = self.view.in_flight
+                self.view.take_status(message, read_now())
                 self._on_status(self, message)
             case ConfigDocument():
                 self._on_config(message)
@@ -238,22 +238,19 @@
         if not is_same:
             self._fail_pending(lambda _: True)
         self._welcomed.set()
-        for pending in tuple(self._pending.values()):
+        for call_id, pending in tuple(self._pending.items()):
             if not pending.reply.done():
-                self._send_call(
-                    dataclasses.replace(pending.call, is_resent=True)
-                )
+                self._send_call(call_id, pending.call, is_resent=True)
 
-    def _take_reply(self, reply: Reply) -> None:
-        pending = self._pending.get(reply.call_id)
+    def _take_reply(self, frame: ReplyFrame) -> None:
+        pending = self._pending.get(frame.call_id)
         if pending is None or pending.reply.done():
             return  # the caller has gone, or the call was sent twice
-        status = self.view.status
-        self.view.status = dataclasses.replace(
-            status, running=reply.running, queued=reply.queued
-        )
-        self.view.in_flight_told = max(0, self.view.in_flight - 1)
-        pending.reply.set_result(reply)
+        view = self.view
+        view.running = frame.running
+        view.queued = frame.queued
+        view.in_flight_told = max(0, view.in_flight - 1)
+        pending.reply.set_result(frame.reply)
 
 
 def _ignore(_link: LinkProtocol) -> None:
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -11,45 +11,43 @@
 from kumquatwalk.mesh.codec import decode
 from kumquatwalk.mesh.codec import encode
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.targets.heartbeat import TargetState
 
 _MESSAGES = (
     Hello("n", 5, "z", "s", "10.0.0.1", 80, 12.5),
-    Call(
+    CallFrame(
         7,
-        9,
         True,
-        b"id",
-        "route",
-        "s",
-        "c",
-        False,
-        True,
-        3,
-        99.25,
-        b"POST",
-        b"/a",
-        ((b"A", b"b"), (b"C", b"")),
-        b"\x00body",
+        Call(
+            9,
+            b"id",
+            "route",
+            "s",
+            "c",
+            False,
+            True,
+            3,
+            99.25,
+            b"POST",
+            b"/a",
+            ((b"A", b"b"), (b"C", b"")),
+            b"\x00body",
+        ),
     ),
-    Reply(
-        Outcome.DONE,
-        "",
-        200,
-        ((b"A", b"b"),),
-        b"x" * 70000,
+    ReplyFrame(
+        8,
         3,
         4,
-        0.5,
-        True,
-        8,
+        Reply(Outcome.DONE, "", 200, ((b"A", b"b"),), b"x" * 70000, 0.5, True),
     ),
     Cancel(3),
     TargetStatus(
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -45,6 +45,8 @@
         availability_zone: Zone of the target.
         service: Service of the target.
         status: What its node last told.
+        running: Calls that run there, as last heard.
+        queued: Calls that wait there, as last heard.
         heard_at: Time of the last news.
         in_flight: Calls that this node has sent and that are not answered.
         in_flight_told: Calls of this node that the last news already counts.
@@ -56,12 +58,27 @@
     availability_zone: str
     service: str
     status: TargetStatus = TargetStatus()
+    running: int = 0
+    queued: int = 0
     heard_at: float = 0.0
     in_flight: int = 0
     in_flight_told: int = 0
     is_reachable: bool = False
     backoff_until: float = 0.0
 
+    def take_status(self, status: TargetStatus, now: float) -> None:
+        """Take what the target's node tells.
+
+        Args:
+            status: The news.
+            now: Present time.
+        """
+        self.status = status
+        self.running = status.running
+        self.queued = status.queued
+        self.heard_at = now
+        self.in_flight_told = self.in_flight
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChoiceContext:
@@ -128,7 +145,7 @@
         run_s *= COLD_FACTOR
     limit = max(1, status.limit)
     unseen = max(0, view.in_flight - view.in_flight_told)
-    load = status.running + status.queued + unseen
+    load = view.running + view.queued + unseen
     wait_s = max(0, load + 1 - limit) / limit * _estimate_mean(status, run_s)
     used = (run_s + wait_s) / max(context.limit_s, 0.001)
     cost = LINEAR_LOSS * used + LATE_LOSS * max(0.0, used - LATE_FROM) ** 1.5
--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -19,14 +19,9 @@
         "limit": 10,
         "route_times": (("r", run_s),),
     }
-    return TargetView(
-        node_id,
-        zone,
-        "s",
-        TargetStatus(**{**values, **status}),
-        heard_at=100.0,
-        is_reachable=True,
-    )
+    view = TargetView(node_id, zone, "s", is_reachable=True)
+    view.take_status(TargetStatus(**{**values, **status}), 100.0)
+    return view
 
 
 def count_choices(views, **changes) -> collections.Counter:
