Refuse at the front what a service deep in the chain cannot carry

Cause: under a surge the narrow service is the deepest; its calls were refused one by one, each of which cost a whole chain of work above it. Ruled out: refusing by the outcome of whole requests, which is noisy and late; asking callers for a mark, which they do not carry.

--- a/kumquatwalk/admission/target_gate.py
+++ b/kumquatwalk/admission/target_gate.py
@@ -40,6 +40,7 @@
         rank: Order under pressure; 0 is the most important.
         is_returning: Whether its caller comes back after a refusal.
         deadline: Time at which it is of no use any more.
+        start_by: Time after which it is not begun.
     """
 
     key: int
@@ -47,6 +48,7 @@
     rank: int
     is_returning: bool
     deadline: float
+    start_by: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -240,7 +242,11 @@
         Args:
             now: Present time.
         """
-        late = [w for w in self._waiting if not self._can_end(w.call, 0.0, now)]
+        late = [
+            w
+            for w in self._waiting
+            if now > w.call.start_by or not self._can_end(w.call, 0.0, now)
+        ]
         if late:
             keys = {w.call.key for w in late}
             self._waiting = [w for w in self._waiting if w.call.key not in keys]
@@ -267,6 +273,8 @@
         return (ahead_s + next_end_s) / self.limit
 
     def _can_end(self, call: GateCall, wait_s: float, now: float) -> bool:
+        if wait_s and now + wait_s > call.start_by:
+            return False
         run_s = RUN_SHARE * self.run_times.estimate(call.route)
         return now + wait_s + run_s + ANSWER_MARGIN_S <= call.deadline
 
--- a/kumquatwalk/admission/tests/test_target_gate.py
+++ b/kumquatwalk/admission/tests/test_target_gate.py
@@ -21,7 +21,9 @@
         "is_returning": False,
         "deadline": 10.0,
     }
-    return GateCall(**{**values, **changes})
+    values.update(changes)
+    values.setdefault("start_by", values["deadline"])
+    return GateCall(**values)
 
 
 def make_gate(slots: int) -> TargetGate:
@@ -74,6 +76,15 @@
         self.assertEqual([r.key for r in gate.expire(0.99)], [2])
         self.assertEqual(gate.queued, 0)
 
+    def test_call_is_refused_once_it_has_waited_long_enough(self):
+        # Pattern: a long surge; a caller that is refused early comes back in
+        # time, and one that waits to the end of its deadline does not.
+        gate = make_gate(1)
+        gate.offer(make_call(1), 0.0)
+        gate.offer(make_call(2, start_by=0.3), 0.0)
+        self.assertEqual(gate.expire(0.2), [])
+        self.assertEqual([r.key for r in gate.expire(0.31)], [2])
+
     def test_full_queue_gives_way_to_the_more_important_call(self):
         gate = make_gate(1)
         key = 0
--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -31,6 +31,8 @@
     """Run a node beside a target until SIGTERM or SIGINT."""
     # Imported here so that other commands do not wait for them.
     # pylint: disable=import-outside-toplevel
+    import uvloop
+
     from kumquatwalk.exception import SettingError
     from kumquatwalk.logs import close_logs
     from kumquatwalk.logs import start_logs
@@ -45,7 +47,7 @@
     start_logs(sys.stdout, Level[log_level.upper()], settings.node_id)
     gc.freeze()
     try:
-        asyncio.run(_run(settings, settings_path))
+        uvloop.run(_run(settings, settings_path))
     except OSError as error:
         click.echo(f"error: {error}", err=True)
         sys.exit(ExitCode.FAILED)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -9,10 +9,13 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.config.route import Route
+from kumquatwalk.daemon.front_admission import FrontAdmission
 from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.daemon.retry_spender import RetrySpender
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.settings import FleetBounds
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.logs import log_event
@@ -22,8 +25,7 @@
 from kumquatwalk.platform.request_headers import CallerRequest
 from kumquatwalk.platform.request_headers import decode_caller_request
 from kumquatwalk.platform.request_headers import make_retry_after
-from kumquatwalk.retry.service_budget import RetryAllowance
-from kumquatwalk.retry.service_budget import ServiceRetryBudget
+from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.route_sizes import RouteSizes
 from kumquatwalk.routing.split import TrafficSplitter
 from kumquatwalk.routing.target_choice import ChoiceContext
@@ -45,6 +47,11 @@
 # of the factor by which delays are spread.
 RETRY_AFTER_DEFAULT_S = 0.4
 RETRY_AFTER_SPREAD = (0.75, 1.5)
+# Share of its time limit for which a request of a caller waits for a place;
+# then it is refused while it still can come back in time. And the same for
+# one that has come back, which is not refused twice while there is time.
+PATIENCE = 0.35
+PATIENCE_RETURNING = 0.7
 # Share of the first attempt's deadline below which a request is taken for one
 # that comes back.
 RETURNING_SHARE = 0.95
@@ -74,6 +81,10 @@
         target_side: Target side of this node.
         own_view: What this node knows of its own target.
         peers: Links to other nodes.
+        meter: Counts the requests from this VM.
+        graph: Which routes call which.
+        front: Refuses what services deep in the chain cannot carry.
+        retries: Bounds what is sent again.
     """
 
     def __init__(
@@ -82,16 +93,22 @@
         target_side: TargetSide,
         own_view: TargetView,
         peers: Peers,
+        meter: TrafficMeter,
+        graph: CallGraph,
+        front: FrontAdmission,
+        retries: RetrySpender,
     ):
         self._settings = settings
-        self._bounds = settings.bounds
         self._target_side = target_side
         self._own_view = own_view
         self._peers = peers
+        self._meter = meter
+        self._graph = graph
+        self._front = front
+        self._retries = retries
         self._splitter = TrafficSplitter()
         self._sizes = RouteSizes()
         self._rng = random.Random()
-        self._budgets: dict[str, ServiceRetryBudget] = {}
         self._longest_timeout_s: dict[str, float] = {}
         self.config: FleetConfig | None = None
 
@@ -101,13 +118,11 @@
         Args:
             bounds: The new bounds.
         """
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._budgets.clear()
+        self._retries.set_bounds(bounds)
 
     def forget_failures(self) -> None:
         """Use all targets again that were avoided after a failure."""
-        for view in (*self._peers.list_all_views(), self._own_view):
+        for view in self._peers.list_all_views():
             view.backoff_until = 0.0
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
@@ -138,6 +153,7 @@
         timeout_s = route.timeout_s
         if caller.timeout_s is not None:
             timeout_s = min(timeout_s, caller.timeout_s)
+        self._meter.note_arrival(route.name)
         request = _Request(
             http,
             caller,
@@ -146,6 +162,8 @@
             http.received_at + timeout_s,
             self._is_returning(route, caller.timeout_s),
         )
+        if not self._front.passes(route, request.is_returning, read_now()):
+            return self._refuse(caller, codes.OVERLOADED, 0.0)
         try:
             async with asyncio.timeout(request.deadline - read_now()):
                 return await self._make_attempts(request)
@@ -161,8 +179,7 @@
         return timeout_s < RETURNING_SHARE * longest_s
 
     async def _make_attempts(self, request: _Request) -> HttpResponse:
-        budget = self._find_budget(request.service)
-        budget.note_first(read_now())
+        self._retries.note_first(request.service, read_now())
         while True:
             view = self._choose(request)
             if view is None:
@@ -173,7 +190,7 @@
                 request.arrivals += reply.shed_by_target
             else:
                 request.arrivals += 1
-            if not self._should_retry(request, reply, view, budget):
+            if not self._should_retry(request, reply, view):
                 return self._give_up(request, reply)
 
     def _choose(self, request: _Request) -> TargetView | None:
@@ -219,18 +236,26 @@
             is_returning=request.is_returning,
             rank=route.rank,
             deadline=request.deadline,
+            start_by=self._get_start_by(request),
             method=request.http.method,
             url=request.http.url,
             headers=request.caller.headers,
             body=request.http.body,
         )
 
+    def _get_start_by(self, request: _Request) -> float:
+        route = request.route
+        if route.rank == 0 or not self._graph.is_outer(route.name):
+            return request.deadline
+        share = PATIENCE_RETURNING if request.is_returning else PATIENCE
+        limit_s = min(route.objective_s, route.timeout_s)
+        return min(request.deadline, request.http.received_at + share * limit_s)
+
     def _should_retry(
         self,
         request: _Request,
         reply: Reply,
         view: TargetView,
-        budget: ServiceRetryBudget,
     ) -> bool:
         if reply.outcome is Outcome.DONE and reply.status < 500:
             return False
@@ -249,7 +274,7 @@
         other = self._choose(request)
         if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
             return False
-        return budget.take(self._peers.count, 1.0, now)
+        return self._retries.take(request.service, request.route.name, now)
 
     def _give_up(self, request: _Request, reply: Reply | None) -> HttpResponse:
         if reply is not None and reply.outcome is Outcome.DONE:
@@ -296,20 +321,6 @@
         )
         return _make_error(504, codes.DEADLINE_EXCEEDED)
 
-    def _find_budget(self, service: str) -> ServiceRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._bounds
-            budget = ServiceRetryBudget(
-                RetryAllowance(
-                    bounds.retry_ratio,
-                    bounds.retry_slack,
-                    bounds.retry_window_s,
-                )
-            )
-            self._budgets[service] = budget
-        return budget
-
 
 def _make_error(status: int, code: str, *headers) -> HttpResponse:
     body = f'{{"error":"{code}"}}\n'.encode()
--- /dev/null
+++ b/kumquatwalk/daemon/front_admission.py
@@ -0,0 +1,82 @@
+"""Refuses requests that services deep in the chain cannot carry."""
+
+import random
+
+from kumquatwalk.admission.front_gate import FrontGate
+from kumquatwalk.admission.front_gate import ServiceLoad
+from kumquatwalk.config.route import Route
+from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.logs import log_event
+from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.target_choice import collect_run_times
+
+__all__ = ["FrontAdmission"]
+
+
+class FrontAdmission:
+    """Feeds the front gate with the loads and the costs that nodes tell.
+
+    Only requests of callers are refused here. A call of a target is part of a
+    request that has been let through.
+
+    Args:
+        peers: Links to other nodes.
+        graph: Which routes call which.
+        rng: Source of the choice among like requests.
+    """
+
+    def __init__(self, peers: Peers, graph: CallGraph, rng: random.Random):
+        self._peers = peers
+        self._graph = graph
+        self._rng = rng
+        self._gate = FrontGate()
+        self._needs: dict[str, dict[str, float]] = {}
+
+    def passes(self, route: Route, is_returning: bool, now: float) -> bool:
+        """Return whether a request is let through.
+
+        Args:
+            route: Its route.
+            is_returning: Whether its caller comes back after a refusal.
+            now: Present time.
+        """
+        if self._gate.is_due(now):
+            self._look(now)
+        if not self._gate.prices or not self._graph.is_outer(route.name):
+            return True
+        needs = self._needs.get(route.name)
+        if needs is None:
+            needs = self._needs[route.name] = self._measure_needs(route.name)
+        share = self._gate.get_share(needs, route.rank, is_returning)
+        return self._rng.random() < share
+
+    def _look(self, now: float) -> None:
+        before = set(self._gate.prices)
+        self._gate.look(self._measure_loads(), now)
+        self._needs.clear()
+        for service in self._gate.prices.keys() - before:
+            log_event("service_full", service=service)
+        for service in before - self._gate.prices.keys():
+            log_event("service_has_room", service=service)
+
+    def _measure_loads(self) -> dict[str, ServiceLoad]:
+        busy: dict[str, int] = {}
+        limits: dict[str, int] = {}
+        for view in self._peers.list_all_views():
+            if not view.is_reachable or not view.takes_work:
+                continue
+            service = view.service
+            count = view.running + view.queued
+            busy[service] = busy.get(service, 0) + count
+            limits[service] = limits.get(service, 0) + view.status.limit
+        return {s: ServiceLoad(count, limits[s]) for s, count in busy.items()}
+
+    def _measure_needs(self, route: str) -> dict[str, float]:
+        times = collect_run_times(self._peers.list_all_views())
+        needs: dict[str, float] = {}
+        for name, runs in self._graph.count_runs(route).items():
+            by_service = times.get(name, {})
+            for service, run_s in by_service.items():
+                need_s = runs * run_s / len(by_service)
+                needs[service] = needs.get(service, 0.0) + need_s
+        return needs
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -9,6 +9,7 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.peer_link import PeerLink
 from kumquatwalk.roster.entry import RosterEntry
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.targets.heartbeat import TargetState
 
@@ -23,6 +24,7 @@
         make_hello: Makes this node's first message on a link.
         on_status: Called with each state of another's target.
         on_config: Called with a fleet configuration that was asked for.
+        on_traffic: Called with each report of another's traffic.
     """
 
     def __init__(
@@ -31,11 +33,13 @@
         make_hello: Callable[[], Hello],
         on_status: Callable[[PeerLink, TargetStatus], None],
         on_config: Callable[[ConfigDocument], None],
+        on_traffic: Callable[[PeerLink, TrafficReport], None],
     ):
         self._own_view = own_view
         self._make_hello = make_hello
         self._on_status = on_status
         self._on_config = on_config
+        self._on_traffic = on_traffic
         self._links: dict[str, PeerLink] = {}
 
     @property
@@ -74,8 +78,13 @@
         return views
 
     def list_all_views(self) -> list[TargetView]:
-        """Return what is known of the targets of all other nodes."""
-        return [link.view for link in self._links.values()]
+        """Return what is known of all targets, this node's own among them."""
+        views = []
+        for link in self._links.values():
+            link.view.is_reachable = link.is_usable
+            views.append(link.view)
+        views.append(self._own_view)
+        return views
 
     def count_ready(self) -> int:
         """Return the number of other nodes whose targets take work."""
@@ -116,6 +125,7 @@
             self._make_hello,
             self._on_status,
             self._on_config,
+            self._on_traffic,
         )
         link.start()
         log_event(
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -1,6 +1,7 @@
 """Composition root of the daemon: makes its parts and wires them."""
 
 import asyncio
+import random
 import time
 
 from kumquatwalk.clock import read_now
@@ -8,14 +9,17 @@
 from kumquatwalk.daemon.caller_side import CallerSide
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.config_pull import ConfigPull
+from kumquatwalk.daemon.front_admission import FrontAdmission
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.readiness import ReadinessHandler
+from kumquatwalk.daemon.retry_spender import RetrySpender
 from kumquatwalk.daemon.roster_keeper import RosterKeeper
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.daemon.target_prober import TargetProber
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.codec import load_schema
@@ -29,6 +33,8 @@
 from kumquatwalk.platform.store import Snapshot
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store import StoreItem
+from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.tasks import start_task
@@ -40,6 +46,13 @@
 # Time between two tellings of the target's state, in seconds. Replies carry
 # its load besides, and changes of state are told at once.
 STATUS_INTERVAL_S = 0.5
+# Length of a window in which the traffic is counted, in seconds: a few runs
+# long, so that calls fall into the window of their run.
+WINDOW_S = 1.0
+# Windows after the start of which each one is reported, and the interval of
+# reports later, in windows: the graph of calls changes rarely.
+EARLY_WINDOWS = 15
+REPORT_WINDOWS = 4
 # Time for which callers are served after SIGTERM, in seconds: they are taken
 # away after two readiness checks, which come once a second.
 CALLERS_LEAVE_S = 2.6
@@ -67,25 +80,39 @@
         self._incarnation = int(time.time() * _US)
         self._is_stopping = False
         self._publisher: asyncio.Task | None = None
+        self._reporter: asyncio.Task | None = None
         self._config_pull = ConfigPull()
-        own_view = TargetView(
+        self._own_view = TargetView(
             settings.node_id,
             settings.availability_zone,
             settings.service,
             is_reachable=True,
         )
+        self._meter = TrafficMeter()
+        self._graph = CallGraph()
         self.configs = ConfigHolder(self._apply_config)
         self.target_side = TargetSide(
-            settings, lambda: self.configs.version, self._publish
+            settings,
+            lambda: self.configs.version,
+            self._publish,
+            self._meter,
         )
         self.peers = Peers(
-            own_view,
+            self._own_view,
             self._make_hello,
             self._take_status,
             lambda document: self.configs.take(document.document, "peer"),
+            self._take_traffic,
         )
         self.caller_side = CallerSide(
-            settings, self.target_side, own_view, self.peers
+            settings,
+            self.target_side,
+            self._own_view,
+            self.peers,
+            self._meter,
+            self._graph,
+            FrontAdmission(self.peers, self._graph, random.Random()),
+            RetrySpender(settings.bounds, self.peers, self._graph),
         )
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S)
         self.roster = RosterKeeper(self.store, self._make_entry(), self.peers)
@@ -114,6 +141,9 @@
         self._publisher = start_task(
             self._publish_at_intervals(), "status_publisher"
         )
+        self._reporter = start_task(
+            self._report_at_intervals(), "traffic_reporter"
+        )
         log_event(
             "daemon_started",
             incarnation=self._incarnation,
@@ -167,6 +197,7 @@
         """End all tasks and close all sockets."""
         if self._publisher is not None:
             self._publisher.cancel()
+            self._reporter.cancel()
         self._config_watcher.close()
         self.roster.close()
         self._prober.close()
@@ -266,8 +297,28 @@
         self.caller_side.config = config
         self._caller_server.limits = config.limits
 
+    def _take_traffic(self, link: PeerLink, report: TrafficReport) -> None:
+        view = link.view
+        self._graph.take_report(view.node_id, view.service, report, read_now())
+
     def _publish(self) -> None:
-        self._link_server.publish()
+        status = self.target_side.get_status()
+        self._own_view.take_status(status, read_now())
+        self._link_server.publish(status)
+
+    async def _report_at_intervals(self) -> None:
+        windows = 0
+        while True:
+            await asyncio.sleep(WINDOW_S)
+            windows += 1
+            report = self._meter.close_window(self._graph, WINDOW_S)
+            settings = self._settings
+            self._graph.take_report(
+                settings.node_id, settings.service, report, read_now()
+            )
+            is_early = windows <= EARLY_WINDOWS
+            if is_early or not windows % REPORT_WINDOWS:
+                self._link_server.publish(report)
 
     async def _publish_at_intervals(self) -> None:
         while True:
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -11,6 +11,7 @@
 from kumquatwalk.admission.target_gate import TargetGate
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.encode import encode_request
 from kumquatwalk.http1.headers import list_end_to_end
@@ -61,6 +62,7 @@
         settings: Settings of the daemon.
         get_config_version: Returns the version of the fleet configuration.
         on_change: Called when the target's state has changed.
+        meter: Counts the runs.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         settings: DaemonSettings,
         get_config_version: Callable[[], int],
         on_change: Callable[[], None],
+        meter: TrafficMeter,
     ):
         self._settings = settings
         self._get_config_version = get_config_version
         self._on_change = on_change
+        self._meter = meter
         self._client = TargetClient(settings.target)
         self._waiters: dict[int, asyncio.Future[Refusal | None]] = {}
         self._once: collections.OrderedDict[int, _Once] = (
@@ -228,6 +232,7 @@
             return self._reply_not_run(refusal.code, refusal.retry_after_s)
         if record is not None:
             record.is_admitted = True
+        self._meter.note_run(call.route)
         began_at = read_now()
         run_s = None
         try:
@@ -242,7 +247,12 @@
 
     async def _admit(self, key: int, call: Call) -> Refusal | None:
         asking = GateCall(
-            key, call.route, call.rank, call.is_returning, call.deadline
+            key,
+            call.route,
+            call.rank,
+            call.is_returning,
+            call.deadline,
+            call.start_by,
         )
         runs, refused = self.gate.offer(asking, read_now())
         own = [r for r in refused if r.key == key]
--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -19,6 +19,9 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.call_graph import CallShare
+from kumquatwalk.routing.call_graph import RouteRate
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.targets.heartbeat import TargetState
 
 __all__ = ["FRAME_BYTES_MAX", "FrameReader", "decode", "encode", "load_schema"]
@@ -31,6 +34,7 @@
 _LENGTH = struct.Struct("!I")
 _US = 1_000_000
 _MS = 1000
+_MILLI = 1000
 _U16_MAX = 0xFFFF
 _U32_MAX = 0xFFFFFFFF
 
@@ -152,6 +156,7 @@
     part.isReturning = message.is_returning
     part.rank = min(message.rank, 255)
     part.deadlineUs = max(0, int(message.deadline * _US))
+    part.startByUs = max(0, int(message.start_by * _US))
     part.method = message.method
     part.url = message.url
     _fill_headers(part, message.headers)
@@ -211,6 +216,20 @@
     part.document = message.document
 
 
+@_fill.register
+def _(message: TrafficReport, frame: Any) -> None:
+    part = frame.init("trafficReport")
+    rates = part.init("rates", len(message.rates))
+    for slot, rate in zip(rates, message.rates):
+        slot.route = rate.route
+        slot.milliPerS = min(round(rate.per_s * _MILLI), _U32_MAX)
+    calls = part.init("calls", len(message.calls))
+    for slot, share in zip(calls, message.calls):
+        slot.route = share.route
+        slot.called = share.called
+        slot.milliCalls = min(round(share.calls * _MILLI), _U32_MAX)
+
+
 def _fill_headers(part: Any, headers: tuple[Header, ...]) -> None:
     slots = part.init("headers", len(headers))
     for slot, (name, value) in zip(slots, headers):
@@ -247,6 +266,7 @@
         is_returning=bool(part.isReturning),
         rank=int(part.rank),
         deadline=part.deadlineUs / _US,
+        start_by=part.startByUs / _US,
         method=bytes(part.method),
         url=bytes(part.url),
         headers=_read_headers(part),
@@ -305,6 +325,18 @@
     return ConfigDocument(int(part.version), bytes(part.document))
 
 
+def _read_traffic_report(part: Any) -> TrafficReport:
+    return TrafficReport(
+        tuple(
+            RouteRate(str(r.route), r.milliPerS / _MILLI) for r in part.rates
+        ),
+        tuple(
+            CallShare(str(c.route), str(c.called), c.milliCalls / _MILLI)
+            for c in part.calls
+        ),
+    )
+
+
 def _read_headers(part: Any) -> tuple[Header, ...]:
     return tuple((bytes(h.name), bytes(h.value)) for h in part.headers)
 
@@ -317,4 +349,5 @@
     "status": _read_status,
     "configRequest": _read_config_request,
     "configDocument": _read_config_document,
+    "trafficReport": _read_traffic_report,
 }
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -21,6 +21,7 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.call_graph import TrafficReport
 
 __all__ = ["LINK_LOST", "LinkServer"]
 
@@ -100,12 +101,15 @@
         for link in tuple(self._sessions):
             link.abort()
 
-    def publish(self) -> None:
-        """Send the state of the target to all peers."""
-        status = self._get_status()
+    def publish(self, message: TargetStatus | TrafficReport) -> None:
+        """Send news to all peers.
+
+        Args:
+            message: State of the target, or report of the traffic.
+        """
         for link, session in self._sessions.items():
             if session.peer is not None:
-                link.send(status)
+                link.send(message)
 
     def _open(self, link: LinkProtocol) -> None:
         self._sessions[link] = _Session(link)
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -32,6 +32,7 @@
   url @12 :Data;
   headers @13 :List(Header);
   body @14 :Data;
+  startByUs @15 :UInt64;
 }
 
 struct Reply {
@@ -77,6 +78,22 @@
   document @1 :Data;
 }
 
+struct RouteRate {
+  route @0 :Text;
+  milliPerS @1 :UInt32;
+}
+
+struct CallShare {
+  route @0 :Text;
+  called @1 :Text;
+  milliCalls @2 :UInt32;
+}
+
+struct TrafficReport {
+  rates @0 :List(RouteRate);
+  calls @1 :List(CallShare);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -86,5 +103,6 @@
     status @4 :TargetStatus;
     configRequest @5 :ConfigRequest;
     configDocument @6 :ConfigDocument;
+    trafficReport @7 :TrafficReport;
   }
 }
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -4,6 +4,7 @@
 
 from kumquatwalk.http1.message import Header
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.targets.heartbeat import TargetState
 
 __all__ = [
@@ -58,6 +59,8 @@
         rank: Order under pressure; 0 is the most important.
         deadline: Time at which it is of no use any more, in seconds; on a
             link, a time of the receiver's clock.
+        start_by: Time after which it is not begun, in seconds; a time of the
+            same clock.
         method: HTTP method.
         url: Path with its query.
         headers: Header lines for the target.
@@ -73,6 +76,7 @@
     is_returning: bool
     rank: int
     deadline: float
+    start_by: float
     method: bytes
     url: bytes
     headers: tuple[Header, ...]
@@ -205,4 +209,5 @@
     | TargetStatus
     | ConfigRequest
     | ConfigDocument
+    | TrafficReport
 )
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -21,6 +21,7 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.tasks import start_task
 
@@ -56,6 +57,7 @@
         make_hello: Makes this node's first message.
         on_status: Called with each state of the other's target.
         on_config: Called with a fleet configuration that was asked for.
+        on_traffic: Called with each report of the other's traffic.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         make_hello: Callable[[], Hello],
         on_status: Callable[["PeerLink", TargetStatus], None],
         on_config: Callable[[ConfigDocument], None],
+        on_traffic: Callable[["PeerLink", TrafficReport], None],
     ):
         self.address = address
         self.view = view
@@ -72,6 +75,7 @@
         self._make_hello = make_hello
         self._on_status = on_status
         self._on_config = on_config
+        self._on_traffic = on_traffic
         self._link: LinkProtocol | None = None
         self._clock_offset_s = 0.0
         self._pending: dict[int, _Pending] = {}
@@ -142,7 +146,8 @@
 
     def _send_call(self, call_id: int, call: Call, is_resent: bool) -> None:
         deadline = call.deadline + self._clock_offset_s
-        there = dataclasses.replace(call, deadline=deadline)
+        start_by = call.start_by + self._clock_offset_s
+        there = dataclasses.replace(call, deadline=deadline, start_by=start_by)
         self._link.send(CallFrame(call_id, is_resent, there))
 
     async def _run(self) -> None:
@@ -221,6 +226,8 @@
                 self._on_status(self, message)
             case ConfigDocument():
                 self._on_config(message)
+            case TrafficReport():
+                self._on_traffic(self, message)
             case _:
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -20,6 +20,9 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.call_graph import CallShare
+from kumquatwalk.routing.call_graph import RouteRate
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.targets.heartbeat import TargetState
 
 _MESSAGES = (
@@ -37,6 +40,7 @@
             True,
             3,
             99.25,
+            98.5,
             b"POST",
             b"/a",
             ((b"A", b"b"), (b"C", b"")),
@@ -55,6 +59,10 @@
     ),
     ConfigRequest(4),
     ConfigDocument(5, b"{}"),
+    TrafficReport(
+        (RouteRate("r", 2.5),),
+        (CallShare("r", "s", 4.0), CallShare("r", "t", 0.125)),
+    ),
 )
 
 
--- a/kumquatwalk/retry/service_budget.py
+++ b/kumquatwalk/retry/service_budget.py
@@ -48,28 +48,30 @@
         """
         self._first[self._find_bucket(now)] += 1
 
-    def take(self, nodes: int, weight: float, now: float) -> bool:
-        """Spend on a repeated arrival, if there is room for it.
+    def has_room(self, nodes: int, weight: float, now: float) -> bool:
+        """Return whether a request may be sent again.
 
         Args:
             nodes: Nodes that share the slack.
-            weight: Arrivals that the repeat causes, here and below.
+            weight: Arrivals at the service that the repeat causes.
             now: Present time.
-
-        Returns:
-            Whether the request may be sent again.
         """
-        bucket = self._find_bucket(now)
-        self._forget(bucket)
+        self._forget(self._find_bucket(now))
         allowance = self._allowance
         most = USED_SHARE * (
             allowance.ratio * self._first.total()
             + allowance.slack / max(1, nodes)
         )
-        if self._repeated.total() + weight > most:
-            return False
-        self._repeated[bucket] += weight
-        return True
+        return self._repeated.total() + weight <= most
+
+    def spend(self, weight: float, now: float) -> None:
+        """Record a repeat.
+
+        Args:
+            weight: Arrivals at the service that the repeat causes.
+            now: Present time.
+        """
+        self._repeated[self._find_bucket(now)] += weight
 
     def _find_bucket(self, now: float) -> int:
         return int(now / self._bucket_s)
--- a/kumquatwalk/retry/tests/test_service_budget.py
+++ b/kumquatwalk/retry/tests/test_service_budget.py
@@ -35,7 +35,8 @@
             if is_first:
                 budget.note_first(now)
                 first.append(now)
-            elif budget.take(nodes, 1.0, now):
+            elif budget.has_room(nodes, 1.0, now):
+                budget.spend(1.0, now)
                 repeated.append(now)
         for end in repeated:
             start = end - ALLOWANCE.window_s
@@ -49,8 +50,7 @@
         budget = ServiceRetryBudget(ALLOWANCE)
         for _ in range(1000):
             budget.note_first(0.0)
-        granted = sum(budget.take(1000, 1.0, 30.0) for _ in range(100))
-        self.assertEqual(granted, 0)
+        self.assertFalse(budget.has_room(1000, 1.0, 30.0))
 
 
 if __name__ == "__main__":
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -7,7 +7,13 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.targets.heartbeat import TargetState
 
-__all__ = ["ChoiceContext", "TargetView", "choose_target"]
+__all__ = [
+    "ChoiceContext",
+    "TargetView",
+    "choose_target",
+    "collect_run_times",
+    "estimate_cost",
+]
 
 # What bytes between zones cost, as a share of an answer's value for each
 # kilobyte. They are the dearest resource of the deployments in view, where a
@@ -66,6 +72,12 @@
     is_reachable: bool = False
     backoff_until: float = 0.0
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether its node says that it takes work."""
+        status = self.status
+        return status.state is TargetState.READY and not status.is_stopping
+
     def take_status(self, status: TargetStatus, now: float) -> None:
         """Take what the target's node tells.
 
@@ -117,10 +129,7 @@
     usable = [
         v
         for v in views
-        if v.is_reachable
-        and v.node_id not in context.excluded
-        and v.status.state is TargetState.READY
-        and not v.status.is_stopping
+        if v.is_reachable and v.node_id not in context.excluded and v.takes_work
     ]
     if not usable:
         return None
@@ -155,6 +164,25 @@
     return cost + FAILURE_LOSS * failing
 
 
+def collect_run_times(
+    views: Iterable[TargetView],
+) -> dict[str, dict[str, float]]:
+    """Return the mean time of a run in seconds, by route and by service.
+
+    Args:
+        views: Targets.
+    """
+    times: dict[str, dict[str, list[float]]] = {}
+    for view in views:
+        for route, run_s in view.status.route_times:
+            by_service = times.setdefault(route, {})
+            by_service.setdefault(view.service, []).append(run_s)
+    return {
+        route: {s: sum(v) / len(v) for s, v in by_service.items()}
+        for route, by_service in times.items()
+    }
+
+
 def _estimate_run(status: TargetStatus, route: str) -> float:
     for name, run_s in status.route_times:
         if name == route:
