Fill the front's capacity by value; never answer a failed run as not run

Cause: prices on full services overshot and fell again, each look late by a second; inner calls waited for their whole deadline, one after another; a run that had failed was answered 503 when the other target refused the repeat. Change: shares follow from demand and capacity (fractional knapsack, payments first, then a least share of each kind, then by value for places) and are corrected by load; inner calls wait 0.3 of their limit and go to the fast target; a failed run stays failed (test_failed_run_is_not_answered_as_not_run).

--- a/kumquatwalk/admission/front_gate.py
+++ b/kumquatwalk/admission/front_gate.py
@@ -3,41 +3,34 @@
 import dataclasses
 import math
 from collections.abc import Mapping
-
-__all__ = ["FrontGate", "ServiceLoad"]
-
-# Load at which a service is full: calls that run and wait over those that may
-# run. A few calls always wait where all places are taken.
-FULL_LOAD = 1.08
-# Load below which the price of a service falls.
-EASY_LOAD = 0.92
-# Price of a service when it first is full, in values for a second of one of
-# its places. At this price a request of one value that needs a second there is
-# refused half the time.
-FIRST_PRICE = 0.7
-# Price below which a service is free.
-LEAST_PRICE = 0.2
-# Highest price; a request that needs 20 ms is refused half the time there.
-HIGHEST_PRICE = 50.0
-# Exponent by which the price rises for load over FULL_LOAD, at each look, and
-# the most that it rises; and the share by which it falls where there is no
-# load at all.
-RISE = 0.6
-RISE_MAX = 0.5
-FALL = 0.7
-# Time between two looks at the loads, in seconds: news comes as often.
+from collections.abc import Sequence
+
+__all__ = ["FrontGate", "RouteDemand", "ServiceLoad", "plan_shares"]
+
+# Share of a service's places that requests are let through for, at first and
+# at most, and at least. Chains of a dozen calls have no time to wait at each.
+USE_FIRST = 0.8
+USE_MOST = 0.92
+USE_LEAST = 0.5
+# Load above which a service is let through less, and below which more: calls
+# that run and wait over those that may run.
+FULL_LOAD = 0.95
+EASY_LOAD = 0.8
+# Factors by which the share of places falls and rises at each look.
+USE_FALL = 0.95
+USE_RISE = 1.02
+# Time between two looks at loads and demands, in seconds; news comes as often.
 LOOK_INTERVAL_S = 0.5
 # Value of a request by rank, relative to the least important; rank 0 is money
 # and orders, which are refused last.
 VALUE_BY_RANK = (8.0, 4.0)
-# Value of a request whose caller comes back after a refusal, relative to a
-# new one: it has waited already, and does not come a third time.
-RETURNING_VALUE = 2.5
-# Share of each kind of request that is let through at any price, so that no
-# kind of caller is shut out.
-LEAST_SHARE = 0.35
-# Width of the passage from all to none, as a share of the value.
-SLOPE = 1.0
+# Share of each kind of request that is let through however full a service is,
+# so that no kind of caller is shut out.
+LEAST_SHARE = 0.25
+# Factors on the share for a new request, and for a caller that comes back
+# after a refusal: it has waited already, and does not come a third time.
+NEW_FACTOR = 0.9
+RETURNING_FACTOR = 1.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,24 +46,47 @@
     limit: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteDemand:
+    """Requests of callers on one route, over the whole fleet.
+
+    Attributes:
+        route: Name of the route.
+        rank: Order under pressure; 0 is the most important.
+        per_s: Requests a second.
+        needs: Time of places that one request takes over its whole chain, in
+            seconds, by service.
+    """
+
+    route: str
+    rank: int
+    per_s: float
+    needs: Mapping[str, float]
+
+    @property
+    def value(self) -> float:
+        """Value of one request."""
+        known = self.rank < len(VALUE_BY_RANK)
+        return VALUE_BY_RANK[self.rank] if known else 1.0
+
+
 class FrontGate:
-    """Sets a price on each full service and lets pass what is worth it.
+    """Lets through what all services of a chain can carry.
 
-    The prices are the dual variables of network utility maximization (Kelly,
-    Maulloo and Tan, "Rate control for communication networks", 1998): each
-    rises while its service is full, and a request passes when its value
-    exceeds what it costs over its whole chain. All nodes see the same loads
-    and come to the same prices.
+    The capacity follows from the places of the targets and the time that
+    requests take there, and is corrected by the loads that follow. All nodes
+    see the same news and come to about the same shares.
     """
 
     def __init__(self):
-        self._prices: dict[str, float] = {}
+        self._uses: dict[str, float] = {}
+        self._shares: Mapping[str, float] = {}
         self._looked_at = -math.inf
 
     @property
-    def prices(self) -> Mapping[str, float]:
-        """Price of each full service, in values a second of one place."""
-        return self._prices
+    def shares(self) -> Mapping[str, float]:
+        """Share of each route that is let through, where it is not all."""
+        return self._shares
 
     def is_due(self, now: float) -> bool:
         """Return whether to look at the loads again.
@@ -80,48 +96,116 @@
         """
         return now - self._looked_at >= LOOK_INTERVAL_S
 
-    def look(self, loads: Mapping[str, ServiceLoad], now: float) -> None:
-        """Set the prices from the loads.
+    def look(
+        self,
+        loads: Mapping[str, ServiceLoad],
+        demands: Sequence[RouteDemand],
+        now: float,
+    ) -> None:
+        """Set the shares from loads and demands.
 
         Args:
             loads: Load of each service.
+            demands: Demand of each route of callers.
             now: Present time.
         """
         self._looked_at = now
+        capacity = {}
         for service, load in loads.items():
-            share = load.busy / max(1, load.limit)
-            price = self._adjust(self._prices.get(service, 0.0), share)
-            if price < LEAST_PRICE:
-                self._prices.pop(service, None)
-            else:
-                self._prices[service] = price
-
-    def get_share(
-        self, needs: Mapping[str, float], rank: int, is_returning: bool
-    ) -> float:
+            use = self._adjust_use(service, load)
+            capacity[service] = use * load.limit
+        self._shares = plan_shares(demands, capacity)
+
+    def get_share(self, route: str, is_returning: bool) -> float:
         """Return the share of such requests that pass, 0 to 1.
 
         Args:
-            needs: Time of places that a request takes, in seconds, by service.
-            rank: Order under pressure; 0 is the most important.
+            route: Name of the route.
             is_returning: Whether the caller comes back after a refusal.
         """
-        cost = sum(
-            self._prices.get(service, 0.0) * need_s
-            for service, need_s in needs.items()
-        )
-        if not cost:
+        share = self._shares.get(route)
+        if share is None:
             return 1.0
-        value = VALUE_BY_RANK[rank] if rank < len(VALUE_BY_RANK) else 1.0
-        if is_returning:
-            value *= RETURNING_VALUE
-        share = 0.5 + (value - cost) / (SLOPE * value)
-        return min(1.0, max(LEAST_SHARE, share))
+        factor = RETURNING_FACTOR if is_returning else NEW_FACTOR
+        return min(1.0, share * factor)
 
-    def _adjust(self, price: float, share: float) -> float:
+    def _adjust_use(self, service: str, load: ServiceLoad) -> float:
+        share = load.busy / max(1, load.limit)
+        use = self._uses.get(service, USE_FIRST)
         if share > FULL_LOAD:
-            rise = math.exp(min(RISE_MAX, RISE * (share - FULL_LOAD)))
-            return min(HIGHEST_PRICE, max(FIRST_PRICE, price * rise))
-        if share < EASY_LOAD:
-            return price * (1.0 - FALL * (1.0 - share / EASY_LOAD))
-        return price
+            use = max(USE_LEAST, use * USE_FALL)
+        elif share < EASY_LOAD:
+            use = min(USE_MOST, use * USE_RISE)
+        self._uses[service] = use
+        return use
+
+
+def plan_shares(
+    demands: Sequence[RouteDemand], capacity: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the share of each route that fits, where it is not all.
+
+    A fractional knapsack: of the routes that need a service that is asked for
+    too much, those with the highest value for what they take are filled first.
+
+    Args:
+        demands: Demand of each route.
+        capacity: Places of each service that may be used.
+
+    Returns:
+        Shares by route; routes that pass whole are left out.
+    """
+    full = _find_full(demands, capacity)
+    if not full:
+        return {}
+    shares = {d.route: 0.0 for d in demands}
+    room = {service: capacity[service] for service in full}
+    first = [d for d in demands if d.rank == 0]
+    rest = [d for d in demands if d.rank > 0]
+    rest.sort(key=lambda d: _rate(d, full), reverse=True)
+    for demand in first:
+        _fill(demand, 1.0, shares, room)
+    for demand in rest:
+        _fill(demand, LEAST_SHARE, shares, room)
+    for demand in rest:
+        _fill(demand, 1.0, shares, room)
+    least = {r: max(LEAST_SHARE, share) for r, share in shares.items()}
+    return {route: share for route, share in least.items() if share < 1.0}
+
+
+def _fill(
+    demand: RouteDemand,
+    most: float,
+    shares: dict[str, float],
+    room: dict[str, float],
+) -> None:
+    """Raise a route's share as far as all services have room for it."""
+    added = most - shares[demand.route]
+    asked = {s: demand.per_s * demand.needs.get(s, 0.0) for s in room}
+    for service, places in asked.items():
+        if places > 0.0:
+            added = min(added, max(0.0, room[service]) / places)
+    for service, places in asked.items():
+        room[service] -= places * added
+    shares[demand.route] += added
+
+
+def _find_full(
+    demands: Sequence[RouteDemand], capacity: Mapping[str, float]
+) -> dict[str, float]:
+    """Return how often over its capacity each full service is asked for."""
+    full = {}
+    for service, places in capacity.items():
+        asked = sum(d.per_s * d.needs.get(service, 0.0) for d in demands)
+        if 0.0 < places < asked:
+            full[service] = asked / places
+    return full
+
+
+def _rate(demand: RouteDemand, full: Mapping[str, float]) -> float:
+    """Return the value for what a request takes of the full services."""
+    cost = sum(
+        demand.needs.get(service, 0.0) * excess
+        for service, excess in full.items()
+    )
+    return demand.value / cost if cost > 0.0 else math.inf
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -52,6 +52,8 @@
 # one that has come back, which is not refused twice while there is time.
 PATIENCE = 0.35
 PATIENCE_RETURNING = 0.7
+# The same for a call of a target, whose run makes several, one after another.
+PATIENCE_INNER = 0.3
 # Share of the first attempt's deadline below which a request is taken for one
 # that comes back.
 RETURNING_SHARE = 0.95
@@ -71,6 +73,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     arrivals: int = 0
     may_have_run: bool = False
+    failed: Reply | None = None
 
 
 class CallerSide:
@@ -190,6 +193,7 @@
                 request.arrivals += reply.shed_by_target
             else:
                 request.arrivals += 1
+                request.failed = reply
             if not self._should_retry(request, reply, view):
                 return self._give_up(request, reply)
 
@@ -205,6 +209,7 @@
             size_kb=self._sizes.estimate(route.name),
             excluded=frozenset(request.tried),
             now=read_now(),
+            is_inner=self._graph.is_inner(route.name),
         )
         views = self._peers.list_views(request.service)
         return choose_target(views, context, self._rng)
@@ -245,10 +250,13 @@
 
     def _get_start_by(self, request: _Request) -> float:
         route = request.route
-        if route.rank == 0 or not self._graph.is_outer(route.name):
-            return request.deadline
-        share = PATIENCE_RETURNING if request.is_returning else PATIENCE
         limit_s = min(route.objective_s, route.timeout_s)
+        if self._graph.is_inner(route.name):
+            share = PATIENCE_INNER
+        elif route.rank == 0 or not self._graph.is_outer(route.name):
+            return request.deadline
+        else:
+            share = PATIENCE_RETURNING if request.is_returning else PATIENCE
         return min(request.deadline, request.http.received_at + share * limit_s)
 
     def _should_retry(
@@ -277,6 +285,9 @@
         return self._retries.take(request.service, request.route.name, now)
 
     def _give_up(self, request: _Request, reply: Reply | None) -> HttpResponse:
+        if reply is None or reply.outcome is Outcome.NOT_RUN:
+            # A refusal elsewhere does not undo the run that failed before.
+            reply = request.failed or reply
         if reply is not None and reply.outcome is Outcome.DONE:
             size = len(request.http.body) + len(reply.body)
             self._sizes.note(request.route.name, size)
--- a/kumquatwalk/daemon/front_admission.py
+++ b/kumquatwalk/daemon/front_admission.py
@@ -3,6 +3,7 @@
 import random
 
 from kumquatwalk.admission.front_gate import FrontGate
+from kumquatwalk.admission.front_gate import RouteDemand
 from kumquatwalk.admission.front_gate import ServiceLoad
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.peers import Peers
@@ -30,7 +31,7 @@
         self._graph = graph
         self._rng = rng
         self._gate = FrontGate()
-        self._needs: dict[str, dict[str, float]] = {}
+        self._ranks: dict[str, int] = {}
 
     def passes(self, route: Route, is_returning: bool, now: float) -> bool:
         """Return whether a request is let through.
@@ -40,24 +41,35 @@
             is_returning: Whether its caller comes back after a refusal.
             now: Present time.
         """
+        self._ranks[route.name] = route.rank
         if self._gate.is_due(now):
             self._look(now)
-        if not self._gate.prices or not self._graph.is_outer(route.name):
+        if not self._gate.shares:
             return True
-        needs = self._needs.get(route.name)
-        if needs is None:
-            needs = self._needs[route.name] = self._measure_needs(route.name)
-        share = self._gate.get_share(needs, route.rank, is_returning)
+        share = self._gate.get_share(route.name, is_returning)
         return self._rng.random() < share
 
     def _look(self, now: float) -> None:
-        before = set(self._gate.prices)
-        self._gate.look(self._measure_loads(), now)
-        self._needs.clear()
-        for service in self._gate.prices.keys() - before:
-            log_event("service_full", service=service)
-        for service in before - self._gate.prices.keys():
-            log_event("service_has_room", service=service)
+        was_full = bool(self._gate.shares)
+        self._gate.look(self._measure_loads(), self._measure_demands(), now)
+        if bool(self._gate.shares) != was_full:
+            log_event(
+                "front_shares_set",
+                **{r: round(s, 3) for r, s in self._gate.shares.items()},
+            )
+
+    def _measure_demands(self) -> list[RouteDemand]:
+        times = collect_run_times(self._peers.list_all_views())
+        return [
+            RouteDemand(
+                route,
+                self._ranks[route],
+                per_s,
+                self._measure_needs(route, times),
+            )
+            for route, per_s in self._graph.sum_rates().items()
+            if self._graph.is_outer(route) and route in self._ranks
+        ]
 
     def _measure_loads(self) -> dict[str, ServiceLoad]:
         busy: dict[str, int] = {}
@@ -71,8 +83,9 @@
             limits[service] = limits.get(service, 0) + view.status.limit
         return {s: ServiceLoad(count, limits[s]) for s, count in busy.items()}
 
-    def _measure_needs(self, route: str) -> dict[str, float]:
-        times = collect_run_times(self._peers.list_all_views())
+    def _measure_needs(
+        self, route: str, times: dict[str, dict[str, float]]
+    ) -> dict[str, float]:
         needs: dict[str, float] = {}
         for name, runs in self._graph.count_runs(route).items():
             by_service = times.get(name, {})
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -49,10 +49,9 @@
 # Length of a window in which the traffic is counted, in seconds: a few runs
 # long, so that calls fall into the window of their run.
 WINDOW_S = 1.0
-# Windows after the start of which each one is reported, and the interval of
-# reports later, in windows: the graph of calls changes rarely.
-EARLY_WINDOWS = 15
-REPORT_WINDOWS = 4
+# Other nodes for which reports go out every window; with more, less often, so
+# that the bytes that reports take of a link do not grow with the fleet.
+REPORT_PEERS = 16
 # Time for which callers are served after SIGTERM, in seconds: they are taken
 # away after two readiness checks, which come once a second.
 CALLERS_LEAVE_S = 2.6
@@ -316,8 +315,7 @@
             self._graph.take_report(
                 settings.node_id, settings.service, report, read_now()
             )
-            is_early = windows <= EARLY_WINDOWS
-            if is_early or not windows % REPORT_WINDOWS:
+            if not windows % max(1, self.peers.count // REPORT_PEERS):
                 self._link_server.publish(report)
 
     async def _publish_at_intervals(self) -> None:
--- a/kumquatwalk/daemon/tests/test_path.py
+++ b/kumquatwalk/daemon/tests/test_path.py
@@ -203,6 +203,20 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(self._count_runs(), 1)
 
+    async def test_failed_run_is_not_answered_as_not_run(self):
+        # Pattern: a run fails, and the other target has no room for a repeat.
+        self._script_both(
+            Script(status=500), Script(status=503, was_not_run=True)
+        )
+        answer = await self.fleet.call("web-1", "/web/", "id-1")
+        self.assertEqual(answer.status, 500)
+        self._script_both(
+            Script(sent_share=0.0), Script(status=503, was_not_run=True)
+        )
+        self.first.daemon.caller_side.forget_failures()
+        answer = await self.fleet.call("web-1", "/web/", "id-2")
+        self.assertEqual(answer.status, 502)
+
     async def test_replaced_target_is_not_used(self):
         self.first.target.target_id = "i-new"
         answer = await self.fleet.call("web-1", "/web/", "id-1")
--- a/kumquatwalk/daemon/traffic_meter.py
+++ b/kumquatwalk/daemon/traffic_meter.py
@@ -8,8 +8,8 @@
 
 __all__ = ["TrafficMeter"]
 
-# Weight of one window in the rates.
-RATE_WEIGHT = 0.25
+# Weight of one window in the rates: a surge shows within about two.
+RATE_WEIGHT = 0.5
 # Rate below which a route is left out of the report, in requests a second.
 LEAST_RATE = 0.2
 # Routes in a report at most.
--- a/kumquatwalk/routing/call_graph.py
+++ b/kumquatwalk/routing/call_graph.py
@@ -105,6 +105,14 @@
         """
         return route in self._outer
 
+    def sum_rates(self) -> dict[str, float]:
+        """Return the requests a second from all VMs, by route."""
+        sums: dict[str, float] = {}
+        for _, _, report in self._reports.values():
+            for rate in report.rates:
+                sums[rate.route] = sums.get(rate.route, 0.0) + rate.per_s
+        return sums
+
     def count_runs(self, route: str) -> dict[str, float]:
         """Return the runs that one request causes, by route.
 
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -22,6 +22,9 @@
 # Value that a call loses for each share of its time limit that it takes: its
 # caller has that much less left for what follows.
 LINEAR_LOSS = 0.15
+# The same for a call of a target: its run makes several, one after another,
+# and all of them share the time of the request at the top.
+LINEAR_LOSS_INNER = 0.5
 # Share of the time limit from which on answers begin to come late, as run
 # times vary by about their mean; and the value lost beyond it.
 LATE_FROM = 0.35
@@ -103,6 +106,7 @@
         size_kb: Bytes of the call and its reply, in kilobytes.
         excluded: Nodes that this call has tried.
         now: Present time.
+        is_inner: Whether it is a call of a target.
     """
 
     availability_zone: str
@@ -111,6 +115,7 @@
     size_kb: float
     excluded: frozenset[str]
     now: float
+    is_inner: bool = False
 
 
 def choose_target(
@@ -157,7 +162,8 @@
     load = view.running + view.queued + unseen
     wait_s = max(0, load + 1 - limit) / limit * _estimate_mean(status, run_s)
     used = (run_s + wait_s) / max(context.limit_s, 0.001)
-    cost = LINEAR_LOSS * used + LATE_LOSS * max(0.0, used - LATE_FROM) ** 1.5
+    linear = LINEAR_LOSS_INNER if context.is_inner else LINEAR_LOSS
+    cost = linear * used + LATE_LOSS * max(0.0, used - LATE_FROM) ** 1.5
     if view.availability_zone != context.availability_zone:
         cost += VALUE_PER_KB * context.size_kb
     failing = max(0.0, status.failure_share - FAILURE_ORDINARY)
--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -58,6 +58,15 @@
         ]
         self.assertEqual(count_choices(views)["far"], 200)
 
+    def test_call_deep_in_a_chain_goes_to_the_fast_target(self):
+        # Pattern: one request makes ten such calls, one after another.
+        views = [
+            make_view("near", run_s=0.05),
+            make_view("far", "b", run_s=0.02),
+        ]
+        counts = count_choices(views, limit_s=0.3, size_kb=0.6, is_inner=True)
+        self.assertEqual(counts["far"], 200)
+
     def test_large_answers_stay_in_the_zone(self):
         views = [make_view("near", run_s=0.5), make_view("far", "b", run_s=0.3)]
         self.assertEqual(count_choices(views, size_kb=20.0)["near"], 200)
