--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_broken_links.py
@@ -0,0 +1,132 @@
+"""Links that break during calls: what must not run twice does not."""
+
+import asyncio
+import random
+import unittest
+
+from kumquatwalk.standin.daemon_fleet import DaemonFleet
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.scripted_target import Script
+
+WORK_S = 0.4
+
+
+class BrokenLinkTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        config = make_config(("web", "pay"), timeoutS=5.0)
+        await self.fleet.start(config)
+        self.addAsyncCleanup(self.fleet.close)
+        self.web = await self.fleet.add_node("web-1", "web")
+        self.pay = await self.fleet.add_node("pay-1", "pay")
+        self.pay.target.choose_script = lambda _: Script(work_s=WORK_S)
+        await self.fleet.wait_until_ready()
+
+    def _pay(self, attempt_id: str) -> asyncio.Task:
+        return asyncio.create_task(
+            self.fleet.call(
+                "web-1", "/pay-pay/", attempt_id, 5000, method=b"POST"
+            )
+        )
+
+    def _break_link(self) -> None:
+        self.web.daemon.peers.find("pay-1").reset()
+
+    async def _wait_for_run(self) -> None:
+        async with asyncio.timeout(10):
+            while not self.pay.target.runs:
+                await asyncio.sleep(0.01)
+
+    async def test_payment_is_answered_though_its_link_broke(self):
+        task = self._pay("id-1")
+        await self._wait_for_run()
+        self._break_link()
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(self.pay.target.count_runs("id-1"), 1)
+
+    async def test_answer_that_was_lost_with_its_link_is_fetched(self):
+        task = self._pay("id-1")
+        await self._wait_for_run()
+        link = self.web.daemon.peers.find("pay-1")
+        link.close_for(WORK_S * 2)
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(self.pay.target.count_runs("id-1"), 1)
+
+    async def test_payment_is_unknown_when_the_other_process_is_a_new_one(self):
+        task = self._pay("id-1")
+        await self._wait_for_run()
+        await self.fleet.restart_daemon("pay-1")
+        self.assertIn((await task).status, (502, 504))
+        await self.fleet.send_heartbeat("pay-1")
+        self.assertEqual(self.pay.target.count_runs("id-1"), 1)
+
+    async def test_no_payment_runs_twice_while_links_break_again_and_again(
+        self,
+    ):
+        rng = random.Random(11)
+        tasks = [self._pay(f"id-{i}") for i in range(12)]
+        for _ in range(12):
+            await asyncio.sleep(rng.uniform(0.02, 0.15))
+            self._break_link()
+        statuses = [(await task).status for task in tasks]
+        for index, status in enumerate(statuses):
+            runs = self.pay.target.count_runs(f"id-{index}")
+            self.assertLessEqual(runs, 1)
+            if status == 200:
+                self.assertEqual(runs, 1)
+            if status == 503:
+                self.assertEqual(runs, 0)
+
+
+class RosterTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        await self.fleet.start(make_config(("web",)))
+        self.addAsyncCleanup(self.fleet.close)
+        for name in ("web-1", "web-2"):
+            await self.fleet.add_node(name, "web")
+        await self.fleet.wait_until_ready()
+
+    async def test_own_entry_that_is_taken_away_is_written_again(self):
+        # Pattern: the store takes a node's keys away, and no call shows it.
+        key = "kumquatwalk/nodes/web-1"
+        self.fleet.store.delete(key)
+        async with asyncio.timeout(2):
+            while key not in self.fleet.store.list_keys():
+                await asyncio.sleep(0.01)
+
+    async def test_ended_leases_are_taken_anew(self):
+        for lease in (1, 2):
+            self.fleet.store.end_lease(lease)
+        async with asyncio.timeout(2):
+            while len(self.fleet.store.list_keys()) < 3:
+                await asyncio.sleep(0.01)
+        self.assertEqual(
+            (await self.fleet.call("web-1", "/web/", "i")).status, 200
+        )
+
+    async def test_lost_history_is_followed_by_a_full_read(self):
+        self.fleet.store.drop_history()
+        self.fleet.store.put("op/config", make_config(("web",), version=4))
+        daemon = self.fleet.nodes["web-1"].daemon
+        async with asyncio.timeout(5):
+            while daemon.configs.version != 4:
+                await asyncio.sleep(0.01)
+
+    async def test_entry_that_cannot_be_read_harms_no_other(self):
+        self.fleet.store.put("kumquatwalk/nodes/odd", b"\xff{")
+        await self.fleet.add_node("web-3", "web")
+        await self.fleet.wait_until_ready()
+
+    async def test_requests_are_served_while_the_store_is_away(self):
+        self.fleet.store.is_down = True
+        for turn in range(10):
+            answer = await self.fleet.call("web-1", "/web/", f"id-{turn}")
+            self.assertEqual(answer.status, 200)
+            await asyncio.sleep(0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -80,6 +80,7 @@
         self._clock_offset_s = 0.0
         self._pending: dict[int, _Pending] = {}
         self._next_id = 0
+        self._pause_s = 0.0
         self._lost = asyncio.Event()
         self._welcomed = asyncio.Event()
         self._task: asyncio.Task | None = None
@@ -106,6 +107,20 @@
         self._fail_pending(lambda _: True)
         self.view.is_reachable = False
 
+    def reset(self) -> None:
+        """Break the connection; it is dialled again at once."""
+        if self._link is not None:
+            self._link.abort()
+
+    def close_for(self, pause_s: float) -> None:
+        """Break the connection and leave it so for a while.
+
+        Args:
+            pause_s: Time before it is dialled again, in seconds.
+        """
+        self._pause_s = pause_s
+        self.reset()
+
     async def call(self, call: Call) -> Reply:
         """Make a call and wait for its reply.
 
@@ -157,7 +172,9 @@
                 redial_s = REDIAL_FIRST_S
                 await self._watch()
             self._drop()
-            await asyncio.sleep(redial_s * random.uniform(0.6, 1.0))
+            pause_s, self._pause_s = self._pause_s, 0.0
+            wait_s = redial_s * random.uniform(0.6, 1.0)
+            await asyncio.sleep(max(pause_s, wait_s))
             redial_s = min(REDIAL_LONGEST_S, 2.0 * redial_s)
 
     async def _open(self) -> bool:
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -24,7 +24,7 @@
     "platform_unavailable",
     "ticket_expired",
 }
-_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "OPERATORS.md"
+_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "OPERATIONS.md"
 
 
 def read_table(heading: str) -> list[list[str]]:
