--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -12,6 +12,10 @@
 
 __all__ = ["daemon"]
 
+# Allocations before a collection, by generation. A request leaves hardly any
+# cycles behind, and a collection holds up all requests in progress.
+GC_THRESHOLDS = (20000, 20, 20)
+
 
 @click.command()
 @click.option(
@@ -46,6 +50,7 @@
         sys.exit(ExitCode.CONFIGURATION)
     start_logs(sys.stdout, Level[log_level.upper()], settings.node_id)
     gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     try:
         uvloop.run(_run(settings, settings_path))
     except OSError as error:
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -199,8 +199,7 @@
 
     def _choose(self, request: _Request) -> TargetView | None:
         if request.service == self._own_view.service:
-            status = self._target_side.get_status()
-            self._own_view.take_status(status, read_now())
+            self._refresh_own_view()
         route = request.route
         context = ChoiceContext(
             availability_zone=self._settings.availability_zone,
@@ -214,6 +213,12 @@
         views = self._peers.list_views(request.service)
         return choose_target(views, context, self._rng)
 
+    def _refresh_own_view(self) -> None:
+        view = self._own_view
+        view.running, view.queued = self._target_side.get_load()
+        view.in_flight_told = view.in_flight
+        view.heard_at = read_now()
+
     async def _send(self, view: TargetView, request: _Request) -> Reply:
         call = self._make_call(request)
         if view is self._own_view:
--- a/kumquatwalk/daemon/roster_keeper.py
+++ b/kumquatwalk/daemon/roster_keeper.py
@@ -87,7 +87,7 @@
             hello.service,
             Address(hello.host, hello.port),
         )
-        self._table.put(KEY_PREFIX + hello.node_id, entry)
+        self._table.learn(KEY_PREFIX + hello.node_id, entry)
         self.is_known = True
         self._apply()
 
--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -159,7 +159,7 @@
     part.startByUs = max(0, int(message.start_by * _US))
     part.method = message.method
     part.url = message.url
-    _fill_headers(part, message.headers)
+    part.headers = _join_headers(message.headers)
     part.body = message.body
 
 
@@ -176,7 +176,7 @@
     part.outcome = int(message.outcome)
     part.code = message.code
     part.status = message.status
-    _fill_headers(part, message.headers)
+    part.headers = _join_headers(message.headers)
     part.body = message.body
     part.retryAfterMs = min(int(message.retry_after_s * _MS), _U32_MAX)
     part.shedByTarget = message.shed_by_target
@@ -230,11 +230,21 @@
         slot.milliCalls = min(round(share.calls * _MILLI), _U32_MAX)
 
 
-def _fill_headers(part: Any, headers: tuple[Header, ...]) -> None:
-    slots = part.init("headers", len(headers))
-    for slot, (name, value) in zip(slots, headers):
-        slot.name = name
-        slot.value = value
+def _join_headers(headers: tuple[Header, ...]) -> bytes:
+    """Return header lines as one text; no name or value has a line break."""
+    return b"\n".join([b"%b:%b" % header for header in headers])
+
+
+def _split_headers(text: bytes) -> tuple[Header, ...]:
+    if not text:
+        return ()
+    headers = []
+    for line in text.split(b"\n"):
+        name, separator, value = line.partition(b":")
+        if not separator:
+            raise FrameError("frame_malformed", "header line without a name")
+        headers.append((name, value))
+    return tuple(headers)
 
 
 def _read_hello(part: Any) -> Hello:
@@ -269,7 +279,7 @@
         start_by=part.startByUs / _US,
         method=bytes(part.method),
         url=bytes(part.url),
-        headers=_read_headers(part),
+        headers=_split_headers(bytes(part.headers)),
         body=bytes(part.body),
     )
 
@@ -288,7 +298,7 @@
         outcome=Outcome(int(part.outcome)),
         code=str(part.code),
         status=int(part.status),
-        headers=_read_headers(part),
+        headers=_split_headers(bytes(part.headers)),
         body=bytes(part.body),
         retry_after_s=part.retryAfterMs / _MS,
         shed_by_target=bool(part.shedByTarget),
@@ -337,10 +347,6 @@
     )
 
 
-def _read_headers(part: Any) -> tuple[Header, ...]:
-    return tuple((bytes(h.name), bytes(h.value)) for h in part.headers)
-
-
 _READERS = {
     "hello": _read_hello,
     "call": _read_call_frame,
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -1,10 +1,5 @@
 @0xd2a4c1f09b7e3a55;
 
-struct Header {
-  name @0 :Data;
-  value @1 :Data;
-}
-
 struct Hello {
   protocol @0 :UInt16;
   nodeId @1 :Text;
@@ -30,7 +25,7 @@
   deadlineUs @10 :UInt64;
   method @11 :Data;
   url @12 :Data;
-  headers @13 :List(Header);
+  headers @13 :Data;
   body @14 :Data;
   startByUs @15 :UInt64;
 }
@@ -40,7 +35,7 @@
   outcome @1 :UInt8;
   code @2 :Text;
   status @3 :UInt16;
-  headers @4 :List(Header);
+  headers @4 :Data;
   body @5 :Data;
   running @6 :UInt16;
   queued @7 :UInt16;
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -34,8 +34,8 @@
 REDIAL_FIRST_S = 0.05
 REDIAL_LONGEST_S = 0.8
 # Time without any message after which a link is replaced, in seconds: news
-# comes twice a second, so four in a row are missing.
-SILENT_LINK_S = 2.0
+# comes twice a second, so three in a row are missing.
+SILENT_LINK_S = 1.6
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,7 +199,7 @@
         """Wait until the link has ended or fallen silent."""
         while True:
             try:
-                async with asyncio.timeout(SILENT_LINK_S / 4):
+                async with asyncio.timeout(SILENT_LINK_S / 8):
                     await self._lost.wait()
                 return
             except TimeoutError:
--- a/kumquatwalk/platform/request_headers.py
+++ b/kumquatwalk/platform/request_headers.py
@@ -53,11 +53,14 @@
     Returns:
         What it says.
     """
-    host = (request.find_header(b"host") or b"").decode("latin-1")
+    values: dict[bytes, bytes] = {}
+    for name, value in request.headers:
+        values.setdefault(name.lower(), value)
+    host = values.get(b"host", b"").decode("latin-1")
     return CallerRequest(
-        attempt_id=request.find_header(names.HEADER_ATTEMPT_ID) or b"",
+        attempt_id=values.get(names.HEADER_ATTEMPT_ID, b""),
         host=host.rpartition(":")[0] if ":" in host else host,
-        timeout_s=_read_timeout(request),
+        timeout_s=_read_timeout(values.get(names.HEADER_DEADLINE_MS)),
         headers=list_end_to_end(request.headers, _SET_BY_NODES),
     )
 
@@ -93,8 +96,7 @@
     return (b"Retry-After", b"%.3f" % delay_s)
 
 
-def _read_timeout(request: HttpRequest) -> float | None:
-    value = request.find_header(names.HEADER_DEADLINE_MS)
+def _read_timeout(value: bytes | None) -> float | None:
     if value is None or not value.isdigit() or len(value) > 12:
         return None
     return min(int(value), _DEADLINE_MS_MAX) / _MS
--- a/kumquatwalk/roster/table.py
+++ b/kumquatwalk/roster/table.py
@@ -29,18 +29,27 @@
         return tuple(self._entries.values())
 
     def put(self, key: str, entry: RosterEntry) -> None:
-        """Take an entry, unless a newer incarnation is known.
+        """Take an entry from the store, whose last word holds.
+
+        The incarnation does not matter here: it follows the time of day, which
+        may have been set back between two starts of a node.
 
         Args:
             key: Key of the entry.
             entry: The entry.
         """
-        known = self._entries.get(key)
-        if known is not None and known.incarnation > entry.incarnation:
-            return
         self._entries[key] = entry
         self._vanished_at.pop(key, None)
 
+    def learn(self, key: str, entry: RosterEntry) -> None:
+        """Take an entry that its node told on a link, if none is known.
+
+        Args:
+            key: Key of the entry.
+            entry: The entry.
+        """
+        self._entries.setdefault(key, entry)
+
     def note_vanished(self, key: str, now: float) -> None:
         """Record that a key is gone from the store.
 
