--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -1,7 +1,6 @@
 """Caller side of a node: routes requests, bounds their attempts and time."""
 
 import asyncio
-import dataclasses
 import random
 import secrets
 
@@ -10,7 +9,12 @@
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.front_admission import FrontAdmission
+from kumquatwalk.daemon.node_answer import answer_late
+from kumquatwalk.daemon.node_answer import answer_unknown
+from kumquatwalk.daemon.node_answer import make_error
+from kumquatwalk.daemon.node_answer import refuse
 from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.daemon.pending_request import PendingRequest
 from kumquatwalk.daemon.retry_spender import RetrySpender
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.settings import FleetBounds
@@ -24,7 +28,6 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.platform.request_headers import CallerRequest
 from kumquatwalk.platform.request_headers import decode_caller_request
-from kumquatwalk.platform.request_headers import make_retry_after
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.route_sizes import RouteSizes
 from kumquatwalk.routing.split import TrafficSplitter
@@ -43,10 +46,6 @@
 # failed elsewhere. When all targets fail, what they call is at fault, and a
 # repeat would only multiply the calls below.
 FAILURE_SHARE_MAX = 0.15
-# Delay that a refusal names when nothing is known, in seconds, and the range
-# of the factor by which delays are spread.
-RETRY_AFTER_DEFAULT_S = 0.4
-RETRY_AFTER_SPREAD = (0.75, 1.5)
 # Share of its time limit for which a request of a caller waits for a place;
 # then it is refused while it still can come back in time. And the same for
 # one that has come back, which is not refused twice while there is time.
@@ -60,22 +59,6 @@
 _KEY_BITS = 63
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
-    """A request in progress."""
-
-    http: HttpRequest
-    caller: CallerRequest
-    route: Route
-    service: str
-    deadline: float
-    is_returning: bool
-    tried: set[str] = dataclasses.field(default_factory=set)
-    arrivals: int = 0
-    may_have_run: bool = False
-    failed: Reply | None = None
-
-
 class CallerSide:
     """Serves the requests of callers on this VM, and of its target.
 
@@ -140,14 +123,14 @@
         caller = decode_caller_request(request)
         config = self.config
         if config is None:
-            return self._refuse_early(caller, codes.CONFIG_ABSENT)
+            return refuse(caller, codes.CONFIG_ABSENT, 0.0, self._rng)
         url = request.url.decode("latin-1")
         route = config.find_route(caller.host, url)
         if route is None:
             log_event("route_unknown", host=caller.host, url=url[:80])
-            return _make_error(404, codes.ENTRY_UNKNOWN)
+            return make_error(404, codes.ENTRY_UNKNOWN)
         if not caller.attempt_id:
-            return _make_error(400, codes.ATTEMPT_ID_MISSING)
+            return make_error(400, codes.ATTEMPT_ID_MISSING)
         return await self._serve_route(request, caller, route)
 
     async def _serve_route(
@@ -157,7 +140,7 @@
         if caller.timeout_s is not None:
             timeout_s = min(timeout_s, caller.timeout_s)
         self._meter.note_arrival(route.name)
-        request = _Request(
+        request = PendingRequest(
             http,
             caller,
             route,
@@ -166,12 +149,12 @@
             self._is_returning(route, caller.timeout_s),
         )
         if not self._front.passes(route, request.is_returning, read_now()):
-            return self._refuse(caller, codes.OVERLOADED, 0.0)
+            return refuse(caller, codes.OVERLOADED, 0.0, self._rng)
         try:
             async with asyncio.timeout(request.deadline - read_now()):
                 return await self._make_attempts(request)
         except TimeoutError:
-            return self._answer_late(request)
+            return answer_late(request)
 
     def _is_returning(self, route: Route, timeout_s: float | None) -> bool:
         if timeout_s is None:
@@ -181,7 +164,7 @@
             self._longest_timeout_s[route.name] = longest_s = timeout_s
         return timeout_s < RETURNING_SHARE * longest_s
 
-    async def _make_attempts(self, request: _Request) -> HttpResponse:
+    async def _make_attempts(self, request: PendingRequest) -> HttpResponse:
         self._retries.note_first(request.service, read_now())
         while True:
             view = self._choose(request)
@@ -197,7 +180,7 @@
             if not self._should_retry(request, reply, view):
                 return self._give_up(request, reply)
 
-    def _choose(self, request: _Request) -> TargetView | None:
+    def _choose(self, request: PendingRequest) -> TargetView | None:
         if request.service == self._own_view.service:
             self._refresh_own_view()
         route = request.route
@@ -219,22 +202,16 @@
         view.in_flight_told = view.in_flight
         view.heard_at = read_now()
 
-    async def _send(self, view: TargetView, request: _Request) -> Reply:
+    async def _send(self, view: TargetView, request: PendingRequest) -> Reply:
         call = self._make_call(request)
         if view is self._own_view:
             return await self._target_side.serve(call)
         link = self._peers.find(view.node_id)
         if link is None:
             return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
-        if not call.is_idempotent:
-            # Until the gate says otherwise, the call may run there.
-            request.may_have_run = True
-        reply = await link.call(call)
-        if not call.is_idempotent:
-            request.may_have_run = reply.outcome is not Outcome.NOT_RUN
-        return reply
+        return await link.call(call)
 
-    def _make_call(self, request: _Request) -> Call:
+    def _make_call(self, request: PendingRequest) -> Call:
         route = request.route
         return Call(
             key=secrets.randbits(_KEY_BITS),
@@ -253,7 +230,7 @@
             body=request.http.body,
         )
 
-    def _get_start_by(self, request: _Request) -> float:
+    def _get_start_by(self, request: PendingRequest) -> float:
         route = request.route
         limit_s = min(route.objective_s, route.timeout_s)
         if self._graph.is_inner(route.name):
@@ -266,7 +243,7 @@
 
     def _should_retry(
         self,
-        request: _Request,
+        request: PendingRequest,
         reply: Reply,
         view: TargetView,
     ) -> bool:
@@ -289,56 +266,20 @@
             return False
         return self._retries.take(request.service, request.route.name, now)
 
-    def _give_up(self, request: _Request, reply: Reply | None) -> HttpResponse:
+    def _give_up(
+        self, request: PendingRequest, reply: Reply | None
+    ) -> HttpResponse:
         if reply is None or reply.outcome is Outcome.NOT_RUN:
             # A refusal elsewhere does not undo the run that failed before.
             reply = request.failed or reply
-        if reply is not None and reply.outcome is Outcome.DONE:
-            size = len(request.http.body) + len(reply.body)
-            self._sizes.note(request.route.name, size)
-            return HttpResponse(reply.status, reply.headers, reply.body)
-        code = reply.code if reply is not None else codes.TARGET_ABSENT
-        if reply is not None and reply.outcome is Outcome.UNKNOWN:
-            return self._answer_unknown(request, code)
-        delay_s = reply.retry_after_s if reply is not None else 0.0
-        return self._refuse(request.caller, code, delay_s)
-
-    def _refuse_early(self, caller: CallerRequest, code: str) -> HttpResponse:
-        return self._refuse(caller, code, 0.0)
-
-    def _refuse(
-        self, caller: CallerRequest, code: str, delay_s: float
-    ) -> HttpResponse:
-        delay_s = max(delay_s, RETRY_AFTER_DEFAULT_S)
-        delay_s *= self._rng.uniform(*RETRY_AFTER_SPREAD)
-        log_event(
-            "request_refused",
-            attempt=caller.attempt_id.decode("latin-1"),
-            code=code,
-            retry_after_s=delay_s,
-        )
-        return _make_error(503, code, make_retry_after(delay_s))
-
-    def _answer_unknown(self, request: _Request, code: str) -> HttpResponse:
-        log_event(
-            "request_outcome_unknown",
-            attempt=request.caller.attempt_id.decode("latin-1"),
-            route=request.route.name,
-            code=code,
-        )
-        return _make_error(502, code)
-
-    def _answer_late(self, request: _Request) -> HttpResponse:
-        log_event(
-            "request_timed_out",
-            attempt=request.caller.attempt_id.decode("latin-1"),
-            route=request.route.name,
-            tried=",".join(request.tried),
-        )
-        return _make_error(504, codes.DEADLINE_EXCEEDED)
-
-
-def _make_error(status: int, code: str, *headers) -> HttpResponse:
-    body = f'{{"error":"{code}"}}\n'.encode()
-    content_type = (b"Content-Type", b"application/json")
-    return HttpResponse(status, (content_type, *headers), body)
+        if reply is None:
+            return refuse(request.caller, codes.TARGET_ABSENT, 0.0, self._rng)
+        if reply.outcome is Outcome.NOT_RUN:
+            return refuse(
+                request.caller, reply.code, reply.retry_after_s, self._rng
+            )
+        if reply.outcome is Outcome.UNKNOWN:
+            return answer_unknown(request, reply.code)
+        size = len(request.http.body) + len(reply.body)
+        self._sizes.note(request.route.name, size)
+        return HttpResponse(reply.status, reply.headers, reply.body)
--- /dev/null
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -0,0 +1,111 @@
+"""One request at the target, and what became of it."""
+
+import asyncio
+import enum
+
+from kumquatwalk import codes
+from kumquatwalk.clock import read_now
+from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.encode import encode_request
+from kumquatwalk.http1.headers import list_end_to_end
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.logs import log_event
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.platform.request_headers import make_target_headers
+from kumquatwalk.platform.target_answer import decode_target_answer
+from kumquatwalk.targets.client import TargetClient
+
+__all__ = ["Finding", "run_call"]
+
+# Time after the deadline for which the target's own answer to its end is
+# awaited, in seconds: one turn of its work.
+DEADLINE_GRACE_S = 0.03
+
+
+class Finding(enum.Enum):
+    """What an exchange tells about the target."""
+
+    SOUND = "sound"
+    LATE = "late"
+    FAILED = "failed"
+    SHED = "shed"
+    REPLACED = "replaced"
+    UNREACHABLE = "unreachable"
+
+
+async def run_call(
+    client: TargetClient, target_id: str, call: Call
+) -> tuple[Reply, Finding]:
+    """Run a call at the target.
+
+    Args:
+        client: Client of the target.
+        target_id: Target that is to run it, and no other.
+        call: The call.
+
+    Returns:
+        What became of the call, and what it tells about the target.
+    """
+    remaining_s = call.deadline - read_now()
+    headers = make_target_headers(
+        call.headers, call.caller_service, target_id, remaining_s
+    )
+    data = encode_request(call.method, call.url, headers, call.body)
+    try:
+        async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
+            response = await client.exchange(
+                data,
+                call.method == b"HEAD",
+                call.is_idempotent,
+                lambda r: decode_target_answer(r, call.attempt_id).is_own,
+            )
+    except TimeoutError:
+        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
+        return reply, Finding.LATE
+    except ExchangeError as error:
+        return _judge_error(call, error)
+    return _judge_response(call, response)
+
+
+def _judge_error(call: Call, error: ExchangeError) -> tuple[Reply, Finding]:
+    log_event(
+        "target_exchange_failed",
+        attempt=call.attempt_id.decode("latin-1"),
+        code=error.code,
+        error=error.message,
+        sent=error.sent,
+    )
+    if error.sent:
+        reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
+        return reply, Finding.FAILED
+    reply = Reply(Outcome.NOT_RUN, codes.TARGET_UNREACHABLE)
+    return reply, Finding.UNREACHABLE
+
+
+def _judge_response(
+    call: Call, response: HttpResponse
+) -> tuple[Reply, Finding]:
+    judge = decode_target_answer(response, call.attempt_id)
+    if judge.is_replaced:
+        reply = Reply(Outcome.NOT_RUN, codes.TARGET_REPLACED)
+        return reply, Finding.REPLACED
+    if judge.was_not_run:
+        reply = Reply(Outcome.NOT_RUN, codes.TARGET_SHED, shed_by_target=True)
+        is_full = response.status in (429, 503)
+        return reply, Finding.SHED if is_full else Finding.SOUND
+    if not judge.is_whole:
+        log_event(
+            "answer_spoiled",
+            attempt=call.attempt_id.decode("latin-1"),
+            status=response.status,
+        )
+        return Reply(Outcome.UNKNOWN, codes.ANSWER_SPOILED), Finding.FAILED
+    reply = Reply(
+        Outcome.DONE,
+        status=response.status,
+        headers=list_end_to_end(response.headers),
+        body=response.body,
+    )
+    return reply, Finding.FAILED if response.status >= 500 else Finding.SOUND
