Refuse at the front only once calls wait, and correct the estimated needs

Change: a service limits what passes only after its load was above 1.05; the use of its places then follows the load, up to no limit at all. Inner calls weigh time less against bytes (0.3).

--- a/kumquatwalk/admission/front_gate.py
+++ b/kumquatwalk/admission/front_gate.py
@@ -7,18 +7,20 @@
 
 __all__ = ["FrontGate", "RouteDemand", "ServiceLoad", "plan_shares"]
 
-# Share of a service's places that requests are let through for, at first and
-# at most, and at least. Chains of a dozen calls have no time to wait at each.
-USE_FIRST = 0.8
-USE_MOST = 0.92
+# Share of a service's places that requests are let through for when it is first
+# found full, and the least. The share corrects what the needs of requests are
+# over- or underestimated by, so it may rise above one; above the last figure
+# nothing is refused for the service any more.
+USE_FIRST = 0.9
 USE_LEAST = 0.5
-# Load above which a service is let through less, and below which more: calls
-# that run and wait over those that may run.
-FULL_LOAD = 0.95
-EASY_LOAD = 0.8
+USE_FREE = 1.6
+# Load above which a service is full, and below which it has room: calls that
+# run and wait over those that may run.
+FULL_LOAD = 1.05
+EASY_LOAD = 0.9
 # Factors by which the share of places falls and rises at each look.
 USE_FALL = 0.95
-USE_RISE = 1.02
+USE_RISE = 1.06
 # Time between two looks at loads and demands, in seconds; news comes as often.
 LOOK_INTERVAL_S = 0.5
 # Value of a request by rank, relative to the least important; rank 0 is money
@@ -113,7 +115,8 @@
         capacity = {}
         for service, load in loads.items():
             use = self._adjust_use(service, load)
-            capacity[service] = use * load.limit
+            if use is not None:
+                capacity[service] = use * load.limit
         self._shares = plan_shares(demands, capacity)
 
     def get_share(self, route: str, is_returning: bool) -> float:
@@ -129,13 +132,17 @@
         factor = RETURNING_FACTOR if is_returning else NEW_FACTOR
         return min(1.0, share * factor)
 
-    def _adjust_use(self, service: str, load: ServiceLoad) -> float:
+    def _adjust_use(self, service: str, load: ServiceLoad) -> float | None:
+        """Return the share of places to use; None while there is room."""
         share = load.busy / max(1, load.limit)
-        use = self._uses.get(service, USE_FIRST)
+        use = self._uses.get(service)
         if share > FULL_LOAD:
-            use = max(USE_LEAST, use * USE_FALL)
-        elif share < EASY_LOAD:
-            use = min(USE_MOST, use * USE_RISE)
+            use = USE_FIRST if use is None else max(USE_LEAST, use * USE_FALL)
+        elif use is not None and share < EASY_LOAD:
+            use *= USE_RISE
+        if use is None or use > USE_FREE:
+            self._uses.pop(service, None)
+            return None
         self._uses[service] = use
         return use
 
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -24,7 +24,7 @@
 LINEAR_LOSS = 0.15
 # The same for a call of a target: its run makes several, one after another,
 # and all of them share the time of the request at the top.
-LINEAR_LOSS_INNER = 0.5
+LINEAR_LOSS_INNER = 0.3
 # Share of the time limit from which on answers begin to come late, as run
 # times vary by about their mean; and the value lost beyond it.
 LATE_FROM = 0.35
