--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -11,6 +11,7 @@
 from kumquatwalk.daemon.config_pull import ConfigPull
 from kumquatwalk.daemon.front_admission import FrontAdmission
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
+from kumquatwalk.daemon.news import NodeNews
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.readiness import ReadinessHandler
 from kumquatwalk.daemon.retry_spender import RetrySpender
@@ -37,21 +38,11 @@
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.roster.entry import RosterEntry
-from kumquatwalk.tasks import start_task
 
 __all__ = ["Daemon"]
 
 # Bound on an answer of the store, in seconds; it answers in milliseconds.
 STORE_TIMEOUT_S = 1.5
-# Time between two tellings of the target's state, in seconds. Replies carry
-# its load besides, and changes of state are told at once.
-STATUS_INTERVAL_S = 0.5
-# Length of a window in which the traffic is counted, in seconds: a few runs
-# long, so that calls fall into the window of their run.
-WINDOW_S = 1.0
-# Other nodes for which reports go out every window; with more, less often, so
-# that the bytes that reports take of a link do not grow with the fleet.
-REPORT_PEERS = 16
 # Time for which callers are served after SIGTERM, in seconds: they are taken
 # away after two readiness checks, which come once a second.
 CALLERS_LEAVE_S = 2.6
@@ -78,8 +69,6 @@
         self._settings = settings
         self._incarnation = int(time.time() * _US)
         self._is_stopping = False
-        self._publisher: asyncio.Task | None = None
-        self._reporter: asyncio.Task | None = None
         self._config_pull = ConfigPull()
         self._own_view = TargetView(
             settings.node_id,
@@ -93,7 +82,7 @@
         self.target_side = TargetSide(
             settings,
             lambda: self.configs.version,
-            self._publish,
+            self._publish_status,
             self._meter,
         )
         self.peers = Peers(
@@ -123,6 +112,14 @@
         )
         self._prober = TargetProber(settings, self.target_side, self.configs)
         self._make_servers()
+        self._news = NodeNews(
+            self._own_view,
+            self.target_side,
+            self._meter,
+            self._graph,
+            self.peers,
+            self._link_server,
+        )
 
     async def start(self) -> None:
         """Begin to serve.
@@ -137,12 +134,7 @@
         self.roster.start()
         self._prober.start()
         await self._readiness_server.start()
-        self._publisher = start_task(
-            self._publish_at_intervals(), "status_publisher"
-        )
-        self._reporter = start_task(
-            self._report_at_intervals(), "traffic_reporter"
-        )
+        self._news.start()
         log_event(
             "daemon_started",
             incarnation=self._incarnation,
@@ -165,7 +157,7 @@
             elapsed_s = read_now() - began_at
             if elapsed_s > TARGET_LEAVES_S and not self.target_side.is_stopping:
                 self.target_side.stop()
-                self._publish()
+                self._news.publish_status()
             if is_accepting and self._can_leave_callers(elapsed_s):
                 # Callers that still come would be cut off at the end.
                 self._caller_server.stop_accepting()
@@ -194,9 +186,7 @@
 
     async def close(self) -> None:
         """End all tasks and close all sockets."""
-        if self._publisher is not None:
-            self._publisher.cancel()
-            self._reporter.cancel()
+        self._news.close()
         self._config_watcher.close()
         self.roster.close()
         self._prober.close()
@@ -296,29 +286,9 @@
         self.caller_side.config = config
         self._caller_server.limits = config.limits
 
+    def _publish_status(self) -> None:
+        self._news.publish_status()
+
     def _take_traffic(self, link: PeerLink, report: TrafficReport) -> None:
         view = link.view
         self._graph.take_report(view.node_id, view.service, report, read_now())
-
-    def _publish(self) -> None:
-        status = self.target_side.get_status()
-        self._own_view.take_status(status, read_now())
-        self._link_server.publish(status)
-
-    async def _report_at_intervals(self) -> None:
-        windows = 0
-        while True:
-            await asyncio.sleep(WINDOW_S)
-            windows += 1
-            report = self._meter.close_window(self._graph, WINDOW_S)
-            settings = self._settings
-            self._graph.take_report(
-                settings.node_id, settings.service, report, read_now()
-            )
-            if not windows % max(1, self.peers.count // REPORT_PEERS):
-                self._link_server.publish(report)
-
-    async def _publish_at_intervals(self) -> None:
-        while True:
-            await asyncio.sleep(STATUS_INTERVAL_S)
-            self._publish()
