Test the store's client against its stand-in; keep one list of hop-by-hop headers

Cause: the client was tested only through the daemons, and the list of headers of one connection stood in gateway and in http1. Change: seven tests of calls, watches, leases and failures; gateway uses http1's list.

--- a/kumquatwalk/gateway/headers.py
+++ b/kumquatwalk/gateway/headers.py
@@ -3,24 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from kumquatwalk.http1.headers import HOP_BY_HOP
+
 __all__ = ["join_headers", "list_forwarded", "split_headers"]
 
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
+_NOT_PASSED_ON = HOP_BY_HOP | {b"host"}
 _OWN_PREFIX = b"kumquat-"
 
 
@@ -49,7 +36,7 @@
 
 def is_forwarded(lower_name: bytes) -> bool:
     """Return whether a header of that lower-case name is passed on."""
-    return lower_name not in _HOP_BY_HOP and not lower_name.startswith(
+    return lower_name not in _NOT_PASSED_ON and not lower_name.startswith(
         _OWN_PREFIX
     )
 
--- a/kumquatwalk/http1/headers.py
+++ b/kumquatwalk/http1/headers.py
@@ -2,9 +2,10 @@
 
 from kumquatwalk.http1.message import Header
 
-__all__ = ["list_end_to_end"]
+__all__ = ["HOP_BY_HOP", "list_end_to_end"]
 
-_HOP_BY_HOP = frozenset(
+# Names of headers that concern one connection only, in lower case.
+HOP_BY_HOP = frozenset(
     (
         b"connection",
         b"content-length",
@@ -38,5 +39,5 @@
     for name, value in headers:
         if name.lower() == b"connection":
             named.update(p.strip().lower() for p in value.split(b","))
-    dropped = _HOP_BY_HOP | named | removed
+    dropped = HOP_BY_HOP | named | removed
     return tuple(h for h in headers if h[0].lower() not in dropped)
--- /dev/null
+++ b/kumquatwalk/platform/tests/test_store.py
@@ -0,0 +1,87 @@
+"""Tests of the client of the platform's store, against its stand-in."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.address import Address
+from kumquatwalk.exception import CompareFailedError
+from kumquatwalk.exception import HistoryLostError
+from kumquatwalk.exception import LeaseLostError
+from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.platform.store import Deletion
+from kumquatwalk.platform.store import Put
+from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.standin.kv_store import KvStore
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.store = KvStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.client = StoreClient(self.store.address, 2.0)
+        self.addCleanup(self.client.close)
+
+    async def test_item_comes_back_as_it_was_written(self):
+        revision = await self.client.commit([Put("a/b", b"\x00\xff")])
+        item = await self.client.get("a/b")
+        self.assertEqual((item.value, item.revision), (b"\x00\xff", revision))
+        self.assertIsNone(await self.client.get("a/c"))
+
+    async def test_transaction_is_all_or_nothing(self):
+        await self.client.commit([Put("a", b"1")])
+        with self.assertRaises(CompareFailedError):
+            await self.client.commit(
+                [Put("a", b"2"), Put("b", b"2")], expected={"a": 0}
+            )
+        self.assertEqual((await self.client.get("a")).value, b"1")
+        self.assertIsNone(await self.client.get("b"))
+
+    async def test_watch_brings_writes_and_removals_in_order(self):
+        snapshot = await self.client.list_items("a/")
+        await self.client.commit([Put("a/1", b"x"), Put("b/1", b"y")])
+        await self.client.commit(deletions=["a/1"])
+        watched = await self.client.watch("a/", snapshot.revision, 1.0)
+        self.assertEqual([e.key for e in watched.events], ["a/1", "a/1"])
+        self.assertIsInstance(watched.events[1], Deletion)
+
+    async def test_watch_wakes_with_a_change(self):
+        snapshot = await self.client.list_items("a/")
+        task = asyncio.create_task(
+            self.client.watch("a/", snapshot.revision, 20.0)
+        )
+        await asyncio.sleep(0.05)
+        self.store.put("a/1", b"x")
+        watched = await asyncio.wait_for(task, 5)
+        self.assertEqual(watched.events[0].value, b"x")
+
+    async def test_dropped_history_is_told(self):
+        snapshot = await self.client.list_items("a/")
+        self.store.put("a/1", b"x")
+        self.store.drop_history()
+        with self.assertRaises(HistoryLostError):
+            await self.client.watch("a/", snapshot.revision, 1.0)
+
+    async def test_ended_lease_is_told(self):
+        lease = await self.client.grant_lease(5.0)
+        await self.client.commit([Put("a", b"1", lease)])
+        await self.client.renew_lease(lease)
+        self.store.end_lease(lease)
+        self.assertIsNone(await self.client.get("a"))
+        with self.assertRaises(LeaseLostError):
+            await self.client.renew_lease(lease)
+        with self.assertRaises(LeaseLostError):
+            await self.client.commit([Put("a", b"1", lease)])
+
+    async def test_store_that_is_down_or_absent_is_told(self):
+        self.store.is_down = True
+        with self.assertRaises(PlatformUnavailableError):
+            await self.client.get("a")
+        absent = StoreClient(Address("127.0.0.1", 1), 1.0)
+        with self.assertRaises(PlatformUnavailableError):
+            await absent.get("a")
+
+
+if __name__ == "__main__":
+    unittest.main()
