Drop a wrapper in the target's client that nothing read

Cause: _Use carried whether a connection was reused, which no caller looked at. Change: the pool returns the connection itself. Behaviour is the same.

--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -1,7 +1,5 @@
 """Client of the target beside the node, with a pool of connections."""
 
-import dataclasses
-
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.client_connection import ClientConnection
@@ -25,12 +23,6 @@
 IDLE_FRESH_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Use:
-    connection: ClientConnection
-    is_reused: bool
-
-
 class TargetClient:
     """Sends requests to one target, one at a time on each connection.
 
@@ -70,13 +62,12 @@
         Raises:
             ExchangeError: No whole response came.
         """
-        use = await self._take(is_idempotent)
-        connection = use.connection
+        connection = await self._take(is_idempotent)
         response = await connection.exchange(data, is_head, accepts)
         self._give_back(connection, response)
         return response
 
-    async def _take(self, is_idempotent: bool) -> _Use:
+    async def _take(self, is_idempotent: bool) -> ClientConnection:
         now = read_now()
         while self._idle:
             connection = self._idle.pop()
@@ -86,13 +77,12 @@
             if not is_idempotent:
                 usable_s = min(usable_s, IDLE_FRESH_S)
             if connection.is_usable and idle_s < usable_s:
-                return _Use(connection, True)
+                return connection
             connection.abort()
         self.connections_opened += 1
-        connection = await open_connection(
+        return await open_connection(
             self._address, CONNECT_TIMEOUT_S, RESPONSE_BYTES_MAX
         )
-        return _Use(connection, False)
 
     def _give_back(
         self, connection: ClientConnection, response: HttpResponse
