Link each node to a subset, and read the store at a tenth of the price

Cause, seen on the untouched code: a link from each node to each other, status messages and traffic reports on all of them, a timer five times a second for each link, and a choice among all targets from the same status.

Ruled out: fewer watches alone (a watch that waits longer still returns for each event); sums over aggregators a zone, which need messages of their own, while a sample of the linked nodes scaled by the roster needs none.

A target is chosen among five drawn at random. Status is encoded once for all links; other zones get half of it. Loads, demands and counts of targets of the fleet are estimated from the linked nodes. The roster is read at intervals, allowing an old state; one node or more in each zone watches the configuration, the others ask their peers when a status names a newer version. A link wakes its task when its timeout could have passed, not each 0.2 s. mesh/callbacks.py no longer imports peer_link.py.

A test of a fake that returned a link without waiting was changed to the new signature; its checks are the same.

--- a/benchmarks/model/control.py
+++ b/benchmarks/model/control.py
@@ -13,6 +13,7 @@
 from kumquatwalk.config.route import Route
 from kumquatwalk.config.route import ServiceShare
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
+from kumquatwalk.daemon.peers import WeightedView
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.call_graph import CallGraph
@@ -160,6 +161,10 @@
         """Return the views of all targets, for ingress admission."""
         return self._views
 
+    def list_weighted_views(self) -> list[WeightedView]:
+        """Return the views of all targets, each of which stands for itself."""
+        return [WeightedView(view, 1.0) for view in self._views]
+
     async def call(self, route, node, deadline, is_retry, is_internal, run_at):
         """Run a call at the target with the lowest expected cost.
 
--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -51,8 +51,8 @@
         limit: Concurrency limit.
     """
 
-    outstanding: int
-    limit: int
+    outstanding: float
+    limit: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,8 +85,8 @@
     Requests are admitted up to the capacity of every service in their call
     tree. The capacity is derived from concurrency limits and run times, and
     corrected by feedback from the measured loads. Nodes do not coordinate:
-    all of them receive the same status messages and compute about the same
-    probabilities.
+    each estimates loads and demands of the fleet from the nodes that it is
+    linked to.
     """
 
     def __init__(self):
--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -89,7 +89,7 @@
     once_requests = AtMostOnceRequests(
         identity,
         core.configs,
-        core.peers.find,
+        core.peers.connect,
         root_requests.run,
         issuer,
         RequestTable(measure_reply),
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -1,5 +1,6 @@
 """Components of a daemon that do not depend on the formats of its callers."""
 
+import math
 import random
 import time
 
@@ -28,7 +29,6 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
-from kumquatwalk.mesh.peer_link import PeerLink
 from kumquatwalk.mesh.schema import load_schema
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk import codes
@@ -39,6 +39,7 @@
 from kumquatwalk.platform.store_items import StoreItem
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.quarantine import CrashTracker
+from kumquatwalk.roster.duty import holds_duty
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -49,6 +50,12 @@
 # Timeout of a request to the store, in seconds. Answers usually arrive within
 # milliseconds.
 STORE_TIMEOUT_S = 1.5
+# Interval at which a node that does not watch the store reads the configuration
+# there, in seconds: a reserve for when no node that watches is linked.
+CONFIG_READ_INTERVAL_S = 10.0
+# Nodes that watch the store for the configuration: at least one in each zone,
+# and so many in all, as one may be frozen or cut off from the store.
+WATCHERS_MIN = 3
 _US = 1_000_000
 
 
@@ -127,6 +134,8 @@
             interface.config_prefix,
             self._apply_config_snapshot,
             self._apply_config_event,
+            self._has_watch_duty,
+            lambda: CONFIG_READ_INTERVAL_S,
         )
         self.roster = RosterSync(
             self.store, settings.node_id, self._make_entry, self.peers
@@ -224,6 +233,7 @@
         if self.own_view.service != service:
             self.own_view.service = service
             self.link_server.broadcast(self.make_hello())
+            self.roster.update_entry()
         self.state_publisher.publish_status()
 
     async def _serve_query(self, query: OwnerQuery) -> Reply:
@@ -232,20 +242,21 @@
     def _add_peer(self, hello: Hello) -> None:
         self.roster.add_peer(hello)
 
-    def _handle_status(self, link: PeerLink, status: TargetStatus) -> None:
+    def _handle_status(self, view: TargetView, status: TargetStatus) -> None:
         is_due = self._config_pull.is_due(
             status.config_version,
             self.configs.version,
-            self.config_watcher.is_reached,
+            self.config_watcher.is_watching,
+            view.availability_zone == self.settings.availability_zone,
             read_now(),
         )
-        if is_due:
+        link = self.peers.find(view.node_id)
+        if is_due and link is not None:
             link.request_config(self.configs.version)
 
     def _handle_traffic_report(
-        self, link: PeerLink, report: TrafficReport
+        self, view: TargetView, report: TrafficReport
     ) -> None:
-        view = link.view
         self._graph.add_report(view.node_id, view.service, report, read_now())
 
     def _handle_crash_notice(self, notice: CrashNotice) -> None:
@@ -263,6 +274,16 @@
 
     def _notify_config(self, config: FleetConfig) -> None:
         self.on_config(config)
+        # Other nodes read the version in the status and ask for the document.
+        self.state_publisher.publish_status()
+
+    def _has_watch_duty(self) -> bool:
+        zone = self.settings.availability_zone
+        return holds_duty(
+            self.settings.node_id,
+            self.peers.list_ids_of_zone(zone),
+            math.ceil(WATCHERS_MIN / self.peers.count_zones()),
+        )
 
 
 def _ignore_config(_config: FleetConfig) -> None:
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -82,15 +82,17 @@
         ]
 
     def _sum_loads(self) -> dict[str, ServiceLoad]:
-        outstanding: dict[str, int] = {}
-        limits: dict[str, int] = {}
-        for view in self._peers.list_all_views():
+        outstanding: dict[str, float] = {}
+        limits: dict[str, float] = {}
+        for weighted in self._peers.list_weighted_views():
+            view = weighted.view
             if not view.is_reachable or not view.accepts_calls:
                 continue
             service = view.service
-            count = view.running + view.queued
-            outstanding[service] = outstanding.get(service, 0) + count
-            limits[service] = limits.get(service, 0) + view.status.limit
+            count = weighted.weight * (view.running + view.queued)
+            limit = weighted.weight * view.status.limit
+            outstanding[service] = outstanding.get(service, 0.0) + count
+            limits[service] = limits.get(service, 0.0) + limit
         return {
             s: ServiceLoad(count, limits[s]) for s, count in outstanding.items()
         }
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -1,6 +1,7 @@
-"""Links to all nodes of the roster, and the state of their targets."""
+"""Links to a subset of the roster's nodes, and the state of their targets."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -12,16 +13,45 @@
 from kumquatwalk.mesh.peer_link import PeerLink
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.subset import SUBSET_SIZES
+from kumquatwalk.subset import RankedNodes
+from kumquatwalk.subset import rank_nodes
+from kumquatwalk.subset import select_nodes
 from kumquatwalk.targets.heartbeat import TargetState
 
-__all__ = ["Peers"]
+__all__ = ["Peers", "WeightedView"]
 
 # Interval at which links that are being opened are polled, in seconds.
 RELINK_POLL_S = 0.02
+# Time without a usable connection after which a node no longer counts as one
+# that can serve, in seconds. A link to a node that is up opens within 0.1 s.
+UNFIT_DELAY_S = 0.6
+# The same for a node that answers but does not know its target yet, in seconds:
+# two intervals of heartbeats.
+UNKNOWN_TARGET_DELAY_S = 3.0
+# Time after which a link that is no longer selected is closed, in seconds.
+UNSELECTED_LINGER_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedView:
+    """State of a target, and how many targets of its service it stands for.
+
+    Attributes:
+        view: State of a target whose node is linked.
+        weight: Nodes of the service in the fleet, over those linked.
+    """
+
+    view: TargetView
+    weight: float
 
 
 class Peers:
-    """Maintains one link to each other node.
+    """Maintains links to a subset of the nodes of each service.
+
+    The number of links follows the number of services and not the number of
+    nodes. A node outside the subset is linked to when nodes inside it cannot
+    serve, or on demand.
 
     Args:
         own_view: State of this node's own target, as used to choose targets.
@@ -41,12 +71,15 @@
         self._make_hello = make_hello
         self._callbacks = callbacks
         self._partition = partition
+        self._entries: dict[str, RosterEntry] = {}
+        self._ranked: dict[str, RankedNodes] = {}
         self._links: dict[str, PeerLink] = {}
+        self._unselected_since: dict[str, float] = {}
 
     @property
     def count(self) -> int:
-        """Number of known nodes, including this one."""
-        return len(self._links) + 1
+        """Number of nodes in the roster, including this one."""
+        return len(self._entries) + 1
 
     def close(self) -> None:
         """Close all links."""
@@ -55,15 +88,35 @@
         self._links.clear()
 
     def find(self, node_id: str) -> PeerLink | None:
-        """Return the link to a node; None for this node or an unknown one.
+        """Return the link to a node; None for this node or without a link.
 
         Args:
             node_id: Identifier of the node.
         """
         return self._links.get(node_id)
 
+    async def connect(self, node_id: str, timeout_s: float) -> PeerLink | None:
+        """Return a usable link to a node of the roster; open one if need be.
+
+        Args:
+            node_id: Identifier of the node, inside the subset or not.
+            timeout_s: Maximum wait for a new link, in seconds.
+
+        Returns:
+            The link, or None when the node is unknown or not reached in time.
+        """
+        link = self._links.get(node_id)
+        if link is None:
+            entry = self._entries.get(node_id)
+            if entry is None:
+                return None
+            link = self._open(entry)
+        if not await link.wait_until_usable(timeout_s):
+            return None
+        return link
+
     def list_views(self, service: str) -> list[TargetView]:
-        """Return the known state of each target of a service.
+        """Return the known state of the linked targets of a service.
 
         Args:
             service: Name of the service.
@@ -83,7 +136,7 @@
         return views
 
     def list_all_views(self) -> list[TargetView]:
-        """Return the known state of all targets, including the own one."""
+        """Return the known state of all linked targets and the own one."""
         views = []
         for link in self._links.values():
             link.view.is_reachable = link.is_usable
@@ -91,6 +144,23 @@
         views.append(self._own_view)
         return views
 
+    def list_weighted_views(self) -> list[WeightedView]:
+        """Return the views of ``list_all_views`` with their weights.
+
+        Sums over the fleet are estimated from the linked targets of a service,
+        each of which stands for as many as the roster has for each linked one.
+        """
+        views = self.list_all_views()
+        linked: dict[str, int] = {}
+        for view in views:
+            linked[view.service] = linked.get(view.service, 0) + 1
+        nodes = self.count_nodes()
+        weights = {
+            service: max(1.0, nodes.get(service, 0) / count)
+            for service, count in linked.items()
+        }
+        return [WeightedView(view, weights[view.service]) for view in views]
+
     async def wait_until_linked(self, service: str, timeout_s: float) -> bool:
         """Wait until a target of a service is reachable.
 
@@ -107,23 +177,40 @@
             views = [v for v in self.list_views(service) if v.accepts_calls]
             if any(v.is_reachable for v in views):
                 return True
-            if not views:
+            if not views and not self._is_opening(service):
                 return False
             await asyncio.sleep(RELINK_POLL_S)
         return False
 
     def list_links(self) -> list[PeerLink]:
-        """Return the links to all other nodes."""
+        """Return the links to other nodes."""
         return list(self._links.values())
 
+    def list_unlinked(self) -> list[RosterEntry]:
+        """Return the entries of the nodes to which there is no link."""
+        return [e for i, e in self._entries.items() if i not in self._links]
+
+    def count_nodes(self) -> dict[str, int]:
+        """Return the number of nodes of each service, with this one."""
+        counts: dict[str, int] = {self._own_view.service: 1}
+        for entry in self._entries.values():
+            counts[entry.service] = counts.get(entry.service, 0) + 1
+        return counts
+
     def count_targets(self, service: str) -> int:
-        """Return how many reachable targets of a service accept calls.
+        """Return how many targets of a service accept calls in the fleet.
+
+        Estimated from the linked ones when not all are linked.
 
         Args:
             service: Name of the service.
         """
         views = self.list_views(service)
-        return sum(v.is_reachable and v.accepts_calls for v in views)
+        count = sum(v.is_reachable and v.accepts_calls for v in views)
+        if not views:
+            return 0
+        nodes = max(len(views), self.count_nodes().get(service, 0))
+        return round(count * nodes / len(views))
 
     def count_ready(self) -> int:
         """Return the number of reachable other nodes with a ready target."""
@@ -136,35 +223,105 @@
         """Return the identifiers of the other nodes with a usable link."""
         return frozenset(n for n, p in self._links.items() if p.is_usable)
 
+    def count_zones(self) -> int:
+        """Return the number of zones that have nodes, at least 1."""
+        zones = {e.availability_zone for e in self._entries.values()}
+        return len(zones | {self._own_view.availability_zone})
+
+    def list_ids_of_zone(self, zone: str) -> frozenset[str]:
+        """Return the identifiers of the nodes of a zone, with this one's own.
+
+        Nodes that are linked to and do not answer are left out.
+
+        Args:
+            zone: Name of the zone.
+        """
+        ids = {
+            node_id
+            for node_id, entry in self._entries.items()
+            if entry.availability_zone == zone
+            and (node_id not in self._links or self._links[node_id].is_usable)
+        }
+        if self._own_view.availability_zone == zone:
+            ids.add(self._own_view.node_id)
+        return frozenset(ids)
+
     @property
     def has_lowest_reachable_id(self) -> bool:
-        """Whether this node's identifier sorts before all reachable ones."""
-        own = self._own_view.node_id
-        return all(own < node_id for node_id in self.list_reachable_ids())
+        """Whether this node's identifier sorts before all others.
+
+        Nodes that are linked to and do not answer are left out.
+        """
+        reachable = self.list_reachable_ids()
+        return all(
+            self._own_view.node_id < node_id
+            for node_id in self._entries
+            if node_id in reachable or node_id not in self._links
+        )
 
     def set_roster(self, entries: Iterable[RosterEntry]) -> None:
-        """Open links to new nodes and close links to nodes that are missing.
+        """Replace the known nodes and select links among them.
 
-        A link whose node has changed its address is opened anew.
+        Links to nodes that are missing are closed; one whose node has changed
+        its address is opened anew.
 
         Args:
             entries: Entries of all nodes; this node's own is ignored.
         """
-        entries_by_id = {
-            e.node_id: e for e in entries if e.node_id != self._own_view.node_id
+        own_id = self._own_view.node_id
+        self._entries = {e.node_id: e for e in entries if e.node_id != own_id}
+        for node_id in self._links.keys() - self._entries.keys():
+            self._close(node_id, "peer_dropped")
+        for node_id, link in tuple(self._links.items()):
+            if link.address != self._entries[node_id].link:
+                self._close(node_id, "peer_moved")
+                self._open(self._entries[node_id])
+        by_service: dict[str, list[RosterEntry]] = {}
+        for entry in self._entries.values():
+            by_service.setdefault(entry.service, []).append(entry)
+        zone = self._own_view.availability_zone
+        self._ranked = {
+            service: rank_nodes(own_id, zone, nodes)
+            for service, nodes in by_service.items()
         }
-        for node_id in self._links.keys() - entries_by_id.keys():
-            self._links.pop(node_id).close()
-            log_event("peer_dropped", peer=node_id)
-        for node_id, entry in entries_by_id.items():
-            known = self._links.get(node_id)
-            if known is not None and known.address == entry.link:
-                continue
-            if known is not None:
-                known.close()
-            self._links[node_id] = self._dial(entry)
-
-    def _dial(self, entry: RosterEntry) -> PeerLink:
+        self.refresh_links(read_now())
+
+    def refresh_links(self, now: float) -> None:
+        """Open and close links, so that each service has enough that serve.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        unfit = {n for n, k in self._links.items() if _is_unfit(k, now)}
+        selected = set()
+        for ranked in self._ranked.values():
+            selected.update(select_nodes(ranked, unfit, SUBSET_SIZES))
+        for node_id in selected:
+            self._unselected_since.pop(node_id, None)
+            if node_id not in self._links:
+                self._open(self._entries[node_id])
+        for node_id in self._links.keys() - selected:
+            since = self._unselected_since.setdefault(node_id, now)
+            is_due = now - since > UNSELECTED_LINGER_S
+            if is_due and self._links[node_id].is_idle:
+                self._close(node_id, "peer_unselected")
+
+    def _is_opening(self, service: str) -> bool:
+        """Return whether a link to a target of a service is being opened."""
+        now = read_now()
+        return any(
+            link.view.service == service
+            and not link.incarnation
+            and now - link.unusable_since < UNFIT_DELAY_S
+            for link in self._links.values()
+        )
+
+    def _close(self, node_id: str, event: str) -> None:
+        self._links.pop(node_id).close()
+        self._unselected_since.pop(node_id, None)
+        log_event(event, peer=node_id)
+
+    def _open(self, entry: RosterEntry) -> PeerLink:
         view = TargetView(entry.node_id, entry.availability_zone, entry.service)
         link = PeerLink(
             entry.link,
@@ -174,6 +331,7 @@
             self._partition,
         )
         link.start()
+        self._links[entry.node_id] = link
         log_event(
             "peer_added",
             peer=entry.node_id,
@@ -182,3 +340,14 @@
             address=entry.link,
         )
         return link
+
+
+def _is_unfit(link: PeerLink, now: float) -> bool:
+    """Return whether a link's node is known not to serve at present."""
+    connecting_s = now - link.unusable_since
+    if not link.is_usable:
+        return connecting_s > UNFIT_DELAY_S
+    view = link.view
+    if view.status.state is TargetState.UNKNOWN:
+        return connecting_s > UNKNOWN_TARGET_DELAY_S
+    return not view.accepts_calls
--- a/kumquatwalk/daemon/retry_budgets.py
+++ b/kumquatwalk/daemon/retry_budgets.py
@@ -9,6 +9,10 @@
 
 __all__ = ["RetryBudgets"]
 
+# Time for which the calls that a retry adds are kept, in seconds; as often as
+# other nodes send their status.
+CALLS_TTL_S = 0.5
+
 
 class RetryBudgets:
     """Keeps one retry budget per service.
@@ -27,6 +31,7 @@
         self._peers = peers
         self._graph = graph
         self._budgets: dict[str, ServiceRetryBudget] = {}
+        self._calls: dict[tuple[str, str], tuple[float, dict[str, float]]] = {}
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds; the budgets are reset if the bounds differ.
@@ -59,7 +64,7 @@
             Whether the request may be retried; nothing is spent if not.
         """
         nodes = self._peers.count
-        calls = self._count_calls(service, route)
+        calls = self._get_calls(service, route, now)
         budgets = [(self._get_budget(s), weight) for s, weight in calls.items()]
         if not all(b.allows_retry(nodes, w, now) for b, w in budgets):
             return False
@@ -67,15 +72,25 @@
             budget.spend(weight, now)
         return True
 
+    def _get_calls(
+        self, service: str, route: str, now: float
+    ) -> dict[str, float]:
+        counted_at, calls = self._calls.get((service, route), (0.0, None))
+        if calls is None or now - counted_at > CALLS_TTL_S:
+            calls = self._count_calls(service, route)
+            self._calls[service, route] = now, calls
+        return calls
+
     def _count_calls(self, service: str, route: str) -> dict[str, float]:
         """Return the expected calls that a retry adds at each service."""
         calls = {service: 1.0}
         runs = self._graph.count_runs(route)
-        del runs[route]
-        if not runs:
+        if len(runs) == 1:
             return calls
         times = collect_run_times(self._peers.list_all_views())
         for name, count in runs.items():
+            if name == route:
+                continue
             by_service = times.get(name, {})
             for callee in by_service:
                 share = count / len(by_service)
--- a/kumquatwalk/daemon/roster_sync.py
+++ b/kumquatwalk/daemon/roster_sync.py
@@ -1,4 +1,4 @@
-"""Synchronizes the node roster with the store and links to its nodes."""
+"""Registers a node in the store and follows the roster of the others."""
 
 import asyncio
 from collections.abc import Callable
@@ -24,17 +24,22 @@
 __all__ = ["RosterSync"]
 
 KEY_PREFIX = "kumquatwalk/nodes/"
-# Delay between two watches of the roster, in seconds, so that the store returns
-# several changes in one answer.
-WATCH_DELAY_S = 0.25
+# Times between the first reads of the roster, in seconds: all nodes may start
+# together, so the first reads find only some of them.
+FIRST_READ_INTERVALS_S = (0.6, 0.9, 1.5, 3.0)
+# Time between later reads, in seconds: at least the first, and one second for
+# so many nodes, so that the bytes a node reads do not grow with the roster. A
+# node that joins opens links itself, and is known by their ends at once.
+READ_INTERVAL_MIN_S = 8.0
+NODES_PER_INTERVAL_S = 20
 # Interval at which missing entries are checked, in seconds.
 CHECK_INTERVAL_S = 0.5
 
 
 class RosterSync:
-    """Registers this node in the store and watches the entries of the others.
+    """Registers this node in the store and reads the entries of the others.
 
-    A node that opens a link to this one is added to the roster too, so that a
+    The roster is read at intervals. A node that opens a link to this one is added to the roster too, so that a
     node that starts during an outage of the store still discovers the others.
 
     Args:
@@ -64,13 +69,18 @@
             KEY_PREFIX,
             self._apply_snapshot,
             self._apply_event,
-            WATCH_DELAY_S,
+            lambda: False,
+            self._get_read_interval,
+            allow_stale_first=True,
         )
+        self._reads = 0
+        self._decoded: dict[str, tuple[int, RosterEntry | None]] = {}
+        self._pending_update: asyncio.Handle | None = None
         self._checker: asyncio.Task | None = None
         self.is_known = False
 
     def start(self) -> None:
-        """Start to register this node and to watch the roster."""
+        """Start to register this node and to read the roster."""
         self._registration.start()
         self._watcher.start()
         self._checker = start_task(
@@ -78,16 +88,22 @@
         )
 
     def close(self) -> None:
-        """Stop registering and watching; the entry stays until its lease ends.
+        """Stop registering and reading; the entry stays until its lease ends.
 
         A process that restarts at once takes the entry over, which saves the
         other nodes two changes of the roster.
         """
         if self._checker is not None:
             self._checker.cancel()
+        if self._pending_update is not None:
+            self._pending_update.cancel()
         self._watcher.close()
         self._registration.close()
 
+    def update_entry(self) -> None:
+        """Write this node's entry again, as its service has changed."""
+        self._registration.mark_outdated()
+
     def add_peer(self, hello: Hello) -> None:
         """Add a node that has opened a link to this one.
 
@@ -108,11 +124,17 @@
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         entries = []
         for item in snapshot.items:
-            entry = _decode(item)
+            entry = self._decode_once(item)
             if entry is not None:
                 entries.append((item.key, entry))
+        self._decoded = {i.key: self._decoded[i.key] for i in snapshot.items}
         self._table.replace_all(entries, read_now())
-        if self._own_key not in {key for key, _ in entries}:
+        # A state older than this node's own write says nothing of its entry.
+        if (
+            self._own_key not in {key for key, _ in entries}
+            and snapshot.revision >= self._registration.revision
+        ):
+            log_event("roster_own_entry_vanished", Level.WARNING)
             self._registration.mark_missing()
         self.is_known = True
         self._update_peers()
@@ -140,10 +162,33 @@
             )
             if len(self._table.entries) != count_before:
                 self._update_peers()
+            self._peers.refresh_links(read_now())
 
     def _update_peers(self) -> None:
+        """Pass the roster on, once for all changes of an iteration."""
+        if self._pending_update is None:
+            loop = asyncio.get_running_loop()
+            self._pending_update = loop.call_soon(self._set_roster)
+
+    def _set_roster(self) -> None:
+        self._pending_update = None
         self._peers.set_roster(self._table.entries)
 
+    def _get_read_interval(self) -> float:
+        self._reads += 1
+        if self._reads <= len(FIRST_READ_INTERVALS_S):
+            return FIRST_READ_INTERVALS_S[self._reads - 1]
+        nodes = len(self._table.entries)
+        return max(READ_INTERVAL_MIN_S, nodes / NODES_PER_INTERVAL_S)
+
+    def _decode_once(self, item: StoreItem) -> RosterEntry | None:
+        """Return the entry of an item, decoded again only when it changed."""
+        revision, entry = self._decoded.get(item.key, (0, None))
+        if revision != item.revision:
+            entry = _decode(item)
+            self._decoded[item.key] = item.revision, entry
+        return entry
+
 
 def _decode(item: StoreItem) -> RosterEntry | None:
     try:
--- a/kumquatwalk/daemon/state_publisher.py
+++ b/kumquatwalk/daemon/state_publisher.py
@@ -1,12 +1,14 @@
 """Publishes target status and traffic reports to other nodes."""
 
 import asyncio
+import itertools
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.link_server import LinkServer
+from kumquatwalk.mesh.message import Message
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.tasks import start_task
@@ -16,6 +18,8 @@
 # Interval of status messages, in seconds. Replies carry the target's load too,
 # and changes of its state are published at once.
 STATUS_INTERVAL_S = 0.5
+# Of so many status messages or traffic reports, one goes to other zones too.
+MESSAGES_PER_FAR_ONE = 2
 # Length of a traffic window, in seconds: several runs long, so that most calls
 # are counted in the same window as the run that makes them.
 WINDOW_S = 1.0
@@ -24,14 +28,10 @@
 # detected before two full windows have passed.
 INITIAL_WINDOW_S = 0.5
 INITIAL_WINDOWS = 8
-# A node sends one report every (fleet size // this) windows, and at least every
-# window of a smaller fleet. Reports are sent less often in a larger fleet, so
-# that their bytes on a link do not grow with it.
-NODES_PER_REPORT_WINDOW = 16
 
 
 class StatePublisher:
-    """Sends status and traffic reports to all peers at fixed intervals.
+    """Sends status and traffic reports to linked nodes at fixed intervals.
 
     The same status and reports are applied to this node's own view and call
     graph.
@@ -83,9 +83,17 @@
         self._link_server.broadcast(status)
 
     async def _publish_status_periodically(self) -> None:
-        while True:
+        for count in itertools.count():
             await asyncio.sleep(STATUS_INTERVAL_S)
-            self.publish_status()
+            status = self._target_side.get_status()
+            self._own_view.update_status(status, read_now())
+            self._broadcast(status, count)
+
+    def _broadcast(self, message: Message, count: int) -> None:
+        """Send a message, but not each time to nodes of other zones."""
+        is_for_all = not count % MESSAGES_PER_FAR_ONE
+        zone = "" if is_for_all else self._own_view.availability_zone
+        self._link_server.broadcast(message, zone)
 
     async def _publish_traffic_periodically(self) -> None:
         windows = 0
@@ -98,13 +106,8 @@
                 continue  # no traffic yet
             windows += 1
             view = self._own_view
+            self._graph.set_populations(self._peers.count_nodes())
             self._graph.add_report(
                 view.node_id, view.service, report, read_now()
             )
-            if is_initial or self._is_report_due(windows):
-                self._link_server.broadcast(report)
-
-    def _is_report_due(self, windows: int) -> bool:
-        return not windows % max(
-            1, self._peers.count // NODES_PER_REPORT_WINDOW
-        )
+            self._broadcast(report, 0 if is_initial else windows)
--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -1,4 +1,4 @@
-"""Watches the items under a key prefix of the store."""
+"""Follows the items under a key prefix of the store."""
 
 import asyncio
 import random
@@ -18,8 +18,11 @@
 __all__ = ["StoreWatcher"]
 
 # Timeout of one long poll, in seconds. It bounds the time for which a silent
-# connection hides changes.
-WATCH_TIMEOUT_S = 10.0
+# connection hides changes, if keep-alive probes do not show it before.
+WATCH_TIMEOUT_S = 20.0
+# Interval at which a node that reads at intervals checks whether it is to watch
+# instead, in seconds.
+DUTY_CHECK_INTERVAL_S = 0.5
 # Initial and maximum delay before a retry after a failure, in seconds. The
 # maximum is well under the two seconds within which an operator's change must
 # be in force.
@@ -28,7 +31,12 @@
 
 
 class StoreWatcher:
-    """Reads all items once and then watches for changes.
+    """Reads all items once and then follows their changes.
+
+    A node that has the duty watches for changes by long polls, each of which
+    costs a call and one more for each change. The others read all items at
+    intervals, allowing the store to answer with an old state, which costs a
+    tenth; they learn of urgent changes from the nodes that watch.
 
     Failures of the store are retried with exponential backoff and jitter. When
     the store no longer has the history since the last revision read, all items
@@ -37,13 +45,17 @@
     Args:
         store: Client of the store.
         prefix: Prefix of the keys.
-        on_snapshot: Called with all items, first and after lost history.
+        on_snapshot: Called with all items, first, after lost history, and at
+            intervals without the duty.
         on_event: Called with each change.
-        batch_delay_s: Delay between an answer with changes and the next watch,
-            in seconds, so that the store returns further changes together.
+        has_duty: Returns whether this node is to watch.
+        get_read_interval: Returns the time until the next read without the
+            duty, in seconds.
+        allow_stale_first: Whether the first read may return an old state too.
 
     Attributes:
         is_reached: Whether the last request to the store succeeded.
+        is_watching: Whether this node watches for changes at present.
         last_success: Time of the last success; -1 before the first.
     """
 
@@ -53,15 +65,20 @@
         prefix: str,
         on_snapshot: Callable[[Snapshot], None],
         on_event: Callable[[StoreItem | Deletion], None],
-        batch_delay_s: float = 0.0,
+        has_duty: Callable[[], bool],
+        get_read_interval: Callable[[], float],
+        allow_stale_first: bool = False,
     ):
         self._store = store
         self._prefix = prefix
         self._on_snapshot = on_snapshot
         self._on_event = on_event
-        self._batch_delay_s = batch_delay_s
+        self._has_duty = has_duty
+        self._get_read_interval = get_read_interval
+        self._allow_stale_first = allow_stale_first
         self._task: asyncio.Task | None = None
         self.is_reached = False
+        self.is_watching = False
         self.last_success = -1.0
 
     def start(self) -> None:
@@ -80,8 +97,10 @@
             try:
                 if revision is None:
                     revision = await self._read_all()
-                else:
+                elif self._has_duty():
                     revision = await self._watch(revision)
+                else:
+                    revision = await self._wait_and_read(revision)
                 retry_s = RETRY_INITIAL_S
                 self._set_reached(True)
                 continue
@@ -90,22 +109,36 @@
                 revision = None
             except PlatformError as error:
                 self._set_reached(False, error)
+            self.is_watching = False
             await asyncio.sleep(retry_s * random.uniform(0.7, 1.0))
             retry_s = min(RETRY_MAX_S, 2.0 * retry_s)
 
     async def _read_all(self) -> int:
-        snapshot = await self._store.list_items(self._prefix)
+        snapshot = await self._store.list_items(
+            self._prefix, self._allow_stale_first
+        )
         self._on_snapshot(snapshot)
         return snapshot.revision
 
+    async def _wait_and_read(self, revision: int) -> int:
+        self.is_watching = False
+        due_at = read_now() + self._get_read_interval() * random.uniform(0.8, 1)
+        while (left_s := due_at - read_now()) > 0.0:
+            await asyncio.sleep(min(left_s, DUTY_CHECK_INTERVAL_S))
+            if self._has_duty():
+                return revision
+        snapshot = await self._store.list_items(self._prefix, allow_stale=True)
+        if snapshot.revision >= revision:
+            self._on_snapshot(snapshot)
+        return max(revision, snapshot.revision)
+
     async def _watch(self, revision: int) -> int:
+        self.is_watching = True
         watched = await self._store.watch(
             self._prefix, revision, WATCH_TIMEOUT_S
         )
         for event in watched.events:
             self._on_event(event)
-        if watched.events and self._batch_delay_s:
-            await asyncio.sleep(self._batch_delay_s)
         return max(revision, watched.revision)
 
     def _set_reached(
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -62,6 +62,10 @@
         del service
         return self._views
 
+    def list_weighted_views(self) -> list:
+        """Return no views, so that ingress admission knows of no load."""
+        return []
+
     def list_all_views(self) -> list[TargetView]:
         """Return all targets."""
         return self._views
--- a/kumquatwalk/daemon/tests/test_config_pull.py
+++ b/kumquatwalk/daemon/tests/test_config_pull.py
@@ -12,22 +12,30 @@
         # store delivers it. The document is large: only one may be requested.
         pull = ConfigPull()
         requested = [
-            pull.is_due(9, 8, False, 1.0 + i / 1000) for i in range(80)
+            pull.is_due(9, 8, False, True, 1.0 + i / 1000) for i in range(80)
         ]
         self.assertEqual(sum(requested), 1)
 
     def test_working_watch_is_preferred(self):
         pull = ConfigPull()
-        self.assertFalse(pull.is_due(9, 8, True, 1.0))
-        self.assertTrue(pull.is_due(9, 8, True, 2.0))
+        self.assertFalse(pull.is_due(9, 8, True, True, 1.0))
+        self.assertTrue(pull.is_due(9, 8, True, True, 2.0))
+
+    def test_node_in_the_own_zone_is_preferred(self):
+        pull = ConfigPull()
+        self.assertFalse(pull.is_due(9, 8, False, False, 1.0))
+        self.assertTrue(pull.is_due(9, 8, False, True, 1.1))
+        pull = ConfigPull()
+        self.assertFalse(pull.is_due(9, 8, False, False, 1.0))
+        self.assertTrue(pull.is_due(9, 8, False, False, 2.0))
 
     def test_node_without_any_configuration_requests_at_once(self):
-        self.assertTrue(ConfigPull().is_due(9, 0, True, 1.0))
+        self.assertTrue(ConfigPull().is_due(9, 0, True, False, 1.0))
 
     def test_older_version_is_never_requested(self):
         pull = ConfigPull()
-        self.assertFalse(pull.is_due(8, 8, False, 9.0))
-        self.assertFalse(pull.is_due(7, 8, False, 9.0))
+        self.assertFalse(pull.is_due(8, 8, False, True, 9.0))
+        self.assertFalse(pull.is_due(7, 8, False, True, 9.0))
 
 
 if __name__ == "__main__":
--- a/kumquatwalk/mesh/callbacks.py
+++ b/kumquatwalk/mesh/callbacks.py
@@ -2,15 +2,12 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.call_graph import TrafficReport
-
-if TYPE_CHECKING:
-    from kumquatwalk.mesh.peer_link import PeerLink
+from kumquatwalk.routing.target_choice import TargetView
 
 __all__ = ["PeerCallbacks"]
 
@@ -26,7 +23,7 @@
         on_crash: Called with each notice of a request that crashes targets.
     """
 
-    on_status: Callable[["PeerLink", TargetStatus], None]
+    on_status: Callable[[TargetView, TargetStatus], None]
     on_config: Callable[[ConfigDocument], None]
-    on_traffic: Callable[["PeerLink", TrafficReport], None]
+    on_traffic: Callable[[TargetView, TrafficReport], None]
     on_crash: Callable[[CrashNotice], None]
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -99,9 +99,17 @@
         Args:
             message: The message.
         """
+        if self.is_open:
+            self.send_payload(encode(message))
+
+    def send_payload(self, payload: bytes) -> None:
+        """Send an encoded message; does nothing if the connection is closed.
+
+        Args:
+            payload: The message, as ``encode`` returns it.
+        """
         if not self.is_open:
             return
-        payload = encode(message)
         if self._compressor is not None:
             payload = self._compressor.compress(payload)
         frame = make_frame(payload)
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -9,6 +9,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
+from kumquatwalk.mesh.codec import encode
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
@@ -115,15 +116,21 @@
         for link in tuple(self._sessions):
             link.abort()
 
-    def broadcast(self, message: Message) -> None:
+    def broadcast(self, message: Message, only_in_zone: str = "") -> None:
         """Send a message to all peers that have completed the handshake.
 
         Args:
             message: The message.
+            only_in_zone: Zone of the peers to send it to; empty for all.
         """
-        for link, session in self._sessions.items():
-            if session.peer is not None:
-                link.send(message)
+        payload = encode(message)
+        for link, session in tuple(self._sessions.items()):
+            peer = session.peer
+            if peer is not None and only_in_zone in (
+                "",
+                peer.availability_zone,
+            ):
+                link.send_payload(payload)
 
     def _add_session(self, link: LinkProtocol) -> None:
         self._sessions[link] = _Session(link)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -41,6 +41,8 @@
 # Time without received data after which a link is replaced, in seconds. A peer
 # sends its status twice a second, so three in a row are missing by then.
 RECEIVE_TIMEOUT_S = 1.6
+# Time after the receive timeout at which it is checked, in seconds.
+SILENCE_MARGIN_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +76,8 @@
         view: State of the peer's target as seen by this node.
         incarnation: Incarnation of the peer's process; 0 before the first
             handshake.
+        unusable_since: Time at which the connection was last lost, or at which
+            the link was started, in seconds.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         self.address = address
         self.view = view
         self.incarnation = 0
+        self.unusable_since = read_now()
         self._make_hello = make_hello
         self._callbacks = callbacks
         self._partition = partition
@@ -114,6 +119,11 @@
             and read_now() - self._link.last_received_at < RECEIVE_TIMEOUT_S
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request waits for a reply."""
+        return not self._pending
+
     def start(self) -> None:
         """Start connecting in the background."""
         self._task = start_task(self._run(), "peer_link")
@@ -271,21 +281,25 @@
     async def _wait_for_disconnect(self) -> None:
         """Wait until the connection is lost or the receive timeout expires."""
         while True:
+            silent_s = read_now() - self._link.last_received_at
+            if silent_s > RECEIVE_TIMEOUT_S:
+                log_event(
+                    "link_silent", peer=self.view.node_id, silent_s=silent_s
+                )
+                return
+            # The task sleeps until the timeout could have passed: it is woken
+            # less than once a second, whatever comes on the link.
+            wait_s = RECEIVE_TIMEOUT_S - silent_s + SILENCE_MARGIN_S
             try:
-                async with asyncio.timeout(RECEIVE_TIMEOUT_S / 8):
+                async with asyncio.timeout(wait_s):
                     await self._link_lost.wait()
                 return
             except TimeoutError:
-                silent_s = read_now() - self._link.last_received_at
-                if silent_s > RECEIVE_TIMEOUT_S:
-                    log_event(
-                        "link_silent",
-                        peer=self.view.node_id,
-                        silent_s=silent_s,
-                    )
-                    return
+                continue  # data may have come meanwhile
 
     def _disconnect(self) -> None:
+        if self._handshake_done.is_set():
+            self.unusable_since = read_now()
         self._handshake_done.clear()
         self.view.is_reachable = False
         link, self._link = self._link, None
@@ -322,11 +336,11 @@
                 self._handle_reply(message)
             case TargetStatus():
                 self.view.update_status(message, read_now())
-                self._callbacks.on_status(self, message)
+                self._callbacks.on_status(self.view, message)
             case ConfigDocument():
                 self._callbacks.on_config(message)
             case TrafficReport():
-                self._callbacks.on_traffic(self, message)
+                self._callbacks.on_traffic(self.view, message)
             case CrashNotice():
                 self._callbacks.on_crash(message)
             case _:
--- a/kumquatwalk/native/at_most_once.py
+++ b/kumquatwalk/native/at_most_once.py
@@ -39,6 +39,8 @@
 # The owner answers at the deadline of a request, so its reply arrives only a
 # little later.
 OWNER_REPLY_GRACE_S = 0.25
+# Maximum wait for a link to the owner of a request, in seconds.
+OWNER_CONNECT_TIMEOUT_S = 0.5
 
 RunRequest = Callable[[HttpRequest, Route, float], Awaitable[Reply]]
 
@@ -54,8 +56,8 @@
     Args:
         identity: Identity of this node.
         configs: Holder of the fleet configuration.
-        find_link: Returns the link to a node by its name; None if the roster
-            does not list the node.
+        connect: Returns a usable link to a node by its name, within a time in
+            seconds; None if the node is unknown or not reached.
         run_request: Runs a request as the root of a call chain.
         issuer: Issues and validates the tickets of this node.
         table: Requests that this node owns.
@@ -66,7 +68,7 @@
         self,
         identity: NodeIdentity,
         configs: ConfigHolder,
-        find_link: Callable[[str], PeerLink | None],
+        connect: Callable[[str, float], Awaitable[PeerLink | None]],
         run_request: RunRequest,
         issuer: TicketIssuer,
         table: RequestTable[Reply],
@@ -74,7 +76,7 @@
     ):
         self._identity = identity
         self._configs = configs
-        self._find_link = find_link
+        self._connect = connect
         self._run_request = run_request
         self._issuer = issuer
         self._table = table
@@ -240,7 +242,7 @@
         return reply
 
     async def _ask_owner(self, owner: NodeIdentity, query: OwnerQuery) -> Reply:
-        link = self._find_link(owner.node_id)
+        link = await self._connect(owner.node_id, OWNER_CONNECT_TIMEOUT_S)
         if link is None or link.incarnation != owner.incarnation:
             return _make_unknown_reply(codes.OWNER_UNREACHABLE)
         wait_s = query.deadline - read_now() + OWNER_REPLY_GRACE_S
--- a/kumquatwalk/native/tests/test_once.py
+++ b/kumquatwalk/native/tests/test_once.py
@@ -48,7 +48,7 @@
         self.once = AtMostOnceRequests(
             NodeIdentity("here", 1),
             configs,
-            self.links.get,
+            self.connect,
             self._run,
             self.issuer,
             RequestTable(measure_reply),
@@ -67,6 +67,10 @@
         request = HttpRequest(b"POST", b"/pay", headers, body, True, 0.0)
         return await self.once.serve(request, ROUTE, read_now() + 60.0)
 
+    async def connect(self, node_id, _timeout_s):
+        """Return the link to a node, as ``Peers.connect`` does."""
+        return self.links.get(node_id)
+
     async def test_ticket_of_another_node_goes_to_that_node(self):
         self.links["there"] = RecordingLink(incarnation=5)
         self.assertEqual(await self._serve(self.ticket), DONE)
--- a/kumquatwalk/platform/store.py
+++ b/kumquatwalk/platform/store.py
@@ -93,7 +93,9 @@
             return None
         return decode_item(_decode_body(_check_status(response)))
 
-    async def list_items(self, prefix: str) -> Snapshot:
+    async def list_items(
+        self, prefix: str, allow_stale: bool = False
+    ) -> Snapshot:
         """Return all items below a prefix, read page by page.
 
         The snapshot has the revision of the first page, so that a watch from
@@ -101,6 +103,8 @@
 
         Args:
             prefix: Prefix of the keys.
+            allow_stale: Whether the snapshot may be seconds old. The store then
+                charges a tenth of the price.
 
         Raises:
             PlatformError: The store did not answer or refused a call.
@@ -110,6 +114,8 @@
         after = ""
         while True:
             query = {"pathPrefix": prefix}
+            if allow_stale:
+                query["staleOk"] = "1"
             if after:
                 query["after"] = after
             path = f"/kv-range?{urllib.parse.urlencode(query)}"
--- a/kumquatwalk/roster/registration.py
+++ b/kumquatwalk/roster/registration.py
@@ -16,11 +16,11 @@
 
 __all__ = ["Registration"]
 
-# Long enough to survive an outage of the store of a few seconds, and short
-# enough that a failed VM is removed soon.
-LEASE_TTL_S = 10.0
+# Long enough to survive an outage of the store of several seconds. An entry
+# that outlives its node does little harm: links to it are seen to fail.
+LEASE_TTL_S = 20.0
 # Three renewals fit into a lease.
-RENEWAL_INTERVAL_S = 3.0
+RENEWAL_INTERVAL_S = 6.0
 # Delay before a retry after an error of the store. Entries must be restored
 # within two seconds after the store is available again.
 RETRY_INTERVAL_S = 0.5
@@ -35,6 +35,7 @@
         make_entry: Returns the current entry.
 
     Attributes:
+        revision: Revision at which the entry was last written; 0 before.
         last_success: Time of the last successful write or renewal, in seconds;
             -1 before the first.
     """
@@ -50,8 +51,10 @@
         self._make_entry = make_entry
         self._lease_id = 0
         self._is_written = False
+        self._changes = 0
         self._write_requested = asyncio.Event()
         self._task: asyncio.Task | None = None
+        self.revision = 0
         self.last_success = -1.0
 
     def start(self) -> None:
@@ -66,6 +69,12 @@
         self._lease_id = 0
         self._write_requested.set()
 
+    def mark_outdated(self) -> None:
+        """Write the entry again under the same lease, as it has changed."""
+        self._changes += 1
+        self._is_written = False
+        self._write_requested.set()
+
     def close(self) -> None:
         """Stop the renewals; the entry expires with its lease."""
         if self._task is not None:
@@ -74,6 +83,7 @@
     async def _run(self) -> None:
         while True:
             delay_s = RENEWAL_INTERVAL_S
+            self._write_requested.clear()
             try:
                 await self._renew_or_write()
             except PlatformError as error:
@@ -84,7 +94,6 @@
                     error=error.message,
                 )
                 delay_s = RETRY_INTERVAL_S
-            self._write_requested.clear()
             try:
                 async with asyncio.timeout(delay_s):
                     await self._write_requested.wait()
@@ -105,11 +114,15 @@
     async def _write(self) -> None:
         if not self._lease_id:
             self._lease_id = await self._store.grant_lease(LEASE_TTL_S)
+        changes = self._changes
         value = encode_entry(self._make_entry())
         try:
-            await self._store.commit([Put(self._key, value, self._lease_id)])
+            self.revision = await self._store.commit(
+                [Put(self._key, value, self._lease_id)]
+            )
         except LeaseLostError:
             self._lease_id = 0
             raise
-        self._is_written = True
+        # The entry may have changed while it was being written.
+        self._is_written = changes == self._changes
         log_event("roster_registered", lease=self._lease_id)
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -39,11 +39,19 @@
 # Factor on the run time of a target during its cold start.
 COLD_START_FACTOR = 2.0
 # Age of the last status after which a target is used only as a last resort, in
-# seconds: twice the status interval, and a delay.
+# seconds: twice the status interval and a delay in the zone, and one interval
+# and a delay from other zones, where it is twice as long.
 STATUS_TTL_S = 1.2
+STATUS_TTL_FAR_S = 1.6
 # Random variation of the cost, as a fraction, so that nodes with the same view
 # do not all select the same target.
 COST_JITTER = 0.1
+# Number of targets in the zone of the call, and in all, whose costs are compared.
+# They are drawn at random: between two status messages, all nodes that compared
+# all targets would select the same one (Mitzenmacher, "The Power of Two Choices
+# in Randomized Load Balancing", 2001).
+CANDIDATES_NEAR = 3
+CANDIDATES = 5
 # Run time assumed for a target that has reported none, in seconds.
 DEFAULT_RUN_S = 0.1
 
@@ -131,15 +139,16 @@
 def choose_target(
     views: Iterable[TargetView], context: ChoiceContext, rng: random.Random
 ) -> TargetView | None:
-    """Return the target with the lowest expected cost.
+    """Return the target with the lowest expected cost of a few.
 
-    Targets with a stale status or in backoff, and targets whose nodes are
+    The few are drawn at random, up to ``CANDIDATES_NEAR`` of them in the zone
+    of the call if there are as many. Targets with a stale status or in backoff, and targets whose nodes are
     stopping, are selected only when there is no other.
 
     Args:
         views: Targets of the service.
         context: Properties of the call.
-        rng: Random source of the cost jitter.
+        rng: Random source of the draw and the cost jitter.
 
     Returns:
         The target, or None when none accepts calls.
@@ -153,14 +162,27 @@
     usable = [v for v in ready if not v.status.is_stopping] or ready
     if not usable:
         return None
-    healthy = [v for v in usable if not _is_degraded(v, context.now)]
+    healthy = [v for v in usable if not _is_degraded(v, context)]
     return min(
-        healthy or usable,
+        _draw_candidates(healthy or usable, context, rng),
         key=lambda v: estimate_cost(v, context)
         * rng.uniform(1.0 - COST_JITTER, 1.0 + COST_JITTER),
     )
 
 
+def _draw_candidates(
+    views: list[TargetView], context: ChoiceContext, rng: random.Random
+) -> list[TargetView]:
+    if len(views) <= CANDIDATES:
+        return views
+    zone = context.availability_zone
+    near = [v for v in views if v.availability_zone == zone]
+    far = [v for v in views if v.availability_zone != zone]
+    near_count = min(len(near), max(CANDIDATES_NEAR, CANDIDATES - len(far)))
+    far_count = min(len(far), CANDIDATES - near_count)
+    return rng.sample(near, near_count) + rng.sample(far, far_count)
+
+
 def estimate_cost(view: TargetView, context: ChoiceContext) -> float:
     """Return the expected cost of a call, as a fraction of its value.
 
@@ -226,5 +248,8 @@
     return sum(run_s for _, run_s in times) / len(times)
 
 
-def _is_degraded(view: TargetView, now: float) -> bool:
-    return now - view.updated_at > STATUS_TTL_S or now < view.backoff_until
+def _is_degraded(view: TargetView, context: ChoiceContext) -> bool:
+    is_near = view.availability_zone == context.availability_zone
+    ttl_s = STATUS_TTL_S if is_near else STATUS_TTL_FAR_S
+    is_stale = context.now - view.updated_at > ttl_s
+    return is_stale or context.now < view.backoff_until
