Bound bodies and heads in memory, give joining targets work, cut a call's cost

Bodies now reserve from one budget, an eighth of the process's memory; what exceeds it is answered 503 with Retry-After before it is read, refused as not run on a link, and counted as a lost answer from a target.

--- a/kumquatwalk/codes.py
+++ b/kumquatwalk/codes.py
@@ -15,6 +15,7 @@
     "ENTRY_UNKNOWN",
     "KEY_REQUIRED",
     "LINK_FAILED",
+    "MEMORY_EXHAUSTED",
     "OUTCOME_UNKNOWN",
     "OVERLOADED",
     "QUARANTINED",
@@ -47,6 +48,7 @@
 ENTRY_UNKNOWN = "entry_unknown"
 KEY_REQUIRED = "key_required"
 LINK_FAILED = "link_failed"
+MEMORY_EXHAUSTED = "memory_exhausted"
 OUTCOME_UNKNOWN = "outcome_unknown"
 OVERLOADED = "overloaded"
 QUARANTINED = "quarantined"
--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -66,7 +66,9 @@
         auxiliary_services.append(
             HttpServer(settings.metrics_listener, status.handle)
         )
-    server = HttpServer(settings.caller_listener, callers.handle)
+    server = HttpServer(
+        settings.caller_listener, callers.handle, budget=core.body_budget
+    )
     target_server = HttpServer(settings.heartbeat_listener, heartbeats.handle)
     daemon = Daemon(core, server, target_server, tuple(auxiliary_services))
     return daemon
@@ -107,7 +109,10 @@
     )
     limits = settings.make_caller_limits()
     server = HttpServer(
-        Address(settings.host, settings.http_port), entries.handle, limits
+        Address(settings.host, settings.http_port),
+        entries.handle,
+        limits,
+        core.body_budget,
     )
     local_server = HttpServer(
         Address(settings.local_host, settings.local_port), local.handle, limits
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -21,6 +21,7 @@
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.address import Address
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.mesh.message import CrashNotice
@@ -56,6 +57,9 @@
 # Nodes that watch the store for the configuration: at least one in each zone,
 # and so many in all, as one may be frozen or cut off from the store.
 WATCHERS_MIN = 3
+# Fraction of the memory of the process that bodies in progress may take. A body
+# exists up to four times for a moment: as received, joined, encoded and queued.
+BODY_MEMORY_FRACTION = 0.125
 _US = 1_000_000
 
 
@@ -95,6 +99,9 @@
         self._config_pull = ConfigPull()
         self.registry = MetricsRegistry()
         self.partition = Partition()
+        self.body_budget = ByteBudget(
+            int(settings.memory_max_bytes * BODY_MEMORY_FRACTION)
+        )
         self.own_view = TargetView(
             settings.node_id,
             settings.availability_zone,
@@ -128,6 +135,7 @@
             lambda: self.configs.document,
             self._add_peer,
             self.partition,
+            self.body_budget,
         )
         self.config_watcher = StoreWatcher(
             self.store,
@@ -204,6 +212,7 @@
             self._publish_target_change,
             self._traffic,
             metrics,
+            self.body_budget,
             self._crash_tracker,
         )
         self.caller_side = CallerSide(
--- a/kumquatwalk/daemon/roster_sync.py
+++ b/kumquatwalk/daemon/roster_sync.py
@@ -39,8 +39,9 @@
 class RosterSync:
     """Registers this node in the store and reads the entries of the others.
 
-    The roster is read at intervals. A node that opens a link to this one is added to the roster too, so that a
-    node that starts during an outage of the store still discovers the others.
+    The roster is read at intervals. A node that opens a link to this one is
+    added to the roster too, so that a node that starts during an outage of the
+    store still discovers the others.
 
     Args:
         store: Client of the store.
--- a/kumquatwalk/daemon/settings.py
+++ b/kumquatwalk/daemon/settings.py
@@ -51,6 +51,7 @@
         store: Address of the platform's store.
         metrics_listener: Address for metrics and status; None to disable it.
         bounds: Bounds that the operators set for the fleet.
+        memory_max_bytes: Memory that the process may take, in bytes.
     """
 
     node_id: str
@@ -64,3 +65,4 @@
     store: Address
     metrics_listener: Address | None
     bounds: FleetBounds
+    memory_max_bytes: int = 256 * 1024 * 1024
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -62,6 +62,13 @@
     headers = interface.make_target_headers(
         call, target_id, run_id, remaining_s
     )
+    check: ResponseCheck | None = None
+
+    def accepts(response: HttpResponse) -> bool:
+        nonlocal check
+        check = interface.decode_response(response, call.attempt_id)
+        return check.belongs_to_request
+
     data = encode_request(call.method, call.url, headers, call.body)
     try:
         async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
@@ -69,16 +76,13 @@
                 data,
                 call.method == b"HEAD",
                 call.is_idempotent,
-                lambda r: interface.decode_response(
-                    r, call.attempt_id
-                ).belongs_to_request,
+                accepts,
             )
     except TimeoutError:
         reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
         return reply, Finding.LATE
     except ExchangeError as error:
         return _classify_error(call, error)
-    check = interface.decode_response(response, call.attempt_id)
     headers = interface.list_response_headers(response, call.attempt_id)
     return _classify_response(call, response, check, headers)
 
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -19,6 +19,7 @@
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.link_server import LINK_LOST
 from kumquatwalk.mesh.message import Call
@@ -71,6 +72,7 @@
         on_change: Called when the target's state has changed.
         traffic: Counts the runs of each route.
         metrics: Metrics of the daemon.
+        budget: Bytes of bodies that the process may hold.
         crash_tracker: Quarantines requests that crash targets; None to
             quarantine none.
 
@@ -91,6 +93,7 @@
         on_change: Callable[[], None],
         traffic: TrafficMeter,
         metrics: DaemonMetrics,
+        budget: ByteBudget,
         crash_tracker: CrashTracker | None = None,
     ):
         self._settings = settings
@@ -103,7 +106,8 @@
         self._crash_tracker = crash_tracker
         self._suspect_lock = asyncio.Lock()
         self._limits = RouteLimits()
-        self._client = TargetClient(settings.target)
+        self._budget = budget
+        self._client = TargetClient(settings.target, budget)
         self.service = settings.service
         self.runs = RunTable()
         self._retained_calls: collections.OrderedDict[int, _RetainedCall] = (
@@ -279,7 +283,7 @@
         self.service = heartbeat.service
         if heartbeat.address != self._client.address:
             self._client.close()
-            self._client = TargetClient(heartbeat.address)
+            self._client = TargetClient(heartbeat.address, self._budget)
 
     async def _check_and_admit(
         self, call: Call, retained: _RetainedCall | None = None
--- /dev/null
+++ b/kumquatwalk/http1/byte_budget.py
@@ -0,0 +1,38 @@
+"""Bound on the bytes of bodies that a process holds at once."""
+
+__all__ = ["ByteBudget"]
+
+
+class ByteBudget:
+    """Counts reserved bytes up to a limit.
+
+    Args:
+        limit: Maximum of the bytes reserved at once.
+
+    Attributes:
+        limit: Maximum of the bytes reserved at once.
+        used: Bytes reserved at present.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.used = 0
+
+    def try_reserve(self, size: int) -> bool:
+        """Reserve bytes and return True, unless they exceed the limit.
+
+        Args:
+            size: Number of bytes, at least 0.
+        """
+        if self.used + size > self.limit:
+            return False
+        self.used += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Return reserved bytes.
+
+        Args:
+            size: Number of bytes that were reserved.
+        """
+        self.used -= size
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -31,7 +31,14 @@
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
-_STATUS_BY_CODE = {"head_too_long": 431, "body_too_long": 413}
+# 503 promises that the request was not run, and 413 that it will not fit later.
+_STATUS_BY_CODE = {
+    "head_too_long": 431,
+    "body_too_long": 413,
+    "memory_exhausted": 503,
+}
+# Time after which to retry a request that there was no memory for, in seconds.
+MEMORY_RETRY_AFTER_S = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,7 +66,7 @@
         self._server = server
         limits = server.limits
         self._parser = RequestParser(
-            limits.header_bytes_max, limits.body_bytes_max
+            limits.header_bytes_max, limits.body_bytes_max, server.budget
         )
         self._transport: asyncio.Transport | None = None
         self._exchanges: collections.deque[_Exchange] = collections.deque()
@@ -68,6 +75,7 @@
         self._is_reading = True
         self._has_responded = False
         self._opened_at = read_now()
+        self._last_data_at = self._opened_at
         self.idle_since = self._opened_at
 
     @property
@@ -87,7 +95,9 @@
     def check_timeouts(self, now: float) -> None:
         """Close the connection if its header or idle timeout has expired.
 
-        A request head that does not arrive in time is answered with 408.
+        A request head that does not arrive in time is answered with 408, and so
+        is a body of which nothing has come for the idle timeout: it would hold
+        memory that other requests need.
 
         Args:
             now: Current time, in seconds.
@@ -97,8 +107,11 @@
             return
         if self._parser.is_in_head:
             if now - self._parser.started_at > limits.header_timeout_s:
-                self._send_error(408, "header_timeout")
-        elif not self._parser.is_in_message:
+                self._send_error(HttpResponse(408, body=b"header_timeout\n"))
+        elif self._parser.is_in_message:
+            if now - self._last_data_at > limits.idle_timeout_s:
+                self._send_error(HttpResponse(408, body=b"body_timeout\n"))
+        else:
             if now - self.idle_since > limits.idle_timeout_s + IDLE_MARGIN_S:
                 self._close_gracefully()
 
@@ -125,8 +138,9 @@
         """Parse received bytes and start handling completed requests."""
         if self._is_closing:
             return
+        self._last_data_at = read_now()
         try:
-            requests = self._parser.feed(data, read_now())
+            requests = self._parser.feed(data, self._last_data_at)
         except RequestError as error:
             self._start_exchanges(self._parser.take_completed())
             self._handle_request_error(error)
@@ -190,6 +204,7 @@
             if exchange.response is None:
                 break
             self._exchanges.popleft()
+            self._release(exchange)
             self._write_response(exchange.request, exchange.response)
         if not self._exchanges:
             self.idle_since = read_now()
@@ -227,16 +242,15 @@
 
     def _handle_request_error(self, error: RequestError) -> None:
         log_event("request_rejected", code=error.code, error=error.message)
-        status = _STATUS_BY_CODE.get(error.code, 400)
+        self._parser.release()
+        response = _make_error_response(error.code)
         if not self._exchanges:
-            self._send_error(status, error.code)
+            self._send_error(response)
             return
         request = HttpRequest(b"GET", b"", (), b"", False, read_now())
-        error_exchange = _Exchange(request, response=HttpResponse(status))
-        self._exchanges.append(error_exchange)
+        self._exchanges.append(_Exchange(request, response=response))
 
-    def _send_error(self, status: int, code: str) -> None:
-        response = HttpResponse(status, body=code.encode() + b"\n")
+    def _send_error(self, response: HttpResponse) -> None:
         self._transport.write(encode_response(response, False, True))
         self._close_gracefully()
 
@@ -252,9 +266,23 @@
             self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
+    def _release(self, exchange: _Exchange) -> None:
+        if self._server.budget is not None:
+            self._server.budget.release(len(exchange.request.body))
+
     def _cancel_exchanges(self) -> None:
         exchanges = list(self._exchanges)
         self._exchanges.clear()
+        self._parser.release()
         for exchange in exchanges:
+            self._release(exchange)
             if exchange.task is not None and exchange.response is None:
                 exchange.task.cancel()
+
+
+def _make_error_response(code: str) -> HttpResponse:
+    headers = ()
+    if code == "memory_exhausted":
+        headers = ((b"Retry-After", b"%d" % MEMORY_RETRY_AFTER_S),)
+    status = _STATUS_BY_CODE.get(code, 400)
+    return HttpResponse(status, headers, code.encode() + b"\n")
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -7,6 +7,7 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.response_parser import ResponseParser
 from kumquatwalk.http1.sockets import set_liveness_options
@@ -23,6 +24,7 @@
     timeout_s: float,
     body_bytes_max: int,
     source_host: str = "",
+    budget: ByteBudget | None = None,
 ) -> "ClientConnection":
     """Open a connection to an HTTP server.
 
@@ -32,6 +34,8 @@
         body_bytes_max: Maximum size of a response body, in bytes.
         source_host: Local IP address to connect from; if empty, the operating
             system selects it.
+        budget: Bytes of bodies that the process may hold while they are read;
+            None for no bound.
 
     Returns:
         The open connection.
@@ -43,7 +47,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(body_bytes_max),
+                lambda: ClientConnection(body_bytes_max, budget),
                 address.host,
                 address.port,
                 local_addr=(source_host, 0) if source_host else None,
@@ -60,6 +64,8 @@
 
     Args:
         body_bytes_max: Maximum size of a response body, in bytes.
+        budget: Bytes of bodies that the process may hold while they are read;
+            None for no bound.
 
     Attributes:
         idle_since: Start of the idle time, in seconds; set by connection pools.
@@ -67,8 +73,9 @@
             None if unknown. Set by connection pools.
     """
 
-    def __init__(self, body_bytes_max: int):
+    def __init__(self, body_bytes_max: int, budget: ByteBudget | None = None):
         self._body_bytes_max = body_bytes_max
+        self._budget = budget
         self._transport: asyncio.Transport | None = None
         self._parser: ResponseParser | None = None
         self._waiter: asyncio.Future[HttpResponse] | None = None
@@ -113,7 +120,9 @@
                 "connection is closed or in use",
                 sent=False,
             )
-        self._parser = ResponseParser(is_head, self._body_bytes_max)
+        self._parser = ResponseParser(
+            is_head, self._body_bytes_max, self._budget
+        )
         self._is_match = is_match or _match_any
         self._mismatched_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
@@ -124,6 +133,7 @@
             self.abort()
             raise
         finally:
+            self._parser.release()
             self._waiter = None
 
     def abort(self) -> None:
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -5,12 +5,16 @@
 import httptools
 
 from kumquatwalk.exception import RequestError
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
 
 __all__ = ["RequestParser"]
 
 HEADERS_MAX = 200
+# Bytes beyond the maximum of a head that are taken in at once with it, as the
+# parser reports a header line only when it is complete.
+_UNREPORTED_BYTES_MAX = 16384
 
 
 class RequestParser:
@@ -22,15 +26,25 @@
     Args:
         header_bytes_max: Maximum size of a request head, in bytes.
         body_bytes_max: Maximum size of a body, in bytes.
+        budget: Bytes of bodies that the process may hold; None for no bound. A
+            body that announces its size is reserved for before it is read. What
+            a completed request has reserved is its receiver's to release.
 
     Attributes:
         peer_host: IP address of the caller, copied into each request; empty
             if unknown.
     """
 
-    def __init__(self, header_bytes_max: int, body_bytes_max: int):
+    def __init__(
+        self,
+        header_bytes_max: int,
+        body_bytes_max: int,
+        budget: ByteBudget | None = None,
+    ):
         self._header_bytes_max = header_bytes_max
         self._body_bytes_max = body_bytes_max
+        self._budget = budget
+        self._reserved_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[HttpRequest] = []
         self._now = 0.0
@@ -68,6 +82,7 @@
                 ``take_completed`` returns the requests completed before it.
         """
         self._now = now
+        was_in_head = self.is_in_head
         if not self._has_started and data.strip(b"\r\n"):
             self._has_started = True
             self._started_at = now
@@ -86,6 +101,8 @@
             ) from error
         if self._error:
             raise self._error
+        if was_in_head and self.is_in_head and not self._completed:
+            self._count_unreported_bytes(len(data))
         return self.take_completed()
 
     def take_completed(self) -> list[HttpRequest]:
@@ -93,12 +110,20 @@
         completed, self._completed = self._completed, []
         return completed
 
+    def release(self) -> None:
+        """Release what a request that was received only in part reserved."""
+        if self._budget is not None:
+            self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _reset(self) -> None:
         self._url: list[bytes] = []
         self._headers: list[Header] = []
         self._body_chunks: list[bytes] = []
         self._head_bytes = 0
+        self._unreported_bytes = 0
         self._body_bytes = 0
+        self._announced_bytes = 0
         self._has_started = False
         self._started_at = 0.0
         self._is_head_complete = False
@@ -124,6 +149,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header line."""
         self._headers.append((name, value))
+        if name.lower() == b"content-length" and value.isdigit():
+            self._announced_bytes = int(value)
         self._count_head_bytes(len(name) + len(value) + 4)
         if len(self._headers) > HEADERS_MAX:
             self._fail(
@@ -132,17 +159,16 @@
             )
 
     def on_headers_complete(self) -> None:
-        """Mark the request head as complete."""
+        """Mark the request head as complete and reserve for the body."""
         self._is_head_complete = True
+        self._check_body_size(self._announced_bytes)
+        self._reserve(self._announced_bytes)
 
     def on_body(self, chunk: bytes) -> None:
         """Add a part of the body."""
         self._body_bytes += len(chunk)
-        if self._body_bytes > self._body_bytes_max:
-            self._fail(
-                "body_too_long",
-                f"request body exceeds {self._body_bytes_max} bytes",
-            )
+        self._check_body_size(self._body_bytes)
+        self._reserve(self._body_bytes)
         self._body_chunks.append(chunk)
 
     def on_message_complete(self) -> None:
@@ -157,8 +183,36 @@
             peer_host=self.peer_host,
         )
         self._completed.append(request)
+        self._reserved_bytes = 0
         self._reset()
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self._body_bytes_max:
+            self._fail(
+                "body_too_long",
+                f"request body exceeds {self._body_bytes_max} bytes",
+            )
+
+    def _reserve(self, size: int) -> None:
+        """Raise what is reserved for the body to a size."""
+        missing = size - self._reserved_bytes
+        if self._budget is None or missing <= 0:
+            return
+        if not self._budget.try_reserve(missing):
+            self._fail(
+                "memory_exhausted", f"no memory for a body of {size} bytes"
+            )
+        self._reserved_bytes = size
+
+    def _count_unreported_bytes(self, size: int) -> None:
+        """Bound a head line without end, which the parser keeps to itself."""
+        self._unreported_bytes += size
+        size_max = self._header_bytes_max + _UNREPORTED_BYTES_MAX
+        if self._unreported_bytes > size_max:
+            raise RequestError(
+                "head_too_long", f"request head exceeds {size_max} bytes"
+            )
+
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._header_bytes_max:
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -5,6 +5,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import CallerLimits
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
 from kumquatwalk.tasks import start_task
@@ -27,11 +28,14 @@
         handler: Serves one request; cancelled when the caller closes its
             connection.
         limits: Size limits and timeouts for callers' connections.
+        budget: Bytes of request bodies that the process may hold; None for no
+            bound.
 
     Attributes:
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
+        budget: Bytes of request bodies that the process may hold.
         is_stopping: Whether connections are closed after their next response.
         connections: Open connections.
     """
@@ -41,10 +45,12 @@
         address: Address,
         handler: Handler,
         limits: CallerLimits = CallerLimits(),
+        budget: ByteBudget | None = None,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits
+        self.budget = budget
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/kumquatwalk/http1/tests/test_request_parser.py
+++ b/kumquatwalk/http1/tests/test_request_parser.py
@@ -31,6 +31,26 @@
         self.assertEqual(requests[0].url, b"/a/b?c")
         self.assertEqual(requests[0].find_header(b"attempt-id"), b"1")
 
+    def test_header_line_without_end_is_refused(self):
+        # The parser reports a header line only when it is complete.
+        parser = RequestParser(1000, 1000)
+        parser.feed(b"GET / HTTP/1.1\r\nX-Endless: ", 1.0)
+        fed = 0
+        with self.assertRaises(RequestError) as caught:
+            while fed < 1 << 20:
+                parser.feed(b"y" * 4096, 1.0)
+                fed += 4096
+        self.assertEqual(caught.exception.code, "head_too_long")
+        self.assertLess(fed, 32768)
+
+    def test_head_behind_a_long_body_is_not_refused(self):
+        body = b"b" * 60000
+        post = b"POST /p HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        parser = RequestParser(1000, 100000)
+        self.assertEqual(len(parser.feed(post + body + _GET[:20], 1.0)), 1)
+        self.assertEqual(parser.feed(_GET[20:30], 1.0), [])
+        self.assertEqual(len(parser.feed(_GET[30:], 1.0)), 1)
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.lists(st.integers(0, 300), max_size=6))
     def test_requests_are_parsed_at_any_read_boundary(self, cuts):
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -62,10 +62,10 @@
     builder = frame.init("call")
     builder.callId = message.call_id
     builder.isResent = message.is_resent
-    _write_call(builder, message.call)
+    _write_call(builder, message.call, message.clock_offset_s)
 
 
-def _write_call(builder: Any, message: Call) -> None:
+def _write_call(builder: Any, message: Call, offset_s: float) -> None:
     builder.key = message.key
     builder.attemptId = message.attempt_id
     builder.route = message.route
@@ -74,8 +74,8 @@
     builder.isIdempotent = message.is_idempotent
     builder.isReturning = message.is_returning
     builder.rank = min(message.rank, _U8_MAX)
-    builder.deadlineUs = max(0, int(message.deadline * US_PER_S))
-    builder.startByUs = max(0, int(message.start_by * US_PER_S))
+    builder.deadlineUs = _encode_time(message.deadline + offset_s)
+    builder.startByUs = _encode_time(message.start_by + offset_s)
     builder.method = message.method
     builder.url = message.url
     builder.headers = _join_headers(message.headers)
@@ -93,7 +93,7 @@
     builder.callId = message.call_id
     builder.ticket = query.ticket
     builder.key = query.key
-    builder.deadlineUs = max(0, int(query.deadline * US_PER_S))
+    builder.deadlineUs = _encode_time(query.deadline)
     builder.method = query.method
     builder.url = query.url
     builder.headers = _join_headers(query.headers)
@@ -176,6 +176,10 @@
     frame.init("crashNotice").report = message.report
 
 
+def _encode_time(time_s: float) -> int:
+    return max(0, int(time_s * US_PER_S))
+
+
 def _join_headers(headers: tuple[Header, ...]) -> bytes:
     """Join header lines; no name or value may contain a line feed."""
     return b"\n".join([b"%b:%b" % header for header in headers])
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -7,6 +7,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.address import Address
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.codec import encode
@@ -57,6 +58,8 @@
             node has none yet.
         on_hello: Called with each handshake message from a peer.
         partition: Simulated network partition of this node.
+        budget: Bytes of bodies that the process may hold. A call whose body
+            exceeds it is refused as not run.
     """
 
     def __init__(
@@ -70,12 +73,14 @@
         get_config: Callable[[], ConfigDocument | None],
         on_hello: Callable[[Hello], None],
         partition: Partition,
+        budget: ByteBudget,
     ):
         self._address = address
         self._make_hello = make_hello
         self._serve_call = serve_call
         self._serve_query = serve_query
         self._partition = partition
+        self._budget = budget
         self._get_status = get_status
         self._get_load = get_load
         self._get_config = get_config
@@ -150,7 +155,10 @@
                 link.send(self._get_status())
                 self._on_hello(message)
             case CallFrame():
-                pending_reply = self._serve_call(message.call)
+                serve = self._serve_call
+                if message.call.body:
+                    serve = self._serve_within_budget
+                pending_reply = serve(message.call)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case OwnerQueryFrame():
                 pending_reply = self._serve_query(message.query)
@@ -165,6 +173,15 @@
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
 
+    async def _serve_within_budget(self, call: Call) -> Reply:
+        size = len(call.body)
+        if not self._budget.try_reserve(size):
+            return Reply(Outcome.NOT_RUN, codes.MEMORY_EXHAUSTED)
+        try:
+            return await self._serve_call(call)
+        finally:
+            self._budget.release(size)
+
     def _send_config(self, link: LinkProtocol, request: ConfigRequest) -> None:
         document = self._get_config()
         if document is not None and document.version > request.after_version:
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -173,11 +173,14 @@
         is_resent: Whether the call was sent before, on a connection that has
             failed since.
         call: The call.
+        clock_offset_s: Receiver's clock minus this node's, in seconds, added to
+            the times of the call when it is encoded; 0 in a received frame.
     """
 
     call_id: int
     is_resent: bool
     call: Call
+    clock_offset_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -232,16 +232,14 @@
     def _send_request(
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
     ) -> None:
-        deadline = request.deadline + self._clock_offset_s
         if isinstance(request, OwnerQuery):
+            deadline = request.deadline + self._clock_offset_s
             remote_request = dataclasses.replace(request, deadline=deadline)
             self._link.send(OwnerQueryFrame(call_id, remote_request))
             return
-        start_by = request.start_by + self._clock_offset_s
-        remote_request = dataclasses.replace(
-            request, deadline=deadline, start_by=start_by
+        self._link.send(
+            CallFrame(call_id, is_resent, request, self._clock_offset_s)
         )
-        self._link.send(CallFrame(call_id, is_resent, remote_request))
 
     async def _run(self) -> None:
         delay_s = RECONNECT_DELAY_MIN_S
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -1,5 +1,7 @@
 """Tests for the codec and the compression of messages between nodes."""
 
+import dataclasses
+import random
 import unittest
 
 from hypothesis import given
@@ -164,6 +166,40 @@
         sizes = [len(sender.compress(encode(call))) for call in calls]
         self.assertLess(sizes[-1], sizes[0] / 3)
 
+    def test_times_of_a_call_are_sent_in_the_clock_of_the_receiver(self):
+        frame = next(m for m in _MESSAGES if isinstance(m, CallFrame))
+        sent = dataclasses.replace(frame, clock_offset_s=-2.5)
+        call = decode(encode(sent)).call
+        self.assertAlmostEqual(call.deadline, frame.call.deadline - 2.5, 5)
+        self.assertAlmostEqual(call.start_by, frame.call.start_by - 2.5, 5)
+
+    def test_long_random_payload_is_sent_as_it_is(self):
+        body = random.Random(5).randbytes(200_000)
+        packed = PayloadCompressor().compress(body)
+        self.assertIn(body[:60_000], packed)
+        self.assertLess(len(packed), len(body) + 100)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from((10, 5000, 65535, 65536, 140_000)),
+                st.booleans(),
+            ),
+            max_size=8,
+        )
+    )
+    def test_stored_and_compressed_payloads_mix(self, kinds):
+        rng = random.Random(7)
+        sender = PayloadCompressor()
+        receiver = PayloadDecompressor()
+        for size, is_random in kinds:
+            payload = (
+                rng.randbytes(size) if is_random else b"abcd" * (size // 4)
+            )
+            packed = sender.compress(payload)
+            self.assertEqual(receiver.decompress(packed), payload)
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.binary(max_size=100))
     def test_corrupt_payload_decompresses_or_raises_frame_error(self, data):
--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -14,6 +14,8 @@
 
 __all__ = ["decode_address", "decode_settings", "load_settings"]
 
+_BYTES_PER_MB = 1024 * 1024
+
 
 def load_settings(path: str) -> DaemonSettings:
     """Read and decode the settings file.
@@ -94,6 +96,7 @@
         store=_read_address(store, "address"),
         metrics_listener=_read_metrics_listener(table),
         bounds=_decode_bounds(table),
+        memory_max_bytes=_read_memory(table),
     )
 
 
@@ -111,6 +114,12 @@
     return Address(fields.read_text(table, "ip"), ports[0])
 
 
+def _read_memory(table: Mapping[str, Any]) -> int:
+    """Return the memory of the process in bytes; 256 MB if it is not given."""
+    limits = fields.read_table(table.get("limits", {}), "limits")
+    return fields.read_int(limits, "memoryMb", 256) * _BYTES_PER_MB
+
+
 def _decode_bounds(table: Mapping[str, Any]) -> FleetBounds:
     values: dict[str, float] = {}
     for text in table.get("bounds", []):
--- a/kumquatwalk/routing/acyclic_calls.py
+++ b/kumquatwalk/routing/acyclic_calls.py
@@ -31,8 +31,8 @@
             if route == called or reached[called] & bits[route]:
                 continue
             gained = bits[called] | reached[called]
-            for other in reached:
-                if other == route or reached[other] & bits[route]:
-                    reached[other] |= gained
+            for other, below in reached.items():
+                if other == route or below & bits[route]:
+                    reached[other] = below | gained
         kept.append((route, called))
     return kept
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -46,13 +46,13 @@
 # Random variation of the cost, as a fraction, so that nodes with the same view
 # do not all select the same target.
 COST_JITTER = 0.1
-# Number of targets in the zone of the call, and in all, whose costs are compared.
-# They are drawn at random: between two status messages, all nodes that compared
+# Number of targets in the zone of the call, and in all, whose costs are
+# compared. They are drawn at random: between two status messages, all nodes that compared
 # all targets would select the same one (Mitzenmacher, "The Power of Two Choices
 # in Randomized Load Balancing", 2001).
 CANDIDATES_NEAR = 3
 CANDIDATES = 5
-# Run time assumed for a target that has reported none, in seconds.
+# Run time assumed where no target of a service has reported any, in seconds.
 DEFAULT_RUN_S = 0.1
 
 
@@ -142,8 +142,9 @@
     """Return the target with the lowest expected cost of a few.
 
     The few are drawn at random, up to ``CANDIDATES_NEAR`` of them in the zone
-    of the call if there are as many. Targets with a stale status or in backoff, and targets whose nodes are
-    stopping, are selected only when there is no other.
+    of the call if there are as many. Targets with a stale status or in backoff,
+    and targets whose nodes are stopping, are selected only when there is no
+    other.
 
     Args:
         views: Targets of the service.
@@ -163,9 +164,11 @@
     if not usable:
         return None
     healthy = [v for v in usable if not _is_degraded(v, context)]
+    candidates = _draw_candidates(healthy or usable, context, rng)
+    typical_run_s = _estimate_typical_run_s(candidates, context.route)
     return min(
-        _draw_candidates(healthy or usable, context, rng),
-        key=lambda v: estimate_cost(v, context)
+        candidates,
+        key=lambda v: estimate_cost(v, context, typical_run_s)
         * rng.uniform(1.0 - COST_JITTER, 1.0 + COST_JITTER),
     )
 
@@ -183,7 +186,11 @@
     return rng.sample(near, near_count) + rng.sample(far, far_count)
 
 
-def estimate_cost(view: TargetView, context: ChoiceContext) -> float:
+def estimate_cost(
+    view: TargetView,
+    context: ChoiceContext,
+    typical_run_s: float = DEFAULT_RUN_S,
+) -> float:
     """Return the expected cost of a call, as a fraction of its value.
 
     The cost covers run time and queueing, lateness, transfer between zones and
@@ -192,9 +199,12 @@
     Args:
         view: Target that would run the call.
         context: Properties of the call.
+        typical_run_s: Run time of the route at other targets, in seconds. It is
+            assumed for a target that has reported none: one that has just
+            joined must get calls to show how fast it is.
     """
     status = view.status
-    run_s = _estimate_run_s(status, context.route)
+    run_s = _find_run_s(status, context.route) or typical_run_s
     if status.cold_left_s - (context.now - view.updated_at) > 0:
         run_s *= COLD_START_FACTOR
     limit = max(1, status.limit)
@@ -234,11 +244,17 @@
     }
 
 
-def _estimate_run_s(status: TargetStatus, route: str) -> float:
+def _find_run_s(status: TargetStatus, route: str) -> float | None:
     for name, run_s in status.route_times:
         if name == route:
             return run_s
-    return _estimate_mean_run_s(status, DEFAULT_RUN_S)
+    return None
+
+
+def _estimate_typical_run_s(views: list[TargetView], route: str) -> float:
+    times = [_find_run_s(v.status, route) for v in views]
+    known = [t for t in times if t is not None]
+    return sum(known) / len(known) if known else DEFAULT_RUN_S
 
 
 def _estimate_mean_run_s(status: TargetStatus, default_s: float) -> float:
--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -50,6 +50,13 @@
         ]
         self.assertEqual(count_choices(views)["near"], 200)
 
+    def test_joined_target_without_measured_runs_gets_calls(self):
+        # The runs of this route take a fifth of what is assumed where nothing
+        # is known; a target that joins has shown none yet.
+        views = [make_view(f"old-{n}", run_s=0.02) for n in range(2)]
+        views.append(make_view("joined", route_times=()))
+        self.assertGreater(count_choices(views)["joined"], 30)
+
     def test_late_answers_outweigh_transfer_between_zones(self):
         # The near target runs at a third of the far one's speed, so some of its
         # answers would be late.
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -5,6 +5,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.client_connection import ClientConnection
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.message import HttpResponse
@@ -38,14 +39,17 @@
 
     Args:
         address: Address of the target.
+        budget: Bytes of bodies that the process may hold while they are read;
+            None for no bound.
 
     Attributes:
         address: Address of the target.
         connections_opened: Number of connections opened so far.
     """
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, budget: ByteBudget | None = None):
         self.address = address
+        self._budget = budget
         self._idle: list[ClientConnection] = []
         self.connections_opened = 0
 
@@ -120,7 +124,10 @@
             connection.abort()
         self.connections_opened += 1
         return await open_connection(
-            self.address, CONNECT_TIMEOUT_S, RESPONSE_BYTES_MAX
+            self.address,
+            CONNECT_TIMEOUT_S,
+            RESPONSE_BYTES_MAX,
+            budget=self._budget,
         )
 
     def _release(
