--- a/kumquatwalk/http1/response_parser.py
+++ b/kumquatwalk/http1/response_parser.py
@@ -8,8 +8,8 @@
 
 __all__ = ["ResponseParser"]
 
-# Maximum of bytes received before the head of a response is complete. The parser
-# keeps an unfinished header line to itself, so received bytes are counted.
+# Maximum of bytes received before the head of a response is complete. The
+# parser keeps an unfinished header line to itself, so received bytes count.
 HEAD_BYTES_MAX = 128 * 1024
 _NO_BODY_STATUSES = frozenset((204, 304))
 
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -47,9 +47,9 @@
 # do not all select the same target.
 COST_JITTER = 0.1
 # Number of targets in the zone of the call, and in all, whose costs are
-# compared. They are drawn at random: between two status messages, all nodes that compared
-# all targets would select the same one (Mitzenmacher, "The Power of Two Choices
-# in Randomized Load Balancing", 2001).
+# compared. They are drawn at random: between two status messages, all nodes
+# that compared all targets would select the same one (Mitzenmacher, "The Power
+# of Two Choices in Randomized Load Balancing", 2001).
 CANDIDATES_NEAR = 3
 CANDIDATES = 5
 # Run time assumed where no target of a service has reported any, in seconds.
