--- a/kumquatwalk/admission/target_limiter.py
+++ b/kumquatwalk/admission/target_limiter.py
@@ -44,9 +44,8 @@
             caller's retry or part of a request already in progress.
         deadline: Time after which its result is useless, in seconds.
         start_by: Time by which it should start, in seconds. The call is refused
-            on arrival when its expected wait in the queue is longer, and by
-            ``expire`` when it is still queued then; ``dispatch`` starts it
-            even after this time.
+            on arrival when its expected wait in the queue is longer, and when
+            it is still queued then.
     """
 
     key: int
@@ -242,14 +241,15 @@
 
         Returns:
             Keys of the queued calls that start now, and refusals of those that
-            can no longer end before their deadlines.
+            can no longer start or end in time.
         """
         started: list[int] = []
         refused: list[Refusal] = []
         while self._queue and len(self._running) < self.limit:
             call = self._queue.pop(0).call
-            if not self._can_end_in_time(call, 0.0, now):
-                refused.append(self._refuse(call, codes.DEADLINE_EXCEEDED))
+            code = self._find_expiry(call, now)
+            if code:
+                refused.append(self._refuse(call, code))
                 continue
             self._start(call)
             started.append(call.key)
@@ -258,8 +258,8 @@
     def expire(self, now: float) -> list[Refusal]:
         """Remove queued calls that can no longer start or end in time.
 
-        They are refused with ``DEADLINE_EXCEEDED``, also when only their time
-        to start has passed.
+        They are refused with ``DEADLINE_EXCEEDED``, or with ``OVERLOADED`` when
+        only their time to start has passed.
 
         Args:
             now: Current time, in seconds.
@@ -267,20 +267,19 @@
         Returns:
             Refusals of the removed calls.
         """
-        expired = [
-            item
-            for item in self._queue
-            if now > item.call.start_by
-            or not self._can_end_in_time(item.call, 0.0, now)
-        ]
+        found = [(i.call, self._find_expiry(i.call, now)) for i in self._queue]
+        expired = {call.key: (call, code) for call, code in found if code}
         if expired:
-            keys = {item.call.key for item in expired}
             self._queue = [
-                item for item in self._queue if item.call.key not in keys
+                item for item in self._queue if item.call.key not in expired
             ]
-        return [
-            self._refuse(item.call, codes.DEADLINE_EXCEEDED) for item in expired
-        ]
+        return [self._refuse(call, code) for call, code in expired.values()]
+
+    def _find_expiry(self, call: AdmissionRequest, now: float) -> str:
+        """Return the code with which a queued call expires; empty if not."""
+        if not self._can_end_in_time(call, 0.0, now):
+            return codes.DEADLINE_EXCEEDED
+        return codes.OVERLOADED if now > call.start_by else ""
 
     def _start(self, call: AdmissionRequest) -> None:
         run_s = self.run_times.estimate(call.route)
--- a/kumquatwalk/admission/tests/test_target_gate.py
+++ b/kumquatwalk/admission/tests/test_target_gate.py
@@ -85,6 +85,17 @@
         self.assertEqual(limiter.expire(0.2), [])
         self.assertEqual([r.key for r in limiter.expire(0.31)], [2])
 
+    def test_slot_that_frees_late_starts_no_call_after_its_latest_start(self):
+        limiter = make_limiter(1)
+        limiter.submit(make_call(1), 0.0)
+        limiter.submit(make_call(2, start_by=0.3), 0.0)
+        limiter.submit(make_call(3), 0.0)
+        started, refused = limiter.finish(1, 0.1, 0.31)
+        self.assertEqual(started, [3])
+        self.assertEqual(
+            [(r.key, r.code) for r in refused], [(2, "overloaded")]
+        )
+
     def test_full_queue_evicts_the_last_call_for_a_higher_rank(self):
         limiter = make_limiter(1)
         key = 0
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -26,6 +26,7 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.retry.longest_timeout import LongestTimeouts
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.route_sizes import RouteSizes
 from kumquatwalk.routing.split import TrafficSplitter
@@ -58,8 +59,8 @@
 # in sequence.
 QUEUE_TIME_SHARE_INTERNAL = 0.3
 # A request is taken for a caller's retry when its timeout is below this share
-# of the longest timeout that the route's callers have given since the start of
-# the node, which stands for the timeout of a first attempt.
+# of the longest timeout that the route's callers have given lately, which stands
+# for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
 _KEY_BITS = 63
 
@@ -104,10 +105,10 @@
         self._admission = admission
         self._retry_budgets = retry_budgets
         self._metrics = metrics
-        self._splitter = TrafficSplitter()
-        self._sizes = RouteSizes()
         self._rng = random.Random()
-        self._max_timeout_s: dict[str, float] = {}
+        self._splitter = TrafficSplitter(self._rng)
+        self._sizes = RouteSizes()
+        self._timeouts = LongestTimeouts()
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -194,10 +195,8 @@
         """
         if timeout_s is None:
             return False
-        max_s = self._max_timeout_s.get(route.name, 0.0)
-        if timeout_s > max_s:
-            self._max_timeout_s[route.name] = max_s = timeout_s
-        return timeout_s < RETRY_TIMEOUT_SHARE * max_s
+        longest_s = self._timeouts.record(route.name, timeout_s, read_now())
+        return timeout_s < RETRY_TIMEOUT_SHARE * longest_s
 
     async def _make_attempts(self, request: PendingRequest) -> Reply:
         self._retry_budgets.record_first_attempt(request.service, read_now())
