Learn calls from sound runs, and let lower bounds follow what is admitted

Cause, known from the model: a run that fails stops calling, so in a surge the ingress learnt too few calls for an order and admitted too much; a quarter of each route, however little was admitted at all, filled the narrow service alone; the utilization moved by fixed steps, too slowly after a surge.

Change: a window counts by the fourth power of the share of its runs that did not fail; the lower bound of a route is 0.4 of the share of all requests that is admitted, at least 0.08; the utilization falls with the load over the limit and rises with the room under it.

--- a/benchmarks/model/control.py
+++ b/benchmarks/model/control.py
@@ -258,9 +258,13 @@
         try:
             await run_at(self._targets[number])
             run_s = loop.time() - started_at
+            self._meters[number].record_run_end(is_failed=False)
         except RefusedError:
             limiter.record_shed(loop.time())
             raise
+        except (TimeoutError, asyncio.CancelledError):
+            self._meters[number].record_run_end(is_failed=True)
+            raise
         finally:
             self._notify_waiters(*limiter.finish(call.key, run_s, loop.time()))
 
--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -22,19 +22,25 @@
 # Load above which a service is overloaded, and below which it has spare
 # capacity: running and queued calls over its concurrency limit.
 LOAD_OVERLOADED = 1.05
-LOAD_SPARE = 0.9
-# Factors on the utilization at each update.
-UTILIZATION_DECREASE = 0.95
-UTILIZATION_INCREASE = 1.06
-# The same as the interval of the status messages that loads come from.
+LOAD_SPARE = 1.0
+# Share by which the utilization falls at each update, when a service is just
+# overloaded and at most; and by which it rises when the service has no load.
+UTILIZATION_DECREASE = 0.05
+UTILIZATION_DECREASE_MAX = 0.2
+UTILIZATION_INCREASE = 0.5
+# Loads come with replies too, not only with status messages.
 UPDATE_INTERVAL_S = 0.5
 # Value of a request by rank, relative to the ranks not listed. Rank 0 is used
 # for payments and orders, which are shed last.
 VALUE_BY_RANK = (8.0, 4.0)
 # Lower bound for each route however overloaded a service is, so that no group
-# of callers is shut out. It holds before the factors below, so first attempts
-# are admitted with at least 0.9 times this probability.
-PROBABILITY_MIN = 0.25
+# of callers is shut out: a part of the share of all requests that is admitted,
+# and at least the second value. It holds before the factors below, so first
+# attempts are admitted with at least 0.9 times this probability.
+PROBABILITY_MIN_PART = 0.4
+PROBABILITY_MIN = 0.08
+# Times that lower bounds and probabilities are computed from each other.
+FLOOR_ITERATIONS = 3
 # Factors on the admission probability of a first attempt, and of a request that
 # is taken for a caller's retry: its caller has already waited, and retries only
 # once.
@@ -152,13 +158,18 @@
         ratio = load.outstanding / max(1, load.limit)
         utilization = self._utilizations.get(service)
         if ratio > LOAD_OVERLOADED:
+            decrease = min(
+                UTILIZATION_DECREASE_MAX,
+                UTILIZATION_DECREASE * ratio / LOAD_OVERLOADED,
+            )
             utilization = (
                 UTILIZATION_INITIAL
                 if utilization is None
-                else max(UTILIZATION_MIN, utilization * UTILIZATION_DECREASE)
+                else max(UTILIZATION_MIN, utilization * (1.0 - decrease))
             )
         elif utilization is not None and ratio < LOAD_SPARE:
-            utilization *= UTILIZATION_INCREASE
+            spare = 1.0 - ratio / LOAD_SPARE
+            utilization *= 1.0 + UTILIZATION_INCREASE * spare
         if utilization is None or utilization > UTILIZATION_UNLIMITED:
             self._utilizations.pop(service, None)
             return None
@@ -181,27 +192,59 @@
         capacity: Slots of each service that may be used.
 
     Returns:
-        Probability by route, at least ``PROBABILITY_MIN``; routes that are
-        admitted in full are left out.
+        Probability by route, at least ``PROBABILITY_MIN`` and at least
+        ``PROBABILITY_MIN_PART`` of the share of all requests that is admitted;
+        routes that are admitted in full are left out.
     """
     overloads = _find_overloads(demands, capacity)
     if not overloads:
         return {}
-    probabilities = {d.route: 0.0 for d in demands}
-    spare = {service: capacity[service] for service in overloads}
-    first = [d for d in demands if d.rank == 0]
-    rest = [d for d in demands if d.rank > 0]
-    rest.sort(key=lambda d: _compute_value_per_cost(d, overloads), reverse=True)
-    for demand in first:
-        _raise_probability(demand, 1.0, probabilities, spare)
-    for demand in rest:
-        _raise_probability(demand, PROBABILITY_MIN, probabilities, spare)
-    for demand in rest:
-        _raise_probability(demand, 1.0, probabilities, spare)
-    bounded = {r: max(PROBABILITY_MIN, p) for r, p in probabilities.items()}
+    ordered = sorted(
+        demands,
+        key=lambda d: (
+            d.rank > 0,
+            -_compute_value_per_cost(d, overloads),
+            d.route,
+        ),
+    )
+    floor = 1.0
+    for _ in range(FLOOR_ITERATIONS):
+        spare = {service: capacity[service] for service in overloads}
+        probabilities = _fill_in_order(ordered, spare, floor)
+        average = _average_probability(demands, probabilities)
+        floor = max(PROBABILITY_MIN, PROBABILITY_MIN_PART * average)
+    bounded = {r: max(floor, p) for r, p in probabilities.items()}
     return {route: p for route, p in bounded.items() if p < 1.0}
 
 
+def _fill_in_order(
+    ordered: Sequence[RouteDemand], spare: dict[str, float], floor: float
+) -> dict[str, float]:
+    """Admit rank 0, then each route up to the floor, then the rest."""
+    probabilities = {d.route: 0.0 for d in ordered}
+    for demand in ordered:
+        if demand.rank == 0:
+            _raise_probability(demand, 1.0, probabilities, spare)
+    for probability_max in (floor, 1.0):
+        for demand in ordered:
+            if probabilities[demand.route] < probability_max:
+                _raise_probability(
+                    demand, probability_max, probabilities, spare
+                )
+    return probabilities
+
+
+def _average_probability(
+    demands: Sequence[RouteDemand], probabilities: Mapping[str, float]
+) -> float:
+    """Return the share of all requests that is admitted."""
+    total = sum(d.requests_per_s for d in demands)
+    if not total:
+        return 1.0
+    admitted = sum(d.requests_per_s * probabilities[d.route] for d in demands)
+    return admitted / total
+
+
 def _raise_probability(
     demand: RouteDemand,
     probability_max: float,
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -377,6 +377,8 @@
             )
             has_answer = reply.outcome is Outcome.DONE
             self._apply_finding(finding)
+            if reply.outcome is not Outcome.NOT_RUN:
+                self._traffic.record_run_end(finding is not Finding.SOUND)
             if reply.code == codes.TARGET_FAILED:
                 reply = await self._detect_crash(run, reply)
         finally:
--- a/kumquatwalk/daemon/traffic_meter.py
+++ b/kumquatwalk/daemon/traffic_meter.py
@@ -24,6 +24,8 @@
     def __init__(self):
         self._requests: dict[str, int] = {}
         self._runs: dict[str, int] = {}
+        self._ended = 0
+        self._failed = 0
         self._rates: dict[str, float] = {}
         self._estimator = CallEstimator()
 
@@ -43,6 +45,15 @@
         """
         self._runs[route] = self._runs.get(route, 0) + 1
 
+    def record_run_end(self, is_failed: bool) -> None:
+        """Count a run that ended at the target.
+
+        Args:
+            is_failed: Whether it failed or its deadline passed.
+        """
+        self._ended += 1
+        self._failed += is_failed
+
     def close_window(self, graph: CallGraph, window_s: float) -> TrafficReport:
         """End the current window and return the traffic report.
 
@@ -64,7 +75,9 @@
             r for r, v in self._rates.items() if v < REPORTED_RATE_MIN_PER_S / 4
         ]:
             del self._rates[route]
-        self._estimator.record_window(runs, requests)
+        failure_share = self._failed / self._ended if self._ended else 0.0
+        self._ended = self._failed = 0
+        self._estimator.record_window(runs, requests, failure_share)
         return TrafficReport(self._list_rates(), self._list_calls(graph))
 
     def _list_rates(self) -> tuple[RouteRate, ...]:
--- a/kumquatwalk/routing/call_estimator.py
+++ b/kumquatwalk/routing/call_estimator.py
@@ -10,6 +10,11 @@
 # Weight of the prior, in windows. The prior is that all routes of a target make
 # the same number of calls per run.
 PRIOR_WINDOWS = 1.0
+# Weight of a window by the share of its runs that did not fail, to this power,
+# and at least: a run that fails stops calling, so such windows show too few
+# calls, but at first they may be all that there is.
+SOUND_POWER = 4
+WEIGHT_MIN = 0.01
 # Iterations of coordinate descent; the systems have a handful of unknowns.
 ITERATIONS = 30
 # Estimates below this number of calls per run are treated as zero.
@@ -35,7 +40,10 @@
         self._call_sums: dict[str, float] = {}
 
     def record_window(
-        self, runs: Mapping[str, int], calls: Mapping[str, int]
+        self,
+        runs: Mapping[str, int],
+        calls: Mapping[str, int],
+        failure_share: float = 0.0,
     ) -> None:
         """Add the counts of one window.
 
@@ -43,7 +51,24 @@
             runs: Runs started at the target, by route.
             calls: Requests received from the target's VM, by route. Some may
                 come from other callers.
+            failure_share: Share of the runs that ended in the window and
+                failed, 0 to 1.
         """
+        sound_share = max(0.0, 1.0 - failure_share)
+        weight = max(WEIGHT_MIN, sound_share**SOUND_POWER)
+        self._decay(DECAY**weight)
+        for route, count in runs.items():
+            _add(self._run_sums, route, weight * count)
+            for other, other_count in runs.items():
+                product = weight * count * other_count
+                _add(self._run_products, (route, other), product)
+            for called, call_count in calls.items():
+                product = weight * count * call_count
+                _add(self._call_products, (route, called), product)
+        for called, call_count in calls.items():
+            _add(self._call_sums, called, weight * call_count)
+
+    def _decay(self, factor: float) -> None:
         for sums in (
             self._run_products,
             self._call_products,
@@ -51,15 +76,7 @@
             self._call_sums,
         ):
             for key in sums:
-                sums[key] *= DECAY
-        for route, count in runs.items():
-            _add(self._run_sums, route, count)
-            for other, other_count in runs.items():
-                _add(self._run_products, (route, other), count * other_count)
-            for called, call_count in calls.items():
-                _add(self._call_products, (route, called), count * call_count)
-        for called, call_count in calls.items():
-            _add(self._call_sums, called, call_count)
+                sums[key] *= factor
 
     def estimate(self, called: str) -> dict[str, float]:
         """Return the calls per run on a route, by the route of the run.
--- a/kumquatwalk/routing/tests/test_call_graph.py
+++ b/kumquatwalk/routing/tests/test_call_graph.py
@@ -69,6 +69,24 @@
         self.assertAlmostEqual(found["deep"], 5.0, delta=0.3)
         self.assertLess(found.get("plain", 0.0), 0.3)
 
+    def test_failed_runs_do_not_hide_what_sound_ones_call(self):
+        # Pattern: a surge refuses calls deep in the chain. A run that fails
+        # makes fewer calls; an ingress that believed them would admit more.
+        estimator = CallEstimator()
+        for _ in range(10):
+            estimator.record_window({"order": 20}, {"leaf": 120}, 0.0)
+        for _ in range(20):
+            estimator.record_window({"order": 40}, {"leaf": 60}, 0.8)
+        self.assertGreater(estimator.estimate("leaf")["order"], 5.0)
+
+    def test_failed_runs_are_believed_while_there_are_no_others(self):
+        estimator = CallEstimator()
+        for _ in range(3):
+            estimator.record_window({"order": 40}, {"leaf": 60}, 1.0)
+        self.assertAlmostEqual(
+            estimator.estimate("leaf")["order"], 1.5, delta=0.1
+        )
+
     def test_estimate_is_empty_without_runs(self):
         self.assertEqual(CallEstimator().estimate("leaf"), {})
 
