--- a/kumquatwalk/daemon/retry_budgets.py
+++ b/kumquatwalk/daemon/retry_budgets.py
@@ -9,8 +9,7 @@
 
 __all__ = ["RetryBudgets"]
 
-# Time for which the calls that a retry adds are kept, in seconds; as often as
-# other nodes send their status.
+# Time for which the calls that a retry adds are kept, in seconds.
 CALLS_TTL_S = 0.5
 
 
--- a/kumquatwalk/daemon/state_publisher.py
+++ b/kumquatwalk/daemon/state_publisher.py
@@ -1,14 +1,12 @@
 """Publishes target status and traffic reports to other nodes."""
 
 import asyncio
-import itertools
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.link_server import LinkServer
-from kumquatwalk.mesh.message import Message
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.tasks import start_task
@@ -17,9 +15,9 @@
 
 # Interval of status messages, in seconds. Replies carry the target's load too,
 # and changes of its state are published at once.
-STATUS_INTERVAL_S = 0.5
-# Of so many status messages or traffic reports, one goes to other zones too.
-MESSAGES_PER_FAR_ONE = 2
+STATUS_INTERVAL_S = 1.0
+# Of so many traffic reports, one goes to other zones too.
+REPORTS_PER_FAR_ONE = 2
 # Length of a traffic window, in seconds: several runs long, so that most calls
 # are counted in the same window as the run that makes them.
 WINDOW_S = 1.0
@@ -83,17 +81,9 @@
         self._link_server.broadcast(status)
 
     async def _publish_status_periodically(self) -> None:
-        for count in itertools.count():
+        while True:
             await asyncio.sleep(STATUS_INTERVAL_S)
-            status = self._target_side.get_status()
-            self._own_view.update_status(status, read_now())
-            self._broadcast(status, count)
-
-    def _broadcast(self, message: Message, count: int) -> None:
-        """Send a message, but not each time to nodes of other zones."""
-        is_for_all = not count % MESSAGES_PER_FAR_ONE
-        zone = "" if is_for_all else self._own_view.availability_zone
-        self._link_server.broadcast(message, zone)
+            self.publish_status()
 
     async def _publish_traffic_periodically(self) -> None:
         windows = 0
@@ -110,4 +100,6 @@
             self._graph.add_report(
                 view.node_id, view.service, report, read_now()
             )
-            self._broadcast(report, 0 if is_initial else windows)
+            is_for_all = is_initial or not windows % REPORTS_PER_FAR_ONE
+            zone = "" if is_for_all else view.availability_zone
+            self._link_server.broadcast(report, zone)
--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -22,7 +22,7 @@
 WATCH_TIMEOUT_S = 20.0
 # Interval at which a node that reads at intervals checks whether it is to watch
 # instead, in seconds.
-DUTY_CHECK_INTERVAL_S = 0.5
+DUTY_CHECK_INTERVAL_S = 1.0
 # Initial and maximum delay before a retry after a failure, in seconds. The
 # maximum is well under the two seconds within which an operator's change must
 # be in force.
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -17,7 +17,7 @@
 BACKLOG = 1024
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
-TIMEOUT_CHECK_INTERVAL_S = 0.5
+TIMEOUT_CHECK_INTERVAL_S = 1.0
 
 
 class HttpServer:
--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -16,7 +16,9 @@
 USER_TIMEOUT_MS = 2500
 
 
-def set_liveness_options(transport: asyncio.BaseTransport) -> None:
+def set_liveness_options(
+    transport: asyncio.BaseTransport, has_keepalive: bool = True
+) -> None:
     """Make the connection fail soon after its peer stops responding.
 
     Sets TCP keep-alive and a limit on unacknowledged data, and disables Nagle's
@@ -24,6 +26,8 @@
 
     Args:
         transport: Transport of a TCP connection.
+        has_keepalive: Whether to probe the peer of an idle connection; needless
+            where the protocol itself sends data all the time.
     """
     sock = transport.get_extra_info("socket")
     if sock is None:
@@ -31,11 +35,12 @@
     tcp = socket.IPPROTO_TCP
     try:
         sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
         sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if has_keepalive:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+            sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+            sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     except OSError:
         # The connection has been lost already; asyncio reports that to the
         # protocol.
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -142,7 +142,9 @@
         """Store the transport and report the connection as open."""
         self._transport = transport
         self.last_received_at = read_now()
-        set_liveness_options(transport)
+        # The status of one end comes each second; it shows the other end a dead
+        # link by its silence, and its sender by the missing acknowledgement.
+        set_liveness_options(transport, has_keepalive=False)
         self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -38,8 +38,8 @@
 # The upper bound is also about how long a recovered node stays unused.
 RECONNECT_DELAY_MIN_S = 0.05
 RECONNECT_DELAY_MAX_S = 0.8
-# Time without received data after which a link is replaced, in seconds. A peer
-# sends its status twice a second, so three in a row are missing by then.
+# Time without received data after which a link is replaced, in seconds: the
+# interval of a peer's status and a delay.
 RECEIVE_TIMEOUT_S = 1.6
 # Time after the receive timeout at which it is checked, in seconds.
 SILENCE_MARGIN_S = 0.01
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -39,10 +39,8 @@
 # Factor on the run time of a target during its cold start.
 COLD_START_FACTOR = 2.0
 # Age of the last status after which a target is used only as a last resort, in
-# seconds: twice the status interval and a delay in the zone, and one interval
-# and a delay from other zones, where it is twice as long.
-STATUS_TTL_S = 1.2
-STATUS_TTL_FAR_S = 1.6
+# seconds: the status interval and a delay.
+STATUS_TTL_S = 1.5
 # Random variation of the cost, as a fraction, so that nodes with the same view
 # do not all select the same target.
 COST_JITTER = 0.1
@@ -163,7 +161,7 @@
     usable = [v for v in ready if not v.status.is_stopping] or ready
     if not usable:
         return None
-    healthy = [v for v in usable if not _is_degraded(v, context)]
+    healthy = [v for v in usable if not _is_degraded(v, context.now)]
     candidates = _draw_candidates(healthy or usable, context, rng)
     typical_run_s = _estimate_typical_run_s(candidates, context.route)
     return min(
@@ -264,8 +262,5 @@
     return sum(run_s for _, run_s in times) / len(times)
 
 
-def _is_degraded(view: TargetView, context: ChoiceContext) -> bool:
-    is_near = view.availability_zone == context.availability_zone
-    ttl_s = STATUS_TTL_S if is_near else STATUS_TTL_FAR_S
-    is_stale = context.now - view.updated_at > ttl_s
-    return is_stale or context.now < view.backoff_until
+def _is_degraded(view: TargetView, now: float) -> bool:
+    return now - view.updated_at > STATUS_TTL_S or now < view.backoff_until
