Send status and traffic report in one iteration of the loop

Cause: two tasks of one second each woke a node twice and put two segments on each link. Change: one task sends both.

--- a/kumquatwalk/daemon/state_publisher.py
+++ b/kumquatwalk/daemon/state_publisher.py
@@ -8,6 +8,7 @@
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.tasks import start_task
 
@@ -16,6 +17,9 @@
 # Interval of status messages, in seconds. Replies carry the target's load too,
 # and changes of its state are published at once.
 STATUS_INTERVAL_S = 1.0
+# Part of the interval by which a status may be early, in seconds, so that it is
+# sent with a report.
+INTERVAL_MARGIN_S = 0.1
 # Of so many traffic reports, one goes to other zones too.
 REPORTS_PER_FAR_ONE = 2
 # Length of a traffic window, in seconds: several runs long, so that most calls
@@ -58,21 +62,16 @@
         self._graph = graph
         self._peers = peers
         self._link_server = link_server
-        self._tasks: list[asyncio.Task] = []
+        self._task: asyncio.Task | None = None
 
     def start(self) -> None:
-        """Start the publishing tasks."""
-        self._tasks = [
-            start_task(self._publish_status_periodically(), "status_publisher"),
-            start_task(
-                self._publish_traffic_periodically(), "traffic_reporter"
-            ),
-        ]
+        """Start to publish."""
+        self._task = start_task(self._run(), "state_publisher")
 
     def close(self) -> None:
-        """Stop the publishing tasks."""
-        for task in self._tasks:
-            task.cancel()
+        """Stop publishing."""
+        if self._task is not None:
+            self._task.cancel()
 
     def publish_status(self) -> None:
         """Publish the status of the target immediately."""
@@ -80,26 +79,28 @@
         self._own_view.update_status(status, read_now())
         self._link_server.broadcast(status)
 
-    async def _publish_status_periodically(self) -> None:
-        while True:
-            await asyncio.sleep(STATUS_INTERVAL_S)
-            self.publish_status()
-
-    async def _publish_traffic_periodically(self) -> None:
+    async def _run(self) -> None:
+        # Both messages are sent in one iteration of the event loop, so that a
+        # link carries them together.
         windows = 0
+        status_due_at = read_now()
         while True:
             is_initial = windows < INITIAL_WINDOWS
             window_s = INITIAL_WINDOW_S if is_initial else WINDOW_S
             await asyncio.sleep(window_s)
             report = self._traffic.close_window(self._graph, window_s)
-            if not report.rates and is_initial:
-                continue  # no traffic yet
-            windows += 1
-            view = self._own_view
-            self._graph.set_populations(self._peers.count_nodes())
-            self._graph.add_report(
-                view.node_id, view.service, report, read_now()
-            )
-            is_for_all = is_initial or not windows % REPORTS_PER_FAR_ONE
-            zone = "" if is_for_all else view.availability_zone
-            self._link_server.broadcast(report, zone)
+            if report.rates or not is_initial:
+                windows += 1
+                is_for_all = is_initial or not windows % REPORTS_PER_FAR_ONE
+                self._publish_report(report, is_for_all)
+            now = read_now()
+            if now >= status_due_at:
+                self.publish_status()
+                status_due_at = now + STATUS_INTERVAL_S - INTERVAL_MARGIN_S
+
+    def _publish_report(self, report: TrafficReport, is_for_all: bool) -> None:
+        view = self._own_view
+        self._graph.set_populations(self._peers.count_nodes())
+        self._graph.add_report(view.node_id, view.service, report, read_now())
+        zone = "" if is_for_all else view.availability_zone
+        self._link_server.broadcast(report, zone)
