Show that bytes without end from a target are cut off and counted

Change: the stand-in target sends without end in six ways; the caller is served by another target, or told that the outcome is unknown and the payment ran once; the connection is closed, the slot and the memory are given back, and the target's failures are counted.

--- a/kumquatwalk/daemon/tests/test_path.py
+++ b/kumquatwalk/daemon/tests/test_path.py
@@ -226,6 +226,49 @@
         answer = await self.fleet.call("web-1", "/web/", "id-2")
         self.assertEqual(answer.status, 502)
 
+    async def test_bytes_without_end_are_cut_off_and_counted(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        scripts = {
+            "head line": Script(prefix=head + b"X: ", endless=b"y" * 65536),
+            "head lines": Script(prefix=head, endless=b"X: y\r\n" * 9000),
+            "interim": Script(endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 999),
+            "no answer": Script(endless=b"\x00\x01\x02" * 9000),
+            "body": Script(prefix=head + b"\r\n", endless=b"z" * 65536),
+            "chunks": Script(
+                prefix=head + b"Transfer-Encoding: chunked\r\n\r\n",
+                endless=b"8000\r\n" + b"c" * 0x8000 + b"\r\n",
+            ),
+        }
+        core = self.first.daemon.core
+        core.body_budget.limit = 1 << 20
+        for name, script in scripts.items():
+            with self.subTest(name):
+                self._script_both(script)
+                failed_before = core.target_side.get_status().failure_share
+                answer = await self.fleet.call("web-1", "/web/", f"id-{name}")
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(
+                    answer.find_header(b"server-seal"), b"seal-i-web-2"
+                )
+                run = self.first.target.runs[-1]
+                async with asyncio.timeout(10):
+                    while not run.is_aborted:
+                        await asyncio.sleep(0.01)
+                self.assertEqual(core.body_budget.used, 0)
+                self.assertEqual(core.target_side.limiter.running, 0)
+                status = core.target_side.get_status()
+                self.assertGreater(status.failure_share, failed_before)
+                core.caller_side.clear_backoffs()
+
+    async def test_payment_answered_without_end_is_unknown_and_run_once(self):
+        script = Script(endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 999)
+        self._script_both(script, script)
+        answer = await self.fleet.call(
+            "web-1", "/web-pay/", "pay-1", method=b"POST"
+        )
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self._count_runs(), 1)
+
     async def test_replaced_target_is_not_used(self):
         self.first.target.target_id = "i-new"
         answer = await self.fleet.call("web-1", "/web/", "id-1")
--- a/kumquatwalk/standin/scripted_target.py
+++ b/kumquatwalk/standin/scripted_target.py
@@ -13,6 +13,7 @@
 
 _HEADER_BYTES_MAX = 65536
 _BODY_BYTES_MAX = 1 << 26
+_BUFFER_BYTES_MAX = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
         has_length: Whether the answer has a ``Content-Length``; without one
             the body ends when the connection is closed.
         extra_headers: Header lines added to the answer.
+        endless: Bytes sent again and again after the prefix, in place of the
+            answer, until the connection is lost; empty for an answer.
     """
 
     work_s: float = 0.0
@@ -47,6 +50,7 @@
     sent_fraction: float = 1.0
     has_length: bool = True
     extra_headers: tuple[bytes, ...] = ()
+    endless: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
@@ -191,6 +195,9 @@
             target.runs.append(self._run)
         if script.work_s:
             await asyncio.sleep(script.work_s)
+        if script.endless:
+            await self._send_without_end(script)
+            return
         answer = target.encode(request, script)
         if script.sent_fraction < 1.0:
             self._transport.write(
@@ -202,6 +209,13 @@
         if not script.has_length:
             self._transport.close()
 
+    async def _send_without_end(self, script: Script) -> None:
+        self._transport.write(script.prefix)
+        while not self._transport.is_closing():
+            if self._transport.get_write_buffer_size() < _BUFFER_BYTES_MAX:
+                self._transport.write(script.endless)
+            await asyncio.sleep(0)
+
     def _serve_health(self) -> None:
         status = 200 if self._target.is_healthy else 503
         self._transport.write(
