Begin the work of a periodic task again after an unexpected error

Cause, read in the code: a periodic task whose work raised was logged and then gone: the node went on without its status messages, its roster, its renewals or one of its links until it was restarted. Change: keep_running starts the work again after half a second.

--- a/kumquatwalk/daemon/roster_sync.py
+++ b/kumquatwalk/daemon/roster_sync.py
@@ -19,7 +19,7 @@
 from kumquatwalk.roster.entry import decode_entry
 from kumquatwalk.roster.registration import Registration
 from kumquatwalk.roster.table import RosterTable
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["RosterSync"]
 
@@ -84,8 +84,8 @@
         """Start to register this node and to read the roster."""
         self._registration.start()
         self._watcher.start()
-        self._checker = start_task(
-            self._remove_missing_periodically(), "roster_check"
+        self._checker = keep_running(
+            self._remove_missing_periodically, "roster_check"
         )
 
     def close(self) -> None:
--- a/kumquatwalk/daemon/settings_watcher.py
+++ b/kumquatwalk/daemon/settings_watcher.py
@@ -9,7 +9,7 @@
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 from kumquatwalk.platform.settings import load_settings
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["SettingsWatcher"]
 
@@ -43,7 +43,7 @@
 
     def start(self) -> None:
         """Start to poll the file."""
-        self._task = start_task(self._run(), "settings_watcher")
+        self._task = keep_running(self._run, "settings_watcher")
 
     def close(self) -> None:
         """Stop polling."""
--- a/kumquatwalk/daemon/state_publisher.py
+++ b/kumquatwalk/daemon/state_publisher.py
@@ -10,7 +10,7 @@
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["StatePublisher"]
 
@@ -66,7 +66,7 @@
 
     def start(self) -> None:
         """Start to publish."""
-        self._task = start_task(self._run(), "state_publisher")
+        self._task = keep_running(self._run, "state_publisher")
 
     def close(self) -> None:
         """Stop publishing."""
--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -13,7 +13,7 @@
 from kumquatwalk.platform.store_items import Snapshot
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import StoreItem
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["StoreWatcher"]
 
@@ -83,7 +83,7 @@
 
     def start(self) -> None:
         """Start to watch."""
-        self._task = start_task(self._run(), "store_watcher")
+        self._task = keep_running(self._run, "store_watcher")
 
     def close(self) -> None:
         """Stop watching."""
--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -11,7 +11,7 @@
 from kumquatwalk.logs import log_event
 from kumquatwalk.platform.target_response import read_target_id
 from kumquatwalk.platform.target_response import read_target_slots
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["TargetProber"]
 
@@ -49,7 +49,7 @@
 
     async def start(self) -> None:
         """Start to probe."""
-        self._task = start_task(self._run(), "target_prober")
+        self._task = keep_running(self._run, "target_prober")
 
     async def close(self) -> None:
         """Stop probing."""
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -8,7 +8,7 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["HttpServer"]
 
@@ -74,8 +74,8 @@
             self._address.port,
             backlog=BACKLOG,
         )
-        self._timeout_task = start_task(
-            self._check_timeouts(), "connection_check"
+        self._timeout_task = keep_running(
+            self._check_timeouts, "connection_check"
         )
 
     @property
--- a/kumquatwalk/idempotency/claim_sweeper.py
+++ b/kumquatwalk/idempotency/claim_sweeper.py
@@ -11,7 +11,7 @@
 from kumquatwalk.logs.level import Level
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import StoreItem
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["CLAIM_RETENTION_S", "ClaimSweeper", "find_expired_claims"]
 
@@ -40,7 +40,7 @@
 
     async def start(self) -> None:
         """Start the background task."""
-        self._task = start_task(self._run(), "claim_sweeper")
+        self._task = keep_running(self._run, "claim_sweeper")
 
     async def close(self) -> None:
         """Cancel the background task."""
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -28,7 +28,7 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["PeerLink"]
 
@@ -126,7 +126,7 @@
 
     def start(self) -> None:
         """Start connecting in the background."""
-        self._task = start_task(self._run(), "peer_link")
+        self._task = keep_running(self._run, "peer_link")
 
     def close(self) -> None:
         """Close the link for good and fail all pending requests."""
@@ -242,6 +242,7 @@
         )
 
     async def _run(self) -> None:
+        self._disconnect()  # after an unexpected error, one may be open
         delay_s = RECONNECT_DELAY_MIN_S
         while True:
             if await self._connect():
--- a/kumquatwalk/roster/registration.py
+++ b/kumquatwalk/roster/registration.py
@@ -12,7 +12,7 @@
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.roster.entry import encode_entry
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["Registration"]
 
@@ -59,7 +59,7 @@
 
     def start(self) -> None:
         """Start the registration task."""
-        self._task = start_task(self._run(), "roster_registration")
+        self._task = keep_running(self._run, "roster_registration")
 
     def mark_missing(self) -> None:
         """Write the entry again after it was deleted from the store."""
--- a/kumquatwalk/tasks.py
+++ b/kumquatwalk/tasks.py
@@ -1,13 +1,17 @@
 """Background tasks whose failures are logged."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 
-__all__ = ["start_task"]
+__all__ = ["keep_running", "start_task"]
+
+# Pause before the work of a task that has failed begins again, in seconds.
+RESTART_DELAY_S = 0.5
 
 
 def start_task(work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task:
@@ -25,14 +29,49 @@
     return task
 
 
+def keep_running(
+    make_work: Callable[[], Coroutine[Any, Any, Any]], name: str
+) -> asyncio.Task:
+    """Start a task whose work begins again after an unexpected error.
+
+    Without it, one message that its work cannot handle would end the work for
+    the rest of the process, which goes on as if nothing had happened.
+
+    Args:
+        make_work: Returns a coroutine that does the work; called again after
+            each error, which is logged. Work that returns is done.
+        name: Name of the task in the log.
+
+    Returns:
+        The task. Cancelling it ends the work.
+    """
+    return start_task(_restart_after_errors(make_work, name), name)
+
+
+async def _restart_after_errors(
+    make_work: Callable[[], Coroutine[Any, Any, Any]], name: str
+) -> None:
+    while True:
+        try:
+            await make_work()
+            return
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            _log_error(name, error)
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 def _log_failure(task: asyncio.Task) -> None:
     if task.cancelled():
         return
     error = task.exception()
     if error is not None:
-        log_event(
-            "task_failed",
-            Level.ERROR,
-            task=task.get_name(),
-            error=f"{type(error).__name__}: {error}",
-        )
+        _log_error(task.get_name(), error)
+
+
+def _log_error(name: str, error: BaseException) -> None:
+    log_event(
+        "task_failed",
+        Level.ERROR,
+        task=name,
+        error=f"{type(error).__name__}: {error}",
+    )
