--- a/kumquatwalk/cli/node_status.py
+++ b/kumquatwalk/cli/node_status.py
@@ -10,6 +10,8 @@
 
 _LEFT = "left"
 _ALIVE = "alive"
+# A node outside the subset of the one that was asked, which says nothing of it.
+_UNLINKED = "unlinked"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,7 +24,8 @@
         revision: Highest catalogue revision reported for it.
         reach: ``alive`` if all queried nodes see it alive, ``cut_off`` if some
             do and others do not; if none does, ``left`` if a node reports that
-            it left, and ``unknown`` otherwise.
+            it left, and ``unknown`` otherwise. Nodes that are not linked to it
+            do not count.
         is_current: Whether it runs the platform's revision or a higher one;
             None if the platform's revision is not known or no node sees it
             alive.
@@ -61,7 +64,8 @@
 def _merge(
     rows: list[MemberRow], asked: int, platform_revision: int | None
 ) -> NodeStatus:
-    states = [row.state for row in rows]
+    states = [row.state for row in rows if row.state != _UNLINKED]
+    asked -= len(rows) - len(states)
     revision = max(row.catalogue_revision for row in rows)
     reach = _classify_reach(states, asked)
     is_current = None
@@ -73,7 +77,7 @@
 
 def _classify_reach(states: list[str], asked: int) -> str:
     alive = states.count(_ALIVE)
-    if alive == asked:
+    if alive and alive == asked:
         return _ALIVE
     if alive:
         return "cut_off"
--- a/kumquatwalk/cli/tests/test_catalogue_status.py
+++ b/kumquatwalk/cli/tests/test_catalogue_status.py
@@ -44,6 +44,17 @@
 
 class MergeTest(unittest.TestCase):
 
+    def test_nodes_that_are_not_linked_to_one_do_not_count(self):
+        tables = (
+            make_table(("n1", "alive", 5), ("n2", "unlinked", 0)),
+            make_table(("n1", "unlinked", 0), ("n2", "unlinked", 0)),
+        )
+        statuses = {s.node_id: s for s in merge_tables(tables, 5)}
+        self.assertEqual(statuses["n1"].reach, "alive")
+        self.assertTrue(statuses["n1"].is_current)
+        self.assertEqual(statuses["n2"].reach, "unknown")
+        self.assertIsNone(statuses["n2"].is_current)
+
     def test_reach_and_revision(self):
         tables = (
             make_table(
--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -7,6 +7,7 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.mesh.peer_link import PeerLink
 from kumquatwalk.metrics.text import render_text
+from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.target_choice import TargetView
 
 __all__ = [
@@ -79,6 +80,7 @@
         )
         own |= {"state": "alive", "catalogue_revision": core.configs.version}
         others = [_describe_peer(link) for link in core.peers.list_links()]
+        others += [_describe_unlinked(e) for e in core.peers.list_unlinked()]
         return {
             "node_id": settings.node_id,
             "zone": settings.availability_zone,
@@ -127,6 +129,13 @@
     return row
 
 
+def _describe_unlinked(entry: RosterEntry) -> dict[str, object]:
+    """Return the entry of a node of which only the roster is known."""
+    view = TargetView(entry.node_id, entry.availability_zone, entry.service)
+    row = _describe_member(view, entry.incarnation, entry.link.host)
+    return row | {"state": "unlinked"}
+
+
 def _describe_member(
     view: TargetView, incarnation: int, host: str
 ) -> dict[str, object]:
--- a/kumquatwalk/daemon/tests/test_links.py
+++ b/kumquatwalk/daemon/tests/test_links.py
@@ -1,8 +1,13 @@
 """Tests of which nodes a node is linked to, with daemons in one loop."""
 
 import asyncio
+import collections
+import json
 import unittest
 
+from kumquatwalk.daemon.status import PATH_MEMBERS
+from kumquatwalk.daemon.status import StatusHandler
+from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.subset import SUBSET_SIZES
@@ -53,6 +58,19 @@
             sum(v for n, v in weights.items() if n != "web-1"), PAY_NODES
         )
 
+    async def test_members_list_the_nodes_that_are_not_linked(self):
+        handler = StatusHandler(self.web.daemon.core)
+        request = HttpRequest(b"GET", PATH_MEMBERS.encode(), (), b"", True, 0.0)
+        members = json.loads((await handler.handle(request)).body)["members"]
+        states = collections.Counter(m["state"] for m in members)
+        self.assertEqual(
+            states,
+            {
+                "alive": SUBSET_SIZES.total + 1,
+                "unlinked": PAY_NODES - SUBSET_SIZES.total,
+            },
+        )
+
     async def test_draining_targets_are_replaced_in_the_subset(self):
         linked = [k.view.node_id for k in self.peers.list_links()]
         for name in linked[:4]:
