--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -5,9 +5,10 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import CallerLimits
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
-from kumquatwalk.tasks import start_task
+from kumquatwalk.tasks import keep_running
 
 __all__ = ["HttpServer"]
 
@@ -16,7 +17,7 @@
 BACKLOG = 1024
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
-TIMEOUT_CHECK_INTERVAL_S = 0.5
+TIMEOUT_CHECK_INTERVAL_S = 1.0
 
 
 class HttpServer:
@@ -27,11 +28,14 @@
         handler: Serves one request; cancelled when the caller closes its
             connection.
         limits: Size limits and timeouts for callers' connections.
+        budget: Bytes of request bodies that the process may hold; None for no
+            bound.
 
     Attributes:
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
+        budget: Bytes of request bodies that the process may hold.
         is_stopping: Whether connections are closed after their next response.
         connections: Open connections.
     """
@@ -41,10 +45,12 @@
         address: Address,
         handler: Handler,
         limits: CallerLimits = CallerLimits(),
+        budget: ByteBudget | None = None,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits
+        self.budget = budget
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -68,8 +74,8 @@
             self._address.port,
             backlog=BACKLOG,
         )
-        self._timeout_task = start_task(
-            self._check_timeouts(), "connection_check"
+        self._timeout_task = keep_running(
+            self._check_timeouts, "connection_check"
         )
 
     @property
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -99,9 +99,17 @@
         Args:
             message: The message.
         """
+        if self.is_open:
+            self.send_payload(encode(message))
+
+    def send_payload(self, payload: bytes) -> None:
+        """Send an encoded message; does nothing if the connection is closed.
+
+        Args:
+            payload: The message, as ``encode`` returns it.
+        """
         if not self.is_open:
             return
-        payload = encode(message)
         if self._compressor is not None:
             payload = self._compressor.compress(payload)
         frame = make_frame(payload)
@@ -134,7 +142,9 @@
         """Store the transport and report the connection as open."""
         self._transport = transport
         self.last_received_at = read_now()
-        set_liveness_options(transport)
+        # The status of one end comes each second; it shows the other end a dead
+        # link by its silence, and its sender by the missing acknowledgement.
+        set_liveness_options(transport, has_keepalive=False)
         self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
