Admit callers' retries first, and call back soon only whom there is room for

Ruled out: admitting all retries on top of the plan (the sum would exceed it).

Change: retries take the route's probability first and first attempts what is left, so that both together are what is planned, measured by the share of retries among arrivals; a caller is called back soon with the probability that there is room, and otherwise after 3 to 6 s; who is refused again is called back later.

--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import random
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -35,17 +36,19 @@
 VALUE_BY_RANK = (8.0, 4.0)
 # Lower bound for each route however overloaded a service is, so that no group
 # of callers is shut out: a part of the share of all requests that is admitted,
-# and at least the second value. It holds before the factors below, so first
-# attempts are admitted with at least 0.9 times this probability.
+# and at least the second value.
 PROBABILITY_MIN_PART = 0.4
 PROBABILITY_MIN = 0.08
 # Times that lower bounds and probabilities are computed from each other.
 FLOOR_ITERATIONS = 3
-# Factors on the admission probability of a first attempt, and of a request that
-# is taken for a caller's retry: its caller has already waited, and retries only
-# once.
-FIRST_ATTEMPT_FACTOR = 0.9
-RETRY_FACTOR = 1.6
+# Part of a route's admission probability that first attempts keep when callers'
+# retries alone take all of it.
+FIRST_ATTEMPT_PART = 0.25
+# Weight of one request in the moving average of the share of callers' retries.
+RETRY_SHARE_WEIGHT = 0.04
+# Range of the time after which a caller may retry for whom no room is expected
+# soon, in seconds: longer than most surges.
+LATE_RETRY_RANGE_S = (3.0, 6.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,12 +101,13 @@
     def __init__(self):
         self._utilizations: dict[str, float] = {}
         self._probabilities: Mapping[str, float] = {}
+        self._retry_shares: dict[str, float] = {}
         self._updated_at = -math.inf
 
     @property
     def admission_probabilities(self) -> Mapping[str, float]:
-        """Admission probability by route, before the factors for first
-        attempts and retries; unlimited routes are left out.
+        """Admission probability by route, over first attempts and retries
+        together; unlimited routes are left out.
         """
         return self._probabilities
 
@@ -136,11 +140,26 @@
                 capacity[service] = utilization * load.limit
         self._probabilities = compute_admission_probabilities(demands, capacity)
 
+    def record_arrival(self, route: str, is_returning: bool) -> None:
+        """Count a request in the share of callers' retries of its route.
+
+        Args:
+            route: Name of the route.
+            is_returning: Whether the request is taken for a caller's retry.
+        """
+        share = self._retry_shares.get(route, 0.0)
+        change = float(is_returning) - share
+        self._retry_shares[route] = share + RETRY_SHARE_WEIGHT * change
+
     def get_admission_probability(
         self, route: str, is_returning: bool
     ) -> float:
         """Return the admission probability of a request, 0 to 1.
 
+        Callers' retries are admitted first: their callers have waited already,
+        and a second refusal ends most of them. What the probability of the
+        route leaves goes to first attempts.
+
         Args:
             route: Name of the route.
             is_returning: Whether the request is taken for a caller's retry.
@@ -148,8 +167,33 @@
         probability = self._probabilities.get(route)
         if probability is None:
             return 1.0
-        factor = RETRY_FACTOR if is_returning else FIRST_ATTEMPT_FACTOR
-        return min(1.0, probability * factor)
+        retry_share = self._retry_shares.get(route, 0.0)
+        if is_returning:
+            return min(1.0, probability / max(retry_share, 0.001))
+        rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
+        return max(rest, FIRST_ATTEMPT_PART * probability)
+
+    def draw_retry_delay(
+        self, route: str, is_returning: bool, rng: random.Random
+    ) -> float:
+        """Return the time after which a refused caller should retry.
+
+        Only as many are called back soon as there will be room for. The others
+        are told a time after most surges: called back soon, they would be
+        refused once more, or take the room of others.
+
+        Args:
+            route: Name of the route.
+            is_returning: Whether the request is taken for a caller's retry.
+            rng: Random source.
+
+        Returns:
+            The time in seconds; 0 for soon.
+        """
+        probability = self._probabilities.get(route, 1.0)
+        if not is_returning and rng.random() < probability:
+            return 0.0
+        return rng.uniform(*LATE_RETRY_RANGE_S)
 
     def _adjust_utilization(
         self, service: str, load: ServiceLoad
--- a/kumquatwalk/admission/tests/test_front_gate.py
+++ b/kumquatwalk/admission/tests/test_front_gate.py
@@ -1,5 +1,6 @@
 """Unit tests of load shedding at the ingress."""
 
+import random
 import unittest
 
 from hypothesis import given
@@ -136,6 +137,45 @@
             shedder.get_admission_probability("browse", False),
         )
 
+    def test_retries_are_admitted_before_first_attempts(self):
+        # Pattern: a lasting surge; one request in five is a caller's retry.
+        shedder = IngressLoadShedder()
+        self._overload(shedder)
+        for number in range(500):
+            shedder.record_arrival("browse", number % 5 == 0)
+        planned = shedder.admission_probabilities["browse"]
+        self.assertGreater(planned, 0.2)
+        first = shedder.get_admission_probability("browse", False)
+        self.assertEqual(shedder.get_admission_probability("browse", True), 1.0)
+        # Together they take what is planned for the route, and no more.
+        self.assertAlmostEqual(0.2 * 1.0 + 0.8 * first, planned, delta=0.03)
+
+    def test_first_attempts_keep_a_part_when_all_seem_to_be_retries(self):
+        shedder = IngressLoadShedder()
+        self._overload(shedder)
+        for _ in range(500):
+            shedder.record_arrival("browse", True)
+        planned = shedder.admission_probabilities["browse"]
+        self.assertGreaterEqual(
+            shedder.get_admission_probability("browse", False), 0.25 * planned
+        )
+
+    def test_as_many_are_called_back_soon_as_there_is_room_for(self):
+        shedder = IngressLoadShedder()
+        self._overload(shedder)
+        rng = random.Random(3)
+        delays = [
+            shedder.draw_retry_delay("browse", False, rng) for _ in range(2000)
+        ]
+        soon = sum(d == 0.0 for d in delays) / len(delays)
+        planned = shedder.admission_probabilities["browse"]
+        self.assertAlmostEqual(soon, planned, delta=0.05)
+        # Who is refused again is not called back into the same surge.
+        again = [
+            shedder.draw_retry_delay("browse", True, rng) for _ in range(50)
+        ]
+        self.assertGreaterEqual(min(again), 3.0)
+
     def test_waiting_calls_lower_what_is_let_through(self):
         # Targets are slower than the run times that they reported before.
         shedder = IngressLoadShedder()
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -180,7 +180,10 @@
         if not is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
         ):
-            return make_refusal(caller, codes.OVERLOADED, 0.0, self._rng)
+            delay_s = self._admission.draw_retry_delay(
+                route, request.is_returning
+            )
+            return make_refusal(caller, codes.OVERLOADED, delay_s, self._rng)
         try:
             async with asyncio.timeout(request.deadline - read_now()):
                 return await self._make_attempts(request)
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -45,6 +45,7 @@
             now: Current time, in seconds.
         """
         self._ranks[route.name] = route.rank
+        self._shedder.record_arrival(route.name, is_returning)
         if self._shedder.is_update_due(now):
             self._update_probabilities(now)
         if not self._shedder.admission_probabilities:
@@ -54,6 +55,20 @@
         )
         return self._rng.random() < probability
 
+    def draw_retry_delay(self, route: Route, is_returning: bool) -> float:
+        """Return the time after which a refused caller should retry.
+
+        Args:
+            route: Route of the request.
+            is_returning: Whether it is taken for a caller's retry.
+
+        Returns:
+            The time in seconds; 0 for soon.
+        """
+        return self._shedder.draw_retry_delay(
+            route.name, is_returning, self._rng
+        )
+
     def _update_probabilities(self, now: float) -> None:
         was_shedding = bool(self._shedder.admission_probabilities)
         self._shedder.update(self._sum_loads(), self._list_demands(), now)
