Log shares in one field; estimate sums from linked targets in a test

Cause, read in the code: each route was a field of the log line, so a route named level raised in the midst of admission. The test fails on the code before. Beside it: two lines of lint, and an annotation of the stand-in fleet that was wrong.

--- a/benchmarks/fleet_model/surge.py
+++ b/benchmarks/fleet_model/surge.py
@@ -38,34 +38,45 @@
     """
     rng = random.Random(seed)
     nodes = make_nodes(count, design, rng)
-    interval = round(design.compute_report_interval(count))
-    phases = {i: rng.randrange(interval) for i in nodes}
-    rates = dict.fromkeys(nodes, RATE_PER_S)
-    reported = dict.fromkeys(nodes, RATE_PER_S)
-    sampled = rng.sample(sorted(nodes), min(OBSERVERS, count))
+    reports = _Reports(nodes, design, rng)
     links = {
         i: [n.entry.node_id for n in list_links(nodes[i], nodes, design)]
-        for i in sampled
+        for i in rng.sample(sorted(nodes), min(OBSERVERS, count))
     }
-    unaware = set(sampled)
-    known_sum = KNOWN_PART * SURGE_FACTOR * RATE_PER_S
+    unaware = set(links)
+    known_mean = KNOWN_PART * SURGE_FACTOR * RATE_PER_S
     for second in range(SURGE_AT_S, SURGE_AT_S + GIVE_UP_S):
-        for node in nodes:
-            arrivals = _draw_poisson(RATE_PER_S * SURGE_FACTOR, rng)
-            change = arrivals / WINDOW_S - rates[node]
-            rates[node] += _RATE_WEIGHT * change
-            if second % interval == phases[node]:
-                reported[node] = rates[node]
-        for observer in tuple(unaware):
-            linked = links[observer]
-            mean = sum(reported[n] for n in linked) / len(linked)
-            if mean >= known_sum:
-                unaware.discard(observer)
+        reports.advance(second, RATE_PER_S * SURGE_FACTOR)
+        unaware = {i for i in unaware if reports.average(links[i]) < known_mean}
         if not unaware:
             return second + WINDOW_S - SURGE_AT_S
     return None
 
 
+class _Reports:
+    """Last traffic report of each node, which it sends at its own times."""
+
+    def __init__(self, nodes, design: Design, rng: random.Random):
+        self._rng = rng
+        self._interval = round(design.compute_report_interval(len(nodes)))
+        self._phases = {i: rng.randrange(self._interval) for i in nodes}
+        self._rates = dict.fromkeys(nodes, RATE_PER_S)
+        self._reported = dict.fromkeys(nodes, RATE_PER_S)
+
+    def advance(self, second: int, rate_per_s: float) -> None:
+        """Let all nodes count one window and send what is due."""
+        for node, phase in self._phases.items():
+            arrivals = _draw_poisson(rate_per_s * WINDOW_S, self._rng)
+            change = arrivals / WINDOW_S - self._rates[node]
+            self._rates[node] += _RATE_WEIGHT * change
+            if second % self._interval == phase:
+                self._reported[node] = self._rates[node]
+
+    def average(self, nodes: list[str]) -> float:
+        """Return the mean of the last reports of some nodes."""
+        return sum(self._reported[n] for n in nodes) / len(nodes)
+
+
 def _draw_poisson(mean: float, rng: random.Random) -> int:
     count = 0
     left = rng.expovariate(1.0)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -59,8 +59,8 @@
 # in sequence.
 QUEUE_TIME_SHARE_INTERNAL = 0.3
 # A request is taken for a caller's retry when its timeout is below this share
-# of the longest timeout that the route's callers have given lately, which stands
-# for the timeout of a first attempt.
+# of the longest timeout that the route's callers have given lately, which
+# stands for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
 _KEY_BITS = 63
 
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -73,14 +73,13 @@
         was_shedding = bool(self._shedder.admission_probabilities)
         self._shedder.update(self._sum_loads(), self._list_demands(), now)
         if bool(self._shedder.admission_probabilities) != was_shedding:
-            # Logged only when shedding begins or ends; each field is named
-            # after a route.
+            # Logged only when shedding begins or ends.
+            probabilities = self._shedder.admission_probabilities
             log_event(
                 "front_shares_set",
-                **{
-                    r: round(p, 3)
-                    for r, p in self._shedder.admission_probabilities.items()
-                },
+                shares=",".join(
+                    f"{route}:{p:.3f}" for route, p in probabilities.items()
+                ),
             )
 
     def _list_demands(self) -> list[RouteDemand]:
--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -0,0 +1,87 @@
+"""Tests of ingress admission with loads and reports of other nodes."""
+
+import random
+import unittest
+from unittest import mock
+
+from kumquatwalk.config.tests.samples import make_route
+from kumquatwalk.daemon import ingress_admission
+from kumquatwalk.daemon.peers import WeightedView
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.call_graph import RouteRate
+from kumquatwalk.routing.call_graph import TrafficReport
+from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.targets.heartbeat import TargetState
+
+
+class OverloadedPeers:
+    """Peers whose service ``deep`` has twice the calls that it may run.
+
+    Args:
+        route: Route whose run time its targets report.
+        weight: Targets that the one linked target stands for.
+    """
+
+    def __init__(self, route: str, weight: float = 1.0):
+        status = TargetStatus(
+            TargetState.READY,
+            limit=10,
+            running=10,
+            queued=10,
+            route_times=((route, 0.2),),
+        )
+        self._view = TargetView("d1", "z1", "deep", is_reachable=True)
+        self._view.update_status(status, 0.0)
+        self._weight = weight
+
+    def list_all_views(self):
+        """Return the view of the one linked target."""
+        return [self._view]
+
+    def list_weighted_views(self):
+        """Return the view of the one linked target with its weight."""
+        return [WeightedView(self._view, self._weight)]
+
+
+def make_admission(route: str, weight: float = 1.0):
+    """Return ingress admission for a route of 100 requests a second."""
+    graph = CallGraph()
+    for service in ("deep", "front"):
+        report = TrafficReport((RouteRate(route, 50.0),))
+        graph.add_report(f"{service}-1", service, report, 1.0)
+    peers = OverloadedPeers(route, weight)
+    return ingress_admission.IngressAdmission(peers, graph, random.Random(1))
+
+
+def count_admitted(admission, route, requests: int = 400) -> int:
+    """Return how many of so many first attempts are admitted."""
+    return sum(admission.admits(route, False, 1.0) for _ in range(requests))
+
+
+class IngressAdmissionTest(unittest.TestCase):
+
+    def test_route_named_like_a_parameter_of_the_log_is_shed_and_logged(self):
+        for name in ("level", "name", "event", "message"):
+            with mock.patch.object(ingress_admission, "log_event") as log:
+                admission = make_admission(name)
+                route = make_route(name=name, rank=2)
+                self.assertLess(count_admitted(admission, route), 250)
+                self.assertEqual(list(log.call_args.kwargs), ["shares"])
+                self.assertTrue(
+                    log.call_args.kwargs["shares"].startswith(f"{name}:0.")
+                )
+
+    def test_linked_targets_stand_for_those_that_are_not(self):
+        # Pattern: a large fleet, of which a node is linked to a part. One
+        # target of ten slots is overloaded; four of them carry the demand.
+        one = count_admitted(make_admission("r"), make_route(name="r", rank=2))
+        four = count_admitted(
+            make_admission("r", 4.0), make_route(name="r", rank=2)
+        )
+        self.assertLess(one, 250)
+        self.assertEqual(four, 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/standin/fleet.py
+++ b/kumquatwalk/standin/fleet.py
@@ -125,8 +125,8 @@
         """Send a GET request and return the JSON document of the response."""
         return self._http.request("GET", f"http://{address}{path}").json()
 
-    def put_json(self, address: str, path: str, document: object) -> int:
-        """Send a JSON document in a PUT request and return the response."""
+    def put_json(self, address: str, path: str, document: object):
+        """Send a JSON document in a PUT request; return urllib3's response."""
         body = json.dumps(document).encode()
         return self._http.request("PUT", f"http://{address}{path}", body=body)
 
