Let five nodes at least watch the store

Cause: with three zones one node of each watched; a store that turns a third of the machines away would have turned all three away in one of 27 such outages, and the others read the configuration each 10 s only.

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -56,7 +56,7 @@
 CONFIG_READ_INTERVAL_S = 10.0
 # Nodes that watch the store for the configuration: at least one in each zone,
 # and so many in all, as one may be frozen or cut off from the store.
-WATCHERS_MIN = 3
+WATCHERS_MIN = 5
 # Fraction of the memory of the process that bodies in progress may take. A body
 # exists up to four times for a moment: as received, joined, encoded and queued.
 BODY_MEMORY_FRACTION = 0.125
