Call the store less while it is away

Change: what a node reads at intervals is retried after up to 4 s, its lease after up to 1.5 s with jitter, so that entries are back within two seconds; the nodes that watch go on twice a second.

--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -28,6 +28,9 @@
 # be in force.
 RETRY_INITIAL_S = 0.1
 RETRY_MAX_S = 0.5
+# The same maximum for a node that reads at intervals: refused calls are charged
+# like others, and what it reads is not urgent.
+RETRY_MAX_READING_S = 4.0
 
 
 class StoreWatcher:
@@ -111,7 +114,9 @@
                 self._set_reached(False, error)
             self.is_watching = False
             await asyncio.sleep(retry_s * random.uniform(0.7, 1.0))
-            retry_s = min(RETRY_MAX_S, 2.0 * retry_s)
+            is_urgent = revision is None or self._has_duty()
+            retry_max_s = RETRY_MAX_S if is_urgent else RETRY_MAX_READING_S
+            retry_s = min(retry_max_s, 2.0 * retry_s)
 
     async def _read_all(self) -> int:
         snapshot = await self._store.list_items(
--- a/kumquatwalk/roster/registration.py
+++ b/kumquatwalk/roster/registration.py
@@ -1,6 +1,7 @@
 """Task that keeps this node registered in the store."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
@@ -21,9 +22,11 @@
 LEASE_TTL_S = 20.0
 # Three renewals fit into a lease.
 RENEWAL_INTERVAL_S = 6.0
-# Delay before a retry after an error of the store. Entries must be restored
-# within two seconds after the store is available again.
-RETRY_INTERVAL_S = 0.5
+# Delay before the first retry after an error of the store, and its maximum, in
+# seconds. Entries must be restored within two seconds after the store is
+# available again.
+RETRY_INITIAL_S = 0.5
+RETRY_MAX_S = 1.5
 
 
 class Registration:
@@ -81,11 +84,13 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        retry_s = RETRY_INITIAL_S
         while True:
             delay_s = RENEWAL_INTERVAL_S
             self._write_requested.clear()
             try:
                 await self._renew_or_write()
+                retry_s = RETRY_INITIAL_S
             except PlatformError as error:
                 log_event(
                     "roster_registration_failed",
@@ -93,7 +98,9 @@
                     code=error.code,
                     error=error.message,
                 )
-                delay_s = RETRY_INTERVAL_S
+                # All nodes see an outage together; jitter spreads their return.
+                delay_s = retry_s * random.uniform(0.7, 1.0)
+                retry_s = min(RETRY_MAX_S, 1.5 * retry_s)
             try:
                 async with asyncio.timeout(delay_s):
                     await self._write_requested.wait()
