Import at the start of a daemon only what it uses

Change: the names of the packages kumquatwalk and idempotency are imported when first used, and the parts of the project's own interface when a node of it is made.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -13,21 +13,7 @@
 from kumquatwalk.daemon.status import StatusHandler
 from kumquatwalk.daemon.target_prober import TargetProber
 from kumquatwalk.http1.server import HttpServer
-from kumquatwalk.idempotency.claim_budget import ClaimBudget
-from kumquatwalk.idempotency.claim_store import ClaimStore
-from kumquatwalk.idempotency.claim_store import NodeIdentity
-from kumquatwalk.idempotency.claim_sweeper import ClaimSweeper
-from kumquatwalk.idempotency.request_table import RequestTable
-from kumquatwalk.idempotency.ticket_issuer import TicketIssuer
-from kumquatwalk.native.announcements import AnnouncementHandler
-from kumquatwalk.native.entry_handler import EntryHandler
-from kumquatwalk.native.entry_handler import RootRequests
-from kumquatwalk.native.interface import NativeInterface
-from kumquatwalk.native.local_handler import LocalHandler
-from kumquatwalk.native.at_most_once import AtMostOnceRequests
-from kumquatwalk.native.nested_calls import NestedCalls
 from kumquatwalk.native.settings import NodeSettings
-from kumquatwalk.targets.run import measure_reply
 
 __all__ = ["make_daemon"]
 
@@ -76,6 +62,23 @@
 
 @make_daemon.register
 def _make_native_daemon(settings: NodeSettings) -> Daemon:
+    # A node with the platform's interface does not need these.
+    # pylint: disable=import-outside-toplevel, too-many-locals
+    from kumquatwalk.idempotency.claim_budget import ClaimBudget
+    from kumquatwalk.idempotency.claim_store import ClaimStore
+    from kumquatwalk.idempotency.claim_store import NodeIdentity
+    from kumquatwalk.idempotency.claim_sweeper import ClaimSweeper
+    from kumquatwalk.idempotency.request_table import RequestTable
+    from kumquatwalk.idempotency.ticket_issuer import TicketIssuer
+    from kumquatwalk.native.announcements import AnnouncementHandler
+    from kumquatwalk.native.entry_handler import EntryHandler
+    from kumquatwalk.native.entry_handler import RootRequests
+    from kumquatwalk.native.interface import NativeInterface
+    from kumquatwalk.native.local_handler import LocalHandler
+    from kumquatwalk.native.at_most_once import AtMostOnceRequests
+    from kumquatwalk.native.nested_calls import NestedCalls
+    from kumquatwalk.targets.run import measure_reply
+
     core = DaemonCore(
         settings.make_daemon_settings(),
         NativeInterface(settings.make_caller_limits()),
--- a/kumquatwalk/targets/run.py
+++ b/kumquatwalk/targets/run.py
@@ -2,12 +2,15 @@
 
 import functools
 import secrets
+from typing import TYPE_CHECKING
 
-from kumquatwalk.idempotency.request_table import RequestTable
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.retry.tokens import TokenPool
 
+if TYPE_CHECKING:
+    from kumquatwalk.idempotency.request_table import RequestTable
+
 __all__ = ["Run", "RunTable", "measure_reply"]
 
 _RUN_ID_BYTES = 16
@@ -31,8 +34,12 @@
         self.tokens = TokenPool(call.tokens)
 
     @functools.cached_property
-    def non_idempotent_calls(self) -> RequestTable[Reply]:
+    def non_idempotent_calls(self) -> "RequestTable[Reply]":
         """Calls of this run that are not idempotent, to deduplicate repeats."""
+        # Only the project's own interface uses it.
+        # pylint: disable-next=import-outside-toplevel
+        from kumquatwalk.idempotency.request_table import RequestTable
+
         return RequestTable(measure_reply)
 
 
