--- a/benchmarks/model/control.py
+++ b/benchmarks/model/control.py
@@ -13,10 +13,10 @@
 from kumquatwalk.config.route import Route
 from kumquatwalk.config.route import ServiceShare
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
-from kumquatwalk.daemon.peers import WeightedView
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.sampled_views import WeightedView
 from kumquatwalk.routing.target_choice import ChoiceContext
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.routing.target_choice import choose_target
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -1,7 +1,6 @@
 """Links to a subset of the roster's nodes, and the state of their targets."""
 
 import asyncio
-import dataclasses
 import itertools
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -13,6 +12,9 @@
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.mesh.peer_link import PeerLink
 from kumquatwalk.roster.entry import RosterEntry
+from kumquatwalk.routing.sampled_views import WeightedView
+from kumquatwalk.routing.sampled_views import estimate_targets
+from kumquatwalk.routing.sampled_views import weigh_views
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.subset import SUBSET_SIZES
 from kumquatwalk.subset import RankedNodes
@@ -21,7 +23,7 @@
 from kumquatwalk.targets.heartbeat import TargetState
 from kumquatwalk.tasks import keep_running
 
-__all__ = ["Peers", "WeightedView"]
+__all__ = ["Peers"]
 
 # Interval at which links that are being opened are polled, in seconds.
 RELINK_POLL_S = 0.02
@@ -39,19 +41,6 @@
 UNSELECTED_LINGER_S = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightedView:
-    """State of a target, and how many targets of its service it stands for.
-
-    Attributes:
-        view: State of a target whose node is linked.
-        weight: Nodes of the service in the fleet, over those linked.
-    """
-
-    view: TargetView
-    weight: float
-
-
 class Peers:
     """Maintains links to a subset of the nodes of each service.
 
@@ -163,16 +152,7 @@
         Sums over the fleet are estimated from the linked targets of a service,
         each of which stands for as many as the roster has for each linked one.
         """
-        views = self.list_all_views()
-        linked: dict[str, int] = {}
-        for view in views:
-            linked[view.service] = linked.get(view.service, 0) + 1
-        nodes = self.count_nodes()
-        weights = {
-            service: max(1.0, nodes.get(service, 0) / count)
-            for service, count in linked.items()
-        }
-        return [WeightedView(view, weights[view.service]) for view in views]
+        return weigh_views(self.list_all_views(), self.count_nodes())
 
     async def wait_until_linked(self, service: str, timeout_s: float) -> bool:
         """Wait until a target of a service is reachable.
@@ -218,12 +198,8 @@
         Args:
             service: Name of the service.
         """
-        views = self.list_views(service)
-        count = sum(v.is_reachable and v.accepts_calls for v in views)
-        if not views:
-            return 0
-        nodes = max(len(views), self.count_nodes().get(service, 0))
-        return round(count * nodes / len(views))
+        nodes = self.count_nodes().get(service, 0)
+        return estimate_targets(self.list_views(service), nodes)
 
     def count_ready(self) -> int:
         """Return the number of reachable other nodes with a ready target."""
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -6,11 +6,11 @@
 
 from kumquatwalk.config.tests.samples import make_route
 from kumquatwalk.daemon import ingress_admission
-from kumquatwalk.daemon.peers import WeightedView
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import RouteRate
 from kumquatwalk.routing.call_graph import TrafficReport
+from kumquatwalk.routing.sampled_views import WeightedView
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.targets.heartbeat import TargetState
 
