--- a/kumquatwalk/admission/tests/test_front_gate.py
+++ b/kumquatwalk/admission/tests/test_front_gate.py
@@ -7,13 +7,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from kumquatwalk.admission.ingress import PROBABILITY_MIN
-from kumquatwalk.admission.ingress import PROBABILITY_MIN_PART
-from kumquatwalk.admission.ingress import UPDATE_INTERVAL_S
 from kumquatwalk.admission.ingress import IngressLoadShedder
-from kumquatwalk.admission.ingress import RouteDemand
 from kumquatwalk.admission.ingress import ServiceLoad
-from kumquatwalk.admission.ingress import compute_admission_probabilities
+from kumquatwalk.admission.ingress import UPDATE_INTERVAL_S
+from kumquatwalk.admission.probabilities import PROBABILITY_MIN
+from kumquatwalk.admission.probabilities import PROBABILITY_MIN_PART
+from kumquatwalk.admission.probabilities import RouteDemand
+from kumquatwalk.admission.probabilities import compute_admission_probabilities
 
 SURGE = (
     RouteDemand("order", 0, 60.0, {"deep": 0.2}),
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -4,13 +4,15 @@
 import random
 import time
 
+from kumquatwalk import codes
+from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.caller_side import CallerSide
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.config_pull import ConfigPull
-from kumquatwalk.daemon.ingress_admission import IngressAdmission
 from kumquatwalk.daemon.external_interface import ExternalInterface
+from kumquatwalk.daemon.ingress_admission import IngressAdmission
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.retry_budgets import RetryBudgets
@@ -20,7 +22,6 @@
 from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
-from kumquatwalk.address import Address
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_server import LinkServer
@@ -32,7 +33,6 @@
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.mesh.schema import load_schema
 from kumquatwalk.metrics.registry import MetricsRegistry
-from kumquatwalk import codes
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Deletion
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -3,8 +3,8 @@
 import random
 
 from kumquatwalk.admission.ingress import IngressLoadShedder
-from kumquatwalk.admission.ingress import RouteDemand
 from kumquatwalk.admission.ingress import ServiceLoad
+from kumquatwalk.admission.probabilities import RouteDemand
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.logs import log_event
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -16,8 +16,8 @@
 from kumquatwalk.routing.sampled_views import estimate_targets
 from kumquatwalk.routing.sampled_views import weigh_views
 from kumquatwalk.routing.target_choice import TargetView
-from kumquatwalk.subset import SUBSET_SIZES
 from kumquatwalk.subset import RankedNodes
+from kumquatwalk.subset import SUBSET_SIZES
 from kumquatwalk.subset import rank_nodes
 from kumquatwalk.subset import select_nodes
 from kumquatwalk.targets.heartbeat import TargetState
