Show that a configuration spreads on links from the nodes that watch

Cause: most nodes no longer watch the store. Test: those that do not are cut off from it, and have the new version all the same.

--- a/kumquatwalk/daemon/tests/test_links.py
+++ b/kumquatwalk/daemon/tests/test_links.py
@@ -4,9 +4,11 @@
 import collections
 import json
 import unittest
+from unittest import mock
 
 from kumquatwalk.daemon.status import PATH_MEMBERS
 from kumquatwalk.daemon.status import StatusHandler
+from kumquatwalk.exception import PlatformUnavailableError
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
@@ -71,6 +73,23 @@
             },
         )
 
+    async def test_configuration_spreads_on_links_from_the_nodes_that_watch(
+        self,
+    ):
+        cores = [n.daemon.core for n in self.fleet.nodes.values()]
+        await self.wait_for(
+            lambda: sum(c.config_watcher.is_watching for c in cores) == 6
+        )
+        # Two zones, five watchers at least: three in each. The others cannot
+        # reach the store any more.
+        refused = PlatformUnavailableError("platform_unavailable", "refused")
+        for core in cores:
+            if not core.config_watcher.is_watching:
+                core.store.list_items = mock.AsyncMock(side_effect=refused)
+        config = make_config(("web", "pay", "new"), 9)
+        self.fleet.store.put("op/config", config)
+        await self.wait_for(lambda: all(c.configs.version == 9 for c in cores))
+
     async def test_draining_targets_are_replaced_in_the_subset(self):
         linked = [k.view.node_id for k in self.peers.list_links()]
         for name in linked[:4]:
