--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -59,8 +59,8 @@
 # in sequence.
 QUEUE_TIME_SHARE_INTERNAL = 0.3
 # A request is taken for a caller's retry when its timeout is below this share
-# of the longest timeout that the route's callers have given lately, which stands
-# for the timeout of a first attempt.
+# of the longest timeout that the route's callers have given lately, which
+# stands for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
 _KEY_BITS = 63
 
@@ -180,7 +180,10 @@
         if not is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
         ):
-            return make_refusal(caller, codes.OVERLOADED, 0.0, self._rng)
+            delay_s = self._admission.draw_retry_delay(
+                route, request.is_returning
+            )
+            return make_refusal(caller, codes.OVERLOADED, delay_s, self._rng)
         try:
             async with asyncio.timeout(request.deadline - read_now()):
                 return await self._make_attempts(request)
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -45,6 +45,7 @@
             now: Current time, in seconds.
         """
         self._ranks[route.name] = route.rank
+        self._shedder.record_arrival(route.name, is_returning)
         if self._shedder.is_update_due(now):
             self._update_probabilities(now)
         if not self._shedder.admission_probabilities:
@@ -54,18 +55,31 @@
         )
         return self._rng.random() < probability
 
+    def draw_retry_delay(self, route: Route, is_returning: bool) -> float:
+        """Return the time after which a refused caller should retry.
+
+        Args:
+            route: Route of the request.
+            is_returning: Whether it is taken for a caller's retry.
+
+        Returns:
+            The time in seconds; 0 for soon.
+        """
+        return self._shedder.draw_retry_delay(
+            route.name, is_returning, self._rng
+        )
+
     def _update_probabilities(self, now: float) -> None:
         was_shedding = bool(self._shedder.admission_probabilities)
         self._shedder.update(self._sum_loads(), self._list_demands(), now)
         if bool(self._shedder.admission_probabilities) != was_shedding:
-            # Logged only when shedding begins or ends; each field is named
-            # after a route.
+            # Logged only when shedding begins or ends.
+            probabilities = self._shedder.admission_probabilities
             log_event(
                 "front_shares_set",
-                **{
-                    r: round(p, 3)
-                    for r, p in self._shedder.admission_probabilities.items()
-                },
+                shares=",".join(
+                    f"{route}:{p:.3f}" for route, p in probabilities.items()
+                ),
             )
 
     def _list_demands(self) -> list[RouteDemand]:
