--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -25,9 +25,8 @@
 # in seconds: longer than most runs. Nodes that know no other target for the
 # service keep calling this one until then.
 REFUSAL_MARGIN_S = 1.6
-# Time before SIGKILL at which the drain ends at the latest, in seconds. A VM
-# that runs at a third of its speed still closes its connections in it.
-KILL_MARGIN_S = 0.8
+# Time before SIGKILL at which the drain ends at the latest, in seconds.
+KILL_MARGIN_S = 0.4
 _POLL_S = 0.05
 
 
