Remove what the roster's reads and the fleet model no longer need

The roster is never watched, so its events are never delivered; both designs of the model know a joining node by its links. No change of behaviour.

--- a/benchmarks/fleet_model/design.py
+++ b/benchmarks/fleet_model/design.py
@@ -16,14 +16,11 @@
             seconds.
         roster_delay_s: Longest time until a node reads of another in the
             roster, in seconds; it is drawn evenly up to this.
-        is_known_by_links: Whether the nodes that a joining node opens links to
-            know it at once.
     """
 
     has_subset: bool
     status_interval_s: float
     roster_delay_s: float
-    is_known_by_links: bool
 
     def compute_report_interval(self, nodes: int) -> float:
         """Return the time between two traffic reports on a link, in seconds.
@@ -36,6 +33,6 @@
 
 # "all-links" is the design before subsets, kept here as the baseline.
 DESIGNS = {
-    "all-links": Design(False, 0.5, 0.25, True),
-    "subset": Design(True, 1.0, 8.0, True),
+    "all-links": Design(False, 0.5, 0.25),
+    "subset": Design(True, 1.0, 8.0),
 }
--- a/benchmarks/fleet_model/simulation.py
+++ b/benchmarks/fleet_model/simulation.py
@@ -79,8 +79,8 @@
         self._start_node(node)
         for other in list_links(node, self.nodes, self._design):
             node.link_to(other, self._now)
-            if self._design.is_known_by_links:
-                self._schedule(0.01, self._learn, other, node)
+            # Its ends know it by its first message.
+            self._schedule(0.01, self._learn, other, node)
         for other in tuple(self.nodes.values()):
             if other is not node:
                 delay_s = self._rng.random() * self._design.roster_delay_s
--- a/kumquatwalk/daemon/roster_sync.py
+++ b/kumquatwalk/daemon/roster_sync.py
@@ -69,8 +69,8 @@
             store,
             KEY_PREFIX,
             self._apply_snapshot,
-            self._apply_event,
-            lambda: False,
+            _ignore_event,
+            lambda: False,  # it is read at intervals and never watched
             self._get_read_interval,
             allow_stale_first=True,
         )
@@ -140,18 +140,6 @@
         self.is_known = True
         self._update_peers()
 
-    def _apply_event(self, event: StoreItem | Deletion) -> None:
-        if isinstance(event, Deletion):
-            self._table.mark_missing(event.key, read_now())
-            if event.key == self._own_key:
-                log_event("roster_own_entry_vanished", Level.WARNING)
-                self._registration.mark_missing()
-            return
-        entry = _decode(event)
-        if entry is not None:
-            self._table.put(event.key, entry)
-            self._update_peers()
-
     async def _remove_missing_periodically(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
@@ -202,3 +190,7 @@
             error=error.message,
         )
         return None
+
+
+def _ignore_event(_event: StoreItem | Deletion) -> None:
+    pass
