--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -227,9 +227,8 @@
         """
         ids = {
             node_id
-            for node_id, entry in self._entries.items()
-            if entry.availability_zone == zone
-            and (node_id not in self._links or self._links[node_id].is_usable)
+            for node_id in self._list_answering_ids()
+            if self._entries[node_id].availability_zone == zone
         }
         if self._own_view.availability_zone == zone:
             ids.add(self._own_view.node_id)
@@ -241,12 +240,8 @@
 
         Nodes that are linked to and do not answer are left out.
         """
-        reachable = self.list_reachable_ids()
-        return all(
-            self._own_view.node_id < node_id
-            for node_id in self._entries
-            if node_id in reachable or node_id not in self._links
-        )
+        own = self._own_view.node_id
+        return all(own < node_id for node_id in self._list_answering_ids())
 
     def set_roster(self, entries: Iterable[RosterEntry]) -> None:
         """Replace the known nodes and select links among them.
@@ -304,6 +299,13 @@
             if not count % CHECKS_PER_REFRESH:
                 self.refresh_links(now)
 
+    def _list_answering_ids(self) -> list[str]:
+        """Return the other nodes but those that are linked to and silent."""
+        links = self._links
+        return [
+            n for n in self._entries if n not in links or links[n].is_usable
+        ]
+
     def _is_opening(self, service: str) -> bool:
         """Return whether a link to a target of a service is being opened."""
         now = read_now()
