Log the content of a request whose exchange with a target broke

Change: target_exchange_failed has the first 8 digits of the fingerprint of route, method, path and body, the same for all repeats. No decision changed.

--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -14,15 +14,18 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.quarantine import make_fingerprint
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
-__all__ = ["Finding", "run_call"]
+__all__ = ["Finding", "make_call_fingerprint", "run_call"]
 
 # Time to wait beyond the deadline for the target's own answer that its run has
 # ended, in seconds: the target needs one iteration of its event loop to send
 # it.
 DEADLINE_GRACE_S = 0.03
+# Hexadecimal digits of a fingerprint in a log line.
+CONTENT_DIGITS = 8
 
 
 class Finding(enum.Enum):
@@ -87,6 +90,17 @@
     return _classify_response(call, response, check, headers)
 
 
+def make_call_fingerprint(call: Call) -> bytes:
+    """Return the fingerprint of a call, the same for all its repeats.
+
+    Args:
+        call: Call of any caller.
+    """
+    return make_fingerprint(
+        call.route, call.method.decode("latin-1"), call.url, call.body
+    )
+
+
 def _classify_error(call: Call, error: ExchangeError) -> tuple[Reply, Finding]:
     log_event(
         "target_exchange_failed",
@@ -94,6 +108,7 @@
         code=error.code,
         error=error.message,
         sent=error.sent,
+        content=make_call_fingerprint(call).hex()[:CONTENT_DIGITS],
     )
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -17,6 +17,7 @@
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_exchange import Finding
+from kumquatwalk.daemon.target_exchange import make_call_fingerprint
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -28,7 +29,6 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import CrashStatus
 from kumquatwalk.quarantine import CrashTracker
-from kumquatwalk.quarantine import make_fingerprint
 from kumquatwalk.targets.client import TargetClient
 from kumquatwalk.targets.heartbeat import Heartbeat
 from kumquatwalk.targets.heartbeat import TargetState
@@ -330,7 +330,7 @@
         if self._crash_tracker is None:
             return CrashStatus.CLEAR
         now = read_now()
-        fingerprint = _make_fingerprint(call)
+        fingerprint = make_call_fingerprint(call)
         if call.crash_marks:
             self._crash_tracker.record_marks(call.crash_marks, fingerprint, now)
         return self._crash_tracker.classify(fingerprint, now)
@@ -363,7 +363,7 @@
         if self._crash_tracker is not None:
             self._crash_tracker.begin(
                 run.run_id,
-                _make_fingerprint(call),
+                make_call_fingerprint(call),
                 self._classify_crash_risk(call),
             )
         has_answer = False
@@ -425,12 +425,6 @@
             del self._retained_calls[key]
 
 
-def _make_fingerprint(call: Call) -> bytes:
-    return make_fingerprint(
-        call.route, call.method.decode("latin-1"), call.url, call.body
-    )
-
-
 _CLOSED_CODES = {
     TargetState.UNKNOWN: codes.TARGET_ABSENT,
     TargetState.DRAINING: codes.TARGET_LEAVING,
