--- a/kumquatwalk/standin/scripted_target.py
+++ b/kumquatwalk/standin/scripted_target.py
@@ -37,6 +37,8 @@
         extra_headers: Header lines added to the answer.
         endless: Bytes sent again and again after the prefix, in place of the
             answer, until the connection is lost; empty for an answer.
+        crashes: Whether the target crashes at the end of the run, instead of
+            answering.
     """
 
     work_s: float = 0.0
@@ -51,6 +53,7 @@
     has_length: bool = True
     extra_headers: tuple[bytes, ...] = ()
     endless: bytes = b""
+    crashes: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +85,7 @@
         connections_accepted: Number of connections accepted so far.
         is_healthy: Whether health checks are answered with status 200; if
             not, with 503.
+        crash_count: Number of crashes so far.
     """
 
     def __init__(
@@ -94,6 +98,8 @@
         self.runs: list[Run] = []
         self.connections_accepted = 0
         self.is_healthy = True
+        self.crash_count = 0
+        self._port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Transport] = set()
 
@@ -103,14 +109,38 @@
         return Address("127.0.0.1", self._server.sockets[0].getsockname()[1])
 
     async def start(self) -> None:
-        """Start the server on a free loopback port."""
+        """Start the server, on the port it had before or a free one."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", 0
+            lambda: _Connection(self), "127.0.0.1", self._port
         )
+        self._port = self.address.port
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the target accepts connections."""
+        return self._server.is_serving()
+
+    async def restart(self, target_id: str) -> None:
+        """Start a crashed target again, under a new identifier.
+
+        Args:
+            target_id: New identifier.
+        """
+        self.target_id = target_id
+        await self.start()
+
+    def crash(self) -> None:
+        """Stop listening and abort all connections."""
+        if self.is_running:
+            self.crash_count += 1
+            self._abort()
 
     async def close(self) -> None:
         """Stop the server and abort all connections."""
+        self._abort()
+
+    def _abort(self) -> None:
         self._server.close()
         for transport in tuple(self._connections):
             transport.abort()
@@ -195,6 +225,9 @@
             target.runs.append(self._run)
         if script.work_s:
             await asyncio.sleep(script.work_s)
+        if script.crashes:
+            target.crash()
+            return
         if script.endless:
             await self._send_without_end(script)
             return
