Stop requests that crash each target which runs them, on the platform too

Cause: the quarantine of such requests was switched off behind the platform's interface, for fear of refusing the same path of other callers. The class of fault: a rule that protects the fleet depended on who attributes a crash, so it was left out where attribution was doubted. Beside it, found in the code that was off: at most 16 crashes of a request were kept; only a crash with it as the one known suspect confirmed it; reports reached linked nodes only and were never repeated; a queued call was not looked at again before it ran.

Ruled out: that targets ended under what they held. That retries alone are the cause: with one attempt each, callers' own repeats still end every target that is back.

Change: a request has a level of suspicion, raised by a crash to the one above that of its run's start, and cleared by an answer. Levels are merged by the maximum, so lost, late and doubled reports do no harm; nodes pass on what is new and tell newly linked nodes. Callers send repeats of a suspect to one target, which runs one suspect at a time; status is read again when a queued call starts. The check whether a target still listens runs only after the target broke the connection, once for all runs, and uses an idle connection where there is one.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -82,7 +82,6 @@
     core = DaemonCore(
         settings.make_daemon_settings(),
         NativeInterface(settings.make_caller_limits()),
-        is_quarantine_enabled=True,
         source_host=settings.host,
     )
     issuer = TicketIssuer(settings.node_id, core.incarnation)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -26,6 +26,8 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.quarantine import CrashStatus
+from kumquatwalk.quarantine import CrashTracker
 from kumquatwalk.retry.longest_timeout import LongestTimeouts
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.route_sizes import RouteSizes
@@ -82,6 +84,7 @@
         admission: Sheds requests that would overload downstream services.
         retry_budgets: Retry budget of each service.
         metrics: Metrics of the daemon.
+        crash_tracker: Tells which requests crash targets.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         admission: IngressAdmission,
         retry_budgets: RetryBudgets,
         metrics: DaemonMetrics,
+        crash_tracker: CrashTracker,
     ):
         self._settings = settings
         self._target_side = target_side
@@ -105,6 +109,7 @@
         self._admission = admission
         self._retry_budgets = retry_budgets
         self._metrics = metrics
+        self._crash_tracker = crash_tracker
         self._rng = random.Random()
         self._splitter = TrafficSplitter(self._rng)
         self._sizes = RouteSizes()
@@ -204,6 +209,8 @@
     async def _make_attempts(self, request: PendingRequest) -> Reply:
         self._retry_budgets.record_first_attempt(request.service, read_now())
         while True:
+            if self._is_quarantined(request):
+                return self._make_final_reply(request)
             view = await self._choose_target_or_wait(request)
             if view is None:
                 return self._make_final_reply(request)
@@ -216,11 +223,27 @@
             ):
                 return self._make_final_reply(request)
 
+    def _is_quarantined(self, request: PendingRequest) -> bool:
+        """Return whether a request is quarantined; if so, note the refusal."""
+        now = read_now()
+        status = self._crash_tracker.classify(request.content, now)
+        if status is not CrashStatus.QUARANTINED:
+            return False
+        release_s = self._crash_tracker.estimate_release(request.content, now)
+        request.last_refusal = Reply(
+            Outcome.NOT_RUN, codes.QUARANTINED, retry_after_s=release_s
+        )
+        return True
+
     def _record_attempt(
         self, request: PendingRequest, view: TargetView, reply: Reply
     ) -> None:
         request.tried_nodes.add(view.node_id)
-        request.crash_marks += reply.crash_mark
+        if reply.crash_mark:
+            request.crash_marks += reply.crash_mark
+            self._crash_tracker.record_marks(
+                reply.crash_mark, request.content, read_now()
+            )
         tokens = None if request.chain is None else request.chain.tokens
         if reply.outcome is Outcome.NOT_RUN:
             request.attempts_at_targets += reply.shed_by_target
@@ -251,14 +274,18 @@
         if request.service == self._own_view.service:
             self._refresh_own_view()
         route = request.route
+        now = read_now()
+        status = self._crash_tracker.classify(request.content, now)
+        is_suspect = status is not CrashStatus.CLEAR
         context = ChoiceContext(
             availability_zone=self._settings.availability_zone,
             route=route.name,
             objective_s=min(route.objective_s, route.timeout_s),
             size_kb=self._sizes.estimate(route.name),
             excluded=frozenset(request.tried_nodes),
-            now=read_now(),
+            now=now,
             is_internal=self._graph.is_internal(route.name),
+            pinned_by=request.content.fingerprint if is_suspect else b"",
         )
         views = self._peers.list_views(request.service)
         return choose_target(views, context, self._rng)
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -72,8 +72,6 @@
     Args:
         settings: Validated settings.
         interface: Formats of the operators, callers and targets.
-        is_quarantine_enabled: Whether to quarantine requests that crash
-            targets.
         source_host: Local IP address for connections to the store; empty
             leaves the choice to the system.
 
@@ -89,7 +87,6 @@
         self,
         settings: DaemonSettings,
         interface: ExternalInterface,
-        is_quarantine_enabled: bool = False,
         source_host: str = "",
     ):
         load_schema()
@@ -115,14 +112,10 @@
         self.serve_query = _reply_unknown
         self._traffic = TrafficMeter()
         self._graph = CallGraph()
-        self._crash_tracker = None
-        if is_quarantine_enabled:
-            self._crash_tracker = CrashTracker(
-                settings.node_id,
-                self.incarnation,
-                CrashTable(),
-                lambda report: self.link_server.broadcast(CrashNotice(report)),
-            )
+        self._crash_tracker = CrashTracker(
+            CrashTable(),
+            lambda report: self.link_server.broadcast(CrashNotice(report)),
+        )
         self.store = StoreClient(settings.store, STORE_TIMEOUT_S, source_host)
         self._make_call_sides()
         self.link_server = LinkServer(
@@ -133,6 +126,7 @@
             self.target_side.get_status,
             self.target_side.get_load,
             lambda: self.configs.document,
+            self._list_crash_notices,
             self._add_peer,
             self.partition,
             self.body_budget,
@@ -226,6 +220,7 @@
             IngressAdmission(self.peers, self._graph, random.Random()),
             RetryBudgets(self.settings.bounds, self.peers, self._graph),
             metrics,
+            self._crash_tracker,
         )
 
     def _make_entry(self) -> RosterEntry:
@@ -270,8 +265,11 @@
         self._graph.add_report(view.node_id, view.service, report, read_now())
 
     def _handle_crash_notice(self, notice: CrashNotice) -> None:
-        if self._crash_tracker is not None:
-            self._crash_tracker.handle_broadcast(notice.report, read_now())
+        self._crash_tracker.handle_broadcast(notice.report, read_now())
+
+    def _list_crash_notices(self) -> list[CrashNotice]:
+        reports = self._crash_tracker.list_reports(read_now())
+        return [CrashNotice(report) for report in reports]
 
     def _apply_config_snapshot(self, snapshot: Snapshot) -> None:
         for item in snapshot.items:
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -7,6 +7,7 @@
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.quarantine import RequestContent
 
 __all__ = ["PendingRequest"]
 
@@ -31,6 +32,7 @@
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
         crash_marks: Marks of target crashes during its attempts.
+        content: Content by which its repeats are recognized.
     """
 
     http: HttpRequest
@@ -46,6 +48,13 @@
     last_run: Reply | None = None
     last_refusal: Reply | None = None
     crash_marks: bytes = b""
+    content: RequestContent = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        http = self.http
+        self.content = RequestContent(
+            self.route.name, http.method, http.url, http.body
+        )
 
     @property
     def rank(self) -> int:
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -14,11 +14,11 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
-from kumquatwalk.quarantine import make_fingerprint
+from kumquatwalk.quarantine import RequestContent
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
-__all__ = ["Finding", "make_call_fingerprint", "run_call"]
+__all__ = ["Finding", "make_content", "run_call"]
 
 # Time to wait beyond the deadline for the target's own answer that its run has
 # ended, in seconds: the target needs one iteration of its event loop to send
@@ -34,6 +34,7 @@
     SOUND = "sound"
     LATE = "late"
     FAILED = "failed"
+    CONNECTION_LOST = "connection_lost"
     SHED = "shed"
     REPLACED = "replaced"
     UNREACHABLE = "unreachable"
@@ -90,15 +91,13 @@
     return _classify_response(call, response, check, headers)
 
 
-def make_call_fingerprint(call: Call) -> bytes:
-    """Return the fingerprint of a call, the same for all its repeats.
+def make_content(call: Call) -> RequestContent:
+    """Return the content of a call, the same for all its repeats.
 
     Args:
         call: Call of any caller.
     """
-    return make_fingerprint(
-        call.route, call.method.decode("latin-1"), call.url, call.body
-    )
+    return RequestContent(call.route, call.method, call.url, call.body)
 
 
 def _classify_error(call: Call, error: ExchangeError) -> tuple[Reply, Finding]:
@@ -108,11 +107,12 @@
         code=error.code,
         error=error.message,
         sent=error.sent,
-        content=make_call_fingerprint(call).hex()[:CONTENT_DIGITS],
+        content=make_content(call).fingerprint.hex()[:CONTENT_DIGITS],
     )
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
-        return reply, Finding.FAILED
+        is_lost = error.code == "connection_lost"
+        return reply, Finding.CONNECTION_LOST if is_lost else Finding.FAILED
     reply = Reply(Outcome.NOT_RUN, codes.TARGET_UNREACHABLE)
     return reply, Finding.UNREACHABLE
 
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -17,7 +17,7 @@
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_exchange import Finding
-from kumquatwalk.daemon.target_exchange import make_call_fingerprint
+from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -29,6 +29,7 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import CrashStatus
 from kumquatwalk.quarantine import CrashTracker
+from kumquatwalk.quarantine import RequestContent
 from kumquatwalk.targets.client import TargetClient
 from kumquatwalk.targets.heartbeat import Heartbeat
 from kumquatwalk.targets.heartbeat import TargetState
@@ -73,8 +74,7 @@
         traffic: Counts the runs of each route.
         metrics: Metrics of the daemon.
         budget: Bytes of bodies that the process may hold.
-        crash_tracker: Quarantines requests that crash targets; None to
-            quarantine none.
+        crash_tracker: Quarantines requests that crash targets.
 
     Attributes:
         service: Service of the target; empty while unknown.
@@ -94,7 +94,7 @@
         traffic: TrafficMeter,
         metrics: DaemonMetrics,
         budget: ByteBudget,
-        crash_tracker: CrashTracker | None = None,
+        crash_tracker: CrashTracker,
     ):
         self._settings = settings
         self._interface = interface
@@ -289,21 +289,30 @@
         self, call: Call, retained: _RetainedCall | None = None
     ) -> Reply:
         """Run a call unless a route limit, quarantine or limiter refuses it."""
-        code, route = self._check_and_acquire(call)
+        content = make_content(call)
+        if call.crash_marks:
+            self._crash_tracker.record_marks(
+                call.crash_marks, content, read_now()
+            )
+        code, route = self._check_and_acquire(call, content)
         if code:
             return self._reply_not_run(code)
         try:
-            if self._classify_crash_risk(call) is not CrashStatus.SUSPECT:
-                return await self._admit(call, retained)
+            if self._classify(content) is CrashStatus.CLEAR:
+                reply = await self._admit(call, content, retained)
+                if reply is not None:
+                    return reply
             # Run suspect requests one at a time, so that a crash can be
             # attributed to one of them.
             async with self._suspect_lock:
-                return await self._admit(call, retained)
+                return await self._admit(call, content, retained, True)
         finally:
             if route is not None:
                 self._limits.end(route)
 
-    def _check_and_acquire(self, call: Call) -> tuple[str, Route | None]:
+    def _check_and_acquire(
+        self, call: Call, content: RequestContent
+    ) -> tuple[str, Route | None]:
         """Check a call and acquire a slot under its route's limits.
 
         Returns:
@@ -315,7 +324,7 @@
             return codes.SERVICE_MISMATCH, None
         if self._refuses_new_calls:
             return codes.TARGET_LEAVING, None
-        if self._classify_crash_risk(call) is CrashStatus.QUARANTINED:
+        if self._classify(content) is CrashStatus.QUARANTINED:
             return codes.QUARANTINED, None
         config = self._configs.config
         route = config and config.routes_by_name.get(call.route)
@@ -325,17 +334,22 @@
         code = self._limits.begin(route, targets, read_now())
         return code, None if code else route
 
-    def _classify_crash_risk(self, call: Call) -> CrashStatus:
-        """Record the call's crash marks and classify its fingerprint."""
-        if self._crash_tracker is None:
-            return CrashStatus.CLEAR
-        now = read_now()
-        fingerprint = make_call_fingerprint(call)
-        if call.crash_marks:
-            self._crash_tracker.record_marks(call.crash_marks, fingerprint, now)
-        return self._crash_tracker.classify(fingerprint, now)
+    def _classify(self, content: RequestContent) -> CrashStatus:
+        return self._crash_tracker.classify(content, read_now())
+
+    async def _admit(
+        self,
+        call: Call,
+        content: RequestContent,
+        retained: _RetainedCall | None,
+        is_only_suspect: bool = False,
+    ) -> Reply | None:
+        """Run a call when there is capacity.
 
-    async def _admit(self, call: Call, retained: _RetainedCall | None) -> Reply:
+        Returns:
+            The reply; None when the request has become a suspect while it was
+            queued and is not the only one.
+        """
         arrived_at = read_now()
         if arrived_at > call.deadline:
             return self._reply_not_run(codes.DEADLINE_EXCEEDED)
@@ -344,11 +358,17 @@
         self._metrics.record_queue_time(began_at - arrived_at)
         if isinstance(admission, Refusal):
             return self._reply_not_run(admission.code, admission.retry_after_s)
-        if retained is not None:
-            retained.is_admitted = True
         run_s = None
         try:
-            reply = await self._run(call)
+            # A crash elsewhere may have been reported while the call waited.
+            status = self._classify(content)
+            if status is CrashStatus.QUARANTINED:
+                return self._reply_not_run(codes.QUARANTINED)
+            if status is CrashStatus.SUSPECT and not is_only_suspect:
+                return None
+            if retained is not None:
+                retained.is_admitted = True
+            reply = await self._run(call, content)
             if reply.outcome is not Outcome.NOT_RUN:
                 run_s = read_now() - began_at
         finally:
@@ -356,17 +376,12 @@
         self._metrics.record_run(reply, read_now() - began_at)
         return reply
 
-    async def _run(self, call: Call) -> Reply:
+    async def _run(self, call: Call, content: RequestContent) -> Reply:
         self._traffic.record_run(call.route)
         run = Run(call)
         self.runs.add(run)
-        if self._crash_tracker is not None:
-            self._crash_tracker.begin(
-                run.run_id,
-                make_call_fingerprint(call),
-                self._classify_crash_risk(call),
-            )
-        has_answer = False
+        self._crash_tracker.begin(run.run_id, content, read_now())
+        is_sound = False
         try:
             reply, finding = await run_call(
                 self._client,
@@ -375,23 +390,22 @@
                 run.run_id,
                 call,
             )
-            has_answer = reply.outcome is Outcome.DONE
+            is_sound = reply.outcome is Outcome.DONE and reply.status < 500
             self._apply_finding(finding)
             if reply.outcome is not Outcome.NOT_RUN:
                 self._traffic.record_run_end(finding is not Finding.SOUND)
-            if reply.code == codes.TARGET_FAILED:
+            if finding is Finding.CONNECTION_LOST:
                 reply = await self._detect_crash(run, reply)
         finally:
             self.runs.remove(run)
-            if self._crash_tracker is not None:
-                self._crash_tracker.end(run.run_id, has_answer, read_now())
+            self._crash_tracker.end(run.run_id, is_sound, read_now())
         if not call.tokens:
             return reply
         return dataclasses.replace(reply, tokens=run.tokens.left)
 
     async def _detect_crash(self, run: Run, reply: Reply) -> Reply:
         """Report a crash if the target stopped listening in an exchange."""
-        if self._crash_tracker is None or await self._client.is_listening():
+        if await self._client.is_listening():
             return reply
         mark = self._crash_tracker.record_crash(run.run_id, read_now())
         self._apply_finding(Finding.UNREACHABLE)
@@ -407,8 +421,8 @@
         elif finding is Finding.UNREACHABLE:
             self._waiter.close(codes.TARGET_UNREACHABLE)
             self._on_change()
-        if finding in (Finding.SOUND, Finding.FAILED):
-            change = float(finding is Finding.FAILED) - self._failure_share
+        if finding in _RUN_FINDINGS:
+            change = float(finding is not Finding.SOUND) - self._failure_share
             self._failure_share += FAILURE_WEIGHT * change
 
     def _reply_not_run(self, code: str, retry_after_s: float = 0.0) -> Reply:
@@ -425,6 +439,7 @@
             del self._retained_calls[key]
 
 
+_RUN_FINDINGS = (Finding.SOUND, Finding.FAILED, Finding.CONNECTION_LOST)
 _CLOSED_CODES = {
     TargetState.UNKNOWN: codes.TARGET_ABSENT,
     TargetState.DRAINING: codes.TARGET_LEAVING,
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -21,6 +21,8 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.metrics.registry import MetricsRegistry
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.quarantine import CrashTable
+from kumquatwalk.quarantine import CrashTracker
 from kumquatwalk.retry.call_tokens import CallTokens
 from kumquatwalk.retry.tokens import TokenPool
 from kumquatwalk.routing.call_graph import CallGraph
@@ -118,6 +120,7 @@
             IngressAdmission(self.peers, graph, random.Random(1)),
             RetryBudgets(FleetBounds(), self.peers, graph),
             DaemonMetrics(MetricsRegistry()),
+            CrashTracker(CrashTable(), lambda report: None),
         )
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
         route = make_route(
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -85,6 +85,11 @@
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open, idle or in use."""
+        return self._is_usable
+
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and no exchange is in progress."""
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from kumquatwalk import codes
 from kumquatwalk.address import Address
@@ -17,6 +18,7 @@
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
+from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import OwnerQuery
@@ -56,6 +58,7 @@
             target.
         get_config: Returns the fleet configuration, unparsed; None if this
             node has none yet.
+        list_notices: Returns the notices that a newly linked peer must know.
         on_hello: Called with each handshake message from a peer.
         partition: Simulated network partition of this node.
         budget: Bytes of bodies that the process may hold. A call whose body
@@ -71,6 +74,7 @@
         get_status: Callable[[], TargetStatus],
         get_load: Callable[[], tuple[int, int]],
         get_config: Callable[[], ConfigDocument | None],
+        list_notices: Callable[[], Iterable[CrashNotice]],
         on_hello: Callable[[Hello], None],
         partition: Partition,
         budget: ByteBudget,
@@ -84,6 +88,7 @@
         self._get_status = get_status
         self._get_load = get_load
         self._get_config = get_config
+        self._list_notices = list_notices
         self._on_hello = on_hello
         self._sessions: dict[LinkProtocol, _Session] = {}
         self._server: asyncio.Server | None = None
@@ -153,6 +158,8 @@
                 if message.availability_zone != hello.availability_zone:
                     link.enable_compression()
                 link.send(self._get_status())
+                for notice in self._list_notices():
+                    link.send(notice)
                 self._on_hello(message)
             case CallFrame():
                 serve = self._serve_call
--- a/kumquatwalk/quarantine/__init__.py
+++ b/kumquatwalk/quarantine/__init__.py
@@ -3,15 +3,18 @@
 A request is identified by a fingerprint of its entry and content, independent
 of the idempotency key that its caller sends. When a target crashes, all calls
 in progress there become suspects. Each target runs at most one suspect at a
-time, so that its next crash can be attributed to one request. A suspect that
-ends without a crash is cleared on all nodes; a request that crashed targets
-repeatedly is refused on all nodes.
+time, so that its next crash can be attributed to one request, and all callers
+send the repeats of a suspect to the same target. A suspect that a target
+answers is cleared on all nodes; one that crashes a target again is refused on
+all nodes.
 """
 
+from kumquatwalk.quarantine.content import RequestContent
 from kumquatwalk.quarantine.crash_mark import decode_marks
 from kumquatwalk.quarantine.crash_mark import encode_mark
-from kumquatwalk.quarantine.crash_report import ClearReport
 from kumquatwalk.quarantine.crash_report import CrashReport
+from kumquatwalk.quarantine.crash_report import ReportedCall
+from kumquatwalk.quarantine.crash_report import SoundReport
 from kumquatwalk.quarantine.crash_report import decode_report
 from kumquatwalk.quarantine.crash_report import encode_report
 from kumquatwalk.quarantine.crash_table import CrashTable
@@ -24,12 +27,14 @@
 from kumquatwalk.quarantine.suspect_rule import select_suspects
 
 __all__ = [
-    "ClearReport",
     "CrashReport",
     "CrashTable",
     "CrashStatus",
     "CrashTracker",
+    "ReportedCall",
+    "RequestContent",
     "RunningCall",
+    "SoundReport",
     "SuspectCall",
     "decode_marks",
     "decode_report",
--- a/kumquatwalk/quarantine/crash_mark.py
+++ b/kumquatwalk/quarantine/crash_mark.py
@@ -7,46 +7,39 @@
 import struct
 
 from kumquatwalk.exception import FrameError
-from kumquatwalk.quarantine.crash_report import CRASH_ID_BYTES
-from kumquatwalk.quarantine.crash_report import CrashReport
-from kumquatwalk.quarantine.crash_report import ReportedCall
 
 __all__ = ["decode_marks", "encode_mark"]
 
-_MARK = struct.Struct(f">{CRASH_ID_BYTES}s?")
+_MARK = struct.Struct(">cH")
+_KIND = b"L"
 _MARKS_MAX = 64
 
 
-def encode_mark(crash_id: bytes, is_confirmed: bool) -> bytes:
+def encode_mark(level: int) -> bytes:
     """Return the mark of a call that is a suspect of a crash.
 
     Args:
-        crash_id: Identifier of the crash, ``CRASH_ID_BYTES`` long.
-        is_confirmed: Whether the call ran as the only suspect at its target.
+        level: Level of its request from the crash on, 1 to ``LEVEL_MAX``.
 
     Example:
-        >>> len(encode_mark(b"c" * 8, True))
-        9
+        >>> encode_mark(1)
+        b'L\\x00\\x01'
     """
-    return _MARK.pack(crash_id, is_confirmed)
+    return _MARK.pack(_KIND, level)
 
 
-def decode_marks(marks: bytes, fingerprint: bytes) -> tuple[CrashReport, ...]:
-    """Decode the marks of a call into one crash report per mark.
+def decode_marks(marks: bytes) -> int:
+    """Return the highest level of a call's marks, 0 without any.
 
     Args:
         marks: Concatenated marks.
-        fingerprint: Fingerprint of the call's request.
-
-    Returns:
-        The reports, each with this call as its only suspect.
 
     Raises:
         FrameError: The marks are malformed (code ``report_malformed``).
     """
     if len(marks) % _MARK.size or len(marks) > _MARKS_MAX * _MARK.size:
         raise FrameError("report_malformed", "crash marks have a wrong length")
-    return tuple(
-        CrashReport(crash_id, (ReportedCall(fingerprint, is_confirmed),))
-        for crash_id, is_confirmed in _MARK.iter_unpack(marks)
-    )
+    rows = list(_MARK.iter_unpack(marks))
+    if any(kind != _KIND for kind, _ in rows):
+        raise FrameError("report_malformed", "unknown kind of crash mark")
+    return max((level for _, level in rows), default=0)
--- a/kumquatwalk/quarantine/crash_report.py
+++ b/kumquatwalk/quarantine/crash_report.py
@@ -1,4 +1,4 @@
-"""Reports of crashes and of cleared suspects, broadcast to all nodes."""
+"""Reports of crashes and of sound runs, broadcast to all nodes."""
 
 import dataclasses
 import functools
@@ -9,35 +9,33 @@
 
 __all__ = [
     "CALLS_PER_REPORT",
-    "CRASHES_PER_CLEAR",
-    "ClearReport",
     "CrashReport",
+    "LEVEL_MAX",
     "ReportedCall",
+    "SoundReport",
     "decode_report",
     "encode_report",
 ]
 
-CRASH_ID_BYTES = 8
 CALLS_PER_REPORT = 11
-CRASHES_PER_CLEAR = 16
+LEVEL_MAX = 0xFFFF
 REPORT_MAX_BYTES = 200
-_CRASH_KIND = b"C"
-_CLEAR_KIND = b"K"
-_CALL = struct.Struct(f">{FINGERPRINT_BYTES}s?")
+_CRASH_KIND = b"L"
+_SOUND_KIND = b"S"
+_CALL = struct.Struct(f">{FINGERPRINT_BYTES}sH")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedCall:
-    """Call that is a suspect of a crash.
+    """Call in a report, with a level of suspicion.
 
     Attributes:
         fingerprint: Fingerprint of its request.
-        is_confirmed: Whether it ran as the only suspect at the target, that is,
-            the only call already suspected of an earlier crash.
+        level: Level of the request, 1 to ``LEVEL_MAX``, see ``CrashTable``.
     """
 
     fingerprint: bytes
-    is_confirmed: bool
+    level: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,26 +43,22 @@
     """Report that a target crashed while calls were in progress.
 
     Attributes:
-        crash_id: Identifier of the crash, the same in all its reports.
-        calls: Suspects of the crash, at most ``CALLS_PER_REPORT``.
+        calls: Suspects, at most ``CALLS_PER_REPORT``, each with the level that
+            it has from this crash on.
     """
 
-    crash_id: bytes
     calls: tuple[ReportedCall, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClearReport:
-    """Report that a suspect ended without a crash.
+class SoundReport:
+    """Report that a suspect was answered, so that it crashes no target.
 
     Attributes:
-        fingerprint: Fingerprint of its request.
-        crash_ids: Crashes of which the request is no longer a suspect, at most
-            ``CRASHES_PER_CLEAR``.
+        call: The request, with the level up to which it is cleared.
     """
 
-    fingerprint: bytes
-    crash_ids: tuple[bytes, ...]
+    call: ReportedCall
 
 
 @functools.singledispatch
@@ -75,16 +69,17 @@
 
 @encode_report.register
 def _encode_crash(report: CrashReport) -> bytes:
-    calls = [_CALL.pack(c.fingerprint, c.is_confirmed) for c in report.calls]
-    return _CRASH_KIND + report.crash_id + b"".join(calls)
+    calls = [_CALL.pack(c.fingerprint, c.level) for c in report.calls]
+    return _CRASH_KIND + b"".join(calls)
 
 
 @encode_report.register
-def _encode_clear(report: ClearReport) -> bytes:
-    return _CLEAR_KIND + report.fingerprint + b"".join(report.crash_ids)
+def _encode_sound(report: SoundReport) -> bytes:
+    call = report.call
+    return _SOUND_KIND + _CALL.pack(call.fingerprint, call.level)
 
 
-def decode_report(data: bytes) -> CrashReport | ClearReport:
+def decode_report(data: bytes) -> CrashReport | SoundReport:
     """Decode a report.
 
     Args:
@@ -98,29 +93,14 @@
     """
     if len(data) > REPORT_MAX_BYTES:
         raise FrameError("report_malformed", "report is too long")
-    if data[:1] == _CRASH_KIND:
-        return _decode_crash(data[1:])
-    if data[:1] == _CLEAR_KIND:
-        return _decode_clear(data[1:])
+    kind, rows = data[:1], data[1:]
+    if not rows or len(rows) % _CALL.size:
+        raise FrameError("report_malformed", "report has a wrong length")
+    calls = tuple(ReportedCall(*row) for row in _CALL.iter_unpack(rows))
+    if not all(call.level for call in calls):
+        raise FrameError("report_malformed", "level is 0")
+    if kind == _CRASH_KIND:
+        return CrashReport(calls)
+    if kind == _SOUND_KIND and len(calls) == 1:
+        return SoundReport(calls[0])
     raise FrameError("report_malformed", "unknown report kind")
-
-
-def _decode_crash(data: bytes) -> CrashReport:
-    calls = data[CRASH_ID_BYTES:]
-    if not calls or len(calls) % _CALL.size:
-        raise FrameError("report_malformed", "crash report has a wrong length")
-    if any(flag > 1 for flag in calls[_CALL.size - 1 :: _CALL.size]):
-        raise FrameError(
-            "report_malformed", "confirmed flag is neither 0 nor 1"
-        )
-    reported = tuple(ReportedCall(*row) for row in _CALL.iter_unpack(calls))
-    return CrashReport(data[:CRASH_ID_BYTES], reported)
-
-
-def _decode_clear(data: bytes) -> ClearReport:
-    ids = data[FINGERPRINT_BYTES:]
-    if not ids or len(ids) % CRASH_ID_BYTES:
-        raise FrameError("report_malformed", "clear report has a wrong length")
-    starts = range(0, len(ids), CRASH_ID_BYTES)
-    crash_ids = tuple(ids[i : i + CRASH_ID_BYTES] for i in starts)
-    return ClearReport(data[:FINGERPRINT_BYTES], crash_ids)
--- a/kumquatwalk/quarantine/crash_table.py
+++ b/kumquatwalk/quarantine/crash_table.py
@@ -1,19 +1,22 @@
-"""Table of the crashes of which requests are suspects."""
+"""Table of the requests that are suspects of crashes."""
 
 import collections
 import dataclasses
 import enum
 
-from kumquatwalk.quarantine.crash_report import CRASHES_PER_CLEAR
-from kumquatwalk.quarantine.crash_report import ClearReport
+from kumquatwalk.quarantine.crash_report import CALLS_PER_REPORT
 from kumquatwalk.quarantine.crash_report import CrashReport
 from kumquatwalk.quarantine.crash_report import ReportedCall
+from kumquatwalk.quarantine.crash_report import SoundReport
 
 __all__ = ["CrashTable", "CrashStatus", "QUARANTINE_TTL_S"]
 
 QUARANTINE_TTL_S = 600.0
-QUARANTINE_CRASHES = 2
+# Levels above the cleared one at which a request is quarantined.
+QUARANTINE_LEVELS = 2
 MAX_FINGERPRINTS = 5_000
+# Maximum number of suspects in a summary for a new link, the latest ones.
+SUMMARY_CALLS_MAX = 20 * CALLS_PER_REPORT
 
 
 class CrashStatus(enum.Enum):
@@ -26,27 +29,40 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
-    """Crashes of one fingerprint.
+    """Levels of one fingerprint.
 
     Attributes:
         updated_at: Time of the last report, from which the TTL counts.
-        crashes: Whether the request ran as the only suspect, by crash
-            identifier.
-        cleared: Crashes of which the request was cleared; later reports of
-            them are ignored.
+        level: Highest level reported.
+        cleared: Highest level at which a target answered it.
     """
 
     updated_at: float
-    crashes: dict[bytes, bool] = dataclasses.field(default_factory=dict)
-    cleared: set[bytes] = dataclasses.field(default_factory=set)
+    level: int = 0
+    cleared: int = 0
+
+    @property
+    def status(self) -> CrashStatus:
+        """Status at the reported levels."""
+        if self.level <= self.cleared:
+            return CrashStatus.CLEAR
+        if self.level - self.cleared < QUARANTINE_LEVELS:
+            return CrashStatus.SUSPECT
+        return CrashStatus.QUARANTINED
 
 
 class CrashTable:
-    """Crashes by fingerprint of the requests that are suspects of them.
+    """Levels of suspicion by fingerprint of a request.
 
-    A request is quarantined after two distinct crashes if, in at least one of
-    them, it ran as the only suspect at its target. Simultaneous crashes of
-    many targets, which have another cause, therefore quarantine no request.
+    A request starts at level 0. A crash of a target that runs it raises it to
+    the level above the one at which its run began. So crashes of any number of
+    targets at one moment raise it by one level only, and quarantine nothing.
+    An answer clears it up to the level that it has then. It is a suspect one
+    level above the cleared one, and quarantined two above it.
+
+    Both levels only grow, and a report is merged by taking the maximum:
+    reports may be lost, late, doubled or in any order, and nodes that have the
+    same reports have the same table.
 
     Args:
         max_fingerprints: Max number of fingerprints; the least recently
@@ -69,73 +85,107 @@
             fingerprint: Fingerprint of the request.
             now: Current time in seconds.
         """
-        if not self._records:
-            return CrashStatus.CLEAR
         self._expire(now)
         record = self._records.get(fingerprint)
-        if record is None or not record.crashes:
-            return CrashStatus.CLEAR
-        is_confirmed = any(record.crashes.values())
-        if is_confirmed and len(record.crashes) >= QUARANTINE_CRASHES:
-            return CrashStatus.QUARANTINED
-        return CrashStatus.SUSPECT
+        return CrashStatus.CLEAR if record is None else record.status
+
+    def get_level(self, fingerprint: bytes) -> int:
+        """Return the level of a request; 0 when it is not in the table.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        record = self._records.get(fingerprint)
+        return 0 if record is None else record.level
+
+    def estimate_release(self, fingerprint: bytes, now: float) -> float:
+        """Return the time until the record of a request expires, in seconds.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            now: Current time in seconds.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            return 0.0
+        return max(0.0, record.updated_at + QUARANTINE_TTL_S - now)
 
-    def record(self, report: CrashReport, now: float) -> None:
-        """Record a crash report; repeated reports only renew the TTL.
+    def record(self, report: CrashReport, now: float) -> bool:
+        """Record a crash report.
 
         Args:
             report: Report from this node or another one.
             now: Current time in seconds.
+
+        Returns:
+            Whether it raised the level of a request.
         """
         self._expire(now)
+        has_changed = False
         for call in report.calls:
-            self._record_suspect(report.crash_id, call, now)
+            if call.level > self.get_level(call.fingerprint):
+                self._touch(call.fingerprint, now).level = call.level
+                has_changed = True
+        return has_changed
 
-    def make_clear(self, fingerprint: bytes) -> ClearReport | None:
-        """Return a report that clears a request of all recorded crashes.
+    def make_sound_report(self, fingerprint: bytes) -> SoundReport | None:
+        """Return a report that clears a request up to its level.
 
         The table is not changed.
 
         Args:
-            fingerprint: Fingerprint of a request that ended without a crash.
+            fingerprint: Fingerprint of a request that a target answered.
 
         Returns:
             Report to be passed to ``clear`` and broadcast; None if the request
-            is not a suspect.
+            is clear.
         """
-        if not self._records:
-            return None
         record = self._records.get(fingerprint)
-        if record is None or not record.crashes:
+        if record is None or record.status is CrashStatus.CLEAR:
             return None
-        crash_ids = tuple(record.crashes)[:CRASHES_PER_CLEAR]
-        return ClearReport(fingerprint, crash_ids)
+        return SoundReport(ReportedCall(fingerprint, record.level))
 
-    def clear(self, report: ClearReport, now: float) -> None:
-        """Clear a request of crashes, even of those not yet reported here.
+    def clear(self, report: SoundReport, now: float) -> bool:
+        """Clear a request, also of crashes that are not reported here yet.
 
         Args:
             report: Report from this node or another one.
             now: Current time in seconds.
+
+        Returns:
+            Whether it raised the cleared level.
+        """
+        self._expire(now)
+        call = report.call
+        record = self._records.get(call.fingerprint)
+        if record is not None and call.level <= record.cleared:
+            return False
+        record = self._touch(call.fingerprint, now)
+        record.cleared = call.level
+        record.level = max(record.level, call.level)
+        return True
+
+    def summarize(self, now: float) -> tuple[CrashReport, ...]:
+        """Return reports of the requests that are not clear, latest first.
+
+        Args:
+            now: Current time in seconds.
         """
         self._expire(now)
-        record = self._touch(report.fingerprint, now)
-        for crash_id in report.crash_ids:
-            record.crashes.pop(crash_id, None)
-            record.cleared.add(crash_id)
+        calls = []
+        for fingerprint, record in reversed(self._records.items()):
+            if record.status is not CrashStatus.CLEAR:
+                calls.append(ReportedCall(fingerprint, record.level))
+            if len(calls) == SUMMARY_CALLS_MAX:
+                break
+        return tuple(
+            CrashReport(tuple(calls[first : first + CALLS_PER_REPORT]))
+            for first in range(0, len(calls), CALLS_PER_REPORT)
+        )
 
     def __len__(self) -> int:
         return len(self._records)
 
-    def _record_suspect(
-        self, crash_id: bytes, call: ReportedCall, now: float
-    ) -> None:
-        record = self._touch(call.fingerprint, now)
-        if crash_id in record.cleared:
-            return
-        if len(record.crashes) < CRASHES_PER_CLEAR:
-            record.crashes[crash_id] = call.is_confirmed
-
     def _touch(self, fingerprint: bytes, now: float) -> _Record:
         record = self._records.pop(fingerprint, None) or _Record(now)
         record.updated_at = now
--- a/kumquatwalk/quarantine/tests/test_crash_tracker.py
+++ b/kumquatwalk/quarantine/tests/test_crash_tracker.py
@@ -5,16 +5,17 @@
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.quarantine import CrashStatus
 from kumquatwalk.quarantine import CrashTracker
+from kumquatwalk.quarantine import RequestContent
 
-BAD = b"b" * 16
-GOOD = b"g" * 16
+BAD = RequestContent("pay", b"POST", b"/pay", b"bad")
+GOOD = RequestContent("pay", b"POST", b"/pay", b"good")
 
 
 class CrashTrackerTest(unittest.TestCase):
 
     def setUp(self):
-        self.one = CrashTracker("n1", 1, CrashTable(), self._send)
-        self.two = CrashTracker("n2", 1, CrashTable(), self._send)
+        self.one = CrashTracker(CrashTable(), self._send)
+        self.two = CrashTracker(CrashTable(), self._send)
         self.trackers = (self.one, self.two)
 
     def _send(self, payload: bytes) -> None:
@@ -22,10 +23,9 @@
             tracker.handle_broadcast(payload, 0.0)
 
     def _run(
-        self, tracker: CrashTracker, run_id: str, fingerprint: bytes
+        self, tracker: CrashTracker, run_id: str, content: RequestContent
     ) -> None:
-        verdict = tracker.classify(fingerprint, 0.0)
-        tracker.begin(run_id, fingerprint, verdict)
+        tracker.begin(run_id, content, 0.0)
 
     def test_second_crash_quarantines_at_every_node(self):
         for number, tracker in enumerate(self.trackers):
@@ -68,7 +68,7 @@
         self.two.record_marks(mark, BAD, 0.0)
         self._run(self.two, "r2", BAD)
         marks = mark + self.two.record_crash("r2", 0.0)
-        three = CrashTracker("n3", 1, CrashTable(), self._send)
+        three = CrashTracker(CrashTable(), self._send)
         three.record_marks(marks, BAD, 0.0)
         self.assertIs(three.classify(BAD, 0.0), CrashStatus.QUARANTINED)
 
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -1,6 +1,7 @@
 """Load balancing: selects the target of a call by its expected cost."""
 
 import dataclasses
+import hashlib
 import random
 from collections.abc import Iterable
 
@@ -52,6 +53,7 @@
 CANDIDATES = 5
 # Run time assumed where no target of a service has reported any, in seconds.
 DEFAULT_RUN_S = 0.1
+_DIGEST_BYTES = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,6 +125,8 @@
         excluded: Identifiers of the nodes already tried.
         now: Current time, in seconds.
         is_internal: Whether the route is called by targets only.
+        pinned_by: Key of a request whose repeats must all go to the same
+            target, as long as it accepts calls; empty for any other.
     """
 
     availability_zone: str
@@ -132,6 +136,7 @@
     excluded: frozenset[str]
     now: float
     is_internal: bool = False
+    pinned_by: bytes = b""
 
 
 def choose_target(
@@ -142,7 +147,8 @@
     The few are drawn at random, up to ``CANDIDATES_NEAR`` of them in the zone
     of the call if there are as many. Targets with a stale status or in backoff,
     and targets whose nodes are stopping, are selected only when there is no
-    other.
+    other. A call that is pinned goes to the target that all callers which know
+    the same targets select.
 
     Args:
         views: Targets of the service.
@@ -161,6 +167,8 @@
     usable = [v for v in ready if not v.status.is_stopping] or ready
     if not usable:
         return None
+    if context.pinned_by:
+        return max(usable, key=lambda v: _hash_pair(context.pinned_by, v))
     healthy = [v for v in usable if not _is_degraded(v, context.now)]
     candidates = _draw_candidates(healthy or usable, context, rng)
     typical_run_s = _estimate_typical_run_s(candidates, context.route)
@@ -171,6 +179,13 @@
     )
 
 
+def _hash_pair(key: bytes, view: TargetView) -> bytes:
+    """Return a rendezvous hash (Thaler and Ravishankar, 1996)."""
+    return hashlib.blake2b(
+        key + view.node_id.encode(), digest_size=_DIGEST_BYTES
+    ).digest()
+
+
 def _draw_candidates(
     views: list[TargetView], context: ChoiceContext, rng: random.Random
 ) -> list[TargetView]:
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -52,6 +52,7 @@
         self._budget = budget
         self._idle: list[ClientConnection] = []
         self.connections_opened = 0
+        self._listening_check: asyncio.Task | None = None
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -91,10 +92,24 @@
         return response
 
     async def is_listening(self) -> bool:
-        """Return whether the target accepts a connection and keeps it open.
+        """Return whether the target still listens after a connection broke.
 
-        Takes ``LISTENING_WATCH_S`` when the connection is accepted.
+        An idle connection that stays open shows it without a new one. All
+        callers at one moment share one check. Takes ``LISTENING_WATCH_S`` when
+        the target listens.
         """
+        if self._listening_check is None or self._listening_check.done():
+            self._listening_check = asyncio.get_running_loop().create_task(
+                self._check_listening()
+            )
+        return await asyncio.shield(self._listening_check)
+
+    async def _check_listening(self) -> bool:
+        idle = next((c for c in self._idle if c.is_usable), None)
+        if idle is not None:
+            await asyncio.sleep(LISTENING_WATCH_S)
+            if idle.is_open:
+                return True
         try:
             connection = await open_connection(
                 self.address, LISTENING_TIMEOUT_S, RESPONSE_BYTES_MAX
@@ -102,7 +117,7 @@
         except ExchangeError:
             return False  # an expected result of the check
         await asyncio.sleep(LISTENING_WATCH_S)
-        is_open = connection.is_usable
+        is_open = connection.is_open
         connection.abort()
         return is_open
 
