--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_named_limits.py
@@ -0,0 +1,56 @@
+"""Tests of the request rate that a target names in its answers."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.standin.daemon_fleet import DaemonFleet
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.scripted_target import Script
+
+LIMIT_PER_S = 10.0
+# Bound of the operators' rule on what a target may get beyond its limit.
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+REQUESTS = 60
+
+
+class NamedLimitTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        await self.fleet.start(make_config(("web",)))
+        self.addAsyncCleanup(self.fleet.close)
+        self.first = await self.fleet.add_node("web-1", "web")
+        self.second = await self.fleet.add_node("web-2", "web")
+        header = b"Server-Limit: %.1f" % LIMIT_PER_S
+        self.first.target.choose_script = lambda _: Script(
+            work_s=0.01, extra_headers=(header,)
+        )
+        await self.fleet.wait_until_ready()
+
+    # Guards against LIMIT: a target got several times the rate that it named.
+    async def test_target_gets_no_more_than_the_rate_that_it_names(self):
+        while not self.first.target.runs:
+            await self.fleet.call("web-1", "/web/first", "first")
+        began_at = read_now()
+        runs_before = len(self.first.target.runs)
+        answers = await asyncio.gather(
+            *(
+                self.fleet.call(f"web-{1 + n % 2}", f"/web/{n}", f"id-{n}")
+                for n in range(REQUESTS)
+            )
+        )
+        elapsed_s = read_now() - began_at
+        runs = len(self.first.target.runs) - runs_before
+        self.assertLessEqual(
+            runs, LIMIT_FACTOR * LIMIT_PER_S * elapsed_s + LIMIT_SLACK
+        )
+        statuses = {answer.status for answer in answers}
+        self.assertLessEqual(statuses, {200, 503})
+        served = sum(answer.status == 200 for answer in answers)
+        self.assertGreaterEqual(served, REQUESTS // 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
