Keep to the request rate that a target names in its answers

Cause: no code read the header. The class of fault: what a target says of itself in an answer was decoded for the one request only. Ruled out: a limit kept by each node for itself, and one forgotten at a restart (the break came at 9.0 s, the restart at 13 s).

Change: the target side, the only way to the target, starts calls by a token bucket at the named rate, besides its concurrency limit; the rest waits by rank or is refused as not run with the time until its turn. The published limit is what the rate allows, so choice, ingress and sums over the fleet follow. A malformed rate is logged and ignored, zero is kept to as 0.5 a second, and the limit ends with an answer that names none or with its target.

--- a/kumquatwalk/admission/bucket.py
+++ b/kumquatwalk/admission/bucket.py
@@ -14,16 +14,19 @@
     Args:
         rate_per_s: Tokens added per second.
         now: Current time, in seconds.
+        tokens_min: Minimum capacity. With more than one token, a caller that
+            checks at intervals loses none.
     """
 
-    def __init__(self, rate_per_s: float, now: float):
+    def __init__(self, rate_per_s: float, now: float, tokens_min: float = 1.0):
         self._rate_per_s = rate_per_s
+        self._tokens_min = tokens_min
         self._tokens = self._capacity
         self._refilled_at = now
 
     @property
     def _capacity(self) -> float:
-        return max(1.0, self._rate_per_s * BURST_S)
+        return max(self._tokens_min, self._rate_per_s * BURST_S)
 
     def set_rate(self, rate_per_s: float, now: float) -> None:
         """Change the rate, keeping the tokens up to the new capacity.
@@ -49,6 +52,16 @@
         """Remove one token; call only after ``has_token`` returned true."""
         self._tokens -= 1.0
 
+    def estimate_wait(self, tokens: int, now: float) -> float:
+        """Return the time until a number of tokens has come, in seconds.
+
+        Args:
+            tokens: Number of tokens, perhaps more than the bucket holds.
+            now: Current time, in seconds.
+        """
+        self._refill(now)
+        return max(0.0, tokens - self._tokens) / self._rate_per_s
+
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._refilled_at)
         self._refilled_at = max(self._refilled_at, now)
--- a/kumquatwalk/admission/run_times.py
+++ b/kumquatwalk/admission/run_times.py
@@ -47,8 +47,10 @@
             route: Name of the route.
         """
         mean = self._means.get(route)
-        if mean is not None:
-            return mean
+        return self.mean() if mean is None else mean
+
+    def mean(self) -> float:
+        """Return the mean over all routes, in seconds."""
         if not self._means:
             return DEFAULT_RUN_S
         return sum(self._means.values()) / len(self._means)
--- a/kumquatwalk/admission/target_limiter.py
+++ b/kumquatwalk/admission/target_limiter.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from kumquatwalk import codes
+from kumquatwalk.admission.named_rate import NamedRate
 from kumquatwalk.admission.run_times import RunTimes
 
 __all__ = ["AdmissionRequest", "Refusal", "TargetLimiter"]
@@ -85,8 +86,11 @@
     that could not end before its deadline is refused immediately, so that its
     caller learns early that it has not run.
 
+    A rate that the target names bounds the calls that start, besides.
+
     Attributes:
         run_times: Run times measured at the target, by route.
+        named_rate: Rate limit that the target has named.
     """
 
     def __init__(self):
@@ -99,12 +103,25 @@
         self._sequence = 0
         self._closed_code = codes.TARGET_ABSENT
         self.run_times = RunTimes()
+        self.named_rate = NamedRate()
 
     @property
     def limit(self) -> int:
         """Concurrency limit, at least 1."""
         return max(1, int(self._limit))
 
+    @property
+    def effective_limit(self) -> int:
+        """Concurrency limit, or what the named rate allows if that is less.
+
+        Calls that start at a rate r and take a time t run rt at once (Little,
+        1961).
+        """
+        per_s = self.named_rate.per_s
+        if per_s is None:
+            return self.limit
+        return max(1, min(self.limit, int(per_s * self.run_times.mean())))
+
     @property
     def running(self) -> int:
         """Number of running calls."""
@@ -164,22 +181,23 @@
         """
         if self._closed_code:
             return False, [Refusal(call.key, self._closed_code, 0.0)]
-        if not self._queue and len(self._running) < self.limit:
+        if not self._queue and self._can_start(now):
             if not self._can_end_in_time(call, 0.0, now):
-                return False, [self._refuse(call, codes.DEADLINE_EXCEEDED)]
+                return False, [self._refuse(call, codes.DEADLINE_EXCEEDED, now)]
             self._start(call)
             return True, []
         self._sequence += 1
         order = (call.rank, 0 if call.is_preferred else 1, self._sequence)
         item = _QueuedCall(order, call, self.run_times.estimate(call.route))
         index = bisect.bisect(self._queue, item)
-        if not self._can_end_in_time(call, self._estimate_wait_at(index), now):
-            return False, [self._refuse(call, codes.OVERLOADED)]
+        wait_s = self._estimate_wait_at(index, now)
+        if not self._can_end_in_time(call, wait_s, now):
+            return False, [self._refuse(call, codes.OVERLOADED, now)]
         self._queue.insert(index, item)
         if len(self._queue) <= QUEUE_PER_LIMIT * self.limit:
             return False, []
         last = self._queue.pop()
-        return False, [self._refuse(last.call, codes.QUEUE_FULL)]
+        return False, [self._refuse(last.call, codes.QUEUE_FULL, now)]
 
     def finish(
         self, key: int, run_s: float | None, now: float
@@ -245,11 +263,11 @@
         """
         started: list[int] = []
         refused: list[Refusal] = []
-        while self._queue and len(self._running) < self.limit:
+        while self._queue and self._can_start(now):
             call = self._queue.pop(0).call
             code = self._find_expiry(call, now)
             if code:
-                refused.append(self._refuse(call, code))
+                refused.append(self._refuse(call, code, now))
                 continue
             self._start(call)
             started.append(call.key)
@@ -273,7 +291,9 @@
             self._queue = [
                 item for item in self._queue if item.call.key not in expired
             ]
-        return [self._refuse(call, code) for call, code in expired.values()]
+        return [
+            self._refuse(call, code, now) for call, code in expired.values()
+        ]
 
     def _find_expiry(self, call: AdmissionRequest, now: float) -> str:
         """Return the code with which a queued call expires; empty if not."""
@@ -281,18 +301,33 @@
             return codes.DEADLINE_EXCEEDED
         return codes.OVERLOADED if now > call.start_by else ""
 
+    def _can_start(self, now: float) -> bool:
+        has_slot = len(self._running) < self.limit
+        return has_slot and self.named_rate.has_token(now)
+
     def _start(self, call: AdmissionRequest) -> None:
         run_s = self.run_times.estimate(call.route)
         self._running[call.key] = (call.route, run_s)
         self._running_estimate_s += run_s
+        self.named_rate.take()
 
-    def estimate_wait(self) -> float:
-        """Return the expected wait of a call that arrives now, in seconds."""
-        if len(self._running) < self.limit and not self._queue:
+    def estimate_wait(self, now: float) -> float:
+        """Return the expected wait of a call that arrives now, in seconds.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if not self._queue and self._can_start(now):
             return 0.0
-        return self._estimate_wait_at(len(self._queue))
+        return self._estimate_wait_at(len(self._queue), now)
+
+    def _estimate_wait_at(self, index: int, now: float) -> float:
+        return max(
+            self._estimate_slot_wait(index),
+            self.named_rate.estimate_wait(index, now),
+        )
 
-    def _estimate_wait_at(self, index: int) -> float:
+    def _estimate_slot_wait(self, index: int) -> float:
         ahead_s = sum(item.run_s for item in self._queue[:index])
         running = len(self._running)
         if running < self.limit:
@@ -310,5 +345,5 @@
         run_s = RUN_FRACTION * self.run_times.estimate(call.route)
         return now + wait_s + run_s + REPLY_MARGIN_S <= call.deadline
 
-    def _refuse(self, call: AdmissionRequest, code: str) -> Refusal:
-        return Refusal(call.key, code, self.estimate_wait())
+    def _refuse(self, call: AdmissionRequest, code: str, now: float) -> Refusal:
+        return Refusal(call.key, code, self.estimate_wait(now))
--- a/kumquatwalk/daemon/admission_waiter.py
+++ b/kumquatwalk/daemon/admission_waiter.py
@@ -10,8 +10,9 @@
 
 __all__ = ["AdmissionWaiter"]
 
-# Interval at which queued calls are checked for expiry, in seconds: short
-# against the shortest deadline of a call, 0.7 s in the intended deployments.
+# Interval at which queued calls are checked for expiry and, where the target's
+# rate is limited, for their start, in seconds: short against the shortest
+# deadline of a call, 0.7 s in the intended deployments.
 EXPIRY_INTERVAL_S = 0.05
 
 
@@ -123,6 +124,9 @@
 
     def _expire(self) -> None:
         self._expiry = None
-        self._resolve_all([], self.limiter.expire(read_now()))
+        now = read_now()
+        self._resolve_all([], self.limiter.expire(now))
+        # A rate that the target has named lets calls start as time passes.
+        self._resolve_all(*self.limiter.dispatch(now))
         if self.limiter.queued:
             self._schedule_expiry()
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -1,6 +1,7 @@
 """One request to the target and the classification of its result."""
 
 import asyncio
+import dataclasses
 import enum
 
 from kumquatwalk import codes
@@ -18,7 +19,7 @@
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
-__all__ = ["Finding", "make_content", "run_call"]
+__all__ = ["ExchangeResult", "Finding", "make_content", "run_call"]
 
 # Time to wait beyond the deadline for the target's own answer that its run has
 # ended, in seconds: the target needs one iteration of its event loop to send
@@ -28,6 +29,22 @@
 CONTENT_DIGITS = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeResult:
+    """Result of one exchange with the target.
+
+    Attributes:
+        reply: Reply with the outcome. The outcome is unknown when the call was
+            sent but its deadline passed, or its answer was lost or incomplete.
+        finding: What the exchange shows about the target.
+        check: What the target's own response says; None without one.
+    """
+
+    reply: Reply
+    finding: "Finding"
+    check: ResponseCheck | None = None
+
+
 class Finding(enum.Enum):
     """What an exchange shows about the state of the target."""
 
@@ -46,7 +63,7 @@
     target_id: str,
     run_id: str,
     call: Call,
-) -> tuple[Reply, Finding]:
+) -> ExchangeResult:
     """Send a call to the target and wait for its answer.
 
     Args:
@@ -58,9 +75,7 @@
         call: Call to send, with its deadline on this node's clock.
 
     Returns:
-        Reply with the outcome, and what the exchange shows about the target.
-        The outcome is unknown when the call was sent but its deadline passed,
-        or its answer was lost or incomplete.
+        The result, whether the exchange succeeded or not.
     """
     remaining_s = call.deadline - read_now()
     headers = interface.make_target_headers(
@@ -84,11 +99,12 @@
             )
     except TimeoutError:
         reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
-        return reply, Finding.LATE
+        return ExchangeResult(reply, Finding.LATE)
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
-    return _classify_response(call, response, check, headers)
+    reply, finding = _classify_response(call, response, check, headers)
+    return ExchangeResult(reply, finding, check)
 
 
 def make_content(call: Call) -> RequestContent:
@@ -100,7 +116,7 @@
     return RequestContent(call.route, call.method, call.url, call.body)
 
 
-def _classify_error(call: Call, error: ExchangeError) -> tuple[Reply, Finding]:
+def _classify_error(call: Call, error: ExchangeError) -> ExchangeResult:
     log_event(
         "target_exchange_failed",
         attempt=call.attempt_id.decode("latin-1"),
@@ -112,9 +128,11 @@
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
         is_lost = error.code == "connection_lost"
-        return reply, Finding.CONNECTION_LOST if is_lost else Finding.FAILED
+        return ExchangeResult(
+            reply, Finding.CONNECTION_LOST if is_lost else Finding.FAILED
+        )
     reply = Reply(Outcome.NOT_RUN, codes.TARGET_UNREACHABLE)
-    return reply, Finding.UNREACHABLE
+    return ExchangeResult(reply, Finding.UNREACHABLE)
 
 
 def _classify_response(
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -34,6 +34,7 @@
 from kumquatwalk.targets.heartbeat import Heartbeat
 from kumquatwalk.targets.heartbeat import TargetState
 from kumquatwalk.targets.record import TargetRecord
+from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.run import Run
 from kumquatwalk.targets.run import RunTable
 
@@ -163,7 +164,7 @@
         now = read_now()
         return TargetStatus(
             state=self._get_published_state(),
-            limit=limiter.limit,
+            limit=limiter.effective_limit,
             running=limiter.running,
             queued=limiter.queued,
             cold_left_s=max(0.0, self.record.cold_until - now),
@@ -276,6 +277,7 @@
             )
             if before.target_id != record.target_id:
                 self._client.close()
+                self.limiter.named_rate.clear()
             self._on_change()
 
     def _use_announced_service(self, heartbeat: Heartbeat) -> None:
@@ -383,13 +385,13 @@
         self._crash_tracker.begin(run.run_id, content, read_now())
         is_sound = False
         try:
-            reply, finding = await run_call(
-                self._client,
-                self._interface,
-                self.record.target_id,
-                run.run_id,
-                call,
+            target_id = self.record.target_id
+            result = await run_call(
+                self._client, self._interface, target_id, run.run_id, call
             )
+            reply, finding = result.reply, result.finding
+            if result.check is not None and target_id == self.record.target_id:
+                self._observe_response(result.check)
             is_sound = reply.outcome is Outcome.DONE and reply.status < 500
             self._apply_finding(finding)
             if reply.outcome is not Outcome.NOT_RUN:
@@ -413,6 +415,29 @@
             reply, code=codes.TARGET_CRASHED, crash_mark=mark
         )
 
+    def _observe_response(self, check: ResponseCheck) -> None:
+        """Apply what the target says of itself in a response.
+
+        The limit ends with a response to a run only: a refusal may come from a
+        part of the target that names none.
+        """
+        limit = check.rate_limit
+        is_own = check.is_complete and not check.is_replaced
+        if not is_own or (check.was_not_run and not limit.is_named):
+            return
+        if limit.is_named and limit.per_s is None:
+            log_event("rate_limit_unreadable", target=self.record.target_id)
+        limit_before = self.limiter.effective_limit
+        if not self.limiter.named_rate.observe(limit, read_now()):
+            return
+        log_event(
+            "rate_limit_changed",
+            target=self.record.target_id,
+            per_s=self.limiter.named_rate.per_s,
+        )
+        if self.limiter.effective_limit != limit_before:
+            self._on_change()
+
     def _apply_finding(self, finding: Finding) -> None:
         if finding is Finding.REPLACED:
             self._set_record(self.record.mark_replaced())
--- a/kumquatwalk/platform/names.py
+++ b/kumquatwalk/platform/names.py
@@ -8,6 +8,8 @@
 HEADER_TARGET_ID = b"instance-id"
 # Numbers of running requests, queued requests and slots, comma-separated.
 HEADER_TARGET_LOAD = b"instance-load"
+# Requests a second that a target takes from all nodes together.
+HEADER_RATE_LIMIT = b"server-limit"
 HEADER_NOT_RUN = b"not-executed"
 HEADER_RETRY_AFTER = b"retry-after"
 HEADER_SIGNATURE = b"server-seal"
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -1,9 +1,13 @@
 """Decoder of the status and headers of a target's response."""
 
+import re
+
 from kumquatwalk.http1.headers import remove_hop_by_hop
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.platform import names
+from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
+from kumquatwalk.targets.rate_limit import RateLimit
 from kumquatwalk.targets.response import ResponseCheck
 
 __all__ = [
@@ -13,6 +17,7 @@
     "read_target_slots",
 ]
 
+_RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Statuses with which the not-run header of a target counts.
 _NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
 
@@ -31,7 +36,7 @@
 
     Returns:
         Whether the response belongs to the request, is unaltered, says that
-        the request was not run, and comes from another target.
+        the request was not run, comes from another target, and names a rate.
     """
     was_not_run = (
         response.status in _NOT_RUN_STATUSES
@@ -53,6 +58,7 @@
         is_complete=is_complete,
         was_not_run=was_not_run,
         is_replaced=was_not_run and response.status == 421,
+        rate_limit=_read_rate_limit(response),
     )
 
 
@@ -88,3 +94,12 @@
     if len(parts) != 3 or not parts[2].strip().isdigit():
         return 0
     return int(parts[2])
+
+
+def _read_rate_limit(response: HttpResponse) -> RateLimit:
+    value = response.find_header(names.HEADER_RATE_LIMIT)
+    if value is None:
+        return NO_RATE_LIMIT
+    if not _RATE_PATTERN.fullmatch(value):
+        return RateLimit(True, None)
+    return RateLimit(True, float(value))
--- /dev/null
+++ b/kumquatwalk/platform/tests/test_target_response.py
@@ -0,0 +1,53 @@
+"""Tests of what a target's response says of the target itself."""
+
+import unittest
+
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.platform.target_response import decode_target_response
+from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
+from kumquatwalk.targets.rate_limit import RateLimit
+
+
+def decode(*headers, status=200):
+    """Decode a response to request ``id``."""
+    headers = ((b"Attempt-Id", b"id"), (b"Server-Seal", b"s"), *headers)
+    return decode_target_response(HttpResponse(status, headers, b""), b"id")
+
+
+class RateLimitTest(unittest.TestCase):
+
+    def test_named_rate_is_read_from_any_status(self):
+        for status in (200, 404, 421, 429, 500, 503, 504):
+            check = decode((b"server-LIMIT", b"28.2"), status=status)
+            self.assertEqual(check.rate_limit, RateLimit(True, 28.2))
+
+    def test_response_without_the_header_names_none(self):
+        self.assertEqual(decode().rate_limit, NO_RATE_LIMIT)
+
+    def test_zero_and_large_rates_are_read(self):
+        for text, rate in ((b"0", 0.0), (b"0.0", 0.0), (b"999999999", 1e9 - 1)):
+            check = decode((b"Server-Limit", text))
+            self.assertEqual(check.rate_limit, RateLimit(True, rate))
+
+    def test_other_text_is_named_and_unreadable(self):
+        for text in (
+            b"",
+            b"-1",
+            b"+1",
+            b"nan",
+            b"inf",
+            b"1e3",
+            b"1,5",
+            b"1.",
+            b".5",
+            b"1" * 400,
+            b"28.2 ",
+            b"\xd9\xa1",
+        ):
+            with self.subTest(text):
+                check = decode((b"Server-Limit", text))
+                self.assertEqual(check.rate_limit, RateLimit(True, None))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/targets/response.py
+++ b/kumquatwalk/targets/response.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
+from kumquatwalk.targets.rate_limit import RateLimit
+
 __all__ = ["ResponseCheck"]
 
 
@@ -14,9 +17,11 @@
         is_complete: Whether the response is complete and unchanged.
         was_not_run: Whether the target reports that it did not run the request.
         is_replaced: Whether another target now serves at the address.
+        rate_limit: What the response says of the rate that the target takes.
     """
 
     belongs_to_request: bool
     is_complete: bool
     was_not_run: bool
     is_replaced: bool
+    rate_limit: RateLimit = NO_RATE_LIMIT
