Stop sending requests to a target that says in an answer that it leaves

What callers saw: nothing yet; a target that leaves without a heartbeat would have got requests until its end, and again after a restart of the node beside it (DRAIN).

Cause: the header was not read. Looked for elsewhere: what else a target says only in answers is its load, which the node counts itself.

Change: decoded in platform/; the target side marks the target as draining, and the reply carries it to the node where the request began. That node remembers which start of the target it was, by a hash of its identifier and its start in the status, because the target's own node forgets it when it is restarted and a late heartbeat may then say ready.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -30,6 +30,7 @@
 from kumquatwalk.quarantine import CrashTracker
 from kumquatwalk.retry.longest_timeout import LongestTimeouts
 from kumquatwalk.routing.call_graph import CallGraph
+from kumquatwalk.routing.leaving_targets import LeavingTargets
 from kumquatwalk.routing.route_sizes import RouteSizes
 from kumquatwalk.routing.split import TrafficSplitter
 from kumquatwalk.routing.target_choice import ChoiceContext
@@ -114,6 +115,7 @@
         self._splitter = TrafficSplitter(self._rng)
         self._sizes = RouteSizes()
         self._timeouts = LongestTimeouts()
+        self._leaving = LeavingTargets()
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -239,6 +241,8 @@
         self, request: PendingRequest, view: TargetView, reply: Reply
     ) -> None:
         request.tried_nodes.add(view.node_id)
+        if reply.is_leaving:
+            self._leaving.record(view.node_id, view.status)
         if reply.crash_mark:
             request.crash_marks += reply.crash_mark
             self._crash_tracker.record_marks(
@@ -287,7 +291,11 @@
             is_internal=self._graph.is_internal(route.name),
             pinned_by=request.content.fingerprint if is_suspect else b"",
         )
-        views = self._peers.list_views(request.service)
+        views = [
+            view
+            for view in self._peers.list_views(request.service)
+            if not self._leaving.has(view.node_id, view.status)
+        ]
         return choose_target(views, context, self._rng)
 
     def _refresh_own_view(self) -> None:
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import zlib
 from collections.abc import Callable
 
 from kumquatwalk import codes
@@ -172,6 +173,8 @@
             config_version=self._configs.version,
             route_times=limiter.run_times.list_means(PUBLISHED_ROUTES_MAX),
             failure_share=self._failure_share,
+            target_key=zlib.crc32(self.record.target_id.encode()),
+            target_start_ms=self.record.incarnation,
         )
 
     def get_load(self) -> tuple[int, int]:
@@ -392,6 +395,9 @@
             reply, finding = result.reply, result.finding
             if result.check is not None and target_id == self.record.target_id:
                 self._observe_response(result.check)
+                if result.check.is_leaving and not result.check.is_replaced:
+                    reply = dataclasses.replace(reply, is_leaving=True)
+                    self._set_record(self.record.mark_leaving())
             is_sound = reply.outcome is Outcome.DONE and reply.status < 500
             self._apply_finding(finding)
             if reply.outcome is not Outcome.NOT_RUN:
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -136,6 +136,7 @@
         shed_by_target=bool(reader.shedByTarget),
         tokens=int(reader.tokens),
         crash_mark=bytes(reader.crashMark),
+        is_leaving=bool(reader.isLeaving),
     )
 
 
@@ -160,6 +161,8 @@
             (str(t.route), t.runMs / MS_PER_S) for t in reader.routeTimes
         ),
         failure_share=reader.failurePercent / 100,
+        target_key=int(reader.targetKey),
+        target_start_ms=int(reader.targetStartMs),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -119,6 +119,7 @@
     builder.shedByTarget = message.shed_by_target
     builder.tokens = min(message.tokens, _U16_MAX)
     builder.crashMark = message.crash_mark
+    builder.isLeaving = message.is_leaving
 
 
 @write_frame.register
@@ -137,6 +138,8 @@
     builder.isStopping = message.is_stopping
     builder.configVersion = message.config_version
     builder.failurePercent = round(100 * min(1.0, message.failure_share))
+    builder.targetKey = message.target_key
+    builder.targetStartMs = message.target_start_ms
     times = builder.init("routeTimes", len(message.route_times))
     for entry, (route, run_s) in zip(times, message.route_times):
         entry.route = route
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -58,6 +58,7 @@
   shedByTarget @9 :Bool;
   tokens @10 :UInt16;
   crashMark @11 :Data;
+  isLeaving @12 :Bool;
 }
 
 struct Cancel {
@@ -79,6 +80,8 @@
   configVersion @6 :UInt64;
   routeTimes @7 :List(RouteTime);
   failurePercent @8 :UInt8;
+  targetKey @9 :UInt32;
+  targetStartMs @10 :UInt64;
 }
 
 struct ConfigRequest {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -150,6 +150,7 @@
         tokens: Retry tokens that the run did not spend.
         crash_mark: Mark of the crash, if the target crashed during this run;
             empty otherwise.
+        is_leaving: Whether the target said in its response that it leaves.
     """
 
     outcome: Outcome
@@ -161,6 +162,7 @@
     shed_by_target: bool = False
     tokens: int = 0
     crash_mark: bytes = b""
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +241,9 @@
         config_version: Version of the fleet configuration in force.
         route_times: Pairs of a route name and its mean run time in seconds.
         failure_share: Share of recent runs that failed, 0 to 1.
+        target_key: Hash of the target's identifier; 0 when it is not known.
+        target_start_ms: Start of the target in Unix milliseconds; 0 when it is
+            not known.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -250,6 +255,8 @@
     config_version: int = 0
     route_times: tuple[tuple[str, float], ...] = ()
     failure_share: float = 0.0
+    target_key: int = 0
+    target_start_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -73,6 +73,7 @@
             True,
             2,
             b"m",
+            True,
         ),
     ),
     OwnerQueryFrame(
@@ -81,7 +82,17 @@
     CrashNotice(b"C12345678"),
     Cancel(3),
     TargetStatus(
-        TargetState.DRAINING, 8, 3, 2, 1.5, True, 77, (("r", 0.125),), 0.25
+        TargetState.DRAINING,
+        8,
+        3,
+        2,
+        1.5,
+        True,
+        77,
+        (("r", 0.125),),
+        0.25,
+        0xFFFFFFFF,
+        1787173391833,
     ),
     ConfigRequest(4),
     ConfigDocument(5, b"{}"),
--- a/kumquatwalk/platform/names.py
+++ b/kumquatwalk/platform/names.py
@@ -10,6 +10,8 @@
 HEADER_TARGET_LOAD = b"instance-load"
 # Requests a second that a target takes from all nodes together.
 HEADER_RATE_LIMIT = b"server-limit"
+# In the answers of a target that leaves.
+HEADER_LEAVING = b"server-leaving"
 HEADER_NOT_RUN = b"not-executed"
 HEADER_RETRY_AFTER = b"retry-after"
 HEADER_SIGNATURE = b"server-seal"
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -36,7 +36,8 @@
 
     Returns:
         Whether the response belongs to the request, is unaltered, says that
-        the request was not run, comes from another target, and names a rate.
+        the request was not run, comes from another target, and what the target
+        says of itself.
     """
     was_not_run = (
         response.status in _NOT_RUN_STATUSES
@@ -58,6 +59,7 @@
         is_complete=is_complete,
         was_not_run=was_not_run,
         is_replaced=was_not_run and response.status == 421,
+        is_leaving=response.find_header(names.HEADER_LEAVING) is not None,
         rate_limit=_read_rate_limit(response),
     )
 
--- a/kumquatwalk/platform/tests/test_target_response.py
+++ b/kumquatwalk/platform/tests/test_target_response.py
@@ -14,6 +14,15 @@
     return decode_target_response(HttpResponse(status, headers, b""), b"id")
 
 
+class LeavingTest(unittest.TestCase):
+
+    def test_leaving_is_read_from_any_status(self):
+        for status in (200, 404, 421, 429, 500, 503, 504):
+            check = decode((b"server-LEAVING", b"1"), status=status)
+            self.assertTrue(check.is_leaving)
+            self.assertFalse(decode(status=status).is_leaving)
+
+
 class RateLimitTest(unittest.TestCase):
 
     def test_named_rate_is_read_from_any_status(self):
--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -103,6 +103,12 @@
             self, target_id=target_id, state=TargetState.GONE
         )
 
+    def mark_leaving(self) -> "TargetRecord":
+        """Return the record after the target said that it leaves."""
+        if self.state is TargetState.GONE:
+            return self
+        return dataclasses.replace(self, state=TargetState.DRAINING)
+
     def mark_replaced(self) -> "TargetRecord":
         """Return the record after another target responded at the address."""
         return dataclasses.replace(self, state=TargetState.UNKNOWN)
--- a/kumquatwalk/targets/response.py
+++ b/kumquatwalk/targets/response.py
@@ -17,6 +17,7 @@
         is_complete: Whether the response is complete and unchanged.
         was_not_run: Whether the target reports that it did not run the request.
         is_replaced: Whether another target now serves at the address.
+        is_leaving: Whether the target says that it leaves.
         rate_limit: What the response says of the rate that the target takes.
     """
 
@@ -24,4 +25,5 @@
     is_complete: bool
     was_not_run: bool
     is_replaced: bool
+    is_leaving: bool = False
     rate_limit: RateLimit = NO_RATE_LIMIT
