--- a/kumquatwalk/targets/response.py
+++ b/kumquatwalk/targets/response.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
+from kumquatwalk.targets.rate_limit import RateLimit
+
 __all__ = ["ResponseCheck"]
 
 
@@ -14,9 +17,13 @@
         is_complete: Whether the response is complete and unchanged.
         was_not_run: Whether the target reports that it did not run the request.
         is_replaced: Whether another target now serves at the address.
+        is_leaving: Whether the target says that it leaves.
+        rate_limit: What the response says of the rate that the target takes.
     """
 
     belongs_to_request: bool
     is_complete: bool
     was_not_run: bool
     is_replaced: bool
+    is_leaving: bool = False
+    rate_limit: RateLimit = NO_RATE_LIMIT
