--- /dev/null
+++ b/kumquatwalk/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real processes under overlapping faults from a seeded plan."""
--- a/kumquatwalk/standin/fleet.py
+++ b/kumquatwalk/standin/fleet.py
@@ -62,7 +62,8 @@
     ) -> ChildProcess:
         """Start or restart a node.
 
-        A restarted node keeps its link port, at which its peers know it.
+        A restarted node keeps its ports, at which its peers, its target and
+        callers know it.
 
         Args:
             node_id: Name of the node.
@@ -77,9 +78,12 @@
         arguments += ["--host", host, "--enable-faults", "true"]
         arguments += ["--platform", self.platform_address]
         previous = self.nodes.get(node_id)
-        link = split_address(previous.addresses["link"])[1] if previous else 0
-        arguments += ["--http-port", "0", "--local-port", "0"]
-        arguments += ["--link-port", str(link)]
+        ports = dict.fromkeys(("http", "local", "link"), 0)
+        if previous is not None:
+            for name in ports:
+                ports[name] = split_address(previous.addresses[name])[1]
+        for name, port in ports.items():
+            arguments += [f"--{name}-port", str(port)]
         node = ChildProcess([*arguments, *extra])
         node.start()
         self.nodes[node_id] = node
