Run the demo's callers in a process of their own, all begun before the clock

What a new user saw: scripts/demo ended with 1 in 2 of 12 runs, with 'renewals meanwhile: {}'.

Cause, in the demo: its 183 callers are threads of one process, started one after the other while those that run compete for the interpreter; the end of the surge is set before the first starts, and renewals start last. Ruled out: the product. Renewals that were sent completed.

--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tools."""
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -8,12 +8,16 @@
 
 import argparse
 import collections
-import random
+import dataclasses
+import importlib.util
+import json
 import subprocess
 import sys
-import threading
 import time
 
+from benchmarks.closed_loop import BIN_S
+from benchmarks.closed_loop import CallerGroup
+from benchmarks.closed_loop import GroupResult
 from kumquatwalk import Entry
 from kumquatwalk import Importance
 from kumquatwalk import Limits
@@ -26,6 +30,7 @@
 SURGE_S = 4.0
 BROWSING_CALLERS_PER_NODE = 30
 RENEWAL_CALLERS = 3
+RENEWAL_NODE = "z2-vm1"
 _LIMITS = Limits(in_flight=500, rate_per_s=10_000, retries=3, time_ms=2000)
 
 ENTRIES = [
@@ -68,15 +73,28 @@
     """
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    parser.add_argument(
+        "--plot", default="", metavar="FILE", help="image of the surge"
+    )
+    arguments = parser.parse_args()
+    if arguments.plot and importlib.util.find_spec("matplotlib") is None:
+        parser.error(
+            "--plot needs matplotlib: pip install 'kumquatwalk[plots]'"
+        )
     fleet = LocalFleet()
     try:
-        start_fleet(fleet, seed)
-        steps = [show_chain(fleet), show_surge(fleet, seed), show_edit(fleet)]
+        start_fleet(fleet, arguments.seed)
+        faults = [
+            show_chain(fleet),
+            show_surge(fleet, arguments.seed, arguments.plot),
+            show_edit(fleet),
+        ]
     finally:
         fleet.close()
     print("stopped everything that was started")
-    return 0 if all(steps) else 1
+    for fault in filter(None, faults):
+        print(f"demo failed: {fault}", file=sys.stderr)
+    return 1 if any(faults) else 0
 
 
 def start_fleet(fleet: LocalFleet, seed: int) -> None:
@@ -100,84 +118,125 @@
     print(f"started {len(fleet.nodes)} nodes in {ZONES} zones")
 
 
-def show_chain(fleet: LocalFleet) -> bool:
+def show_chain(fleet: LocalFleet) -> str:
     """Send one renewal twice with the same key, to nodes of two zones.
 
     Returns:
-        Whether it completed and both responses were the same.
+        What was not as expected, in one line; empty if nothing.
     """
     first = fleet.make_caller("z3-vm1").call("renew", b"bar 17", key="k-17")
     again = fleet.make_caller("z1-vm2").call("renew", b"bar 17", key="k-17")
     print(f"renewal: {first.status} {first.outcome}")
     is_same = first.body == again.body
     print(f"the same key at another node, same answer: {is_same}")
-    return first.status == 200 and is_same
+    if first.status != 200:
+        return f"the renewal was answered {first.status} {first.outcome}"
+    return "" if is_same else "the repeated renewal got another answer"
 
 
-def show_surge(fleet: LocalFleet, seed: int) -> bool:
+def show_surge(fleet: LocalFleet, seed: int, plot: str) -> str:
     """Overload all nodes with browsing while a few callers renew.
 
+    The callers run in a process of their own, and the clock starts once all of
+    them have begun.
+
+    Args:
+        fleet: Running fleet.
+        seed: Seed of the callers.
+        plot: Image file for the calls done over time; empty for none.
+
     Returns:
-        Whether some browsing was shed and each renewal completed.
+        What was not as expected, in one line; empty if nothing.
     """
-    browsed: collections.Counter = collections.Counter()
-    renewed: collections.Counter = collections.Counter()
-    stop_at = time.monotonic() + SURGE_S
-    threads = []
-    for index, node_id in enumerate(fleet.nodes):
-        for number in range(BROWSING_CALLERS_PER_NODE):
-            rng = random.Random(seed * 1000 + index * 100 + number)
-            arguments = (fleet, node_id, "browse", browsed, stop_at, rng)
-            threads.append(
-                threading.Thread(target=generate_load, args=arguments)
-            )
-    for number in range(RENEWAL_CALLERS):
-        rng = random.Random(seed + number)
-        arguments = (fleet, "z2-vm1", "renew", renewed, stop_at, rng)
-        threads.append(threading.Thread(target=generate_load, args=arguments))
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    groups = [
+        CallerGroup(node.addresses["http"], "browse", BROWSING_CALLERS_PER_NODE)
+        for node in fleet.nodes.values()
+    ]
+    address = fleet.nodes[RENEWAL_NODE].addresses["http"]
+    groups.append(CallerGroup(address, "renew", RENEWAL_CALLERS, True))
+    document = {
+        "groups": [dataclasses.asdict(group) for group in groups],
+        "seconds": SURGE_S,
+        "seed": seed,
+    }
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.closed_loop"],
+        input=json.dumps(document).encode(),
+        stdout=subprocess.PIPE,
+        check=True,
+    )
+    rows = [json.loads(line) for line in done.stdout.splitlines()]
+    results = [GroupResult(**row) for row in rows]
+    browsed = sum(
+        (collections.Counter(r.outcomes) for r in results[:-1]),
+        collections.Counter(),
+    )
+    renewed = results[-1]
     print(f"browsing under pressure: {dict(browsed)}")
-    print(f"renewals meanwhile:      {dict(renewed)}")
-    return browsed["not_run"] > 0 and set(renewed) == {"done"}
+    print(f"renewals meanwhile:      {describe_renewals(renewed)}")
+    if plot:
+        plot_surge(results, plot)
+    return find_surge_fault(groups, results)
 
 
-def generate_load(
-    fleet: LocalFleet,
-    node_id: str,
-    entry: str,
-    outcomes: collections.Counter,
-    stop_at: float,
-    rng: random.Random,
-) -> None:
-    """Call an entry in a closed loop and count the outcomes.
+def describe_renewals(renewed: GroupResult) -> str:
+    """Return the share of renewals that completed, and their times."""
+    calls = sum(renewed.outcomes.values())
+    done = renewed.outcomes.get("done", 0)
+    if not calls:
+        return "none was sent"
+    times = ", ".join(
+        f"{float(q):.1%} within {ms:.0f} ms"
+        for q, ms in renewed.quantiles_ms.items()
+    )
+    return f"{done} of {calls} completed ({done / calls:.0%}); {times}"
 
-    Args:
-        fleet: Running fleet.
-        node_id: Node to call.
-        entry: Entry to call; renewals carry a new key each.
-        outcomes: Number of calls by outcome, which is updated.
-        stop_at: Monotonic time at which to stop, in seconds.
-        rng: Random source of bodies, keys and pauses.
-    """
-    caller = fleet.make_caller(node_id, connections=1)
-    while time.monotonic() < stop_at:
-        number = rng.getrandbits(64)
-        key = f"{number:x}" if entry == "renew" else ""
-        response = caller.call(entry, b"%d" % number, key=key)
-        outcomes[response.outcome] += 1
-        if response.outcome == "not_run":
-            time.sleep(rng.uniform(0.01, 0.05))
-    caller.close()
-
-
-def show_edit(fleet: LocalFleet) -> bool:
+
+def find_surge_fault(
+    groups: list[CallerGroup], results: list[GroupResult]
+) -> str:
+    """Return what was not as expected in the surge; empty if nothing."""
+    for group, result in zip(groups, results, strict=True):
+        if result.callers_begun < group.callers:
+            return f"not all callers of {group.entry} began before the clock"
+    if not any(result.outcomes.get("not_run") for result in results[:-1]):
+        return "no browsing call was refused under pressure"
+    renewed = results[-1].outcomes
+    if not renewed:
+        return "callers of renew began, but no renewal was answered or failed"
+    if set(renewed) != {"done"}:
+        return f"not every renewal completed: {renewed}"
+    return ""
+
+
+def plot_surge(results: list[GroupResult], path: str) -> None:
+    """Plot the calls done over time to an image file."""
+    # matplotlib is an optional dependency, so it is imported only here.
+    # pylint: disable=import-outside-toplevel,import-error
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axis = pyplot.subplots(figsize=(8, 3))
+    browsing = [sum(bins) for bins in zip(*(r.done_per_bin for r in results))]
+    renewals = results[-1].done_per_bin
+    times = [BIN_S * index for index in range(len(renewals))]
+    browsing = [total - own for total, own in zip(browsing, renewals)]
+    axis.plot(times, browsing, label="browsing")
+    axis.plot(times, renewals, label="renewals")
+    axis.set_xlabel("second of the surge")
+    axis.set_ylabel(f"done in {BIN_S:g} s")
+    axis.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def show_edit(fleet: LocalFleet) -> str:
     """Lower a limit with the command line and wait until all nodes apply it.
 
     Returns:
-        True, always: a wait that times out raises an exception.
+        An empty string: a wait that times out raises an exception.
     """
     command = [sys.executable, "-m", "kumquatwalk", "catalogue", "set"]
     options = ["--platform", fleet.platform_address, "--author", "web"]
@@ -191,7 +250,7 @@
     )
     elapsed_s = time.monotonic() - started
     print(f"edit in force at all nodes after {elapsed_s:.2f} s")
-    return True
+    return ""
 
 
 def _is_limited(response: CallerAnswer) -> bool:
