--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -190,7 +190,9 @@
             delay_s = self._admission.draw_retry_delay(
                 route, request.is_returning
             )
-            return make_refusal(caller, codes.OVERLOADED, delay_s, self._rng)
+            return make_refusal(
+                caller, codes.OVERLOADED, delay_s, self._rng, route.name
+            )
         try:
             async with asyncio.timeout(request.deadline - read_now()):
                 return await self._make_attempts(request)
@@ -430,11 +432,20 @@
         reply = request.last_run or request.last_refusal
         if reply is None:
             return make_refusal(
-                request.caller, codes.TARGET_ABSENT, 0.0, self._rng
+                request.caller,
+                codes.TARGET_ABSENT,
+                0.0,
+                self._rng,
+                request.route.name,
             )
         if reply.outcome is Outcome.NOT_RUN:
             return make_refusal(
-                request.caller, reply.code, reply.retry_after_s, self._rng
+                request.caller,
+                reply.code,
+                reply.retry_after_s,
+                self._rng,
+                request.route.name,
+                request.last_node,
             )
         if reply.outcome is Outcome.UNKNOWN:
             return make_unknown_reply(request, reply.code)
--- a/kumquatwalk/daemon/node_reply.py
+++ b/kumquatwalk/daemon/node_reply.py
@@ -19,7 +19,12 @@
 
 
 def make_refusal(
-    caller: CallerRequest, code: str, delay_s: float, rng: random.Random
+    caller: CallerRequest,
+    code: str,
+    delay_s: float,
+    rng: random.Random,
+    route: str,
+    asked: str = "",
 ) -> Reply:
     """Return a refusal: the request has not run and will not.
 
@@ -29,12 +34,17 @@
         delay_s: Estimated time until there is capacity, in seconds; 0 when
             not known.
         rng: Source of the jitter, so that callers do not retry all at once.
+        route: Name of the route, for the log.
+        asked: Node that refused it last, for the log; empty when no node was
+            asked.
     """
     delay_s = max(delay_s, RETRY_AFTER_MIN_S)
     delay_s *= rng.uniform(*RETRY_AFTER_JITTER)
     log_event(
         "request_refused",
         attempt=caller.attempt_id.decode("latin-1"),
+        route=route,
+        asked=asked,
         code=code,
         retry_after_s=delay_s,
     )
--- a/kumquatwalk/daemon/route_handler.py
+++ b/kumquatwalk/daemon/route_handler.py
@@ -51,7 +51,9 @@
     ) -> Reply:
         config = self._configs.config
         if config is None:
-            return make_refusal(caller, codes.CONFIG_ABSENT, 0.0, self._rng)
+            return make_refusal(
+                caller, codes.CONFIG_ABSENT, 0.0, self._rng, route=""
+            )
         url = request.url.decode("latin-1")
         route = config.find_route(caller.host, url)
         if route is None:
