--- a/kumquatwalk/soak/records.py
+++ b/kumquatwalk/soak/records.py
@@ -52,7 +52,12 @@
     runs_by_request = collections.Counter(run.request for run in runs)
     sent_by_request = collections.Counter(s.request for s in sendings)
     return [
-        Violation("cut_off", sending.request, f"node process {sending.pid}")
+        Violation(
+            "cut_off",
+            sending.request,
+            f"node process {sending.pid}, {sending.code} after"
+            f" {sending.elapsed_s:.2f} s",
+        )
         for sending in sendings
         if sending.outcome == "none"
         and sending.elapsed_s < QUICK_S
--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -1,8 +1,10 @@
 """Runs one soak: processes, callers, faults, and the checks at its end."""
 
 import dataclasses
+import pathlib
 import random
 import signal
+import tempfile
 import threading
 import time
 
@@ -24,6 +26,7 @@
 SENDINGS_MAX = 4
 PAUSE_AFTER_FAILURE_S = 0.02
 POLL_S = 0.05
+LOG_TAIL_BYTES = 100_000
 JOIN_TIMEOUT_S = 60.0
 
 
@@ -68,6 +71,7 @@
         self._sendings: list[Sending] = []
         self._violations: list[Violation] = []
         self._disturbed: set[int] = set()
+        self._logs: dict[int, str] = {}
         self._signalled: set[int] = set()
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -123,9 +127,20 @@
             wait_until(lambda n=node_id, r=name: self._is_served(n, r), name)
         violations = self._violations + self._chain.check()
         runs = self._chain.history.runs
-        return violations + check_nothing_cut_off(
+        violations += check_nothing_cut_off(
             self._sendings, runs, self._disturbed
         )
+        if violations:
+            violations.append(self._write_logs())
+        return violations
+
+    def _write_logs(self) -> Violation:
+        """Keep the ends of the logs of processes that ended; say where."""
+        directory = tempfile.mkdtemp(prefix=f"soak-{self._seed}-")
+        for pid, log in self._logs.items():
+            path = pathlib.Path(directory, f"{pid}.log")
+            path.write_text(log, encoding="utf-8")
+        return Violation("logs", directory, "logs of what ended")
 
     def close(self) -> None:
         """End the callers and all processes."""
@@ -226,6 +241,7 @@
                 child = children[node_id]
                 if child.is_running():
                     continue
+                self._logs[child.pid] = child.read_log()[-LOG_TAIL_BYTES:]
                 if child.pid not in self._signalled:
                     self._violations.append(
                         Violation(
