--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -71,7 +71,9 @@
 
     def _update_probabilities(self, now: float) -> None:
         was_shedding = bool(self._shedder.admission_probabilities)
-        self._shedder.update(self._sum_loads(), self._list_demands(), now)
+        loads = self._sum_loads()
+        demands = self._list_demands()
+        self._shedder.update(loads, demands, now)
         if bool(self._shedder.admission_probabilities) != was_shedding:
             # Logged only when shedding begins or ends.
             probabilities = self._shedder.admission_probabilities
@@ -80,6 +82,11 @@
                 shares=",".join(
                     f"{route}:{p:.3f}" for route, p in probabilities.items()
                 ),
+                loads=",".join(
+                    f"{service}:{load.outstanding:.0f}/{load.limit:.0f}"
+                    for service, load in loads.items()
+                ),
+                demands=",".join(map(_describe_demand, demands)),
             )
 
     def _list_demands(self) -> list[RouteDemand]:
@@ -124,3 +131,12 @@
                     slot_seconds.get(service, 0.0) + occupied_s
                 )
         return slot_seconds
+
+
+def _describe_demand(demand: RouteDemand) -> str:
+    """Return a route's rate and the slot-seconds of one request, for the log."""
+    costs = "+".join(
+        f"{service}={seconds:.3f}"
+        for service, seconds in demand.slot_seconds.items()
+    )
+    return f"{demand.route}:{demand.requests_per_s:.1f}*({costs})"
