--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -134,7 +134,7 @@
 
 
 def _describe_demand(demand: RouteDemand) -> str:
-    """Return a route's rate and the slot-seconds of one request, for the log."""
+    """Return a route's rate and slot-seconds of one request, for the log."""
     costs = "+".join(
         f"{service}={seconds:.3f}"
         for service, seconds in demand.slot_seconds.items()
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -68,7 +68,7 @@
                 route = make_route(name=name, rank=2)
                 self.assertLess(count_admitted(admission, route), 250)
                 fields = list(log.call_args.kwargs)
-        self.assertEqual(fields, ["shares", "loads", "demands"])
+                self.assertEqual(fields, ["shares", "loads", "demands"])
                 self.assertTrue(
                     log.call_args.kwargs["shares"].startswith(f"{name}:0.")
                 )
