Tell from other open connections that a target runs, before trying a new one

What callers saw: nothing measured yet; where a target loses answers by resets, each lost answer opened a connection to it and held its slot for 0.1 s more, since crashes are looked for on the platform too.

Cause: only idle connections were taken for a sign of life, and watched as long as a new one. Change: any other connection, idle or in use, that is open 20 ms after the break shows that the process runs; a new connection is tried only where there is none, or all have closed.

--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -16,6 +16,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Timeout of the check whether the target still accepts connections.
 LISTENING_TIMEOUT_S = 0.25
+# Time after a connection broke at which the others show whether the target runs,
+# in seconds. A process that ends closes all of them.
+SETTLING_S = 0.02
 # How long the connection must then stay open. A process that exits closes its
 # sockets one after the other, so the listening one may still be open.
 LISTENING_WATCH_S = 0.1
@@ -51,6 +54,7 @@
         self.address = address
         self._budget = budget
         self._idle: list[ClientConnection] = []
+        self._connections: list[ClientConnection] = []
         self.connections_opened = 0
         self._listening_check: asyncio.Task | None = None
 
@@ -94,9 +98,10 @@
     async def is_listening(self) -> bool:
         """Return whether the target still listens after a connection broke.
 
-        An idle connection that stays open shows it without a new one. All
-        callers at one moment share one check. Takes ``LISTENING_WATCH_S`` when
-        the target listens.
+        When a process ends, all its connections close. So another one that is
+        still open shortly after shows that the target runs. Without one, a new
+        connection is opened and must stay open for ``LISTENING_WATCH_S``. All
+        callers at one moment share one check.
         """
         if self._listening_check is None or self._listening_check.done():
             self._listening_check = asyncio.get_running_loop().create_task(
@@ -105,10 +110,9 @@
         return await asyncio.shield(self._listening_check)
 
     async def _check_listening(self) -> bool:
-        idle = next((c for c in self._idle if c.is_usable), None)
-        if idle is not None:
-            await asyncio.sleep(LISTENING_WATCH_S)
-            if idle.is_open:
+        if any(c.is_open for c in self._connections):
+            await asyncio.sleep(SETTLING_S)
+            if any(c.is_open for c in self._connections):
                 return True
         try:
             connection = await open_connection(
@@ -138,12 +142,15 @@
                 return connection
             connection.abort()
         self.connections_opened += 1
-        return await open_connection(
+        connection = await open_connection(
             self.address,
             CONNECT_TIMEOUT_S,
             RESPONSE_BYTES_MAX,
             budget=self._budget,
         )
+        self._connections = [c for c in self._connections if c.is_open]
+        self._connections.append(connection)
+        return connection
 
     def _release(
         self, connection: ClientConnection, response: HttpResponse
