--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -16,7 +16,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Timeout of the check whether the target still accepts connections.
 LISTENING_TIMEOUT_S = 0.25
-# Time after a connection broke at which the others show whether the target runs,
+# Time after a connection broke at which others show whether the target runs,
 # in seconds. A process that ends closes all of them.
 SETTLING_S = 0.02
 # How long the connection must then stay open. A process that exits closes its
