--- a/benchmarks/closed_loop.py
+++ b/benchmarks/closed_loop.py
@@ -54,7 +54,8 @@
             got no answer.
         quantiles_ms: Time of the calls that were done, in milliseconds, by
             quantile.
-        done_per_bin: Number of calls that were done in each ``BIN_S``.
+        done_per_bin: Number of calls that were done in each ``BIN_S``, to the
+            last one that ended.
     """
 
     entry: str
@@ -71,7 +72,7 @@
         self.begun = 0
         self.outcomes: collections.Counter = collections.Counter()
         self.histogram = LatencyHistogram()
-        self.bins = [0] * (int(seconds / BIN_S) + 1)
+        self.bins: collections.Counter = collections.Counter()
         self._seconds = seconds
         self._seed = seed
 
@@ -94,8 +95,7 @@
             self.outcomes[response.outcome] += 1
             if response.outcome == "done":
                 self.histogram.record(ended_at - sent_at)
-                index = int((ended_at - began_at) / BIN_S)
-                self.bins[min(index, len(self.bins) - 1)] += 1
+                self.bins[int((ended_at - began_at) / BIN_S)] += 1
             else:
                 await asyncio.sleep(rng.uniform(*PAUSE_S))
         caller.close()
@@ -108,7 +108,7 @@
             begun,
             dict(self.outcomes),
             {f"{q.fraction:g}": 1000.0 * q.latency_s for q in quantiles},
-            self.bins,
+            [self.bins[n] for n in range(max(self.bins, default=-1) + 1)],
         )
 
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import importlib.util
+import itertools
 import json
 import subprocess
 import sys
@@ -219,12 +220,11 @@
     from matplotlib import pyplot
 
     figure, axis = pyplot.subplots(figsize=(8, 3))
-    browsing = [sum(bins) for bins in zip(*(r.done_per_bin for r in results))]
-    renewals = results[-1].done_per_bin
-    times = [BIN_S * index for index in range(len(renewals))]
-    browsing = [total - own for total, own in zip(browsing, renewals)]
-    axis.plot(times, browsing, label="browsing")
-    axis.plot(times, renewals, label="renewals")
+    bins = (result.done_per_bin for result in results)
+    rows = list(itertools.zip_longest(*bins, fillvalue=0))
+    times = [BIN_S * index for index in range(len(rows))]
+    axis.plot(times, [sum(row[:-1]) for row in rows], label="browsing")
+    axis.plot(times, [row[-1] for row in rows], label="renewals")
     axis.set_xlabel("second of the surge")
     axis.set_ylabel(f"done in {BIN_S:g} s")
     axis.legend()
