Abbreviate fingerprints for the log in one place, and count outcomes with a Counter

Found reading the change once more: two modules each cut a fingerprint to eight digits with a constant of their own, and the soak counted with a hand-written loop. No behaviour changes.

--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -16,6 +16,7 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import RequestContent
+from kumquatwalk.quarantine import abbreviate
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
@@ -25,8 +26,6 @@
 # ended, in seconds: the target needs one iteration of its event loop to send
 # it.
 DEADLINE_GRACE_S = 0.03
-# Hexadecimal digits of a fingerprint in a log line.
-CONTENT_DIGITS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +122,7 @@
         code=error.code,
         error=error.message,
         sent=error.sent,
-        content=make_content(call).fingerprint.hex()[:CONTENT_DIGITS],
+        content=abbreviate(make_content(call).fingerprint),
     )
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
--- a/kumquatwalk/quarantine/__init__.py
+++ b/kumquatwalk/quarantine/__init__.py
@@ -20,6 +20,7 @@
 from kumquatwalk.quarantine.crash_table import CrashTable
 from kumquatwalk.quarantine.crash_table import CrashStatus
 from kumquatwalk.quarantine.crash_tracker import CrashTracker
+from kumquatwalk.quarantine.fingerprint import abbreviate
 from kumquatwalk.quarantine.fingerprint import make_fingerprint
 from kumquatwalk.quarantine.suspect_rule import RunningCall
 from kumquatwalk.quarantine.suspect_rule import SuspectCall
@@ -36,6 +37,7 @@
     "RunningCall",
     "SoundReport",
     "SuspectCall",
+    "abbreviate",
     "decode_marks",
     "decode_report",
     "encode_mark",
--- a/kumquatwalk/quarantine/crash_tracker.py
+++ b/kumquatwalk/quarantine/crash_tracker.py
@@ -15,15 +15,15 @@
 from kumquatwalk.quarantine.crash_report import encode_report
 from kumquatwalk.quarantine.crash_table import CrashStatus
 from kumquatwalk.quarantine.crash_table import CrashTable
+from kumquatwalk.quarantine.fingerprint import abbreviate
 from kumquatwalk.quarantine.suspect_rule import RunningCall
 from kumquatwalk.quarantine.suspect_rule import make_crash_reports
 from kumquatwalk.quarantine.suspect_rule import select_suspects
 
 __all__ = ["CrashTracker"]
 
-# Suspects that the log line of a crash names, and digits of each.
+# Suspects that the log line of a crash names.
 LOGGED_SUSPECTS_MAX = 4
-LOGGED_DIGITS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,7 +199,7 @@
             suspects=len(suspects),
             highest=max((call.level for call in suspects), default=0),
             content=",".join(
-                call.fingerprint.hex()[:LOGGED_DIGITS]
+                abbreviate(call.fingerprint)
                 for call in suspects[:LOGGED_SUSPECTS_MAX]
             ),
         )
--- a/kumquatwalk/quarantine/fingerprint.py
+++ b/kumquatwalk/quarantine/fingerprint.py
@@ -2,9 +2,10 @@
 
 import hashlib
 
-__all__ = ["FINGERPRINT_BYTES", "make_fingerprint"]
+__all__ = ["FINGERPRINT_BYTES", "abbreviate", "make_fingerprint"]
 
 FINGERPRINT_BYTES = 16
+_ABBREVIATED_DIGITS = 8
 
 
 def make_fingerprint(entry: str, method: str, url: bytes, body: bytes) -> bytes:
@@ -24,3 +25,8 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
+
+
+def abbreviate(fingerprint: bytes) -> str:
+    """Return the first hexadecimal digits of a fingerprint, for log lines."""
+    return fingerprint.hex()[:_ABBREVIATED_DIGITS]
--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -1,5 +1,6 @@
 """Runs one soak: processes, callers, faults, and the checks at its end."""
 
+import collections
 import dataclasses
 import pathlib
 import random
@@ -149,10 +150,7 @@
 
     def count_outcomes(self) -> dict[str, int]:
         """Return the number of sendings by outcome."""
-        counts: dict[str, int] = {}
-        for sending in self._sendings:
-            counts[sending.outcome] = counts.get(sending.outcome, 0) + 1
-        return counts
+        return dict(collections.Counter(s.outcome for s in self._sendings))
 
     def _begin(self, action: Action) -> None:
         chain, node_id = self._chain, action.node_id
