--- /dev/null
+++ b/kumquatwalk/idempotency/tests/test_restored_store.py
@@ -0,0 +1,62 @@
+"""Tests that keys stay claimed when the store loses their claims."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.catalogue import Importance
+from kumquatwalk.clock import read_now
+from kumquatwalk.idempotency import ClaimBudget
+from kumquatwalk.idempotency import Claimed
+from kumquatwalk.idempotency import ClaimStore
+from kumquatwalk.idempotency import NodeIdentity
+from kumquatwalk.idempotency import OwnedBy
+from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.standin.kv_store import KvStore
+
+KEY = "claims/1"
+POLL_S = 0.02
+WAIT_S = 30.0
+
+
+class RestoredClaimsTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.store = KvStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.clients: dict[str, StoreClient] = {}
+        self.claims = {n: self._make_claims(n) for n in ("first", "second")}
+
+    def _make_claims(self, node_id: str) -> ClaimStore:
+        client = StoreClient(self.store.address, 1.5)
+        self.addCleanup(client.close)
+        self.clients[node_id] = client
+        budget = ClaimBudget(1000.0, 1000.0)
+        return ClaimStore(client, NodeIdentity(node_id, 1), budget)
+
+    async def _claim(self, node_id: str, key: str = KEY):
+        return await self.claims[node_id].claim(
+            key, b"1", f"of-{node_id}", Importance.CRITICAL, read_now() + 60.0
+        )
+
+    # Guards against a payment that runs twice: the store lost the claim of the
+    # node that ran it, and another node claimed the same key.
+    async def test_key_claimed_before_a_restore_is_not_claimed_again(self):
+        for node_id in self.claims:
+            await self._claim(node_id, f"claims/of-{node_id}")
+        copy = self.store.take_copy()
+        self.assertIsInstance(await self._claim("first"), Claimed)
+        self.store.restore(copy)
+        self.assertNotIsInstance(await self._claim("second"), Claimed)
+        await self.clients["first"].get("any")
+        async with asyncio.timeout(WAIT_S):
+            while not isinstance(
+                result := await self._claim("second"), OwnedBy
+            ):
+                self.assertNotIsInstance(result, Claimed)
+                await asyncio.sleep(POLL_S)
+        self.assertEqual(result.claim.node_id, "first")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/standin/fleet.py
+++ b/kumquatwalk/standin/fleet.py
@@ -134,6 +134,14 @@
         body = json.dumps(document).encode()
         return self._http.request("PUT", f"http://{address}{path}", body=body)
 
+    def save_platform_copy(self) -> None:
+        """Take a copy of the store, for ``restore_platform``."""
+        self.put_json(self.platform_address, "/copy", {})
+
+    def restore_platform(self) -> None:
+        """Restore the store from the copy; later writes and leases are lost."""
+        self.put_json(self.platform_address, "/restore", {})
+
     def block_hosts(self, node_id: str, prefixes: tuple[str, ...]) -> None:
         """Block traffic between a node and hosts to simulate a partition.
 
--- a/kumquatwalk/standin/kv_store.py
+++ b/kumquatwalk/standin/kv_store.py
@@ -17,6 +17,8 @@
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.standin.store_faults import StoreFaults
 from kumquatwalk.standin.store_faults import parse_faults
+from kumquatwalk.standin.store_copies import StoreCopies
+from kumquatwalk.standin.store_copies import StoreCopy
 
 __all__ = ["KvStore"]
 
@@ -27,6 +29,8 @@
 _TTL_MIN_S = 1.0
 _TTL_MAX_S = 600.0
 _LIMITS = CallerLimits(body_bytes_max=64 * 1024 * 1024)
+_ERA_HEADER = b"Store-Era"
+_FIRST_ERA = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +45,9 @@
     """In-memory store served over HTTP on the running event loop.
 
     It simulates the platform's store. ``PUT /faults`` sets the injected faults
-    and ``GET /stats`` returns the number of calls by kind.
+    and ``GET /stats`` returns the number of calls by kind. ``PUT
+    /restore?age_s=5`` restores a copy that is at most so old, and ``PUT
+    /restore`` the one that ``PUT /copy`` took.
 
     Args:
         address: Address to listen on.
@@ -50,6 +56,7 @@
         is_down: Whether every call is answered with status 503.
         faults: Injected faults.
         calls: Number of calls by the first segment of the path.
+        era: Number sent with each answer; it rises with each restore.
     """
 
     def __init__(self, address: Address = Address("127.0.0.1", 0)):
@@ -65,8 +72,11 @@
         self._next_lease_id = 1
         self._change_event = asyncio.Event()
         self._expiry_task: asyncio.Task | None = None
+        self._copies = StoreCopies()
+        self._saved_copy: StoreCopy | None = None
         self.is_down = False
         self.calls: dict[str, int] = {}
+        self.era = _FIRST_ERA
 
     @property
     def address(self) -> Address:
@@ -88,6 +98,15 @@
         """Return all keys in sorted order."""
         return sorted(self._items)
 
+    def find_lease(self, key: str) -> int:
+        """Return the lease of a key; 0 for none or for an absent key.
+
+        Args:
+            key: Key of the item.
+        """
+        item = self._items.get(key)
+        return 0 if item is None else item.lease
+
     def put(self, key: str, value: bytes) -> None:
         """Write an item without a lease, bypassing HTTP and faults.
 
@@ -114,13 +133,77 @@
         self._compacted_revision = self._revision
         self._notify()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all items and leases, for ``restore``."""
+        return StoreCopy(
+            read_now(),
+            dict(self._items),
+            tuple(self._history),
+            dict(self._leases),
+            self._revision,
+            self._next_lease_id,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace all items and leases by those of a copy, in a new era.
+
+        What was written since is lost, and revisions and lease identifiers are
+        given out again. Waiting watches are cut off.
+
+        Args:
+            copy: Copy from ``take_copy``.
+        """
+        now = read_now()
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._leases = {
+            lease: (now + ttl_s, ttl_s)
+            for lease, (_, ttl_s) in copy.leases.items()
+        }
+        self._revision = copy.revision
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self._next_lease_id = copy.next_lease_id
+        self._previous_items.clear()
+        self._copies.clear()
+        self.era += 1
+        self._notify()
+
+    def restore_oldest_within(self, age_s: float) -> None:
+        """Restore the oldest copy that is not older than a time.
+
+        Copies are taken twice a second once the store is started.
+
+        Args:
+            age_s: Largest age of the copy, in seconds.
+        """
+        copy = self._copies.find_oldest_within(age_s, read_now())
+        self.restore(copy or self.take_copy())
+
+    def _restore_as_asked(self, query: Mapping[str, str]) -> None:
+        if "age_s" in query:
+            self.restore_oldest_within(float(query["age_s"]))
+        elif self._saved_copy is not None:
+            self.restore(self._saved_copy)
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        response = await self._answer_call(request)
+        era = (_ERA_HEADER, b"%d" % self.era)
+        return dataclasses.replace(response, headers=(*response.headers, era))
+
+    async def _answer_call(self, request: HttpRequest) -> HttpResponse:
         url = urllib.parse.urlsplit(request.url.decode("latin-1"))
         name = url.path.split("/")[1]
         if name == "stats":
             return _answer(self.calls)
         if name == "faults":
             return self._set_faults(request)
+        if name == "copy":
+            self._saved_copy = self.take_copy()
+            return _answer({})
+        if name == "restore":
+            query = dict(urllib.parse.parse_qsl(url.query))
+            self._restore_as_asked(query)
+            return _answer({})
         self._abort_if_cut_off(request)
         self.calls[name] = self.calls.get(name, 0) + 1
         if self.is_down:
@@ -193,11 +276,14 @@
         until = read_now() + int(query["waitMs"]) / 1000
         after = int(query["after"])
         prefix = query["pathPrefix"]
+        era = self.era
         while True:
             if self.is_down:
                 return HttpResponse(503)
             self._abort_if_cut_off(request)
-            if after < self._compacted_revision:
+            if era != self.era:
+                raise ConnectionAbortedError
+            if not self._compacted_revision <= after <= self._revision:
                 return HttpResponse(410)
             events = [
                 event
@@ -250,6 +336,8 @@
         while True:
             await asyncio.sleep(_LEASE_CHECK_S)
             now = read_now()
+            if self._copies.is_due(now):
+                self._copies.add(self.take_copy())
             for lease, (until, _) in tuple(self._leases.items()):
                 if until < now:
                     self.expire_lease(lease)
