--- a/benchmarks/latency_bench.py
+++ b/benchmarks/latency_bench.py
@@ -8,6 +8,7 @@
 from kumquatwalk.catalogue import Limits
 from kumquatwalk.catalogue.codec import encode_catalogue
 from kumquatwalk.platform.blocking_store import BlockingStoreClient
+from kumquatwalk.platform.store_position import ABSENT
 
 __all__ = ["ENTRY_NAME", "LatencyBench"]
 
@@ -54,7 +55,7 @@
         self._start(self.platform)
         platform = self.platform.addresses["main"]
         client = BlockingStoreClient(platform)
-        client.put("catalogue", encode_catalogue(make_catalogue()), 0)
+        client.put("catalogue", encode_catalogue(make_catalogue()), ABSENT)
         self.gate = self._start_node(
             "gate", "127.0.1.1", "--platform", platform
         )
--- a/benchmarks/surge_fleet.py
+++ b/benchmarks/surge_fleet.py
@@ -12,6 +12,7 @@
 from benchmarks.surge_shape import SurgeShape
 from kumquatwalk.catalogue.codec import encode_catalogue
 from kumquatwalk.platform.blocking_store import BlockingStoreClient
+from kumquatwalk.platform.store_position import ABSENT
 
 __all__ = ["Control", "Fault", "SurgeFleet"]
 
@@ -135,7 +136,7 @@
         self._platform = self._start(ProgramProcess("standin", "platform"))
         client = BlockingStoreClient(self._platform.addresses["main"])
         catalogue = encode_catalogue(self._shape.make_catalogue())
-        client.put("catalogue", catalogue, 0)
+        client.put("catalogue", catalogue, ABSENT)
 
     def _start_target_with_sidecar(
         self, service: ServiceShape, number: int
--- a/kumquatwalk/catalogue/archive.py
+++ b/kumquatwalk/catalogue/archive.py
@@ -12,6 +12,7 @@
 from kumquatwalk.exception import CatalogueError
 from kumquatwalk.exception import CompareFailedError
 from kumquatwalk.exception import OutcomeUnknownError
+from kumquatwalk.platform.store_position import ABSENT
 
 __all__ = ["find_segment_start", "list_segments", "make_key", "read", "write"]
 
@@ -94,7 +95,7 @@
     key = make_key(find_segment_start(records[0].revision))
     value = encode_records(records)
     try:
-        client.put(key, value, expected_revision=0)
+        client.put(key, value, expected=ABSENT)
         return
     except (CompareFailedError, OutcomeUnknownError) as error:
         stored = client.get(key)
--- a/kumquatwalk/catalogue/snapshot.py
+++ b/kumquatwalk/catalogue/snapshot.py
@@ -1,8 +1,9 @@
-"""Catalogue together with its revision in the key-value store."""
+"""Catalogue together with its position in the key-value store."""
 
 import dataclasses
 
 from kumquatwalk.catalogue.document import Catalogue
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = ["Snapshot"]
 
@@ -13,9 +14,9 @@
 
     Attributes:
         catalogue: Catalogue that was read.
-        key_revision: Store revision of the catalogue's key; 0 if the key does
-            not exist.
+        key_position: Store position of the catalogue's key; ``ABSENT`` if the
+            key does not exist.
     """
 
     catalogue: Catalogue
-    key_revision: int
+    key_position: StorePosition
--- a/kumquatwalk/catalogue/store.py
+++ b/kumquatwalk/catalogue/store.py
@@ -20,6 +20,7 @@
 from kumquatwalk.exception import PlatformError
 from kumquatwalk.exception import PlatformReadError
 from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.platform.store_position import ABSENT
 
 __all__ = ["CATALOGUE_KEY", "CatalogueStore"]
 
@@ -57,8 +58,8 @@
         """
         stored = self._client.get(CATALOGUE_KEY)
         if stored is None:
-            return Snapshot(EMPTY_CATALOGUE, 0)
-        return Snapshot(decode_catalogue(stored.value), stored.revision)
+            return Snapshot(EMPTY_CATALOGUE, ABSENT)
+        return Snapshot(decode_catalogue(stored.value), stored.position)
 
     def edit(
         self, changes: tuple[Change, ...], editor: Editor
@@ -167,7 +168,7 @@
         if not self._write_segments(snapshot):
             return ()
         try:
-            self._client.put(CATALOGUE_KEY, data, snapshot.key_revision)
+            self._client.put(CATALOGUE_KEY, data, snapshot.key_position)
         except OutcomeUnknownError:
             transaction.record_unknown_write(snapshot)
             return ()
--- a/kumquatwalk/catalogue/tests/fake_client.py
+++ b/kumquatwalk/catalogue/tests/fake_client.py
@@ -7,6 +7,8 @@
 from kumquatwalk.exception import PlatformReadError
 from kumquatwalk.exception import PlatformUnavailableError
 from kumquatwalk.platform.store_items import StoreItem
+from kumquatwalk.platform.store_position import ABSENT
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = ["FakeClient", "Fault", "StoreState"]
 
@@ -27,16 +29,17 @@
         """Return the item before its last write, or None."""
         return self._earlier.get(key)
 
-    def put(self, key, value, expected_revision):
-        """Write a value if the key is at the expected revision."""
+    def put(self, key, value, expected):
+        """Write a value if the key is at the expected position."""
         present = self._items.get(key)
-        if (present.revision if present else 0) != expected_revision:
+        if (present.position if present else ABSENT) != expected:
             raise CompareFailedError("compare_failed", key)
         if present is not None:
             self._earlier[key] = present
         self.revision += 1
-        self._items[key] = StoreItem(key, value, self.revision)
-        return self.revision
+        position = StorePosition(1, self.revision)
+        self._items[key] = StoreItem(key, value, position)
+        return position
 
     def delete(self, key):
         """Remove a key."""
@@ -83,7 +86,7 @@
             return earlier or self._state.get(key)
         return self._state.get(key)
 
-    def put(self, key, value, expected_revision):
+    def put(self, key, value, expected):
         """Write a key, subject to the next fault."""
         fault = self._take_fault()
         if fault is Fault.UNREACHABLE:
@@ -91,9 +94,9 @@
         if fault is Fault.REQUEST_LOST:
             raise OutcomeUnknownError("answer_lost", key)
         if fault is Fault.DELAYED:
-            self.delayed.append((key, value, expected_revision))
+            self.delayed.append((key, value, expected))
             raise OutcomeUnknownError("answer_lost", key)
-        written = self._state.put(key, value, expected_revision)
+        written = self._state.put(key, value, expected)
         if fault is Fault.RESPONSE_LOST:
             raise OutcomeUnknownError("answer_lost", key)
         return written
--- a/kumquatwalk/catalogue/tests/test_fleet.py
+++ b/kumquatwalk/catalogue/tests/test_fleet.py
@@ -130,7 +130,7 @@
 
         before = count_watches()
         present = self.client.get(CATALOGUE_KEY)
-        self.client.put(CATALOGUE_KEY, value, present.revision)
+        self.client.put(CATALOGUE_KEY, value, present.position)
         wait_until(
             lambda: count_watches() > before, "a new watch", HANG_GUARD_S
         )
--- a/kumquatwalk/catalogue/tests/test_store.py
+++ b/kumquatwalk/catalogue/tests/test_store.py
@@ -25,6 +25,7 @@
 from kumquatwalk.exception import OutcomeUnknownError
 from kumquatwalk.exception import PlatformError
 from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.platform.store_position import ABSENT
 
 
 class EditMachine(stateful.RuleBasedStateMachine):
@@ -130,7 +131,7 @@
         self.state = StoreState()
         start = make_catalogue(make_entry("a"), make_entry("b"))
         data = encode_catalogue(start)
-        self.state.put(CATALOGUE_KEY, data, 0)
+        self.state.put(CATALOGUE_KEY, data, ABSENT)
         self.slept = []
 
     def make_store(self, faults=(), concurrent_edit=None):
@@ -230,8 +231,8 @@
 
     def test_lost_answer_before_the_document_broke_is_unknown(self):
         def corrupt(fault):
-            revision = self.state.get(CATALOGUE_KEY).revision
-            self.state.put(CATALOGUE_KEY, b"{", revision)
+            position = self.state.get(CATALOGUE_KEY).position
+            self.state.put(CATALOGUE_KEY, b"{", position)
             del fault
 
         faults = [Fault.NONE, Fault.RESPONSE_LOST, Fault.EDIT_OF_OTHER_ENTRY]
@@ -283,7 +284,8 @@
         self.assertTrue(self.make_store().edit((mine,), owner))
 
     def test_corrupt_document_is_refused(self):
-        self.state.put(CATALOGUE_KEY, b"{", 1)
+        position = self.state.get(CATALOGUE_KEY).position
+        self.state.put(CATALOGUE_KEY, b"{", position)
         change = make_change(make_entry("a"), 7)
         with self.assertRaises(CatalogueError):
             self.make_store().edit((change,), ADMIN)
--- a/kumquatwalk/catalogue/transaction.py
+++ b/kumquatwalk/catalogue/transaction.py
@@ -11,6 +11,8 @@
 from kumquatwalk.catalogue.editor import Editor
 from kumquatwalk.catalogue.snapshot import Snapshot
 from kumquatwalk.exception import PlatformReadError
+from kumquatwalk.platform.store_position import ABSENT
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = ["Transaction"]
 
@@ -32,20 +34,20 @@
         self._changes = changes
         self._editor = editor
         self._first_revision: int | None = None
-        self._newest_key_revision = 0
-        self._unknown_key_revision: int | None = None
+        self._newest_key_position = ABSENT
+        self._unknown_key_position: StorePosition | None = None
         self._unknown_revision = 0
 
     @property
     def is_outcome_unknown(self) -> bool:
         """Whether a write may have taken effect without confirmation."""
-        return self._unknown_key_revision is not None
+        return self._unknown_key_position is not None
 
     def detect_stale_read(self, snapshot: Snapshot) -> bool:
         """Record a read and return whether it is older than an earlier one."""
-        if snapshot.key_revision < self._newest_key_revision:
+        if snapshot.key_position < self._newest_key_position:
             return True
-        self._newest_key_revision = snapshot.key_revision
+        self._newest_key_position = snapshot.key_position
         if self._first_revision is None:
             self._first_revision = snapshot.catalogue.revision
         return False
@@ -69,7 +71,7 @@
         records = snapshot.catalogue.records
         oldest_kept = records[0].revision if records else 1
         if (
-            self._unknown_key_revision is None
+            self._unknown_key_position is None
             or oldest_kept <= self._unknown_revision
         ):
             return None
@@ -101,10 +103,10 @@
             snapshot: Document that was read and has no record of this edit.
         """
         if (
-            self._unknown_key_revision is not None
-            and snapshot.key_revision > self._unknown_key_revision
+            self._unknown_key_position is not None
+            and snapshot.key_position > self._unknown_key_position
         ):
-            self._unknown_key_revision = None
+            self._unknown_key_position = None
 
     def record_unknown_write(self, snapshot: Snapshot) -> None:
         """Record that the response to a write was lost.
@@ -112,7 +114,7 @@
         Args:
             snapshot: Document that the write was based on.
         """
-        self._unknown_key_revision = snapshot.key_revision
+        self._unknown_key_position = snapshot.key_position
         self._unknown_revision = snapshot.catalogue.revision + 1
 
     def prepare(self, catalogue: Catalogue) -> Catalogue:
--- a/kumquatwalk/cli/tests/test_catalogue.py
+++ b/kumquatwalk/cli/tests/test_catalogue.py
@@ -192,6 +192,6 @@
 
     def test_corrupt_document_is_refused(self):
         client = BlockingStoreClient(self.server.address)
-        client.put(CATALOGUE_KEY, b"{", client.get(CATALOGUE_KEY).revision)
+        client.put(CATALOGUE_KEY, b"{", client.get(CATALOGUE_KEY).position)
         shown = self.run_command("list", 3)
         self.assertIn("document_malformed", shown)
--- a/kumquatwalk/cli/tests/test_standin_platform.py
+++ b/kumquatwalk/cli/tests/test_standin_platform.py
@@ -7,6 +7,7 @@
 import unittest
 
 from kumquatwalk.platform.blocking_store import BlockingStoreClient
+from kumquatwalk.platform.store_position import ABSENT
 
 TIMEOUT_S = 60.0
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -23,7 +24,7 @@
             word, address = process.stdout.readline().split()
             self.assertEqual(word, "listening")
             client = BlockingStoreClient(address)
-            written = client.put("a", b"1", 0)
-            self.assertEqual(client.get("a").revision, written)
+            written = client.put("a", b"1", ABSENT)
+            self.assertEqual(client.get("a").position, written)
             process.send_signal(signal.SIGTERM)
             self.assertEqual(process.wait(TIMEOUT_S), 0)
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -142,6 +142,7 @@
         self.roster = RosterSync(
             self.store, settings.node_id, self._make_entry, self.peers
         )
+        self.store.era.on_restore = self._handle_restore
         self.state_publisher = StatePublisher(
             self.own_view,
             self.target_side,
@@ -285,6 +286,10 @@
         # Other nodes read the version in the status and ask for the document.
         self.state_publisher.publish_status()
 
+    def _handle_restore(self) -> None:
+        self.config_watcher.handle_restore()
+        self.roster.handle_restore()
+
     def _has_watch_duty(self) -> bool:
         zone = self.settings.availability_zone
         return holds_duty(
--- a/kumquatwalk/daemon/roster_sync.py
+++ b/kumquatwalk/daemon/roster_sync.py
@@ -15,6 +15,8 @@
 from kumquatwalk.platform.store_items import Snapshot
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import StoreItem
+from kumquatwalk.platform.store_position import ABSENT
+from kumquatwalk.platform.store_position import StorePosition
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.roster.entry import decode_entry
 from kumquatwalk.roster.registration import Registration
@@ -75,7 +77,7 @@
             allow_stale_first=True,
         )
         self._reads = 0
-        self._decoded: dict[str, tuple[int, RosterEntry | None]] = {}
+        self._decoded: dict[str, tuple[StorePosition, RosterEntry | None]] = {}
         self._pending_update: asyncio.Handle | None = None
         self._checker: asyncio.Task | None = None
         self.is_known = False
@@ -105,6 +107,14 @@
         """Write this node's entry again, as its service has changed."""
         self._registration.mark_outdated()
 
+    def handle_restore(self) -> None:
+        """Write this node's entry and read the roster again.
+
+        To be called when the store was restored from a copy.
+        """
+        self._registration.handle_restore()
+        self._watcher.handle_restore()
+
     def add_peer(self, hello: Hello) -> None:
         """Add a node that has opened a link to this one.
 
@@ -133,7 +143,7 @@
         # A state older than this node's own write says nothing of its entry.
         if (
             self._own_key not in {key for key, _ in entries}
-            and snapshot.revision >= self._registration.revision
+            and snapshot.position >= self._registration.position
         ):
             log_event("roster_own_entry_vanished", Level.WARNING)
             self._registration.mark_missing()
@@ -171,10 +181,10 @@
 
     def _decode_once(self, item: StoreItem) -> RosterEntry | None:
         """Return the entry of an item, decoded again only when it changed."""
-        revision, entry = self._decoded.get(item.key, (0, None))
-        if revision != item.revision:
+        position, entry = self._decoded.get(item.key, (ABSENT, None))
+        if position != item.position:
             entry = _decode(item)
-            self._decoded[item.key] = item.revision, entry
+            self._decoded[item.key] = item.position, entry
         return entry
 
 
--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -13,6 +13,7 @@
 from kumquatwalk.platform.store_items import Snapshot
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import StoreItem
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.tasks import keep_running
 
 __all__ = ["StoreWatcher"]
@@ -42,14 +43,15 @@
     tenth; they learn of urgent changes from the nodes that watch.
 
     Failures of the store are retried with exponential backoff and jitter. When
-    the store no longer has the history since the last revision read, all items
-    are read again.
+    the store no longer has the history since the last position read, when a
+    watch broke off, or when the store was restored from a copy, all items are
+    listed again.
 
     Args:
         store: Client of the store.
         prefix: Prefix of the keys.
-        on_snapshot: Called with all items, first, after lost history, and at
-            intervals without the duty.
+        on_snapshot: Called with all items, first, after lost history or a
+            restore, and at intervals without the duty.
         on_event: Called with each change.
         has_duty: Returns whether this node is to watch.
         get_read_interval: Returns the time until the next read without the
@@ -79,6 +81,10 @@
         self._has_duty = has_duty
         self._get_read_interval = get_read_interval
         self._allow_stale_first = allow_stale_first
+        self._position = ABSENT
+        self._must_list = True
+        self._restores = 0
+        self._pending_watch: asyncio.Timeout | None = None
         self._task: asyncio.Task | None = None
         self.is_reached = False
         self.is_watching = False
@@ -93,58 +99,78 @@
         if self._task is not None:
             self._task.cancel()
 
+    def handle_restore(self) -> None:
+        """List all items again, as the store was restored from a copy."""
+        self._must_list = True
+        self._restores += 1
+        if self._pending_watch is not None:
+            now = asyncio.get_running_loop().time()
+            self._pending_watch.reschedule(now)
+            self._pending_watch = None
+
     async def _run(self) -> None:
-        revision: int | None = None
         retry_s = RETRY_INITIAL_S
         while True:
             try:
-                if revision is None:
-                    revision = await self._read_all()
+                if self._must_list:
+                    await self._list()
                 elif self._has_duty():
-                    revision = await self._watch(revision)
+                    await self._watch()
                 else:
-                    revision = await self._wait_and_read(revision)
+                    await self._wait_and_read()
                 retry_s = RETRY_INITIAL_S
                 self._set_reached(True)
                 continue
-            except HistoryLostError:
-                log_event("store_history_lost", prefix=self._prefix)
-                revision = None
+            except HistoryLostError as error:
+                log_event(
+                    "store_history_lost", prefix=self._prefix, code=error.code
+                )
+                self._must_list = True
             except PlatformError as error:
+                # The store may have been restored while it was not reached, and
+                # a new watch would not show it before the next change.
+                self._must_list |= self.is_watching
                 self._set_reached(False, error)
             self.is_watching = False
             await asyncio.sleep(retry_s * random.uniform(0.7, 1.0))
-            is_urgent = revision is None or self._has_duty()
+            is_urgent = self._must_list or self._has_duty()
             retry_max_s = RETRY_MAX_S if is_urgent else RETRY_MAX_READING_S
             retry_s = min(retry_max_s, 2.0 * retry_s)
 
-    async def _read_all(self) -> int:
-        snapshot = await self._store.list_items(
-            self._prefix, self._allow_stale_first
-        )
+    async def _list(self) -> None:
+        restores = self._restores
+        allow_stale = self._allow_stale_first and self._position == ABSENT
+        snapshot = await self._store.list_items(self._prefix, allow_stale)
+        self._position = snapshot.position
+        self._must_list = restores != self._restores
         self._on_snapshot(snapshot)
-        return snapshot.revision
 
-    async def _wait_and_read(self, revision: int) -> int:
+    async def _wait_and_read(self) -> None:
         self.is_watching = False
         due_at = read_now() + self._get_read_interval() * random.uniform(0.8, 1)
         while (left_s := due_at - read_now()) > 0.0:
             await asyncio.sleep(min(left_s, DUTY_CHECK_INTERVAL_S))
-            if self._has_duty():
-                return revision
+            if self._has_duty() or self._must_list:
+                return
         snapshot = await self._store.list_items(self._prefix, allow_stale=True)
-        if snapshot.revision >= revision:
+        if snapshot.position >= self._position:
+            self._position = snapshot.position
             self._on_snapshot(snapshot)
-        return max(revision, snapshot.revision)
 
-    async def _watch(self, revision: int) -> int:
+    async def _watch(self) -> None:
         self.is_watching = True
-        watched = await self._store.watch(
-            self._prefix, revision, WATCH_TIMEOUT_S
-        )
+        try:
+            async with asyncio.timeout(None) as self._pending_watch:
+                watched = await self._store.watch(
+                    self._prefix, self._position, WATCH_TIMEOUT_S
+                )
+        except TimeoutError:
+            return  # another call showed that the store was restored
+        finally:
+            self._pending_watch = None
         for event in watched.events:
             self._on_event(event)
-        return max(revision, watched.revision)
+        self._position = max(self._position, watched.position)
 
     def _set_reached(
         self, is_reached: bool, error: PlatformError | None = None
--- a/kumquatwalk/daemon/tests/test_restored_store.py
+++ b/kumquatwalk/daemon/tests/test_restored_store.py
@@ -129,6 +129,16 @@
         self.store.is_down = False
         await keys.wait_for("a/config", b"again")
 
+    # Guards against a watch that waits in the new era for changes after a
+    # revision of the old one, while another call has shown the restore.
+    async def test_watch_is_begun_anew_when_another_call_shows_a_restore(self):
+        keys = await self._watch(is_watching=True)
+        keys.client.era.on_restore = keys.watcher.handle_restore
+        self.store.restore(self.copy, cut_watches=False)
+        self.store.put("a/config", b"again")
+        await keys.client.get("b/other")
+        await keys.wait_for("a/config", b"again")
+
 
 class RestoredRosterTest(unittest.IsolatedAsyncioTestCase):
 
@@ -143,6 +153,7 @@
         registration = Registration(
             client, f"nodes/{name}", lambda: make_entry(name, 1)
         )
+        client.era.on_restore = registration.handle_restore
         self.addCleanup(registration.close)
         registration.start()
         await self._wait_for_key(f"nodes/{name}")
@@ -161,9 +172,16 @@
         self.store.restore(copy)
         await self._register("second")
         first.mark_outdated()
-        await self._wait_for_key("nodes/first")
-        first_lease = self.store.find_lease("nodes/first")
-        self.assertNotEqual(first_lease, self.store.find_lease("nodes/second"))
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            while not self._has_lease_of_its_own("first"):
+                await asyncio.sleep(POLL_S)
+
+    def _has_lease_of_its_own(self, name: str) -> bool:
+        leases = {
+            key: self.store.find_lease(key) for key in self.store.list_keys()
+        }
+        own = leases.pop(f"nodes/{name}", 0)
+        return own > 0 and own not in leases.values()
 
     # Guards against calls to a node's former address: the entry seen at a
     # revision before the restore was taken for another at the same revision.
--- a/kumquatwalk/daemon/tests/test_store_calls.py
+++ b/kumquatwalk/daemon/tests/test_store_calls.py
@@ -10,6 +10,8 @@
 from kumquatwalk.exception import PlatformUnavailableError
 from kumquatwalk.platform.store_items import Snapshot
 from kumquatwalk.platform.store_items import WatchResult
+from kumquatwalk.platform.store_lease import StoreLease
+from kumquatwalk.platform.store_position import StorePosition
 from kumquatwalk.roster import registration
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.roster.registration import Registration
@@ -36,18 +38,18 @@
     async def list_items(self, _prefix, allow_stale=False):
         """Return no items."""
         self._record("stale" if allow_stale else "list")
-        return Snapshot((), 5)
+        return Snapshot((), StorePosition(1, 5))
 
-    async def watch(self, _prefix, revision, wait_s):
+    async def watch(self, _prefix, after, wait_s):
         """Wait without a change."""
         self._record("watch")
         await asyncio.sleep(wait_s)
-        return WatchResult((), revision)
+        return WatchResult((), after)
 
     async def grant_lease(self, _ttl_s):
         """Return a lease."""
         self._record("lease")
-        return 7
+        return StoreLease(1, 7)
 
     async def renew_lease(self, _lease):
         """Renew it."""
@@ -56,7 +58,7 @@
     async def commit(self, _puts):
         """Write the entry."""
         self._record("commit")
-        return 6
+        return StorePosition(1, 6)
 
 
 class StoreCallsTest(unittest.TestCase):
--- a/kumquatwalk/idempotency/claim_store.py
+++ b/kumquatwalk/idempotency/claim_store.py
@@ -15,6 +15,7 @@
 from kumquatwalk.idempotency.claim_rate import ClaimRate
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Put
+from kumquatwalk.platform.store_position import ABSENT
 
 __all__ = [
     "ClaimStore",
@@ -170,7 +171,7 @@
     async def _write(self, key: str, claim: Claim) -> ClaimResult:
         try:
             await self._client.commit(
-                [Put(key, encode_claim(claim))], expected={key: 0}
+                [Put(key, encode_claim(claim))], expected={key: ABSENT}
             )
             return Claimed()
         except PlatformUnavailableError:
--- a/kumquatwalk/idempotency/tests/fake_platform.py
+++ b/kumquatwalk/idempotency/tests/fake_platform.py
@@ -6,6 +6,7 @@
 from kumquatwalk.exception import OutcomeUnknownError
 from kumquatwalk.exception import PlatformError
 from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.platform.store_position import ABSENT
 
 
 class Fault(enum.Enum):
@@ -73,7 +74,7 @@
         """Create a key, subject to the fault drawn."""
         (put,) = puts
         key, value = put.key, put.value
-        assert expected == {key: 0}
+        assert expected == {key: ABSENT}
         fault = self._draw_fault()
         if fault is Fault.OUTAGE:
             raise PlatformUnavailableError("platform_unavailable", "outage")
--- a/kumquatwalk/platform/blocking_store.py
+++ b/kumquatwalk/platform/blocking_store.py
@@ -14,6 +14,8 @@
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store_items import StoreItem
+from kumquatwalk.platform.store_era import StoreEra
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = ["BlockingStoreClient", "VALUE_BYTES_MAX"]
 
@@ -44,6 +46,7 @@
             ) from error
         self._address = store_address
         self._timeout_s = timeout_s
+        self._era = StoreEra()
 
     def get(self, key: str) -> StoreItem | None:
         """Return the item of a key, or None if the key does not exist.
@@ -62,20 +65,22 @@
         except (OutcomeUnknownError, PlatformFormatError) as error:
             raise PlatformReadError(error.code, error.message) from error
 
-    def put(self, key: str, value: bytes, expected_revision: int) -> int:
-        """Write a value by compare-and-swap on the key's revision.
+    def put(
+        self, key: str, value: bytes, expected: StorePosition
+    ) -> StorePosition:
+        """Write a value by compare-and-swap on the key's position.
 
         Args:
             key: Name of the key.
             value: Bytes to store, at most ``VALUE_BYTES_MAX``.
-            expected_revision: Revision that the key must have; 0 means that
+            expected: Position that the key must have; ``ABSENT`` means that
                 the key must not exist.
 
         Returns:
-            New revision of the key.
+            New position of the key.
 
         Raises:
-            CompareFailedError: The key is at another revision.
+            CompareFailedError: The key is at another position.
             PlatformUnavailableError: The store was not reached or answered
                 503.
             OutcomeUnknownError: The response was lost, late or malformed; the
@@ -88,10 +93,9 @@
                 "value_too_large",
                 f"value has {len(value)} bytes; the limit is {VALUE_BYTES_MAX}",
             )
-        expected = {key: expected_revision}
         try:
             return self._run(
-                lambda c: c.commit([Put(key, value)], (), expected)
+                lambda c: c.commit([Put(key, value)], (), {key: expected})
             )
         except PlatformFormatError as error:
             raise OutcomeUnknownError(error.code, error.message) from error
@@ -104,7 +108,7 @@
     async def _run_async(
         self, operation: Callable[[StoreClient], Awaitable[ResultT]]
     ) -> ResultT:
-        client = StoreClient(self._address, self._timeout_s)
+        client = StoreClient(self._address, self._timeout_s, era=self._era)
         try:
             return await operation(client)
         finally:
--- a/kumquatwalk/platform/names.py
+++ b/kumquatwalk/platform/names.py
@@ -15,6 +15,8 @@
 HEADER_NOT_RUN = b"not-executed"
 HEADER_RETRY_AFTER = b"retry-after"
 HEADER_SIGNATURE = b"server-seal"
+# In the answers of the store; rises each time it is restored from a copy.
+HEADER_STORE_ERA = b"store-era"
 
 HEARTBEAT_PATH_PREFIX = "/instances/"
 READY_PATH = "/ready"
--- a/kumquatwalk/platform/store.py
+++ b/kumquatwalk/platform/store.py
@@ -22,12 +22,18 @@
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.platform import fields
+from kumquatwalk.platform import names
+from kumquatwalk.platform.store_era import StoreEra
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store_items import Snapshot
 from kumquatwalk.platform.store_items import StoreItem
 from kumquatwalk.platform.store_items import WatchResult
 from kumquatwalk.platform.store_items import decode_event
 from kumquatwalk.platform.store_items import decode_item
+from kumquatwalk.platform.store_items import decode_position
+from kumquatwalk.platform.store_lease import StoreLease
+from kumquatwalk.platform.store_position import ABSENT
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = ["StoreClient"]
 
@@ -40,25 +46,36 @@
 class StoreClient:
     """Client of the store that never retries a call.
 
+    Positions and leases of an era that is over are never sent: their numbers
+    may have been given out again for something else.
+
     Args:
         address: Address of the store.
         timeout_s: Time limit of each call, connecting included, in seconds; a
             watch may take its wait in addition.
         source_host: IP address to connect from; empty leaves the choice to
             the system.
+        era: Era of the store, shared with other clients; None for one of its
+            own.
 
     Attributes:
         calls: Number of calls started so far, failed ones included.
+        era: Era of the store.
     """
 
     def __init__(
-        self, address: Address, timeout_s: float, source_host: str = ""
+        self,
+        address: Address,
+        timeout_s: float,
+        source_host: str = "",
+        era: StoreEra | None = None,
     ):
         self._address = address
         self._timeout_s = timeout_s
         self._source_host = source_host
         self._idle_connections: list[ClientConnection] = []
         self.call_count = 0
+        self.era = era or StoreEra()
 
     def set_address(self, address: Address) -> None:
         """Change the address of the store for later calls.
@@ -91,7 +108,8 @@
         response = await self._call("GET", f"/kv-key?{query}")
         if response.status == 404:
             return None
-        return decode_item(_decode_body(_check_status(response)))
+        table = _decode_body(_check_status(response))
+        return decode_item(table, self.era.number)
 
     async def list_items(
         self, prefix: str, allow_stale: bool = False
@@ -107,10 +125,11 @@
                 charges a tenth of the price.
 
         Raises:
+            HistoryLostError: The store was restored between two pages.
             PlatformError: The store did not answer or refused a call.
         """
         items: list[StoreItem] = []
-        first_revision: int | None = None
+        first: StorePosition | None = None
         after = ""
         while True:
             query = {"pathPrefix": prefix}
@@ -120,96 +139,118 @@
                 query["after"] = after
             path = f"/kv-range?{urllib.parse.urlencode(query)}"
             table = _decode_body(_check_status(await self._call("GET", path)))
+            era = self.era.number
             page = [
-                decode_item(fields.read_table(v, "items"))
+                decode_item(fields.read_table(v, "items"), era)
                 for v in fields.read_list(table, "items")
             ]
             items += page
-            if first_revision is None:
-                first_revision = fields.read_int(table, "at")
+            if first is None:
+                first = decode_position(table, era, "at")
+            self._check_era(first.era)
             if not page or not fields.read_bool(table, "hasMore", False):
-                return Snapshot(tuple(items), first_revision)
+                return Snapshot(tuple(items), first)
             after = page[-1].key
 
     async def watch(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after: StorePosition, wait_s: float
     ) -> WatchResult:
         """Wait for changes below a prefix, by one long poll.
 
         Args:
             prefix: Prefix of the keys.
-            after_revision: Revision up to which changes are known.
+            after: Position up to which changes are known.
             wait_s: Longest time that the store waits for a change, in
                 seconds.
 
         Returns:
-            The changes after that revision; none if the wait expired first.
+            The changes after that position; none if the wait expired first.
 
         Raises:
             HistoryLostError: The store no longer holds all changes after that
-                revision; the items must be listed again.
+                position, or was restored since; the items must be listed
+                again.
             PlatformError: The store did not answer or refused the call.
         """
+        self._check_era(after.era)
         query = urllib.parse.urlencode(
             {
                 "pathPrefix": prefix,
-                "after": after_revision,
+                "after": after.revision,
                 "waitMs": int(wait_s * 1000),
             }
         )
         response = await self._call("GET", f"/kv-watch?{query}", wait_s=wait_s)
+        self._check_era(after.era)
         if response.status == 410:
             raise HistoryLostError(
                 "history_lost",
-                f"the store dropped changes after revision {after_revision}",
+                f"the store has no changes after revision {after.revision}",
             )
         table = _decode_body(_check_status(response))
         events = tuple(
-            decode_event(fields.read_table(v, "events"))
+            decode_event(fields.read_table(v, "events"), after.era)
             for v in fields.read_list(table, "events")
         )
-        return WatchResult(events, fields.read_int(table, "at"))
+        return WatchResult(events, decode_position(table, after.era, "at"))
 
     async def commit(
         self,
         puts: Sequence[Put] = (),
         deletions: Sequence[str] = (),
-        expected: Mapping[str, int] | None = None,
-    ) -> int:
+        expected: Mapping[str, StorePosition] | None = None,
+    ) -> StorePosition:
         """Write and delete keys in one atomic transaction.
 
         Args:
             puts: Keys to write.
             deletions: Keys to delete.
-            expected: Revision that each of these keys must have for the
-                transaction to take effect; 0 for a key that must not exist.
+            expected: Position that each of these keys must have for the
+                transaction to take effect; ``ABSENT`` for a key that must not
+                exist.
 
         Returns:
-            Revision of the transaction.
+            Position of the transaction.
 
         Raises:
-            CompareFailedError: A key is at another revision than expected.
+            CompareFailedError: A key is at another position than expected.
             LeaseLostError: A lease in ``puts`` does not exist.
-            OutcomeUnknownError: The response was lost or late; the
-                transaction may have taken effect.
+            OutcomeUnknownError: The response was lost or late, or the store
+                was restored meanwhile; the transaction may have taken effect.
             PlatformError: The store was not reached or refused the call.
         """
+        expected = expected or {}
         document = {
             "expected": [
-                {"key": key, "revision": revision}
-                for key, revision in (expected or {}).items()
+                {"key": key, "revision": position.revision}
+                for key, position in expected.items()
             ],
             "puts": [
                 {
                     "key": put.key,
                     "value": base64.b64encode(put.value).decode(),
-                    "leaseId": put.lease_id,
+                    "leaseId": put.lease.number if put.lease else 0,
                 }
                 for put in puts
             ],
             "deletes": list(deletions),
         }
+        eras = {p.era for p in expected.values() if p != ABSENT}
+        lease_eras = {put.lease.era for put in puts if put.lease}
+        if eras - {self.era.number}:
+            raise CompareFailedError(
+                "compare_failed", "the store was restored since the read"
+            )
+        if lease_eras - {self.era.number}:
+            raise LeaseLostError(
+                "lease_unknown", "the store was restored since the grant"
+            )
         response = await self._call("POST", "/kv-txn", document)
+        if (eras | lease_eras) - {self.era.number}:
+            # It was compared with what another era gave the same numbers.
+            raise OutcomeUnknownError(
+                "store_restored", "the store was restored during the call"
+            )
         if response.status == 412:
             raise CompareFailedError(
                 "compare_failed", "a key is not at its expected revision"
@@ -218,12 +259,11 @@
             raise LeaseLostError(
                 "lease_unknown", "a lease of the transaction does not exist"
             )
-        return fields.read_int(
-            _decode_body(_check_status(response)), "revision"
-        )
+        table = _decode_body(_check_status(response))
+        return decode_position(table, self.era.number)
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its identifier.
+    async def grant_lease(self, ttl_s: float) -> StoreLease:
+        """Create a lease and return it.
 
         Args:
             ttl_s: Time until the lease expires unless it is renewed, in
@@ -233,37 +273,49 @@
             PlatformError: The store did not answer or refused the call.
         """
         response = await self._call("POST", "/kv-lease", {"ttlS": ttl_s})
-        return fields.read_int(_decode_body(_check_status(response)), "leaseId")
+        table = _decode_body(_check_status(response))
+        number = fields.read_int(table, "leaseId")
+        return StoreLease(self.era.number, number)
 
-    async def renew_lease(self, lease_id: int) -> None:
+    async def renew_lease(self, lease: StoreLease) -> None:
         """Renew a lease for its full time to live.
 
         Args:
-            lease_id: Identifier of the lease.
+            lease: Lease from ``grant_lease``.
 
         Raises:
-            LeaseLostError: The lease has expired or was revoked.
+            LeaseLostError: The lease has expired or was revoked, or the store
+                was restored since it was granted.
             PlatformError: The store did not answer or refused the call.
         """
-        response = await self._call("POST", f"/kv-keep/{lease_id}", {})
-        if response.status == 404:
-            raise LeaseLostError(
-                "lease_unknown", f"lease {lease_id} does not exist"
-            )
+        if lease.era != self.era.number:
+            raise _make_lease_error(lease)
+        response = await self._call("POST", f"/kv-keep/{lease.number}", {})
+        if response.status == 404 or lease.era != self.era.number:
+            raise _make_lease_error(lease)
         _check_status(response)
 
-    async def revoke_lease(self, lease_id: int) -> None:
+    async def revoke_lease(self, lease: StoreLease) -> None:
         """Revoke a lease, which deletes its keys.
 
-        The status of the response is ignored.
+        The status of the response is ignored. A lease of an era that is over
+        is not revoked.
 
         Args:
-            lease_id: Identifier of the lease.
+            lease: Lease from ``grant_lease``.
 
         Raises:
             PlatformError: The store did not answer.
         """
-        await self._call("DELETE", f"/kv-lease-end/{lease_id}")
+        if lease.era == self.era.number:
+            await self._call("DELETE", f"/kv-lease-end/{lease.number}")
+
+    def _check_era(self, era: int) -> None:
+        if era != self.era.number:
+            raise HistoryLostError(
+                "store_restored",
+                f"the store is in era {self.era.number}, not {era}",
+            )
 
     async def _call(
         self,
@@ -298,6 +350,7 @@
             self._idle_connections.append(connection)
         else:
             connection.abort()
+        self.era.observe(response.find_header(names.HEADER_STORE_ERA))
         return response
 
     async def _acquire_connection(self) -> ClientConnection:
@@ -313,6 +366,12 @@
         )
 
 
+def _make_lease_error(lease: StoreLease) -> LeaseLostError:
+    return LeaseLostError(
+        "lease_unknown", f"lease {lease.number} does not exist"
+    )
+
+
 def _check_status(response: HttpResponse) -> HttpResponse:
     if response.status == 200:
         return response
--- a/kumquatwalk/platform/store_items.py
+++ b/kumquatwalk/platform/store_items.py
@@ -8,6 +8,8 @@
 
 from kumquatwalk.exception import PlatformFormatError
 from kumquatwalk.platform import fields
+from kumquatwalk.platform.store_lease import StoreLease
+from kumquatwalk.platform.store_position import StorePosition
 
 __all__ = [
     "Deletion",
@@ -17,6 +19,7 @@
     "WatchResult",
     "decode_event",
     "decode_item",
+    "decode_position",
 ]
 
 
@@ -27,12 +30,12 @@
     Attributes:
         key: Name of the key.
         value: Bytes stored.
-        revision: Store revision of the last write to the key.
+        position: Position of the last write to the key.
     """
 
     key: str
     value: bytes
-    revision: int
+    position: StorePosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,11 +44,11 @@
 
     Attributes:
         key: Name of the key.
-        revision: Store revision of the deletion.
+        position: Position of the deletion.
     """
 
     key: str
-    revision: int
+    position: StorePosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,11 +57,11 @@
 
     Attributes:
         items: The items, in the order in which the store lists them.
-        revision: Revision from which to watch for later changes.
+        position: Position from which to watch for later changes.
     """
 
     items: tuple[StoreItem, ...]
-    revision: int
+    position: StorePosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,12 +69,12 @@
     """Changes that a watch reported.
 
     Attributes:
-        events: Writes and deletions, in the order of their revisions.
-        revision: Revision from which to continue the watch.
+        events: Writes and deletions, in the order of their positions.
+        position: Position from which to continue the watch.
     """
 
     events: tuple[StoreItem | Deletion, ...]
-    revision: int
+    position: StorePosition
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,19 +84,20 @@
     Attributes:
         key: Name of the key.
         value: Bytes to store.
-        lease_id: Lease at whose end the key is deleted; 0 for none.
+        lease: Lease at whose end the key is deleted; None for none.
     """
 
     key: str
     value: bytes
-    lease_id: int = 0
+    lease: StoreLease | None = None
 
 
-def decode_item(table: Mapping[str, Any]) -> StoreItem:
+def decode_item(table: Mapping[str, Any], era: int) -> StoreItem:
     """Decode an item; a value that is missing or not text reads as empty.
 
     Args:
         table: JSON object that the store sent, with the value in base64.
+        era: Era of the answer.
 
     Raises:
         PlatformFormatError: The value is not base64, or another field is
@@ -109,15 +113,32 @@
     return StoreItem(
         key=fields.read_text(table, "key"),
         value=value,
-        revision=fields.read_int(table, "revision"),
+        position=decode_position(table, era),
     )
 
 
-def decode_event(table: Mapping[str, Any]) -> StoreItem | Deletion:
+def decode_position(
+    table: Mapping[str, Any], era: int, name: str = "revision"
+) -> StorePosition:
+    """Decode a position.
+
+    Args:
+        table: JSON object that the store sent.
+        era: Era of the answer.
+        name: Field with the revision.
+
+    Raises:
+        PlatformFormatError: The field is missing or malformed.
+    """
+    return StorePosition(era, fields.read_int(table, name))
+
+
+def decode_event(table: Mapping[str, Any], era: int) -> StoreItem | Deletion:
     """Decode a change that a watch reported.
 
     Args:
         table: JSON object that the store sent.
+        era: Era of the answer.
 
     Returns:
         The deletion if the change is marked as one, otherwise the new item.
@@ -127,6 +148,6 @@
     """
     if table.get("deleted"):
         return Deletion(
-            fields.read_text(table, "key"), fields.read_int(table, "revision")
+            fields.read_text(table, "key"), decode_position(table, era)
         )
-    return decode_item(table)
+    return decode_item(table, era)
--- a/kumquatwalk/platform/tests/test_blocking_store.py
+++ b/kumquatwalk/platform/tests/test_blocking_store.py
@@ -16,6 +16,7 @@
 from kumquatwalk.exception import SettingError
 from kumquatwalk.platform.blocking_store import VALUE_BYTES_MAX
 from kumquatwalk.platform.blocking_store import BlockingStoreClient
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.standin.store_faults import StoreFaults
 from kumquatwalk.standin.store_thread import StoreThread
 
@@ -44,22 +45,22 @@
 
     def test_compare_and_swap(self):
         self.assertIsNone(self.client.get("a/b"))
-        first = self.client.put("a/b", b"\0\xff", 0)
+        first = self.client.put("a/b", b"\0\xff", ABSENT)
         found = self.client.get("a/b")
-        self.assertEqual((found.value, found.revision), (b"\0\xff", first))
+        self.assertEqual((found.value, found.position), (b"\0\xff", first))
         second = self.client.put("a/b", b"2", first)
         self.assertGreater(second, first)
-        for revision in (first, 0):
+        for position in (first, ABSENT):
             code = self.check_error(
-                CompareFailedError, self.client.put, "a/b", b"3", revision
+                CompareFailedError, self.client.put, "a/b", b"3", position
             )
             self.assertEqual(code, "compare_failed")
         found = self.client.get("a/b")
-        self.assertEqual((found.value, found.revision), (b"2", second))
+        self.assertEqual((found.value, found.position), (b"2", second))
 
     def test_value_size_limit(self):
         value = b"x" * VALUE_BYTES_MAX
-        self.client.put("big", value, 0)
+        self.client.put("big", value, ABSENT)
         self.assertEqual(self.client.get("big").value, value)
         writes = self.store.count_calls("kv-txn")
         code = self.check_error(
@@ -87,30 +88,32 @@
     def test_outage(self):
         self.store.set_faults(StoreFaults(outage=True))
         self.check_error(PlatformReadError, self.client.get, "a")
-        self.check_error(OutcomeUnknownError, self.client.put, "a", b"", 0)
+        self.check_error(OutcomeUnknownError, self.client.put, "a", b"", ABSENT)
         self.store.set_faults(StoreFaults())
         self.assertIsNone(self.client.get("a"))
 
     def test_lost_response_of_a_write_leaves_outcome_unknown(self):
         self.store.set_faults(StoreFaults(lose_answers=1))
-        self.check_error(OutcomeUnknownError, self.client.put, "a", b"1", 0)
+        self.check_error(
+            OutcomeUnknownError, self.client.put, "a", b"1", ABSENT
+        )
         self.assertEqual(self.client.get("a").value, b"1")
-        self.client.put("b", b"1", 0)
+        self.client.put("b", b"1", ABSENT)
         self.assertEqual(self.store.count_calls("kv-txn"), 2)
 
     def test_slow_responses_time_out(self):
         client = self.make_client(SHORT_TIMEOUT_S)
         self.store.set_faults(StoreFaults(delay_ms=60_000))
         self.check_error(PlatformReadError, client.get, "a")
-        self.check_error(OutcomeUnknownError, client.put, "a", b"", 0)
+        self.check_error(OutcomeUnknownError, client.put, "a", b"", ABSENT)
 
     def test_stale_reads(self):
-        first = self.client.put("a", b"1", 0)
+        first = self.client.put("a", b"1", ABSENT)
         second = self.client.put("a", b"2", first)
         self.store.set_faults(StoreFaults(stale_reads=True))
-        self.assertEqual(self.client.get("a").revision, first)
+        self.assertEqual(self.client.get("a").position, first)
         self.store.set_faults(StoreFaults())
-        self.assertEqual(self.client.get("a").revision, second)
+        self.assertEqual(self.client.get("a").position, second)
 
     def test_calls_from_partitioned_hosts_fail(self):
         self.store.set_faults(StoreFaults(cut_hosts=("127.0.0.",)))
@@ -124,7 +127,9 @@
             address = f"127.0.0.1:{unused.getsockname()[1]}"
             client = BlockingStoreClient(address)
             self.check_error(PlatformUnavailableError, client.get, "a")
-            self.check_error(PlatformUnavailableError, client.put, "a", b"", 0)
+            self.check_error(
+                PlatformUnavailableError, client.put, "a", b"", ABSENT
+            )
 
     def test_malformed_address_is_rejected(self):
         for address in ("", "host", ":1", "host:99999", "h:1,"):
@@ -170,7 +175,7 @@
             is_read_error = isinstance(caught.exception, PlatformReadError)
             self.assertEqual(is_read_error, is_unusable, data)
             with self.assertRaises(PlatformError) as caught:
-                self.make_client(data).put("a", b"", 0)
+                self.make_client(data).put("a", b"", ABSENT)
             is_unknown_outcome = isinstance(
                 caught.exception, OutcomeUnknownError
             )
--- a/kumquatwalk/platform/tests/test_store.py
+++ b/kumquatwalk/platform/tests/test_store.py
@@ -11,6 +11,7 @@
 from kumquatwalk.platform.store_items import Deletion
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.standin.kv_store import KvStore
 
 
@@ -26,14 +27,14 @@
     async def test_item_is_read_as_it_was_written(self):
         revision = await self.client.commit([Put("a/b", b"\x00\xff")])
         item = await self.client.get("a/b")
-        self.assertEqual((item.value, item.revision), (b"\x00\xff", revision))
+        self.assertEqual((item.value, item.position), (b"\x00\xff", revision))
         self.assertIsNone(await self.client.get("a/c"))
 
     async def test_transaction_is_all_or_nothing(self):
         await self.client.commit([Put("a", b"1")])
         with self.assertRaises(CompareFailedError):
             await self.client.commit(
-                [Put("a", b"2"), Put("b", b"2")], expected={"a": 0}
+                [Put("a", b"2"), Put("b", b"2")], expected={"a": ABSENT}
             )
         self.assertEqual((await self.client.get("a")).value, b"1")
         self.assertIsNone(await self.client.get("b"))
@@ -42,14 +43,14 @@
         snapshot = await self.client.list_items("a/")
         await self.client.commit([Put("a/1", b"x"), Put("b/1", b"y")])
         await self.client.commit(deletions=["a/1"])
-        watched = await self.client.watch("a/", snapshot.revision, 1.0)
+        watched = await self.client.watch("a/", snapshot.position, 1.0)
         self.assertEqual([e.key for e in watched.events], ["a/1", "a/1"])
         self.assertIsInstance(watched.events[1], Deletion)
 
     async def test_watch_returns_when_a_key_changes(self):
         snapshot = await self.client.list_items("a/")
         task = asyncio.create_task(
-            self.client.watch("a/", snapshot.revision, 20.0)
+            self.client.watch("a/", snapshot.position, 20.0)
         )
         await asyncio.sleep(0.05)
         self.store.put("a/1", b"x")
@@ -61,13 +62,13 @@
         self.store.put("a/1", b"x")
         self.store.compact_history()
         with self.assertRaises(HistoryLostError):
-            await self.client.watch("a/", snapshot.revision, 1.0)
+            await self.client.watch("a/", snapshot.position, 1.0)
 
     async def test_ended_lease_is_reported(self):
         lease = await self.client.grant_lease(5.0)
         await self.client.commit([Put("a", b"1", lease)])
         await self.client.renew_lease(lease)
-        self.store.expire_lease(lease)
+        self.store.expire_lease(lease.number)
         self.assertIsNone(await self.client.get("a"))
         with self.assertRaises(LeaseLostError):
             await self.client.renew_lease(lease)
--- a/kumquatwalk/roster/registration.py
+++ b/kumquatwalk/roster/registration.py
@@ -11,6 +11,8 @@
 from kumquatwalk.logs.level import Level
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store import StoreClient
+from kumquatwalk.platform.store_lease import StoreLease
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.roster.entry import encode_entry
 from kumquatwalk.tasks import keep_running
@@ -38,7 +40,8 @@
         make_entry: Returns the current entry.
 
     Attributes:
-        revision: Revision at which the entry was last written; 0 before.
+        position: Position at which the entry was last written; ``ABSENT``
+            before.
         last_success: Time of the last successful write or renewal, in seconds;
             -1 before the first.
     """
@@ -52,12 +55,12 @@
         self._store = store
         self._key = key
         self._make_entry = make_entry
-        self._lease_id = 0
+        self._lease: StoreLease | None = None
         self._is_written = False
         self._changes = 0
         self._write_requested = asyncio.Event()
         self._task: asyncio.Task | None = None
-        self.revision = 0
+        self.position = ABSENT
         self.last_success = -1.0
 
     def start(self) -> None:
@@ -69,7 +72,7 @@
         if not self._is_written:
             return  # a write is already in progress
         self._is_written = False
-        self._lease_id = 0
+        self._lease = None
         self._write_requested.set()
 
     def mark_outdated(self) -> None:
@@ -78,6 +81,15 @@
         self._is_written = False
         self._write_requested.set()
 
+    def handle_restore(self) -> None:
+        """Write the entry again under a new lease, as the store lost some.
+
+        The store was restored from a copy, which may be older than the entry,
+        and its lease numbers are given out again.
+        """
+        self._lease = None
+        self.mark_outdated()
+
     def close(self) -> None:
         """Stop the renewals; the entry expires with its lease."""
         if self._task is not None:
@@ -108,28 +120,28 @@
                 pass  # the next renewal or retry is due
 
     async def _renew_or_write(self) -> None:
-        if self._lease_id and self._is_written:
+        if self._lease and self._is_written:
             try:
-                await self._store.renew_lease(self._lease_id)
+                await self._store.renew_lease(self._lease)
             except LeaseLostError:
-                self._lease_id = 0
+                self._lease = None
                 self._is_written = False
         if not self._is_written:
             await self._write()
         self.last_success = read_now()
 
     async def _write(self) -> None:
-        if not self._lease_id:
-            self._lease_id = await self._store.grant_lease(LEASE_TTL_S)
-        changes = self._changes
+        if not self._lease:
+            self._lease = await self._store.grant_lease(LEASE_TTL_S)
+        lease, changes = self._lease, self._changes
         value = encode_entry(self._make_entry())
         try:
-            self.revision = await self._store.commit(
-                [Put(self._key, value, self._lease_id)]
+            self.position = await self._store.commit(
+                [Put(self._key, value, lease)]
             )
         except LeaseLostError:
-            self._lease_id = 0
+            self._lease = None
             raise
         # The entry may have changed while it was being written.
         self._is_written = changes == self._changes
-        log_event("roster_registered", lease=self._lease_id)
+        log_event("roster_registered", lease=lease.number)
--- a/kumquatwalk/standin/fleet.py
+++ b/kumquatwalk/standin/fleet.py
@@ -11,6 +11,7 @@
 from kumquatwalk.catalogue.entry import Entry
 from kumquatwalk.exception import KumquatwalkError
 from kumquatwalk.platform.blocking_store import BlockingStoreClient
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.standin.caller import StandinCaller
 from kumquatwalk.standin.child import ChildProcess
 
@@ -51,7 +52,7 @@
         """Write catalogue revision 1 to the platform."""
         catalogue = Catalogue(1, {entry.name: entry for entry in entries})
         client = BlockingStoreClient(self.platform_address)
-        client.put(_CATALOGUE_KEY, encode_catalogue(catalogue), 0)
+        client.put(_CATALOGUE_KEY, encode_catalogue(catalogue), ABSENT)
 
     def start_node(
         self,
--- a/kumquatwalk/standin/kv_store.py
+++ b/kumquatwalk/standin/kv_store.py
@@ -77,6 +77,7 @@
         self.is_down = False
         self.calls: dict[str, int] = {}
         self.era = _FIRST_ERA
+        self._is_watch_cut = True
 
     @property
     def address(self) -> Address:
@@ -144,14 +145,16 @@
             self._next_lease_id,
         )
 
-    def restore(self, copy: StoreCopy) -> None:
+    def restore(self, copy: StoreCopy, cut_watches: bool = True) -> None:
         """Replace all items and leases by those of a copy, in a new era.
 
         What was written since is lost, and revisions and lease identifiers are
-        given out again. Waiting watches are cut off.
+        given out again.
 
         Args:
             copy: Copy from ``take_copy``.
+            cut_watches: Whether waiting watches are cut off. Otherwise they go
+                silent and are answered only when their wait expires.
         """
         now = read_now()
         self._items = dict(copy.items)
@@ -166,6 +169,7 @@
         self._previous_items.clear()
         self._copies.clear()
         self.era += 1
+        self._is_watch_cut = cut_watches
         self._notify()
 
     def restore_oldest_within(self, age_s: float) -> None:
@@ -281,15 +285,18 @@
             if self.is_down:
                 return HttpResponse(503)
             self._abort_if_cut_off(request)
-            if era != self.era:
+            is_current = era == self.era
+            if not is_current and self._is_watch_cut:
                 raise ConnectionAbortedError
-            if not self._compacted_revision <= after <= self._revision:
+            if is_current and not self._has_history(after):
                 return HttpResponse(410)
             events = [
                 event
                 for revision, event in self._history
                 if revision > after and event["key"].startswith(prefix)
             ]
+            if not is_current:
+                events.clear()
             remaining_s = until - read_now()
             if events or remaining_s <= 0:
                 return _answer({"events": events, "at": self._revision})
@@ -300,6 +307,9 @@
             except TimeoutError:
                 continue
 
+    def _has_history(self, revision: int) -> bool:
+        return self._compacted_revision <= revision <= self._revision
+
     def _commit(self, document: Mapping[str, Any]) -> HttpResponse:
         for row in document["expected"]:
             item = self._items.get(row["key"])
--- a/kumquatwalk/standin/tests/test_kv_store.py
+++ b/kumquatwalk/standin/tests/test_kv_store.py
@@ -5,6 +5,7 @@
 from kumquatwalk.exception import LeaseLostError
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Put
+from kumquatwalk.platform.store_position import ABSENT
 from kumquatwalk.standin.kv_store import KvStore
 
 
@@ -20,7 +21,7 @@
 
     async def test_lapse_deletes_the_keys(self):
         await self.client.commit([Put("a", b"", self.lease), Put("b", b"")])
-        self.store.expire_lease(self.lease)
+        self.store.expire_lease(self.lease.number)
         self.assertIsNone(await self.client.get("a"))
         self.assertIsNotNone(await self.client.get("b"))
         with self.assertRaises(LeaseLostError):
@@ -29,13 +30,15 @@
     async def test_key_taken_over_outlives_the_lease(self):
         await self.client.commit([Put("a", b"", self.lease)])
         await self.client.commit([Put("a", b"")])
-        self.store.expire_lease(self.lease)
+        self.store.expire_lease(self.lease.number)
         self.assertIsNotNone(await self.client.get("a"))
 
     async def test_key_deleted_and_made_again_outlives_the_lease(self):
         first = await self.client.commit([Put("a", b"", self.lease)])
         await self.client.commit(deletions=["a"])
-        again = await self.client.commit([Put("a", b"")], expected={"a": 0})
-        self.store.expire_lease(self.lease)
+        again = await self.client.commit(
+            [Put("a", b"")], expected={"a": ABSENT}
+        )
+        self.store.expire_lease(self.lease.number)
         self.assertIsNotNone(await self.client.get("a"))
-        self.assertGreater(again, first + 1)
+        self.assertGreater(again.revision, first.revision + 1)
