Write accepted catalogue edits back to a store that was restored without them

What operators would see: an edit accepted after the restore is never in force, because its revision is one that was lost and nodes take only a higher one; a node started later runs another document of the same revision than its peers.

The revision of the catalogue is a count inside the document, so it goes back with the store and is given out again for other content.

Change: after a restore the nodes that watch the store compare its catalogue with the one in force, find the last common record by change id, apply the edits of the store's branch after those in force, and write the result by compare-and-swap. Its revision is above all others, so every node takes it. An edit that would break a rule then is logged and left out.

Ruled out: an era inside the revision (a node could then take the older branch, and an accepted edit would revert); leaving it to the operators (no one writes the catalogue again on this interface).

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -71,6 +71,7 @@
     from kumquatwalk.idempotency.request_table import RequestTable
     from kumquatwalk.idempotency.ticket_issuer import TicketIssuer
     from kumquatwalk.native.announcements import AnnouncementHandler
+    from kumquatwalk.native.catalogue_restorer import CatalogueRestorer
     from kumquatwalk.native.entry_handler import EntryHandler
     from kumquatwalk.native.entry_handler import RootRequests
     from kumquatwalk.native.interface import NativeInterface
@@ -119,7 +120,9 @@
     local_server = HttpServer(
         Address(settings.local_host, settings.local_port), local.handle, limits
     )
+    restorer = CatalogueRestorer(core.store, core.configs, core.has_watch_duty)
+    core.on_restore = restorer.handle_restore
     sweeper = ClaimSweeper(
         core.store, lambda: core.peers.has_lowest_reachable_id
     )
-    return Daemon(core, server, local_server, (sweeper,))
+    return Daemon(core, server, local_server, (sweeper, restorer))
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -78,6 +78,8 @@
     Attributes:
         on_config: Called with each fleet configuration that comes into force;
             set by ``Daemon``. Does nothing until then.
+        on_restore: Called after the store was restored from a copy; set by
+            the composition. Does nothing until then.
         serve_query: Serves another node's query for a request that this node
             may own; set where the interface runs requests at most once. Until
             then it replies that the outcome is unknown.
@@ -109,6 +111,7 @@
             interface.decode_config, self._notify_config
         )
         self.on_config = _ignore_config
+        self.on_restore = _ignore_restore
         self.serve_query = _reply_unknown
         self._traffic = TrafficMeter()
         self._graph = CallGraph()
@@ -136,7 +139,7 @@
             interface.config_prefix,
             self._apply_config_snapshot,
             self._apply_config_event,
-            self._has_watch_duty,
+            self.has_watch_duty,
             lambda: CONFIG_READ_INTERVAL_S,
         )
         self.roster = RosterSync(
@@ -289,8 +292,10 @@
     def _handle_restore(self) -> None:
         self.config_watcher.handle_restore()
         self.roster.handle_restore()
+        self.on_restore()
 
-    def _has_watch_duty(self) -> bool:
+    def has_watch_duty(self) -> bool:
+        """Return whether this node is to watch the store for its zone."""
         zone = self.settings.availability_zone
         return holds_duty(
             self.settings.node_id,
@@ -303,5 +308,9 @@
     pass
 
 
+def _ignore_restore() -> None:
+    pass
+
+
 async def _reply_unknown(_query: OwnerQuery) -> Reply:
     return Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
