Keep keys claimed when a restored store has lost their claims

What callers would see: a payment that runs twice. The node that ran it had a claim that the store acknowledged and then lost; a repeat at another node found the key unclaimed and claimed it, though each step was right.

Change: a node remembers the claims of the last two minutes and writes them back when the store is in a new era, newest first, until it finds one of its own; a claim made since is later and is replaced. Until all nodes have had the time to do so (an interval of lease renewals and two seconds) no claim is trusted, also one whose own answer showed the restore: the request is refused as not run. Requests with a ticket go on, they need no store.

Ruled out: asking all nodes for the key (a node is linked to nine of each service at most). Open: a node started within that time knows of no restore, and an owner that ended before it wrote its claims back.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -65,6 +65,7 @@
     # A node with the platform's interface does not need these.
     # pylint: disable=import-outside-toplevel, too-many-locals
     from kumquatwalk.idempotency.claim_budget import ClaimBudget
+    from kumquatwalk.idempotency.claim_restorer import ClaimRestorer
     from kumquatwalk.idempotency.claim_store import ClaimStore
     from kumquatwalk.idempotency.claim_store import NodeIdentity
     from kumquatwalk.idempotency.claim_sweeper import ClaimSweeper
@@ -121,8 +122,17 @@
         Address(settings.local_host, settings.local_port), local.handle, limits
     )
     restorer = CatalogueRestorer(core.store, core.configs, core.has_watch_duty)
-    core.on_restore = restorer.handle_restore
+    claim_restorer = ClaimRestorer(core.store, claim_store.held)
+
+    def handle_restore():
+        claim_store.handle_restore()
+        claim_restorer.handle_restore()
+        restorer.handle_restore()
+
+    core.on_restore = handle_restore
     sweeper = ClaimSweeper(
         core.store, lambda: core.peers.has_lowest_reachable_id
     )
-    return Daemon(core, server, local_server, (sweeper, restorer))
+    return Daemon(
+        core, server, local_server, (sweeper, restorer, claim_restorer)
+    )
--- a/kumquatwalk/idempotency/claim_store.py
+++ b/kumquatwalk/idempotency/claim_store.py
@@ -13,9 +13,11 @@
 from kumquatwalk.idempotency.claim import encode_claim
 from kumquatwalk.idempotency.claim_budget import ClaimBudget
 from kumquatwalk.idempotency.claim_rate import ClaimRate
+from kumquatwalk.idempotency.held_claims import HeldClaims
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store_position import ABSENT
+from kumquatwalk.roster.registration import RENEWAL_INTERVAL_S
 
 __all__ = [
     "ClaimStore",
@@ -26,6 +28,10 @@
     "OwnedBy",
 ]
 
+# Time after a restore of the store in which no new claim is trusted, in seconds.
+# Each node calls the store within the interval of its lease renewals, so by then
+# all nodes have seen the restore and have written their claims again.
+RESTORE_GRACE_S = RENEWAL_INTERVAL_S + 2.0
 # A claim that took longer than this does not start its run. The limit exceeds
 # the slowest answer that the store gives within its own timeout.
 CLAIM_TIMEOUT_S = 5.0
@@ -90,12 +96,18 @@
     repeat at another node learns that the outcome is unknown. ``ClaimSweeper``
     removes expired claims.
 
+    After the store was restored from a copy, claims of other nodes may be
+    missing, and none is obtained for ``RESTORE_GRACE_S``.
+
     Args:
         client: Client of the platform's store.
         identity: Identity of this node.
         budget: Token bucket that limits the writes of claims.
         clock: Returns the current time in seconds.
         read_unix_ms: Returns the current Unix time in milliseconds.
+
+    Attributes:
+        held: Claims obtained lately.
     """
 
     def __init__(
@@ -112,6 +124,12 @@
         self._clock = clock
         self._read_unix_ms = read_unix_ms
         self._rate = ClaimRate()
+        self._refused_until = float("-inf")
+        self.held = HeldClaims()
+
+    def handle_restore(self) -> None:
+        """Refuse claims for a time, as the store was restored from a copy."""
+        self._refused_until = self._clock() + RESTORE_GRACE_S
 
     async def claim(
         self,
@@ -139,14 +157,21 @@
             was claimed for another record, otherwise ``ClaimUnavailable``.
         """
         started_at = self._clock()
+        if started_at < self._refused_until:
+            return ClaimUnavailable("platform_unavailable")
         if not self._budget.take(importance, started_at):
             return ClaimUnavailable("claim_budget")
         claim = self._make_claim(fingerprint, claim_id)
         result = await self._write(key, claim)
         ended_at = self._clock()
         self._adjust_rate(result, ended_at - started_at, ended_at)
-        is_late = is_claim_late(started_at, deadline, ended_at)
-        if isinstance(result, Claimed) and is_late:
+        if not isinstance(result, Claimed):
+            return result
+        if ended_at < self._refused_until:
+            # This claim's own answer showed that the store was restored.
+            return ClaimUnavailable("platform_unavailable")
+        self.held.add(key, claim, ended_at)
+        if is_claim_late(started_at, deadline, ended_at):
             return ClaimUnavailable("claim_late")
         return result
 
--- a/kumquatwalk/idempotency/tests/test_restored_store.py
+++ b/kumquatwalk/idempotency/tests/test_restored_store.py
@@ -10,6 +10,7 @@
 from kumquatwalk.idempotency import ClaimStore
 from kumquatwalk.idempotency import NodeIdentity
 from kumquatwalk.idempotency import OwnedBy
+from kumquatwalk.idempotency.claim_restorer import ClaimRestorer
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.standin.kv_store import KvStore
 
@@ -32,7 +33,16 @@
         self.addCleanup(client.close)
         self.clients[node_id] = client
         budget = ClaimBudget(1000.0, 1000.0)
-        return ClaimStore(client, NodeIdentity(node_id, 1), budget)
+        claims = ClaimStore(client, NodeIdentity(node_id, 1), budget)
+        restorer = ClaimRestorer(client, claims.held)
+        self.addAsyncCleanup(restorer.close)
+
+        def handle_restore():
+            claims.handle_restore()
+            restorer.handle_restore()
+
+        client.era.on_restore = handle_restore
+        return claims
 
     async def _claim(self, node_id: str, key: str = KEY):
         return await self.claims[node_id].claim(
