Restore the store from older copies in the soak, and edit the catalogue meanwhile

Restores come in a series of their own, so that the plans of earlier seeds keep their other faults. A thread edits the catalogue; at the end all accepted edits must be in the store and in force, but those lost within a second, which may have reached no node.

The error now says what did not start.

--- a/kumquatwalk/idempotency/claim_store.py
+++ b/kumquatwalk/idempotency/claim_store.py
@@ -28,9 +28,9 @@
     "OwnedBy",
 ]
 
-# Time after a restore of the store in which no new claim is trusted, in seconds.
-# Each node calls the store within the interval of its lease renewals, so by then
-# all nodes have seen the restore and have written their claims again.
+# Time after a restore in which no new claim is trusted, in seconds.
+# Each node calls the store within the interval of its lease renewals, so by
+# then all have seen the restore and have written their claims again.
 RESTORE_GRACE_S = RENEWAL_INTERVAL_S + 2.0
 # A claim that took longer than this does not start its run. The limit exceeds
 # the slowest answer that the store gives within its own timeout.
--- a/kumquatwalk/soak/plan.py
+++ b/kumquatwalk/soak/plan.py
@@ -13,6 +13,10 @@
 # Number of signals that a planned stop may be followed by, within this time.
 SERIES_MAX = 3
 SERIES_S = 0.4
+# Range of the pause between two restores of the store, in seconds. Some follow
+# before the nodes have dealt with the one before.
+RESTORE_PAUSE_S = (0.5, 6.0)
+RESTORE_HOLD_S = (0.1, 1.5)
 
 
 class Fault(enum.Enum):
@@ -30,10 +34,13 @@
     STORE_OUTAGE = "store_outage"
     STORE_SLOW = "store_slow"
     STORE_ANSWERS_LOST = "store_answers_lost"
+    STORE_RESTORED = "store_restored"
 
 
-# Planned stops are the most frequent events in the life of a fleet.
-_WEIGHTS = {fault: 1 for fault in Fault} | {Fault.NODE_STOP: 4}
+# Planned stops are the most frequent events in the life of a fleet. Restores
+# have a series of their own.
+_WEIGHTS = {fault: 1 for fault in Fault if fault is not Fault.STORE_RESTORED}
+_WEIGHTS |= {Fault.NODE_STOP: 4}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,4 +85,16 @@
                 again_at_s = at_s + rng.uniform(0.0, SERIES_S)
                 actions.append(Action(again_at_s, fault, node_id, 0.0))
         at_s += rng.uniform(*PAUSE_S)
+    actions += _make_restores(seed, duration_s, nodes[0])
     return tuple(sorted(actions, key=lambda action: action.at_s))
+
+
+def _make_restores(seed: int, duration_s: float, node_id: str) -> list[Action]:
+    rng = random.Random(f"{seed}-restores")
+    actions = []
+    at_s = rng.uniform(*RESTORE_PAUSE_S)
+    while at_s < duration_s:
+        hold_s = rng.uniform(*RESTORE_HOLD_S)
+        actions.append(Action(at_s, Fault.STORE_RESTORED, node_id, hold_s))
+        at_s += rng.uniform(*RESTORE_PAUSE_S)
+    return actions
--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -13,6 +13,8 @@
 from kumquatwalk.history import Violation
 from kumquatwalk.proofs.chain import NODES
 from kumquatwalk.proofs.chain import ChainFleet
+from kumquatwalk.soak.edits import CatalogueEdits
+from kumquatwalk.soak.edits import check_edits_kept
 from kumquatwalk.soak.plan import Action
 from kumquatwalk.soak.plan import Fault
 from kumquatwalk.soak.plan import make_plan
@@ -26,6 +28,8 @@
 # Sendings of one keyed request until its outcome is known.
 SENDINGS_MAX = 4
 PAUSE_AFTER_FAILURE_S = 0.02
+# Age of the copy that the store is restored from, as a multiple of its outage.
+COPY_AGE_FACTOR = 4.0
 POLL_S = 0.05
 LOG_TAIL_BYTES = 100_000
 JOIN_TIMEOUT_S = 60.0
@@ -76,10 +80,16 @@
         self._signalled: set[int] = set()
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
+        self._outages: list[float] = []
+        self._last_start_error = "none failed to start"
+        self._edits: CatalogueEdits | None = None
 
     def start(self) -> None:
         """Start all processes, then the callers."""
         self._chain.start()
+        address = self._chain.fleet.platform_address
+        self._edits = CatalogueEdits(address, self._seed)
+        self._edits.start()
         for index, node_id in enumerate(NODES * CALLERS_PER_NODE):
             entry = ("browse", "renew")[index // len(NODES) % 2]
             rng = random.Random(f"{self._seed}-{index}")
@@ -113,7 +123,12 @@
         self._chain.set_platform_faults()
         for child in (*fleet.nodes.values(), *fleet.targets.values()):
             child.resume()
-        wait_until(self._is_restarted, "all processes to run again")
+        try:
+            wait_until(self._is_restarted, "all processes to run again")
+        except KumquatwalkError as error:
+            raise KumquatwalkError(
+                error.code, f"{error.message}; {self._last_start_error}"
+            ) from error
         for node_id in NODES:
             fleet.block_hosts(node_id, ())
             self._chain.set_target_faults(node_id)
@@ -131,6 +146,11 @@
         violations += check_nothing_cut_off(
             self._sendings, runs, self._disturbed
         )
+        self._edits.close()
+        wait_until(self._is_catalogue_in_force, "the catalogue to be in force")
+        violations += check_edits_kept(
+            self._edits.accepted, self._edits.read_history(), self._outages
+        )
         if violations:
             violations.append(self._write_logs())
         return violations
@@ -146,6 +166,8 @@
     def close(self) -> None:
         """End the callers and all processes."""
         self._stopped.set()
+        if self._edits is not None:
+            self._edits.close()
         self._chain.close()
 
     def count_outcomes(self) -> dict[str, int]:
@@ -180,7 +202,7 @@
                 self._set_target_faults(node_id, service_factor=20.0)
             case Fault.TARGET_SILENT:
                 self._set_target_faults(node_id, silent="answers")
-            case Fault.STORE_OUTAGE:
+            case Fault.STORE_OUTAGE | Fault.STORE_RESTORED:
                 chain.set_platform_faults(outage=True)
             case Fault.STORE_SLOW:
                 chain.set_platform_faults(delay_ms=300)
@@ -202,6 +224,12 @@
                 Fault.STORE_OUTAGE | Fault.STORE_SLOW | Fault.STORE_ANSWERS_LOST
             ):
                 chain.set_platform_faults()
+            case Fault.STORE_RESTORED:
+                # Other faults may have lifted the outage before.
+                now = time.monotonic()
+                self._outages += (now - action.hold_s, now)
+                chain.fleet.restore_platform(COPY_AGE_FACTOR * action.hold_s)
+                chain.set_platform_faults()
 
     def _set_target_faults(self, node_id: str, **faults: object) -> None:
         self._inject(lambda: self._chain.set_target_faults(node_id, **faults))
@@ -249,7 +277,8 @@
                     self._signalled.add(child.pid)
                 try:
                     start(node_id)
-                except KumquatwalkError:
+                except KumquatwalkError as error:
+                    self._last_start_error = f"{node_id}: {error}"
                     # It was not ready in time, for instance because its own
                     # node is paused; the next round starts it again.
                     self._signalled.add(children[node_id].pid)
@@ -263,6 +292,17 @@
             for child in children
         )
 
+    def _is_catalogue_in_force(self) -> bool:
+        revision = self._edits.read_history()[0].revision
+        fleet = self._chain.fleet
+        return all(
+            fleet.read_json(node.addresses["local"], "/kumquatwalk/status")[
+                "catalogue_revision"
+            ]
+            == revision
+            for node in fleet.nodes.values()
+        )
+
     def _is_served(self, node_id: str, request: str) -> bool:
         answer = self._chain.send(node_id, "renew", request, key=request)
         return answer.outcome == "done"
--- a/kumquatwalk/standin/fleet.py
+++ b/kumquatwalk/standin/fleet.py
@@ -139,9 +139,15 @@
         """Take a copy of the store, for ``restore_platform``."""
         self.put_json(self.platform_address, "/copy", {})
 
-    def restore_platform(self) -> None:
-        """Restore the store from the copy; later writes and leases are lost."""
-        self.put_json(self.platform_address, "/restore", {})
+    def restore_platform(self, age_s: float | None = None) -> None:
+        """Restore the store from a copy; later writes and leases are lost.
+
+        Args:
+            age_s: Largest age of the copy, in seconds; None for the copy of
+                ``save_platform_copy``.
+        """
+        query = "" if age_s is None else f"?age_s={age_s}"
+        self.put_json(self.platform_address, f"/restore{query}", {})
 
     def block_hosts(self, node_id: str, prefixes: tuple[str, ...]) -> None:
         """Block traffic between a node and hosts to simulate a partition.
