--- a/kumquatwalk/daemon/config_holder.py
+++ b/kumquatwalk/daemon/config_holder.py
@@ -8,7 +8,9 @@
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.message import ConfigDocument
 
-__all__ = ["ConfigHolder"]
+__all__ = ["ConfigHolder", "SOURCE_STORE"]
+
+SOURCE_STORE = "store"
 
 
 class ConfigHolder:
@@ -22,6 +24,8 @@
 
     Attributes:
         config: Configuration in force; None before the first.
+        stored_version: Version that the store had when it was read last; 0
+            before. Lower than the one in force if the store has lost that.
         document: Its document, as sent to other nodes; None before the first.
     """
 
@@ -34,6 +38,7 @@
         self._on_change = on_change
         self._last_rejected = b""
         self.config: FleetConfig | None = None
+        self.stored_version = 0
         self.document: ConfigDocument | None = None
 
     @property
@@ -49,7 +54,8 @@
 
         Args:
             document: Encoded configuration, as the operators wrote it.
-            source: Origin of the document, for the log.
+            source: Origin of the document, ``SOURCE_STORE`` or another one,
+                for the log.
         """
         try:
             config = self._decode(document)
@@ -64,6 +70,8 @@
                 )
             self._last_rejected = document
             return
+        if source == SOURCE_STORE:
+            self.stored_version = config.version
         if config.version < self.version and document != self._last_rejected:
             log_event(
                 "config_older_ignored",
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -9,6 +9,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.caller_side import CallerSide
+from kumquatwalk.daemon.config_holder import SOURCE_STORE
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.config_pull import ConfigPull
 from kumquatwalk.daemon.external_interface import ExternalInterface
@@ -282,7 +283,7 @@
     def _apply_config_event(self, event: StoreItem | Deletion) -> None:
         is_item = isinstance(event, StoreItem)
         if is_item and event.key == self._interface.config_key:
-            self.configs.update(event.value, "store")
+            self.configs.update(event.value, SOURCE_STORE)
 
     def _notify_config(self, config: FleetConfig) -> None:
         self.on_config(config)
--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -64,6 +64,8 @@
             "node_id": core.settings.node_id,
             "zone": core.settings.availability_zone,
             "catalogue_revision": core.configs.version,
+            "store_catalogue_revision": core.configs.stored_version,
+            "store_era": core.store.era.number,
             "store_reached": core.config_watcher.is_reached,
             "target": core.target_side.record.state.value,
             "targets": {
@@ -107,6 +109,14 @@
             lambda: len(core.peers.list_reachable_ids()) + 1,
             "Nodes that answer on their links, with this one.",
         ),
+        "store_catalogue_revision": (
+            lambda: core.configs.stored_version,
+            "Version that the store had when it was read last.",
+        ),
+        "store_era": (
+            lambda: core.store.era.number,
+            "Era of the store; it rises when the store is restored.",
+        ),
         "store_calls": (
             lambda: core.store.call_count,
             "Calls made to the store so far.",
--- a/kumquatwalk/daemon/tests/test_restored_store.py
+++ b/kumquatwalk/daemon/tests/test_restored_store.py
@@ -1,12 +1,17 @@
 """Tests of nodes whose store comes back from an older copy of itself."""
 
 import asyncio
+import json
 import unittest
 
 from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.roster_sync import KEY_PREFIX
 from kumquatwalk.daemon.roster_sync import RosterSync
+from kumquatwalk.daemon.status import PATH_STATUS
+from kumquatwalk.daemon.status import StatusHandler
 from kumquatwalk.daemon.store_watcher import StoreWatcher
+from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.platform.store_items import Deletion
 from kumquatwalk.platform.store_items import StoreItem
@@ -16,6 +21,7 @@
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.store_faults import StoreFaults
 
 # Bound of the operators' rule on the time until a change is in force.
 CONFIG_APPLY_S = 2.0
@@ -129,6 +135,18 @@
         self.store.is_down = False
         await keys.wait_for("a/config", b"again")
 
+    # Guards against a watch that waits for the next change although it broke
+    # off, because the restored store is at the same revision by chance.
+    async def test_watch_that_broke_off_begins_with_a_list(self):
+        keys = await self._watch(is_watching=True)
+        self.store.faults = StoreFaults(outage=True)
+        self.store.restore(self.copy)
+        for number in range(9):
+            self.store.put("a/config", b"again %d" % number)
+        await asyncio.sleep(0.3)
+        self.store.faults = StoreFaults()
+        await keys.wait_for("a/config", b"again 8")
+
     # Guards against a watch that waits in the new era for changes after a
     # revision of the old one, while another call has shown the restore.
     async def test_watch_is_begun_anew_when_another_call_shows_a_restore(self):
@@ -232,6 +250,26 @@
             while key not in self.fleet.store.list_keys():
                 await asyncio.sleep(POLL_S)
 
+    # Guards against a store that is behind the fleet without anyone seeing it.
+    async def test_status_shows_that_the_store_lost_the_version_in_force(self):
+        await self.fleet.wait_until_ready()
+        copy = self.fleet.store.take_copy()
+        self.fleet.store.put("op/config", make_config(("web",), 2))
+        await self._wait_for_version("web-1", 2)
+        self.fleet.store.restore(copy)
+        core = self.fleet.nodes["web-1"].daemon.core
+        handler = StatusHandler(core)
+        request = HttpRequest(
+            b"GET", PATH_STATUS.encode(), (), b"", True, read_now()
+        )
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            while core.store.era.number < 2 or core.configs.stored_version > 1:
+                await asyncio.sleep(POLL_S)
+        status = json.loads((await handler.handle(request)).body)
+        self.assertEqual(status["catalogue_revision"], 2)
+        self.assertEqual(status["store_catalogue_revision"], 1)
+        self.assertEqual(status["store_era"], 2)
+
     # Guards against a route that was added and is not served: a node started
     # on a restored store took the older configuration and kept to it.
     async def test_node_started_on_an_older_copy_takes_the_newer_version(self):
