Show two ways in which a key can still be claimed twice after a restore: failing tests

A node started after the restore has not seen the era rise and trusts its claim at once. A node that ended before the restore cannot write its claims back, and nobody else has them.

--- a/kumquatwalk/idempotency/tests/test_restored_store.py
+++ b/kumquatwalk/idempotency/tests/test_restored_store.py
@@ -11,6 +11,7 @@
 from kumquatwalk.idempotency import NodeIdentity
 from kumquatwalk.idempotency import OwnedBy
 from kumquatwalk.idempotency.claim_restorer import ClaimRestorer
+from kumquatwalk.idempotency.claim_store import RESTORE_GRACE_S
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.standin.kv_store import KvStore
 
@@ -26,6 +27,7 @@
         await self.store.start()
         self.addAsyncCleanup(self.store.close)
         self.clients: dict[str, StoreClient] = {}
+        self.restorers: dict[str, ClaimRestorer] = {}
         self.claims = {n: self._make_claims(n) for n in ("first", "second")}
 
     def _make_claims(self, node_id: str) -> ClaimStore:
@@ -35,6 +37,7 @@
         budget = ClaimBudget(1000.0, 1000.0)
         claims = ClaimStore(client, NodeIdentity(node_id, 1), budget)
         restorer = ClaimRestorer(client, claims.held)
+        self.restorers[node_id] = restorer
         self.addAsyncCleanup(restorer.close)
 
         def handle_restore():
@@ -67,6 +70,27 @@
                 await asyncio.sleep(POLL_S)
         self.assertEqual(result.claim.node_id, "first")
 
+    # Guards against a payment that runs twice: a node started after the restore
+    # knows of none and trusts its claim at once.
+    async def test_node_started_after_a_restore_trusts_no_claim_at_once(self):
+        copy = self.store.take_copy()
+        self.assertIsInstance(await self._claim("first"), Claimed)
+        self.store.restore(copy)
+        self.claims["third"] = self._make_claims("third")
+        self.assertNotIsInstance(await self._claim("third"), Claimed)
+
+    # Guards against a payment that runs twice: its node ended before the
+    # restore, so that nobody writes the claim back.
+    async def test_claim_of_a_node_that_ended_is_not_lost(self):
+        await self._claim("second", "claims/of-second")
+        copy = self.store.take_copy()
+        self.assertIsInstance(await self._claim("first"), Claimed)
+        await self.restorers.pop("first").close()
+        self.store.restore(copy)
+        await self.clients["second"].get("any")
+        await asyncio.sleep(RESTORE_GRACE_S + POLL_S)
+        self.assertNotIsInstance(await self._claim("second"), Claimed)
+
 
 if __name__ == "__main__":
     unittest.main()
