Refuse a link to a node that another one has replaced at its address

What callers would see: a target that gets twice its share, and sums over the fleet that count it twice, for as long as the entry of a node that has left is in the roster: up to the life of a lease, after a restore from a copy that has the entry, or when an address is used again soon.

Cause: the handshake took whatever node answered at the address of the entry. It updated the service but not the identity, so nothing was sent to a wrong service.

Change: a first message from another node than the one that was dialled ends the link; it is dialled again later, and the entry goes with its lease.

Evidence: test_node_that_left_is_not_taken_for_the_one_at_its_address failed before (the link was usable) and passes.

--- a/kumquatwalk/daemon/tests/test_restored_store.py
+++ b/kumquatwalk/daemon/tests/test_restored_store.py
@@ -250,6 +250,23 @@
             while key not in self.fleet.store.list_keys():
                 await asyncio.sleep(POLL_S)
 
+    # Guards against a target that counts twice: the copy names a node that has
+    # left, at an address that another node has now.
+    async def test_node_that_left_is_not_taken_for_the_one_at_its_address(self):
+        second = await self.fleet.add_node("web-2", "web")
+        await self.fleet.wait_until_ready()
+        link = second.settings.link_listener
+        entry = RosterEntry("web-0", 1, "z1", "web", link)
+        self.fleet.store.put(KEY_PREFIX + "web-0", encode_entry(entry))
+        core = self.fleet.nodes["web-1"].daemon.core
+        core.roster.handle_restore()
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            while core.peers.find("web-0") is None:
+                await asyncio.sleep(POLL_S)
+        is_linked = await core.peers.find("web-0").wait_until_usable(1.0)
+        self.assertFalse(is_linked)
+        self.assertEqual(core.peers.list_reachable_ids(), {"web-2"})
+
     # Guards against a store that is behind the fleet without anyone seeing it.
     async def test_status_shows_that_the_store_lost_the_version_in_force(self):
         await self.fleet.wait_until_ready()
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -320,6 +320,14 @@
             case Hello() if self._handshake_done.is_set():
                 # The peer repeats it when its target announces a service.
                 self.view.service = message.service
+            case Hello() if message.node_id != self.view.node_id:
+                # The address now belongs to another node.
+                log_event(
+                    "peer_replaced",
+                    peer=self.view.node_id,
+                    found=message.node_id,
+                )
+                link.abort()
             case Hello():
                 # Traffic between availability zones is expensive; traffic
                 # within one is not, so it is left uncompressed.
