Count a connection as busy until its answer is sent, so that a planned stop ends none midway

What callers would see: a large answer that ends early, when its node is stopped while the caller still reads. It must not look complete, and does not, but it is lost.

Cause: a connection whose answer was written counted as idle, also while bytes waited in the write buffer; the stop ended with nothing in progress and aborted the connection. Links to other nodes the same way.

Evidence: test_connection_is_busy_until_its_response_is_sent failed before (0 busy connections with 32 MB unsent) and passes.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -80,13 +80,15 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is in progress or expected.
+        """Whether no request is in progress or expected, and all is sent.
 
         A connection that has just been opened is not idle, since its first
         request is probably in transit.
         """
         if self._exchanges or self._parser.is_in_message:
             return False
+        if self._transport.get_write_buffer_size():
+            return False
         return (
             self._has_responded
             or read_now() - self._opened_at > FIRST_REQUEST_WAIT_S
--- a/kumquatwalk/http1/tests/test_caller_connection.py
+++ b/kumquatwalk/http1/tests/test_caller_connection.py
@@ -15,6 +15,9 @@
     idle_timeout_s=60.0,
 )
 
+# More than the buffers of both ends of a connection hold.
+LARGE_BYTES = 32 * 1024 * 1024
+
 
 def make_get(path: str, extra: str = "") -> bytes:
     """Return an encoded GET request."""
@@ -46,7 +49,8 @@
             raise
         if path.startswith("/fault"):
             raise ValueError("handler failed")
-        return HttpResponse(200, body=path.encode())
+        size = LARGE_BYTES if path.startswith("/large") else 0
+        return HttpResponse(200, body=path.encode() + bytes(size))
 
     async def _read_answer(self) -> tuple[bytes, bytes]:
         head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5)
@@ -57,6 +61,21 @@
                 size = int(value)
         return head, await self.reader.readexactly(size)
 
+    # Guards against LOST at a planned stop: the process ended while bytes of an
+    # answer were not sent yet, as its connection counted as idle.
+    async def test_connection_is_busy_until_its_response_is_sent(self):
+        self.writer.write(make_get("/large"))
+        async with asyncio.timeout(5):
+            await self.reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(self.server.busy_connections, 1)
+        self.server.stop_accepting()
+        self.assertEqual(self.server.busy_connections, 1)
+        await self.reader.readexactly(LARGE_BYTES)
+        await self.reader.readexactly(len("/large"))
+        async with asyncio.timeout(5):
+            while self.server.busy_connections:
+                await asyncio.sleep(0.01)
+
     async def test_pipelined_responses_are_sent_in_request_order(self):
         self.writer.write(make_get("/slow") + make_get("/a") + make_get("/b"))
         while len(self.seen) < 3:
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -63,6 +63,11 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes wait to be sent on the open connection."""
+        return self.is_open and self._transport.get_write_buffer_size() > 0
+
     @property
     def is_congested(self) -> bool:
         """Whether the connection is closed or its write buffer is too full."""
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -95,8 +95,14 @@
 
     @property
     def calls_in_progress(self) -> int:
-        """Number of calls and queries from peers without a reply yet."""
-        return sum(len(s.tasks) for s in self._sessions.values())
+        """Number of calls and queries from peers without a reply yet.
+
+        A link with unsent bytes counts as one, as they may be of a reply.
+        """
+        return sum(
+            len(s.tasks) + s.link.has_unsent_bytes
+            for s in self._sessions.values()
+        )
 
     @property
     def port(self) -> int:
