Name both processes that may have received a request of the soak, and show where one hangs

The check read the process before the sending and blamed the planned stop. It now takes the process before and the one after: as strict, as each of them must be undisturbed.

--- a/kumquatwalk/cli/standin_target.py
+++ b/kumquatwalk/cli/standin_target.py
@@ -1,5 +1,6 @@
 """The ``standin target`` command."""
 
+import faulthandler
 import signal
 import sys
 
@@ -91,6 +92,7 @@
             **settings,
         )
     )
+    faulthandler.register(signal.SIGUSR1)  # shows where it hangs
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: standin.drain())
     standin.start()
--- a/kumquatwalk/soak/records.py
+++ b/kumquatwalk/soak/records.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Set
 
 from kumquatwalk.history import RunRecorded
 from kumquatwalk.history import Violation
@@ -21,14 +22,15 @@
 
     Attributes:
         request: Name of the request.
-        pid: Process of the node that received it.
+        pids: Processes of the node that may have received it: the one before
+            the sending, and the one after it if it was restarted meanwhile.
         elapsed_s: Time until the answer or the failure, in seconds.
         outcome: Outcome stated in the answer; ``none`` without one.
         code: Code in the answer, or the name of the error without one.
     """
 
     request: str
-    pid: int
+    pids: frozenset[int]
     elapsed_s: float
     outcome: str
     code: str
@@ -37,7 +39,7 @@
 def check_nothing_cut_off(
     sendings: Collection[Sending],
     runs: Iterable[RunRecorded],
-    disturbed: Collection[int],
+    disturbed: Set[int],
 ) -> list[Violation]:
     """Check that no planned stop of a node cut off a request in progress.
 
@@ -55,13 +57,13 @@
         Violation(
             "cut_off",
             sending.request,
-            f"node process {sending.pid}, {sending.code} after"
+            f"node processes {sorted(sending.pids)}, {sending.code} after"
             f" {sending.elapsed_s:.2f} s",
         )
         for sending in sendings
         if sending.outcome == "none"
         and sending.elapsed_s < QUICK_S
-        and sending.pid not in disturbed
+        and sending.pids.isdisjoint(disturbed)
         and sending.code != "NewConnectionError"
         and sent_by_request[sending.request] == 1
         and runs_by_request[sending.request]
--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -32,6 +32,9 @@
 COPY_AGE_FACTOR = 4.0
 POLL_S = 0.05
 LOG_TAIL_BYTES = 100_000
+LOG_END_CHARS = 4_000
+# Time in which a stand-in target writes the stacks of its threads, in seconds.
+STACK_WAIT_S = 1.0
 JOIN_TIMEOUT_S = 60.0
 
 
@@ -127,7 +130,9 @@
             wait_until(self._is_restarted, "all processes to run again")
         except KumquatwalkError as error:
             raise KumquatwalkError(
-                error.code, f"{error.message}; {self._last_start_error}"
+                error.code,
+                f"{error.message}; {self._last_start_error}; not running"
+                f" again: {self._list_unstarted()}",
             ) from error
         for node_id in NODES:
             fleet.block_hosts(node_id, ())
@@ -283,6 +288,23 @@
                     # node is paused; the next round starts it again.
                     self._signalled.add(children[node_id].pid)
 
+    def _list_unstarted(self) -> dict[str, str]:
+        """Return the stacks or logs of processes that have not ended yet."""
+        fleet = self._chain.fleet
+        for child in fleet.targets.values():
+            if child.pid in self._signalled and child.is_running():
+                child.signal(signal.SIGUSR1)
+        time.sleep(STACK_WAIT_S)
+        return {
+            f"{kind} {node_id} {child.pid}": child.read_log()[-LOG_END_CHARS:]
+            for kind, children in (
+                ("node", fleet.nodes),
+                ("target", fleet.targets),
+            )
+            for node_id, child in children.items()
+            if child.pid in self._signalled
+        }
+
     def _is_restarted(self) -> bool:
         self._restart_ended()
         fleet = self._chain.fleet
@@ -326,9 +348,16 @@
                 self._stopped.wait(PAUSE_AFTER_FAILURE_S)
 
     def _send(self, node_id: str, entry: str, request: str, key: str) -> str:
-        pid = self._chain.fleet.nodes[node_id].pid
+        nodes = self._chain.fleet.nodes
+        before = nodes[node_id].pid
         answer = self._chain.send(node_id, entry, request, key=key)
         self._sendings.append(
-            Sending(request, pid, answer.elapsed_s, answer.outcome, answer.code)
+            Sending(
+                request,
+                frozenset((before, nodes[node_id].pid)),
+                answer.elapsed_s,
+                answer.outcome,
+                answer.code,
+            )
         )
         return answer.outcome
