End the stand-in target that gets SIGTERM while it is suspended

Its stacks show no drain begun and the main thread waiting for its end.

Cause: the kernel may give the signal of a stopped process to any of its threads. Python runs handlers in the main thread only, which nothing woke. Nodes are not affected: their event loop is woken through a descriptor.

--- a/kumquatwalk/standin/target.py
+++ b/kumquatwalk/standin/target.py
@@ -29,6 +29,7 @@
 CRASH_EXIT_STATUS = 70
 DRAIN_REPORT_TIMEOUT_S = 3.0
 DRAIN_TIMEOUT_S = 30.0
+SIGNAL_CHECK_INTERVAL_S = 0.5
 DRAIN_IDLE_S = 0.5
 LATENCY_SMOOTHING = 0.1
 MAX_REQUESTS = 1_000_000
@@ -109,7 +110,10 @@
 
     def wait_closed(self) -> None:
         """Wait until the target has closed."""
-        self._closed.wait()
+        # The signal of a process that is stopped may go to any thread, and only
+        # the main thread runs its handler, once it wakes.
+        while not self._closed.wait(SIGNAL_CHECK_INTERVAL_S):
+            pass
 
     def close(self) -> None:
         """Stop the server and the reports without waiting for runs."""
