--- a/kumquatwalk/idempotency/claim_restorer.py
+++ b/kumquatwalk/idempotency/claim_restorer.py
@@ -10,6 +10,7 @@
 from kumquatwalk.idempotency.claim import Claim
 from kumquatwalk.idempotency.claim import decode_claim
 from kumquatwalk.idempotency.claim import encode_claim
+from kumquatwalk.idempotency.claim_sweeper import MAX_KEYS_PER_COMMIT
 from kumquatwalk.idempotency.held_claims import HeldClaims
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
@@ -21,8 +22,6 @@
 
 __all__ = ["ClaimRestorer"]
 
-# The store accepts at most 32 keys in one transaction.
-KEYS_PER_COMMIT_MAX = 32
 RETRY_INTERVAL_S = 0.3
 FAILURES_MAX = 20
 
@@ -63,7 +62,7 @@
         claims = self._held.list_newest_first(read_now())
         written, failures = 0, 0
         while claims and failures < FAILURES_MAX:
-            batch = claims[:KEYS_PER_COMMIT_MAX]
+            batch = claims[:MAX_KEYS_PER_COMMIT]
             try:
                 is_complete = await self._write_batch(batch)
             except PlatformError as error:
