Show that claims can stay lost when an answer is lost while they are written back: a failing test

The restorer ends at the first own claim that it finds, and after a lost answer that may be one that it has just written.

--- a/kumquatwalk/idempotency/tests/test_restored_store.py
+++ b/kumquatwalk/idempotency/tests/test_restored_store.py
@@ -10,10 +10,12 @@
 from kumquatwalk.idempotency import ClaimStore
 from kumquatwalk.idempotency import NodeIdentity
 from kumquatwalk.idempotency import OwnedBy
+from kumquatwalk.idempotency.claim import Claim
 from kumquatwalk.idempotency.claim_restorer import ClaimRestorer
 from kumquatwalk.idempotency.claim_store import RESTORE_GRACE_S
 from kumquatwalk.platform.store import StoreClient
 from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.store_faults import StoreFaults
 
 KEY = "claims/1"
 POLL_S = 0.02
@@ -91,6 +93,18 @@
         await asyncio.sleep(RESTORE_GRACE_S + POLL_S)
         self.assertNotIsInstance(await self._claim("second"), Claimed)
 
+    # Guards against a claim that stays lost: after a lost answer the restorer
+    # takes a claim that it has just written for one of the copy.
+    async def test_all_claims_are_written_back_when_an_answer_is_lost(self):
+        held = self.claims["first"].held
+        keys = {f"claims/{number}" for number in range(40)}
+        for key in sorted(keys):
+            held.add(key, Claim("first", 1, key, "f", 0), read_now())
+        self.store.faults = StoreFaults(lose_answers=1)
+        self.restorers["first"].handle_restore()
+        await asyncio.sleep(2.0)
+        self.assertLessEqual(keys, set(self.store.list_keys()))
+
 
 if __name__ == "__main__":
     unittest.main()
