Review: record what was sent, answered and run in all cases

Nothing changes in what the cases do. Each record lists all requests, answers and runs in the order of time.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -105,7 +105,7 @@
 async def send(lab: Lab, node: Node, sent: Sent) -> None:
     """Send one request and keep its answer."""
     answer = await lab.call(
-        node, "POST", "/order/1", sent.attempt, LIMIT_MS, b"lilies", quiet=True
+        node, "POST", "/order/1", sent.attempt, LIMIT_MS, b"lilies"
     )
     sent.status, sent.ended_at = answer.status, time.monotonic()
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -87,9 +87,8 @@
 
 
 async def browse(lab: Lab, node: Node, attempt: str) -> None:
-    """Send one request; the record has its answer."""
-    answer = await lab.call(node, "GET", "/browse/1", attempt, 3000, quiet=True)
-    lab.note(f"answered attempt={attempt} {answer.status}")
+    """Send one request."""
+    await lab.call(node, "GET", "/browse/1", attempt, 3000)
 
 
 run_case(pathlib.Path(__file__).parent, play)
--- a/review/lab.py
+++ b/review/lab.py
@@ -20,6 +20,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.standin.kv_store import KvStore
 from kumquatwalk.standin.scripted_target import Script
 from kumquatwalk.standin.scripted_target import ScriptedTarget
@@ -84,10 +85,12 @@
     """Connection of a client that it keeps open for many requests.
 
     Args:
+        lab: Lab that records what is sent and answered.
         node: Machine to whose outbound address the client connects.
     """
 
-    def __init__(self, node: Node):
+    def __init__(self, lab: "Lab", node: Node):
+        self._lab = lab
         self._node = node
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -96,6 +99,7 @@
         self, method: str, path: str, attempt: str, limit_ms: int
     ) -> Answer:
         """Send a request; status 0 if the connection ends without an answer."""
+        self._lab.record_sent(self._node, method, path, attempt, b"")
         headers = {"Attempt-Id": attempt, "Deadline-Ms": str(limit_ms)}
         try:
             if self._writer is None:
@@ -106,6 +110,7 @@
             answer = await read_answer(self._reader)
         except (OSError, asyncio.IncompleteReadError):
             answer = Answer(0, {}, b"")
+        self._lab.record_answer(attempt, answer)
         if not answer.status or answer.headers.get("connection") == "close":
             self.close()
         return answer
@@ -147,19 +152,22 @@
         self.nodes: dict[str, Node] = {}
         self._folder = folder
         self._temporary = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
-        self._lines: list[str] = []
-        self._began_at = time.monotonic()
+        self._lines: list[tuple[float, str]] = []
+        self._began_at = read_now()
 
     @property
     def now(self) -> float:
         """Time since the start of the case, in seconds."""
-        return time.monotonic() - self._began_at
+        return read_now() - self._began_at
 
     def note(self, text: str) -> None:
-        """Add a line with its time to the record."""
-        line = f"{self.now:8.3f} {text}"
-        self._lines.append(line)
-        print(line, flush=True)
+        """Add a line with its time to the record, and print it."""
+        self.record(text)
+        print(f"{self.now:8.3f} {text}", flush=True)
+
+    def record(self, text: str) -> None:
+        """Add a line with its time to the record only."""
+        self._lines.append((self.now, text))
 
     async def start(self, paths: list[dict], **limits) -> None:
         """Start the store and write the first manifest to it."""
@@ -267,27 +275,34 @@
         attempt: str,
         limit_ms: int,
         body: bytes = b"",
-        quiet: bool = False,
     ) -> Answer:
         """Send one client attempt to the outbound address of a machine."""
         headers = {"Attempt-Id": attempt, "Deadline-Ms": str(limit_ms)}
         data = encode(method, path, headers, body)
-        if not quiet:
-            self.note(
-                f"sent {method} {path} attempt={attempt} at={node.name}"
-                f" body={len(body)}"
-            )
+        self.record_sent(node, method, path, attempt, body)
         try:
             answer = await exchange(
                 node.ports["outbound"], data, limit_ms / 1000 + 0.5
             )
         except TimeoutError:
             answer = Answer(0, {}, b"")
-        if not quiet:
-            text = answer.body[:40].decode("latin-1").strip()
-            self.note(f"answered attempt={attempt} {answer.status} {text}")
+        self.record_answer(attempt, answer)
         return answer
 
+    def record_sent(
+        self, node: Node, method: str, path: str, attempt: str, body: bytes
+    ) -> None:
+        """Record that a client sends a request."""
+        self.record(
+            f"sent {method} {path} attempt={attempt} at={node.name}"
+            f" body={len(body)}"
+        )
+
+    def record_answer(self, attempt: str, answer: Answer) -> None:
+        """Record an answer; status 0 stands for a connection that ended."""
+        text = answer.body[:40].decode("latin-1").strip()
+        self.record(f"answered attempt={attempt} {answer.status} {text}")
+
     def list_runs(self) -> list[tuple[str, str, float]]:
         """Return attempt, backend and start of each run, in order."""
         return sorted(
@@ -341,8 +356,11 @@
             with contextlib.suppress(OSError):
                 await node.target.close()
         await self.store.close()
-        text = "\n".join(self._lines) + "\n"
-        (self._folder / "record.txt").write_text(text)
+        for attempt, target_id, at in self.list_runs():
+            text = f"run of attempt={attempt} at {target_id} begins"
+            self._lines.append((at - self._began_at, text))
+        lines = [f"{at:8.3f} {text}\n" for at, text in sorted(self._lines)]
+        (self._folder / "record.txt").write_text("".join(lines))
         if keep := os.environ.get("CASE_LOGS"):
             shutil.copytree(self._temporary, keep, dirs_exist_ok=True)
         shutil.rmtree(self._temporary, ignore_errors=True)
