Hold signals from the very start of a daemon

Callers saw requests lost when settings changed right after a start: SIGHUP ended the process, because its handler was installed last, after the listeners. SIGTERM took its default action until the event loop ran, so a planned stop ended with a signal's code.

SIGHUP before the settings are watched reads them again once they are; SIGTERM and SIGINT before the daemon exists end the process with code 0. `node` keeps the default action of SIGHUP. A second SIGTERM and a SIGHUP in a stop change nothing: that held before too.

Before: "AssertionError: the process has ended with code -1" (SIGHUP) and "AssertionError: the process has ended with code -15" (SIGTERM).

--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -7,6 +7,8 @@
 import click
 
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.cli.held_signals import has_come
+from kumquatwalk.cli.held_signals import hold_signals
 
 __all__ = ["daemon"]
 
@@ -30,6 +32,7 @@
 
     SIGHUP reloads the settings file.
     """
+    hold_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
@@ -59,5 +62,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, watcher.check)
         watcher.start()
+        if has_come(signal.SIGHUP):
+            watcher.check()
 
     run_daemon(lambda: make_daemon(settings), watch_settings)
--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.cli.held_signals import has_come
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
 
@@ -28,7 +29,8 @@
     """Run a daemon until SIGTERM or SIGINT, then drain it and exit.
 
     This function does not return: the process exits with code 0 after a
-    graceful stop, and with code 1 on an ``OSError``, such as a port in use.
+    graceful stop, and with code 1 on an ``OSError``, such as a port in use. A
+    signal that came before counts too, see ``hold_signals``.
 
     Args:
         make_daemon: Creates the daemon; called on the event loop.
@@ -50,14 +52,17 @@
 ) -> None:
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    daemon = make_daemon()
-    await daemon.start()
-    on_start(daemon)
-    await stop_requested.wait()
-    await daemon.drain()
-    await daemon.close()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+        if has_come(number):
+            stop_requested.set()
+    if not stop_requested.is_set():
+        daemon = make_daemon()
+        await daemon.start()
+        on_start(daemon)
+        await stop_requested.wait()
+        await daemon.drain()
+        await daemon.close()
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
     # period of the process. Nothing but standard output is left to flush.
--- a/kumquatwalk/cli/node.py
+++ b/kumquatwalk/cli/node.py
@@ -1,9 +1,11 @@
 """The ``node`` command: a node with the native interface."""
 
+import signal
 import sys
 
 import click
 
+from kumquatwalk.cli.held_signals import hold_signals
 from kumquatwalk.native.options import node_options
 from kumquatwalk.native.settings import NodeSettings
 
@@ -14,6 +16,7 @@
 @node_options
 def node(settings: NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
+    hold_signals(signal.SIGTERM, signal.SIGINT)
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
