--- /dev/null
+++ b/kumquatwalk/admission/stop.py
@@ -0,0 +1,126 @@
+"""Admission of requests while the process stops."""
+
+import math
+
+from kumquatwalk.admission.recent_longest import RecentLongest
+
+__all__ = ["StopAdmission"]
+
+# A request may take longer than the longest one of late: the time that is
+# expected for it is that of the longest, times this factor, plus this time in
+# seconds.
+LONGEST_FACTOR = 1.25
+LONGEST_MARGIN_S = 0.3
+# Time from the end of the drain until a restarted process serves, in seconds.
+RESTART_S = 1.5
+# Maximum retry delay, in seconds: callers are sent to other nodes before the
+# process ends.
+RETRY_DELAY_MAX_S = 1.0
+
+
+class StopAdmission:
+    """Decides whether a request can still end before the process does.
+
+    It measures how long requests of each route take. Until a stop begins it
+    admits everything.
+
+    Attributes:
+        ends_at: Time at which requests must have ended, in seconds; infinite
+            until a stop begins.
+        refused: Number of requests refused because of the stop.
+    """
+
+    def __init__(self):
+        self.ends_at = math.inf
+        self.refused = 0
+        self._recent = RecentLongest()
+        self._in_progress: dict[str, dict[int, float]] = {}
+        self._last_key = 0
+
+    def set_end(self, ends_at: float) -> None:
+        """Set the end of the drain; a later one than set before is ignored.
+
+        Args:
+            ends_at: Time at which requests must have ended, in seconds.
+        """
+        self.ends_at = min(self.ends_at, ends_at)
+
+    def begin(self, route: str, now: float) -> int:
+        """Record the start of a request.
+
+        Args:
+            route: Name of its route.
+            now: Current time, in seconds; it never decreases.
+
+        Returns:
+            Key to pass to ``finish``.
+        """
+        self._last_key += 1
+        self._in_progress.setdefault(route, {})[self._last_key] = now
+        return self._last_key
+
+    def finish(self, route: str, key: int, has_run: bool, now: float) -> None:
+        """Record the end of a request.
+
+        Args:
+            route: Name of its route.
+            key: Key that ``begin`` returned.
+            has_run: Whether the request has run or may have; the duration of
+                others says nothing about runs.
+            now: Current time, in seconds.
+        """
+        started = self._in_progress[route]
+        began_at = started.pop(key)
+        if not started:
+            del self._in_progress[route]
+        if has_run:
+            self._recent.record(route, now - began_at, now)
+
+    def admits(
+        self, route: str, deadline: float, objective_s: float, now: float
+    ) -> bool:
+        """Return whether a request will end before the drain does.
+
+        It will if its deadline lies before the end, or if the longest time that
+        a request of its route took of late does. The age of requests in
+        progress counts too. Counts the refusals.
+
+        Args:
+            route: Name of its route.
+            deadline: Time by which it is answered in any case, in seconds.
+            objective_s: Time assumed where no request of the route is known, in
+                seconds.
+            now: Current time, in seconds.
+        """
+        if self.ends_at == math.inf:
+            return True
+        is_admitted = now < self.ends_at and (
+            deadline < self.ends_at
+            or now + self._estimate_s(route, objective_s, now) < self.ends_at
+        )
+        self.refused += not is_admitted
+        return is_admitted
+
+    def has_ended(self, now: float) -> bool:
+        """Return whether the end of the drain has come.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return now >= self.ends_at
+
+    def estimate_retry_delay(self, now: float) -> float:
+        """Return when to send a refused request again, in seconds from now.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return min(RETRY_DELAY_MAX_S, self.ends_at - now + RESTART_S)
+
+    def _estimate_s(self, route: str, objective_s: float, now: float) -> float:
+        longest_s = self._recent.find(route, now)
+        started = self._in_progress.get(route)
+        oldest_s = now - next(iter(started.values())) if started else 0.0
+        if longest_s is None:
+            return max(objective_s, oldest_s)
+        return LONGEST_FACTOR * max(longest_s, oldest_s) + LONGEST_MARGIN_S
--- /dev/null
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -0,0 +1,146 @@
+"""Tests of the admission of requests while the process stops."""
+
+import math
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from kumquatwalk.admission import recent_longest
+from kumquatwalk.admission.recent_longest import RecentLongest
+from kumquatwalk.admission.stop import RETRY_DELAY_MAX_S
+from kumquatwalk.admission.stop import StopAdmission
+
+WINDOW_S = recent_longest.BUCKETS * recent_longest.BUCKET_S
+# Multiples of a power of two, so that sums of times are exact.
+SECONDS = st.integers(0, 30 * 64).map(lambda n: n / 64)
+# Time since the previous request, time that it took, whether it ran.
+REQUESTS = st.lists(
+    st.tuples(SECONDS, SECONDS, st.booleans()),
+    max_size=30,
+)
+FIXED = hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+
+
+class StopAdmissionTest(unittest.TestCase):
+
+    def _make_gate(self, requests) -> tuple[StopAdmission, list, float]:
+        """Return a gate that has seen requests, those that ran, and the time.
+
+        A request that ran is given by the time of its end and its duration.
+        """
+        gate = StopAdmission()
+        now = 1000.0
+        changes = []
+        for gap_s, taken_s, has_run in requests:
+            now += gap_s
+            changes.append((now, len(changes), None, has_run))
+            changes.append((now + taken_s, len(changes), now, has_run))
+        keys, ran = {}, []
+        for at, _, began_at, has_run in sorted(changes, key=lambda c: c[:2]):
+            if began_at is None:
+                keys.setdefault(at, []).append(gate.begin("pay", at))
+            else:
+                gate.finish("pay", keys[began_at].pop(0), has_run, at)
+                if has_run:
+                    ran.append((at, at - began_at))
+            now = max(now, at)
+        return gate, ran, now
+
+    @FIXED
+    @hypothesis.given(REQUESTS, SECONDS, SECONDS, SECONDS)
+    def test_all_is_admitted_until_a_stop_begins(
+        self, requests, limit_s, objective_s, pause_s
+    ):
+        gate, _, now = self._make_gate(requests)
+        now += pause_s
+        self.assertTrue(gate.admits("pay", now + limit_s, objective_s, now))
+        self.assertEqual(gate.refused, 0)
+
+    @FIXED
+    @hypothesis.given(REQUESTS, SECONDS, SECONDS, SECONDS)
+    def test_what_is_admitted_can_end_before_the_drain(
+        self, requests, limit_s, objective_s, left_s
+    ):
+        # Guards against LOST: a request is taken that is cut off at the end.
+        gate, ran, now = self._make_gate(requests)
+        gate.set_end(now + left_s)
+        is_admitted = gate.admits("pay", now + limit_s, objective_s, now)
+        recent = [s for at, s in ran if at > now - WINDOW_S + 1.0]
+        expected_s = max(recent, default=0.0 if ran else objective_s)
+        if is_admitted:
+            self.assertGreaterEqual(left_s, min(limit_s, expected_s))
+        else:
+            self.assertGreaterEqual(limit_s, left_s)
+        self.assertEqual(gate.refused, not is_admitted)
+
+    @FIXED
+    @hypothesis.given(REQUESTS, st.lists(SECONDS, min_size=2, max_size=2))
+    def test_more_time_left_never_turns_admission_into_refusal(
+        self, requests, left_s
+    ):
+        results = []
+        for seconds in sorted(left_s):
+            gate, _, now = self._make_gate(requests)
+            gate.set_end(now + seconds)
+            results.append(gate.admits("pay", math.inf, 0.5, now))
+        self.assertLessEqual(results[0], results[1])
+
+    def test_age_of_a_request_in_progress_counts(self):
+        gate = StopAdmission()
+        gate.finish("pay", gate.begin("pay", 0.0), True, 0.1)
+        gate.begin("pay", 0.0)
+        gate.set_end(5.0)
+        self.assertTrue(gate.admits("pay", 60.0, 0.1, 1.0))
+        self.assertFalse(gate.admits("pay", 60.0, 0.1, 2.5))
+        self.assertTrue(gate.admits("other", 60.0, 0.1, 2.5))
+
+    def test_route_without_requests_takes_its_objective(self):
+        gate = StopAdmission()
+        gate.set_end(5.0)
+        self.assertTrue(gate.admits("pay", 60.0, 1.0, 3.9))
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 4.1))
+
+    def test_request_that_did_not_run_says_nothing_about_its_route(self):
+        gate = StopAdmission()
+        gate.finish("pay", gate.begin("pay", 0.0), False, 0.0)
+        gate.set_end(5.0)
+        self.assertFalse(gate.admits("pay", 60.0, 3.0, 2.5))
+
+    def test_nothing_is_admitted_after_the_end(self):
+        gate = StopAdmission()
+        gate.set_end(5.0)
+        gate.set_end(3.0)
+        gate.set_end(6.0)
+        self.assertFalse(gate.has_ended(2.9))
+        self.assertTrue(gate.has_ended(3.0))
+        self.assertFalse(gate.admits("pay", 2.0, 0.0, 3.0))
+
+    def test_retry_delay_is_bounded(self):
+        gate = StopAdmission()
+        gate.set_end(5.0)
+        self.assertEqual(gate.estimate_retry_delay(0.0), RETRY_DELAY_MAX_S)
+
+
+class RecentLongestTest(unittest.TestCase):
+
+    def test_durations_leave_the_window(self):
+        recent = RecentLongest()
+        recent.record("pay", 3.0, 100.0)
+        recent.record("pay", 1.0, 100.5)
+        recent.record("pay", 0.5, 105.0)
+        self.assertEqual(recent.find("pay", 105.0), 3.0)
+        self.assertEqual(recent.find("pay", 100.0 + WINDOW_S), 0.5)
+        self.assertIsNone(recent.find("pay", 106.0 + WINDOW_S))
+        self.assertIsNone(recent.find("other", 105.0))
+
+    def test_number_of_routes_is_bounded(self):
+        recent = RecentLongest()
+        for number in range(recent_longest.ROUTES_MAX + 5):
+            recent.record(f"route-{number}", 1.0, 100.0)
+        self.assertIsNone(recent.find("route-4", 100.0))
+        self.assertEqual(recent.find("route-5", 100.0), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/codes.py
+++ b/kumquatwalk/codes.py
@@ -16,6 +16,7 @@
     "KEY_REQUIRED",
     "LINK_FAILED",
     "MEMORY_EXHAUSTED",
+    "NODE_STOPPING",
     "OUTCOME_UNKNOWN",
     "OVERLOADED",
     "QUARANTINED",
@@ -49,6 +50,7 @@
 KEY_REQUIRED = "key_required"
 LINK_FAILED = "link_failed"
 MEMORY_EXHAUSTED = "memory_exhausted"
+NODE_STOPPING = "node_stopping"
 OUTCOME_UNKNOWN = "outcome_unknown"
 OVERLOADED = "overloaded"
 QUARANTINED = "quarantined"
