Half-close links at the end, so that replies are not lost

A node that stopped aborted its links. With bytes of the peer unread the kernel resets the connection and drops what the peer has not received, a reply to a call that has run among it; and calls still in progress got no reply, so that the caller's node waited until the process was back or the deadline was over.

`LinkServer.close` now answers calls in progress as unknown, sends all unsent bytes and the end of the stream, serves nothing more, and reads on for 0.1 s at most, until the peers have closed. Queries of an owner get no reply: the peer turns to the claims in the store, as before.

--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -123,6 +123,15 @@
         else:
             self._transport.write(frame)
 
+    def close_sending(self) -> None:
+        """Send all unsent bytes, then the end of the stream; go on reading.
+
+        An end that is closed while it has unread bytes is reset, and the peer
+        would lose what it has not received.
+        """
+        if self.is_open and self._transport.can_write_eof():
+            self._transport.write_eof()
+
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
         if self._transport is not None:
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -34,6 +34,10 @@
 # Cancellation message for calls whose link was lost. The caller may still be
 # waiting and send the call again on another connection.
 LINK_LOST = "link_lost"
+# Maximum time for which the last replies are taken before links are aborted, in
+# seconds: several round trips between zones.
+LINGER_S = 0.1
+_POLL_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +45,7 @@
     link: LinkProtocol
     peer: Hello | None = None
     tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+    call_ids: set[int] = dataclasses.field(default_factory=set)
 
 
 class LinkServer:
@@ -92,6 +97,7 @@
         self._on_hello = on_hello
         self._sessions: dict[LinkProtocol, _Session] = {}
         self._server: asyncio.Server | None = None
+        self._is_closing = False
 
     @property
     def calls_in_progress(self) -> int:
@@ -126,9 +132,21 @@
         )
 
     async def close(self) -> None:
-        """Stop listening and abort all connections."""
+        """Stop listening, end all calls and close all connections.
+
+        Calls in progress get a reply that the outcome is unknown. Peers have
+        ``LINGER_S`` to take the last replies.
+        """
+        self._is_closing = True
         if self._server is not None:
             self._server.close()
+        for session in tuple(self._sessions.values()):
+            self._end_calls(session)
+            session.link.close_sending()
+        for _ in range(round(LINGER_S / _POLL_S)):
+            if not self._sessions:
+                return
+            await asyncio.sleep(_POLL_S)
         for link in tuple(self._sessions):
             link.abort()
 
@@ -153,7 +171,7 @@
 
     def _handle_message(self, link: LinkProtocol, message: Message) -> None:
         session = self._sessions.get(link)
-        if session is None:
+        if session is None or self._is_closing:
             return
         match message:
             case Hello():
@@ -171,12 +189,14 @@
                 serve = self._serve_call
                 if message.call.body:
                     serve = self._serve_within_budget
+                session.call_ids.add(message.call_id)
                 pending_reply = serve(message.call)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case OwnerQueryFrame():
                 pending_reply = self._serve_query(message.query)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case Cancel():
+                session.call_ids.discard(message.call_id)
                 task = session.tasks.pop(message.call_id, None)
                 if task is not None:
                     task.cancel()
@@ -224,9 +244,24 @@
             reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
         finally:
             session.tasks.pop(call_id, None)
+            session.call_ids.discard(call_id)
+        self._reply(session, call_id, reply)
+
+    def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
         running, queued = self._get_load()
         session.link.send(ReplyFrame(call_id, running, queued, reply))
 
+    def _end_calls(self, session: _Session) -> None:
+        """Reply to all calls in progress; queries of an owner get none.
+
+        The peer asks the store who has run a query's request.
+        """
+        reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
+        for call_id in sorted(session.call_ids):
+            self._reply(session, call_id, reply)
+        for task in tuple(session.tasks.values()):
+            task.cancel(LINK_LOST)
+
     def _remove_session(self, link: LinkProtocol) -> None:
         session = self._sessions.pop(link, None)
         if session is None:
--- /dev/null
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -0,0 +1,132 @@
+"""Tests of the server end of links."""
+
+import asyncio
+import socket
+import unittest
+
+from kumquatwalk.address import Address
+from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.mesh.codec import FrameReader
+from kumquatwalk.mesh.codec import decode
+from kumquatwalk.mesh.codec import encode
+from kumquatwalk.mesh.codec import make_frame
+from kumquatwalk.mesh.link_server import LinkServer
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.partition import Partition
+from kumquatwalk.outcome import Outcome
+
+BODY = b"answer" * 20_000
+TIMEOUT_S = 10.0
+HELLO = Hello("peer", 1, "z1", "web", "127.0.0.1", 1, 0.0)
+
+
+def make_call(url: bytes) -> Call:
+    """Return a call whose URL tells how long it takes."""
+    return Call(
+        key=0,
+        attempt_id=b"id",
+        route="web",
+        service="web",
+        caller_service="web",
+        is_idempotent=True,
+        is_returning=False,
+        rank=0,
+        deadline=1e9,
+        start_by=1e9,
+        method=b"GET",
+        url=url,
+        headers=(),
+        body=b"",
+    )
+
+
+class LinkServerCloseTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.served = []
+        self.server = LinkServer(
+            Address("127.0.0.1", 0),
+            lambda: HELLO,
+            self._serve_call,
+            self._serve_query,
+            TargetStatus,
+            lambda: (0, 0),
+            lambda: None,
+            lambda: (),
+            lambda _: None,
+            Partition(),
+            ByteBudget(1 << 20),
+        )
+        await self.server.start()
+        self.sock = socket.socket()
+        self.addCleanup(self.sock.close)
+        self.sock.setblocking(False)
+        self.loop = asyncio.get_running_loop()
+        address = ("127.0.0.1", self.server.port)
+        await self.loop.sock_connect(self.sock, address)
+        await self._send(HELLO)
+
+    async def _serve_call(self, call: Call) -> Reply:
+        self.served.append(call.url)
+        if call.url == b"/never":
+            await asyncio.Event().wait()
+        return Reply(Outcome.DONE, "", 200, body=BODY)
+
+    async def _serve_query(self, query) -> Reply:
+        raise NotImplementedError(query)
+
+    async def _send(self, message) -> None:
+        frame = make_frame(encode(message))
+        await self.loop.sock_sendall(self.sock, frame)
+
+    async def _read_replies(self) -> dict[int, Reply]:
+        """Return the replies until the server closes the link."""
+        reader = FrameReader()
+        replies = {}
+        async with asyncio.timeout(TIMEOUT_S):
+            while data := await self.loop.sock_recv(self.sock, 65536):
+                for payload in reader.feed(data):
+                    message = decode(payload)
+                    if isinstance(message, ReplyFrame):
+                        replies[message.call_id] = message.reply
+        return replies
+
+    async def test_reply_written_just_before_the_end_is_not_lost(self):
+        # Guards against LOST: a link was reset with a reply on its way.
+        await self._send(CallFrame(1, False, make_call(b"/quick"), 0.0))
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.served:
+                await asyncio.sleep(0.01)
+        close = asyncio.create_task(self.server.close())
+        # The server has bytes that it does not read before it closes.
+        await self._send(CallFrame(2, False, make_call(b"/quick"), 0.0))
+        replies = await self._read_replies()
+        await close
+        self.assertEqual(set(replies), {1})
+        self.assertEqual(replies[1].body, BODY)
+        self.assertEqual(len(self.served), 1)
+
+    async def test_call_in_progress_at_the_end_is_answered_as_unknown(self):
+        # Guards against LOST: callers waited for replies that never came.
+        await self._send(CallFrame(1, False, make_call(b"/never"), 0.0))
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.served:
+                await asyncio.sleep(0.01)
+        close = asyncio.create_task(self.server.close())
+        replies = await self._read_replies()
+        await close
+        self.assertIs(replies[1].outcome, Outcome.UNKNOWN)
+
+    async def test_close_ends_though_a_peer_keeps_its_end_open(self):
+        close = asyncio.create_task(self.server.close())
+        async with asyncio.timeout(TIMEOUT_S):
+            await close
+
+
+if __name__ == "__main__":
+    unittest.main()
