Refuse what cannot end before the kill when it comes

Runs of 2.4 s taken late were run and cut off; runs of 0.1 s that would have ended were refused.

The caller side now asks `StopAdmission` before a request is passed on and before each further attempt, and refuses with `node_stopping` (not run); the target side asks it by the run times there, when a call comes and again when it leaves the queue, and refuses with `target_leaving`. Nested calls of runs at the own target come to the same listener: it stays open while the target runs anything, and they are asked the same.

Hence the second question when a call leaves the queue.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -5,6 +5,7 @@
 import secrets
 
 from kumquatwalk import codes
+from kumquatwalk.admission.stop import StopAdmission
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.caller_request import CallerRequest
@@ -86,6 +87,9 @@
         retry_budgets: Retry budget of each service.
         metrics: Metrics of the daemon.
         crash_tracker: Tells which requests crash targets.
+
+    Attributes:
+        stop_admission: Refuses requests that a stop would cut off.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         self._sizes = RouteSizes()
         self._timeouts = LongestTimeouts()
         self._leaving = LeavingTargets()
+        self.stop_admission = StopAdmission()
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -125,6 +130,14 @@
         """
         self._retry_budgets.set_bounds(bounds)
 
+    def set_end(self, ends_at: float) -> None:
+        """Set the end of the drain; refuse requests that would last longer.
+
+        Args:
+            ends_at: End of the drain, in seconds.
+        """
+        self.stop_admission.set_end(ends_at)
+
     def clear_backoffs(self) -> None:
         """End the backoff of every target."""
         for view in self._peers.list_all_views():
@@ -154,9 +167,13 @@
             The target's answer, or a reply with the code of the failure.
         """
         began_at = read_now()
+        key = self.stop_admission.begin(route.name, began_at)
+        has_run = False
         try:
             reply = await self._serve(http, caller, route, chain)
+            has_run = reply.outcome is not Outcome.NOT_RUN
         finally:
+            self.stop_admission.finish(route.name, key, has_run, read_now())
             if chain is not None:
                 chain.tokens.close()
         self._metrics.record_request(route.name, reply, read_now() - began_at)
@@ -183,6 +200,8 @@
             self._is_caller_retry(route, caller.timeout_s),
             chain,
         )
+        if not self._can_end(request):
+            return self._refuse_for_stop(request)
         is_nested = chain is not None and chain.depth > 0
         if not is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
@@ -199,6 +218,26 @@
         except TimeoutError:
             return make_timeout_reply(request)
 
+    def _can_end(self, request: PendingRequest) -> bool:
+        """Return whether a request will end before a stop does."""
+        route = request.route
+        return self.stop_admission.admits(
+            route.name,
+            request.deadline,
+            min(route.objective_s, route.timeout_s),
+            read_now(),
+        )
+
+    def _refuse_for_stop(self, request: PendingRequest) -> Reply:
+        return make_refusal(
+            request.caller,
+            codes.NODE_STOPPING,
+            self.stop_admission.estimate_retry_delay(read_now()),
+            self._rng,
+            request.route.name,
+            request.last_node,
+        )
+
     def _is_caller_retry(self, route: Route, timeout_s: float | None) -> bool:
         """Return whether a request is taken for a caller's retry.
 
@@ -222,6 +261,8 @@
             self._record_attempt(request, view, reply)
             if self._is_final(request, reply, view):
                 return self._make_final_reply(request)
+            if not self._can_end(request):
+                return self._make_final_reply(request)
             if request.attempts_at_targets and not await self._prepare_retry(
                 request, reply, view
             ):
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -178,6 +178,15 @@
         self.target_side.close()
         self.store.close()
 
+    def set_end(self, ends_at: float) -> None:
+        """Set the end of the drain; refuse what would last longer.
+
+        Args:
+            ends_at: End of the drain, in seconds.
+        """
+        self.caller_side.set_end(ends_at)
+        self.target_side.set_end(ends_at)
+
     def make_hello(self) -> Hello:
         """Return this node's first message on a link."""
         settings = self.settings
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -18,13 +18,6 @@
 # Time after SIGTERM at which other nodes are told to choose other targets, in
 # seconds.
 TARGET_DRAIN_DELAY_S = 1.6
-# Maximum time after SIGTERM for which runs at the target keep the listener for
-# callers open, in seconds: their nested calls arrive there.
-RUN_DRAIN_MAX_S = 4.0
-# Time before the end of the drain at which the target side refuses new calls,
-# in seconds: longer than most runs. Nodes that know no other target for the
-# service keep calling this one until then.
-REFUSAL_MARGIN_S = 1.6
 # Time before SIGKILL at which the drain ends at the latest, in seconds.
 KILL_MARGIN_S = 0.4
 _POLL_S = 0.05
@@ -122,6 +115,7 @@
         self._caller_server.is_stopping = True
         log_event("daemon_stopping")
         drain_max_s = self.core.settings.bounds.grace_s - KILL_MARGIN_S
+        self.core.set_end(began_at + drain_max_s)
         target_side = self.core.target_side
         is_accepting = True
         while True:
@@ -130,8 +124,6 @@
             if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
                 target_side.mark_stopping()
                 self.core.state_publisher.publish_status()
-            if elapsed_s > drain_max_s - REFUSAL_MARGIN_S:
-                target_side.refuse_new_calls()
             if is_accepting and self._can_stop_accepting(elapsed_s):
                 # Connections accepted from here on would be cut off at the end.
                 self._caller_server.stop_accepting()
@@ -167,10 +159,9 @@
         log_event("daemon_stopped")
 
     def _can_stop_accepting(self, elapsed_s: float) -> bool:
-        if elapsed_s < CALLER_DRAIN_S:
-            return False
+        # Runs at the target make their nested calls at this listener.
         running = self.core.target_side.limiter.running
-        return not running or elapsed_s > RUN_DRAIN_MAX_S
+        return elapsed_s > CALLER_DRAIN_S and not running
 
     def _count_in_progress(self) -> int:
         return (
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import zlib
 from collections.abc import Callable
 
 from kumquatwalk import codes
 from kumquatwalk.admission.route_limits import RouteLimits
+from kumquatwalk.admission.stop import StopAdmission
 from kumquatwalk.admission.target_limiter import Refusal
 from kumquatwalk.admission.target_limiter import TargetLimiter
 from kumquatwalk.clock import read_now
@@ -84,6 +86,7 @@
         runs: Runs in progress.
         is_stopping: Whether this node is stopping, so that other nodes should
             choose other targets.
+        stop_admission: Refuses calls that a stop would cut off.
     """
 
     def __init__(
@@ -117,7 +120,7 @@
         )
         self._failure_share = 0.0
         self.is_stopping = False
-        self._refuses_new_calls = False
+        self.stop_admission = StopAdmission()
         self._waiter = AdmissionWaiter()
         self.limiter.named_rate.expect_response(read_now())
         self.record = TargetRecord()
@@ -156,9 +159,13 @@
         """
         self.is_stopping = True
 
-    def refuse_new_calls(self) -> None:
-        """Refuse new calls; admitted and queued ones continue."""
-        self._refuses_new_calls = True
+    def set_end(self, ends_at: float) -> None:
+        """Set the end of the drain; refuse calls that would last longer.
+
+        Args:
+            ends_at: End of the drain, in seconds.
+        """
+        self.stop_admission.set_end(ends_at)
 
     def get_status(self) -> TargetStatus:
         """Return the status of the target that is published to other nodes."""
@@ -329,7 +336,7 @@
         """
         if call.service != self.service:
             return codes.SERVICE_MISMATCH, None
-        if self._refuses_new_calls:
+        if not self._can_end(call):
             return codes.TARGET_LEAVING, None
         if self._classify(content) is CrashStatus.QUARANTINED:
             return codes.QUARANTINED, None
@@ -341,6 +348,15 @@
         code = self._limits.begin(route, targets, read_now())
         return code, None if code else route
 
+    def _can_end(self, call: Call) -> bool:
+        """Return whether a call that starts now will end before a stop does."""
+        config = self._configs.config
+        route = config and config.routes_by_name.get(call.route)
+        objective_s = route.objective_s if route is not None else math.inf
+        return self.stop_admission.admits(
+            call.route, call.deadline, objective_s, read_now()
+        )
+
     def _classify(self, content: RequestContent) -> CrashStatus:
         return self._crash_tracker.classify(content, read_now())
 
@@ -373,11 +389,19 @@
                 return self._reply_not_run(codes.QUARANTINED)
             if status is CrashStatus.SUSPECT and not is_only_suspect:
                 return None
+            if not self._can_end(call):
+                return self._reply_not_run(codes.TARGET_LEAVING)
             if retained is not None:
                 retained.is_admitted = True
-            reply = await self._run(call, content)
-            if reply.outcome is not Outcome.NOT_RUN:
-                run_s = read_now() - began_at
+            key = self.stop_admission.begin(call.route, read_now())
+            try:
+                reply = await self._run(call, content)
+                if reply.outcome is not Outcome.NOT_RUN:
+                    run_s = read_now() - began_at
+            finally:
+                self.stop_admission.finish(
+                    call.route, key, run_s is not None, read_now()
+                )
         finally:
             self._waiter.finish(admission, run_s)
         self._metrics.record_run(reply, read_now() - began_at)
--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -0,0 +1,125 @@
+"""Tests of requests for which the end of a graceful stop comes too soon."""
+
+import asyncio
+import json
+import unittest
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.exception import ExchangeError
+from kumquatwalk.standin.daemon_fleet import DaemonFleet
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.scripted_target import Script
+
+# Time between two requests, in seconds.
+PAUSE_S = 0.1
+# Outcome of a request whose connection ended without an answer.
+CUT = "cut"
+
+
+class StopEndTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        config = make_config(
+            ("web", "other"), timeoutS=8.0, targetLatencyS=1.0, maxAttempts=1
+        )
+        await self.fleet.start(config)
+        self.addAsyncCleanup(self.fleet.close)
+
+    async def _add_node(self, name: str, service: str, work_s: float, **bounds):
+        node = await self.fleet.add_node(name, service, **bounds)
+        node.target.choose_script = lambda _: Script(work_s=work_s)
+        return node
+
+    async def _call(
+        self, name: str, path: str, attempt_id: str, deadline_ms: int = 8000
+    ) -> str:
+        """Return status and code of the answer to a request."""
+        try:
+            answer = await self.fleet.call(
+                name, path, attempt_id, deadline_ms, b"POST"
+            )
+        except ExchangeError as error:
+            return CUT if error.sent else "not sent"
+        if answer.status == 200:
+            return "200"
+        return f"{answer.status} {json.loads(answer.body)['error']}"
+
+    async def _call_until(self, name: str, path: str, stop: asyncio.Task):
+        """Send requests at a steady rate until a stop has ended.
+
+        Returns:
+            For each request, its time of sending after the start of the stop in
+            seconds, its outcome, and whether a target has run it.
+        """
+        began_at = read_now()
+        calls = []
+        while not stop.done():
+            attempt_id = f"id-{len(calls)}"
+            task = asyncio.create_task(self._call(name, path, attempt_id))
+            calls.append((read_now() - began_at, attempt_id, task))
+            await asyncio.sleep(PAUSE_S)
+        targets = [n.target for n in self.fleet.nodes.values()]
+        return [
+            (sent_s, await task, sum(t.count_runs(attempt) for t in targets))
+            for sent_s, attempt, task in calls
+        ]
+
+    async def _stop(self, name: str) -> None:
+        daemon = self.fleet.nodes[name].daemon
+        await daemon.drain()
+        await daemon.close()
+
+    async def test_request_that_cannot_end_before_the_kill_is_refused(self):
+        # Guards against LOST: requests taken late in a stop were run and cut.
+        await self._add_node("web-1", "web", 1.2, grace_s=4.0)
+        await self.fleet.wait_until_ready()
+        self.assertEqual(await self._call("web-1", "/web-pay/", "first"), "200")
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("web-1", "/web-pay/", stop)
+        ended = [r for r in results if r[2]]
+        refused = [r for r in results if r[1] == "503 node_stopping"]
+        self.assertEqual([r for r in ended if r[1] != "200"], [])
+        self.assertGreater(len(ended), 10)
+        self.assertGreater(len(refused), 10)
+
+    async def test_call_that_cannot_end_before_the_kill_is_refused(self):
+        # Guards against LOST: calls of other nodes were run and cut.
+        await self._add_node("web-1", "web", 2.0, grace_s=4.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        first = await self._call("other-1", "/web-pay/", "first")
+        self.assertEqual(first, "200")
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("other-1", "/web-pay/", stop)
+        ended = [r for r in results if r[2]]
+        self.assertEqual([r for r in ended if r[1] != "200"], [])
+        self.assertGreater(len(ended), 2)
+        self.assertIn("503 target_leaving", [r[1] for r in results])
+
+    async def test_only_target_serves_short_calls_until_its_end(self):
+        # Guards against LOST: a fixed time before the end, calls were refused
+        # that would have ended.
+        await self._add_node("web-1", "web", 0.1, grace_s=4.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        first = await self._call("other-1", "/web-pay/", "first")
+        self.assertEqual(first, "200")
+        # A long call keeps the node from ending before.
+        long = asyncio.create_task(
+            self._call("other-1", "/web/", "long", deadline_ms=5000)
+        )
+        node = self.fleet.nodes["web-1"]
+        node.target.choose_script = lambda request: Script(
+            work_s=3.0 if request.url == b"/web/" else 0.1
+        )
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("other-1", "/web-pay/", stop)
+        early = {r[1] for r in results if r[0] < 2.5}
+        self.assertEqual(early, {"200"})
+        self.assertEqual(await long, "200")
+
+
+if __name__ == "__main__":
+    unittest.main()
