Give requests that outlast a stop a true answer

At the end of the drain, by the clock, connections with requests in progress were aborted: their callers got no answer (LOST), though some had never been passed on to a target.

What has been passed on is answered 502 `node_stopping` (may have run), what has not 503. Calls that wait for the target are refused 0.15 s before, so that they have surely not run. A request at its own deadline still gets 504. The deadline that a target is given is not capped. The process then waits until answers are taken, until 0.3 s before SIGKILL at the latest, and at least 0.1 s, in which calls of other nodes are refused.

Tests, before: "AssertionError: 'cut' != '502 node_stopping'", both.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -1,6 +1,5 @@
 """Caller side of a node: chooses targets, retries and enforces deadlines."""
 
-import asyncio
 import random
 import secrets
 
@@ -17,6 +16,7 @@
 from kumquatwalk.daemon.node_reply import make_refusal
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.pending_request import PendingRequest
+from kumquatwalk.daemon.request_timeouts import RequestTimeouts
 from kumquatwalk.daemon.retry_budgets import RetryBudgets
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.settings import FleetBounds
@@ -90,6 +90,7 @@
 
     Attributes:
         stop_admission: Refuses requests that a stop would cut off.
+        capped: Number of requests that the end of a stop has ended.
     """
 
     def __init__(
@@ -120,7 +121,9 @@
         self._sizes = RouteSizes()
         self._timeouts = LongestTimeouts()
         self._leaving = LeavingTargets()
+        self._request_timeouts = RequestTimeouts()
         self.stop_admission = StopAdmission()
+        self.capped = 0
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -131,12 +134,15 @@
         self._retry_budgets.set_bounds(bounds)
 
     def set_end(self, ends_at: float) -> None:
-        """Set the end of the drain; refuse requests that would last longer.
+        """Set the end of the drain, at which all requests have an answer.
+
+        Requests that would last longer are refused from now on.
 
         Args:
             ends_at: End of the drain, in seconds.
         """
         self.stop_admission.set_end(ends_at)
+        self._request_timeouts.set_end(ends_at)
 
     def clear_backoffs(self) -> None:
         """End the backoff of every target."""
@@ -212,11 +218,16 @@
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
             )
+        timeout = self._request_timeouts.open(request.deadline)
         try:
-            async with asyncio.timeout(request.deadline - read_now()):
+            async with timeout:
                 return await self._make_attempts(request)
         except TimeoutError:
+            if request.deadline > self._request_timeouts.ends_at:
+                return self._end_for_stop(request)
             return make_timeout_reply(request)
+        finally:
+            self._request_timeouts.close(timeout)
 
     def _can_end(self, request: PendingRequest) -> bool:
         """Return whether a request will end before a stop does."""
@@ -238,6 +249,13 @@
             request.last_node,
         )
 
+    def _end_for_stop(self, request: PendingRequest) -> Reply:
+        """Return the reply to a request that lasts longer than the stop."""
+        self.capped += 1
+        if request.is_in_flight or request.last_run is not None:
+            return make_unknown_reply(request, codes.NODE_STOPPING)
+        return self._refuse_for_stop(request)
+
     def _is_caller_retry(self, route: Route, timeout_s: float | None) -> bool:
         """Return whether a request is taken for a caller's retry.
 
@@ -350,12 +368,16 @@
     async def _send(self, view: TargetView, request: PendingRequest) -> Reply:
         call = self._make_call(request)
         request.last_node = view.node_id
+        request.is_in_flight = True
         if view is self._own_view:
-            return await self._target_side.serve(call)
-        link = self._peers.find(view.node_id)
-        if link is None:
-            return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
-        return await link.call(call)
+            reply = await self._target_side.serve(call)
+        else:
+            link = self._peers.find(view.node_id)
+            reply = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
+            if link is not None:
+                reply = await link.call(call)
+        request.is_in_flight = False
+        return reply
 
     def _make_call(self, request: PendingRequest) -> Call:
         route = request.route
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -179,7 +179,7 @@
         self.store.close()
 
     def set_end(self, ends_at: float) -> None:
-        """Set the end of the drain; refuse what would last longer.
+        """Set the end of the drain, at which all requests have an answer.
 
         Args:
             ends_at: End of the drain, in seconds.
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -28,6 +28,7 @@
             that are not to be tried again. A node whose link has reconnected
             is removed when the request is retried there.
         last_node: Identifier of the node of the last attempt; empty before it.
+        is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
@@ -44,6 +45,7 @@
     chain: ChainContext | None = None
     tried_nodes: set[str] = dataclasses.field(default_factory=set)
     last_node: str = ""
+    is_in_flight: bool = False
     attempts_at_targets: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -18,8 +18,17 @@
 # Time after SIGTERM at which other nodes are told to choose other targets, in
 # seconds.
 TARGET_DRAIN_DELAY_S = 1.6
-# Time before SIGKILL at which the drain ends at the latest, in seconds.
-KILL_MARGIN_S = 0.4
+# Time before SIGKILL at which requests have ended, in seconds: well within the
+# last sixth of the usual grace period, in which a target may be cut off.
+ANSWER_MARGIN_S = 0.6
+# Time before SIGKILL until which callers may take their answers, in seconds.
+SETTLE_MARGIN_S = 0.3
+# Time before the end of the drain at which calls in the queue of the target are
+# refused, in seconds, so that the refusals still reach their callers.
+QUEUE_MARGIN_S = 0.15
+# Time for which calls are still refused after the drain, in seconds: those that
+# other nodes send before they see that this one takes no more.
+REFUSAL_S = 0.1
 _POLL_S = 0.05
 
 
@@ -107,34 +116,61 @@
     async def drain(self) -> None:
         """Stop gracefully: finish requests in progress, then return.
 
-        Callers are still accepted for a while, until they are sent elsewhere.
-        Returns before SIGKILL is due, even if requests are still in progress.
+        Callers are still accepted for a while, until they are sent elsewhere,
+        and requests of theirs that can end in time. Requests that cannot end
+        before SIGKILL is due have got an answer that says so.
         """
         began_at = read_now()
+        grace_s = self.core.settings.bounds.grace_s
+        ends_at = began_at + grace_s - ANSWER_MARGIN_S
         self.is_stopping = True
         self._caller_server.is_stopping = True
+        self.core.set_end(ends_at)
         log_event("daemon_stopping")
-        drain_max_s = self.core.settings.bounds.grace_s - KILL_MARGIN_S
-        self.core.set_end(began_at + drain_max_s)
+        await self._wait_until_quiet(began_at, ends_at)
+        await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
+        self._log_end(began_at)
+
+    async def _wait_until_quiet(self, began_at: float, ends_at: float) -> None:
+        """Wait until no request is in progress, at most until the end."""
         target_side = self.core.target_side
         is_accepting = True
         while True:
             await asyncio.sleep(_POLL_S)
-            elapsed_s = read_now() - began_at
+            now = read_now()
+            elapsed_s = now - began_at
             if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
                 target_side.mark_stopping()
                 self.core.state_publisher.publish_status()
+            if now > ends_at - QUEUE_MARGIN_S:
+                target_side.refuse_queued_calls()
             if is_accepting and self._can_stop_accepting(elapsed_s):
                 # Connections accepted from here on would be cut off at the end.
                 self._caller_server.stop_accepting()
                 is_accepting = False
-            is_done = not is_accepting and not self._count_in_progress()
-            if is_done or elapsed_s > drain_max_s:
-                break
+            if now > ends_at or not (is_accepting or self._count_owed()):
+                return
+
+    async def _end_requests(self, settles_at: float) -> None:
+        """Take no more requests, and wait until the answers are taken.
+
+        Args:
+            settles_at: Time at which to return at the latest, in seconds.
+        """
+        ended_at = read_now()
+        self._caller_server.stop_accepting()
+        while True:
+            await asyncio.sleep(_POLL_S)
+            now = read_now()
+            is_settled = not self._count_owed() and now > ended_at + REFUSAL_S
+            if is_settled or now > settles_at:
+                return
+
+    def _log_end(self, began_at: float) -> None:
         log_event(
             "daemon_drained",
             seconds=read_now() - began_at,
-            in_progress=self._count_in_progress(),
+            in_progress=self._count_owed(),
         )
 
     def apply_settings(self, settings: DaemonSettings) -> None:
@@ -163,7 +199,8 @@
         running = self.core.target_side.limiter.running
         return elapsed_s > CALLER_DRAIN_S and not running
 
-    def _count_in_progress(self) -> int:
+    def _count_owed(self) -> int:
+        """Return how many callers and calls may still lack their answer."""
         return (
             self._caller_server.busy_connections
             + self.core.link_server.calls_in_progress
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -167,6 +167,10 @@
         """
         self.stop_admission.set_end(ends_at)
 
+    def refuse_queued_calls(self) -> None:
+        """Refuse all calls that wait for the target; admitted ones continue."""
+        self._waiter.close(codes.TARGET_LEAVING)
+
     def get_status(self) -> TargetStatus:
         """Return the status of the target that is published to other nodes."""
         limiter = self.limiter
@@ -266,6 +270,8 @@
             raise
 
     def _get_published_state(self) -> TargetState:
+        if self.stop_admission.has_ended(read_now()):
+            return TargetState.DRAINING
         if self.record.state is TargetState.READY and not self.limiter.is_open:
             return TargetState.UNKNOWN
         return self.record.state
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -120,6 +120,43 @@
         self.assertEqual(early, {"200"})
         self.assertEqual(await long, "200")
 
+    async def test_request_that_outlasts_the_stop_gets_a_true_answer(self):
+        # Guards against LOST: requests in progress at the end were cut off.
+        await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "running")
+        )
+        limited = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "limited", deadline_ms=700)
+        )
+        await asyncio.sleep(0.2)
+        await self._stop("web-1")
+        self.assertEqual(await running, "502 node_stopping")
+        self.assertEqual(await limited, "504 deadline_exceeded")
+
+    async def test_request_that_was_never_passed_on_is_refused_at_the_end(self):
+        # Guards against LOST: requests queued at the end were cut off.
+        node = await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        await self.fleet.send_heartbeat("web-1", slots=1)
+        calls = {
+            f"id-{n}": asyncio.create_task(
+                self._call("web-1", "/web-pay/", f"id-{n}")
+            )
+            for n in range(6)
+        }
+        await asyncio.sleep(0.3)
+        queued = node.daemon.core.target_side.limiter.queued
+        self.assertGreater(queued, 0)
+        await self._stop("web-1")
+        for attempt_id, task in calls.items():
+            answer = await task
+            if node.target.count_runs(attempt_id):
+                self.assertEqual(answer, "502 node_stopping")
+            else:
+                self.assertRegex(answer, "^503 ")
+
 
 if __name__ == "__main__":
     unittest.main()
