Pass nothing on once the drain has ended

After the drain `Daemon.close` closed other components first, with awaits, while connections of callers still read and passed requests on; then it aborted them. A connection opened less than 0.5 s before the listener closed stayed open and was closed by nobody.

The end of the drain is now the end for both sides, also when the process is quiet before its time is up; other nodes are told; and `Daemon.close` ends the caller side first.

--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -159,6 +159,8 @@
         """
         ended_at = read_now()
         self._caller_server.stop_accepting()
+        self.core.set_end(ended_at)
+        self.core.state_publisher.publish_status()
         while True:
             await asyncio.sleep(_POLL_S)
             now = read_now()
@@ -188,9 +190,10 @@
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
+        # First, so that nothing is read or passed on meanwhile.
+        await self._caller_server.close()
         for component in reversed(self._components):
             await component.close()
-        await self._caller_server.close()
         await self.core.close()
         log_event("daemon_stopped")
 
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -1,11 +1,21 @@
 """Tests of requests for which the end of a graceful stop comes too soon."""
 
 import asyncio
+import contextlib
 import json
 import unittest
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.heartbeats import HeartbeatHandler
+from kumquatwalk.daemon.platform_interface import PlatformInterface
+from kumquatwalk.daemon.process import Daemon
+from kumquatwalk.daemon.route_handler import RouteHandler
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.client_connection import open_connection
+from kumquatwalk.http1.encoder import encode_request
+from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.standin.daemon_fleet import HOST
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
@@ -157,6 +167,56 @@
             else:
                 self.assertRegex(answer, "^503 ")
 
+    async def test_nothing_is_passed_on_while_the_daemon_closes(self):
+        # Guards against LOST: a request was passed on after the drain, while
+        # other components closed, and cut off.
+        node = await self._add_node("web-1", "web", 0.5)
+        await node.daemon.close()
+        node.daemon = make_daemon_with(node.settings, SlowComponent())
+        await node.daemon.start()
+        await self.fleet.wait_until_ready()
+        drain = asyncio.create_task(node.daemon.drain())
+        await asyncio.sleep(2.4)
+        address = node.settings.caller_listener
+        connection = await open_connection(address, 5.0, 1 << 20)
+        await drain
+        close = asyncio.create_task(node.daemon.close())
+        await asyncio.sleep(0.05)
+        headers = (
+            (b"Host", HOST.encode()),
+            (b"Attempt-Id", b"late"),
+            (b"Deadline-Ms", b"5000"),
+        )
+        data = encode_request(b"POST", b"/web-pay/", headers, b"")
+        with contextlib.suppress(ExchangeError):
+            await connection.exchange(data, False)
+        self.assertEqual(node.target.count_runs("late"), 0)
+        await close
+
+
+class SlowComponent:
+    """Component that takes long to close."""
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Wait, as for a connection."""
+        await asyncio.sleep(0.4)
+
+
+def make_daemon_with(settings, component) -> Daemon:
+    """Return a daemon with one more component."""
+    core = DaemonCore(settings, PlatformInterface())
+    handler = RouteHandler(core.configs, core.caller_side)
+    heartbeats = HeartbeatHandler(core.target_side)
+    return Daemon(
+        core,
+        HttpServer(settings.caller_listener, handler.handle),
+        HttpServer(settings.heartbeat_listener, heartbeats.handle),
+        (component,),
+    )
+
 
 if __name__ == "__main__":
     unittest.main()
