Log what a stop refused and ended

`daemon_drained` said how much was in progress at the end, and no line how many requests the stop itself had refused or ended: an operator could not tell a stop that served all from one that turned requests away. It now has `owed`, `refused` (by both sides of the node) and `capped`.

Before: "AssertionError: {'in_progress': 0} != {'owed': 0, 'refused': 1, 'capped': 1}".

--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -169,10 +169,14 @@
                 return
 
     def _log_end(self, began_at: float) -> None:
+        caller_side = self.core.caller_side
         log_event(
             "daemon_drained",
             seconds=read_now() - began_at,
-            in_progress=self._count_owed(),
+            owed=self._count_owed(),
+            refused=caller_side.stop_admission.refused
+            + self.core.target_side.stop_admission.refused,
+            capped=caller_side.capped,
         )
 
     def apply_settings(self, settings: DaemonSettings) -> None:
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -4,8 +4,10 @@
 import contextlib
 import json
 import unittest
+from unittest import mock
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon import process
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
 from kumquatwalk.daemon.platform_interface import PlatformInterface
@@ -167,6 +169,26 @@
             else:
                 self.assertRegex(answer, "^503 ")
 
+    async def test_end_of_the_drain_is_logged(self):
+        # Guards against LOST: no log line told what a stop refused or ended.
+        await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "running")
+        )
+        await asyncio.sleep(0.2)
+        with mock.patch.object(process, "log_event") as log:
+            stop = asyncio.create_task(self._stop("web-1"))
+            # Less time is left than the objective of the route.
+            await asyncio.sleep(0.8)
+            late = await self._call("web-1", "/web-pay/", "late")
+            await stop
+        self.assertEqual(late, "503 node_stopping")
+        self.assertEqual(await running, "502 node_stopping")
+        fields = {c.args[0]: c.kwargs for c in log.mock_calls}["daemon_drained"]
+        del fields["seconds"]
+        self.assertEqual(fields, {"owed": 0, "refused": 1, "capped": 1})
+
     async def test_nothing_is_passed_on_while_the_daemon_closes(self):
         # Guards against LOST: a request was passed on after the drain, while
         # other components closed, and cut off.
