Answer queries in progress at the end of a link too

A query for a request that this node may own was left without a reply when the node stopped: its caller's node waited until the link broke. It is answered as unknown, as calls are.

--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -45,7 +45,6 @@
     link: LinkProtocol
     peer: Hello | None = None
     tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
-    call_ids: set[int] = dataclasses.field(default_factory=set)
 
 
 class LinkServer:
@@ -189,14 +188,12 @@
                 serve = self._serve_call
                 if message.call.body:
                     serve = self._serve_within_budget
-                session.call_ids.add(message.call_id)
                 pending_reply = serve(message.call)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case OwnerQueryFrame():
                 pending_reply = self._serve_query(message.query)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case Cancel():
-                session.call_ids.discard(message.call_id)
                 task = session.tasks.pop(message.call_id, None)
                 if task is not None:
                     task.cancel()
@@ -244,7 +241,6 @@
             reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
         finally:
             session.tasks.pop(call_id, None)
-            session.call_ids.discard(call_id)
         self._reply(session, call_id, reply)
 
     def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
@@ -252,12 +248,9 @@
         session.link.send(ReplyFrame(call_id, running, queued, reply))
 
     def _end_calls(self, session: _Session) -> None:
-        """Reply to all calls in progress; queries of an owner get none.
-
-        The peer asks the store who has run a query's request.
-        """
+        """Reply to all calls and queries in progress, and cancel them."""
         reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
-        for call_id in sorted(session.call_ids):
+        for call_id in sorted(session.tasks):
             self._reply(session, call_id, reply)
         for task in tuple(session.tasks.values()):
             task.cancel(LINK_LOST)
--- a/kumquatwalk/mesh/tests/test_link_server.py
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -14,6 +14,8 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import OwnerQuery
+from kumquatwalk.mesh.message import OwnerQueryFrame
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
@@ -78,7 +80,8 @@
         return Reply(Outcome.DONE, "", 200, body=BODY)
 
     async def _serve_query(self, query) -> Reply:
-        raise NotImplementedError(query)
+        self.served.append(query.url)
+        return await asyncio.Event().wait()
 
     async def _send(self, message) -> None:
         frame = make_frame(encode(message))
@@ -114,13 +117,16 @@
     async def test_call_in_progress_at_the_end_is_answered_as_unknown(self):
         # Guards against LOST: callers waited for replies that never came.
         await self._send(CallFrame(1, False, make_call(b"/never"), 0.0))
+        query = OwnerQuery("ticket", "", 1e9, b"POST", b"/never", (), b"")
+        await self._send(OwnerQueryFrame(2, query))
         async with asyncio.timeout(TIMEOUT_S):
-            while not self.served:
+            while len(self.served) < 2:
                 await asyncio.sleep(0.01)
         close = asyncio.create_task(self.server.close())
         replies = await self._read_replies()
         await close
         self.assertIs(replies[1].outcome, Outcome.UNKNOWN)
+        self.assertIs(replies[2].outcome, Outcome.UNKNOWN)
 
     async def test_close_ends_though_a_peer_keeps_its_end_open(self):
         close = asyncio.create_task(self.server.close())
