--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -0,0 +1,244 @@
+"""Tests of requests for which the end of a graceful stop comes too soon."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+from unittest import mock
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.daemon import process
+from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.heartbeats import HeartbeatHandler
+from kumquatwalk.daemon.platform_interface import PlatformInterface
+from kumquatwalk.daemon.process import Daemon
+from kumquatwalk.daemon.route_handler import RouteHandler
+from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.client_connection import open_connection
+from kumquatwalk.http1.encoder import encode_request
+from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.standin.daemon_fleet import HOST
+from kumquatwalk.standin.daemon_fleet import DaemonFleet
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.scripted_target import Script
+
+# Time between two requests, in seconds.
+PAUSE_S = 0.1
+# Outcome of a request whose connection ended without an answer.
+CUT = "cut"
+
+
+class StopEndTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        config = make_config(
+            ("web", "other"), timeoutS=8.0, targetLatencyS=1.0, maxAttempts=1
+        )
+        await self.fleet.start(config)
+        self.addAsyncCleanup(self.fleet.close)
+
+    async def _add_node(self, name: str, service: str, work_s: float, **bounds):
+        node = await self.fleet.add_node(name, service, **bounds)
+        node.target.choose_script = lambda _: Script(work_s=work_s)
+        return node
+
+    async def _call(
+        self, name: str, path: str, attempt_id: str, deadline_ms: int = 8000
+    ) -> str:
+        """Return status and code of the answer to a request."""
+        try:
+            answer = await self.fleet.call(
+                name, path, attempt_id, deadline_ms, b"POST"
+            )
+        except ExchangeError as error:
+            return CUT if error.sent else "not sent"
+        if answer.status == 200:
+            return "200"
+        return f"{answer.status} {json.loads(answer.body)['error']}"
+
+    async def _call_until(self, name: str, path: str, stop: asyncio.Task):
+        """Send requests at a steady rate until a stop has ended.
+
+        Returns:
+            For each request, its time of sending after the start of the stop in
+            seconds, its outcome, and whether a target has run it.
+        """
+        began_at = read_now()
+        calls = []
+        while not stop.done():
+            attempt_id = f"id-{len(calls)}"
+            task = asyncio.create_task(self._call(name, path, attempt_id))
+            calls.append((read_now() - began_at, attempt_id, task))
+            await asyncio.sleep(PAUSE_S)
+        targets = [n.target for n in self.fleet.nodes.values()]
+        return [
+            (sent_s, await task, sum(t.count_runs(attempt) for t in targets))
+            for sent_s, attempt, task in calls
+        ]
+
+    async def _stop(self, name: str) -> None:
+        daemon = self.fleet.nodes[name].daemon
+        await daemon.drain()
+        await daemon.close()
+
+    async def test_request_that_cannot_end_before_the_kill_is_refused(self):
+        # Guards against LOST: requests taken late in a stop were run and cut.
+        await self._add_node("web-1", "web", 1.2, grace_s=4.0)
+        await self.fleet.wait_until_ready()
+        self.assertEqual(await self._call("web-1", "/web-pay/", "first"), "200")
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("web-1", "/web-pay/", stop)
+        ended = [r for r in results if r[2]]
+        refused = [r for r in results if r[1] == "503 node_stopping"]
+        self.assertEqual([r for r in ended if r[1] != "200"], [])
+        self.assertGreater(len(ended), 10)
+        self.assertGreater(len(refused), 10)
+
+    async def test_call_that_cannot_end_before_the_kill_is_refused(self):
+        # Guards against LOST: calls of other nodes were run and cut.
+        await self._add_node("web-1", "web", 2.0, grace_s=4.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        first = await self._call("other-1", "/web-pay/", "first")
+        self.assertEqual(first, "200")
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("other-1", "/web-pay/", stop)
+        ended = [r for r in results if r[2]]
+        self.assertEqual([r for r in ended if r[1] != "200"], [])
+        self.assertGreater(len(ended), 2)
+        self.assertIn("503 target_leaving", [r[1] for r in results])
+
+    async def test_only_target_serves_short_calls_until_its_end(self):
+        # Guards against LOST: a fixed time before the end, calls were refused
+        # that would have ended.
+        await self._add_node("web-1", "web", 0.1, grace_s=4.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        first = await self._call("other-1", "/web-pay/", "first")
+        self.assertEqual(first, "200")
+        # A long call keeps the node from ending before.
+        long = asyncio.create_task(
+            self._call("other-1", "/web/", "long", deadline_ms=5000)
+        )
+        node = self.fleet.nodes["web-1"]
+        node.target.choose_script = lambda request: Script(
+            work_s=3.0 if request.url == b"/web/" else 0.1
+        )
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(self._stop("web-1"))
+        results = await self._call_until("other-1", "/web-pay/", stop)
+        early = {r[1] for r in results if r[0] < 2.5}
+        self.assertEqual(early, {"200"})
+        self.assertEqual(await long, "200")
+
+    async def test_request_that_outlasts_the_stop_gets_a_true_answer(self):
+        # Guards against LOST: requests in progress at the end were cut off.
+        await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "running")
+        )
+        limited = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "limited", deadline_ms=700)
+        )
+        await asyncio.sleep(0.2)
+        await self._stop("web-1")
+        self.assertEqual(await running, "502 node_stopping")
+        self.assertEqual(await limited, "504 deadline_exceeded")
+
+    async def test_request_that_was_never_passed_on_is_refused_at_the_end(self):
+        # Guards against LOST: requests queued at the end were cut off.
+        node = await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        await self.fleet.send_heartbeat("web-1", slots=1)
+        calls = {
+            f"id-{n}": asyncio.create_task(
+                self._call("web-1", "/web-pay/", f"id-{n}")
+            )
+            for n in range(6)
+        }
+        await asyncio.sleep(0.3)
+        queued = node.daemon.core.target_side.limiter.queued
+        self.assertGreater(queued, 0)
+        await self._stop("web-1")
+        for attempt_id, task in calls.items():
+            answer = await task
+            if node.target.count_runs(attempt_id):
+                self.assertEqual(answer, "502 node_stopping")
+            else:
+                self.assertRegex(answer, "^503 ")
+
+    async def test_end_of_the_drain_is_logged(self):
+        # Guards against LOST: no log line told what a stop refused or ended.
+        await self._add_node("web-1", "web", 6.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("web-1", "/web-pay/", "running")
+        )
+        await asyncio.sleep(0.2)
+        with mock.patch.object(process, "log_event") as log:
+            stop = asyncio.create_task(self._stop("web-1"))
+            # Less time is left than the objective of the route.
+            await asyncio.sleep(0.8)
+            late = await self._call("web-1", "/web-pay/", "late")
+            await stop
+        self.assertEqual(late, "503 node_stopping")
+        self.assertEqual(await running, "502 node_stopping")
+        fields = {c.args[0]: c.kwargs for c in log.mock_calls}["daemon_drained"]
+        del fields["seconds"]
+        self.assertEqual(fields, {"owed": 0, "refused": 1, "capped": 1})
+
+    async def test_nothing_is_passed_on_while_the_daemon_closes(self):
+        # Guards against LOST: a request was passed on after the drain, while
+        # other components closed, and cut off.
+        node = await self._add_node("web-1", "web", 0.5)
+        await node.daemon.close()
+        node.daemon = make_daemon_with(node.settings, SlowComponent())
+        await node.daemon.start()
+        await self.fleet.wait_until_ready()
+        drain = asyncio.create_task(node.daemon.drain())
+        await asyncio.sleep(2.4)
+        address = node.settings.caller_listener
+        connection = await open_connection(address, 5.0, 1 << 20)
+        await drain
+        close = asyncio.create_task(node.daemon.close())
+        await asyncio.sleep(0.05)
+        headers = (
+            (b"Host", HOST.encode()),
+            (b"Attempt-Id", b"late"),
+            (b"Deadline-Ms", b"5000"),
+        )
+        data = encode_request(b"POST", b"/web-pay/", headers, b"")
+        with contextlib.suppress(ExchangeError):
+            await connection.exchange(data, False)
+        self.assertEqual(node.target.count_runs("late"), 0)
+        await close
+
+
+class SlowComponent:
+    """Component that takes long to close."""
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Wait, as for a connection."""
+        await asyncio.sleep(0.4)
+
+
+def make_daemon_with(settings, component) -> Daemon:
+    """Return a daemon with one more component."""
+    core = DaemonCore(settings, PlatformInterface())
+    handler = RouteHandler(core.configs, core.caller_side)
+    heartbeats = HeartbeatHandler(core.target_side)
+    return Daemon(
+        core,
+        HttpServer(settings.caller_listener, handler.handle),
+        HttpServer(settings.heartbeat_listener, heartbeats.handle),
+        (component,),
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -34,6 +34,10 @@
 # Cancellation message for calls whose link was lost. The caller may still be
 # waiting and send the call again on another connection.
 LINK_LOST = "link_lost"
+# Maximum time for which the last replies are taken before links are aborted, in
+# seconds: several round trips between zones.
+LINGER_S = 0.1
+_POLL_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +96,7 @@
         self._on_hello = on_hello
         self._sessions: dict[LinkProtocol, _Session] = {}
         self._server: asyncio.Server | None = None
+        self._is_closing = False
 
     @property
     def calls_in_progress(self) -> int:
@@ -126,9 +131,21 @@
         )
 
     async def close(self) -> None:
-        """Stop listening and abort all connections."""
+        """Stop listening, end all calls and close all connections.
+
+        Calls in progress get a reply that the outcome is unknown. Peers have
+        ``LINGER_S`` to take the last replies.
+        """
+        self._is_closing = True
         if self._server is not None:
             self._server.close()
+        for session in tuple(self._sessions.values()):
+            self._end_calls(session)
+            session.link.close_sending()
+        for _ in range(round(LINGER_S / _POLL_S)):
+            if not self._sessions:
+                return
+            await asyncio.sleep(_POLL_S)
         for link in tuple(self._sessions):
             link.abort()
 
@@ -153,7 +170,7 @@
 
     def _handle_message(self, link: LinkProtocol, message: Message) -> None:
         session = self._sessions.get(link)
-        if session is None:
+        if session is None or self._is_closing:
             return
         match message:
             case Hello():
@@ -224,9 +241,20 @@
             reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
         finally:
             session.tasks.pop(call_id, None)
+        self._reply(session, call_id, reply)
+
+    def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
         running, queued = self._get_load()
         session.link.send(ReplyFrame(call_id, running, queued, reply))
 
+    def _end_calls(self, session: _Session) -> None:
+        """Reply to all calls and queries in progress, and cancel them."""
+        reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
+        for call_id in sorted(session.tasks):
+            self._reply(session, call_id, reply)
+        for task in tuple(session.tasks.values()):
+            task.cancel(LINK_LOST)
+
     def _remove_session(self, link: LinkProtocol) -> None:
         session = self._sessions.pop(link, None)
         if session is None:
