Connection: close on the last answer of a connection only

Callers saw pipelined requests end without an answer, though targets had run them: the first answer after SIGTERM, or one of a handler that closes the connection, closed it and cancelled all requests behind it.

Cause: the close was decided for each answer alone, without a look at the requests behind it. Ruled out: the drain's clock and the process' end, as the new tests have neither.

Now a connection stops taking requests (a request without keep-alive, a malformed one, a closing answer of the handler), and the last answer in line announces the close. While the server stops, an answer that is not the last in line keeps the connection open; so does a request that was read in part. What comes after the last request is read and discarded, also by the parser. A request that is not taken gives back what its body had reserved.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -52,7 +52,8 @@
     """Protocol of one connection from a caller.
 
     Requests are handled concurrently; responses are sent in the order of the
-    requests.
+    requests. ``Connection: close`` stands on the last response only: whatever
+    ends the connection, the requests taken before it are answered first.
 
     Args:
         server: Server that owns the connection. Its limits on header and body
@@ -70,6 +71,8 @@
         )
         self._transport: asyncio.Transport | None = None
         self._exchanges: collections.deque[_Exchange] = collections.deque()
+        # Whether no further request is taken.
+        self._is_ending = False
         self._is_closing = False
         self._can_write = True
         self._is_reading = True
@@ -85,7 +88,7 @@
         A connection that has just been opened is not idle, since its first
         request is probably in transit.
         """
-        if self._exchanges or self._parser.is_in_message:
+        if self._exchanges or self._is_in_request:
             return False
         if self._transport.get_write_buffer_size():
             return False
@@ -110,7 +113,7 @@
         if self._parser.is_in_head:
             if now - self._parser.started_at > limits.header_timeout_s:
                 self._send_error(HttpResponse(408, body=b"header_timeout\n"))
-        elif self._parser.is_in_message:
+        elif self._is_in_request:
             if now - self._last_data_at > limits.idle_timeout_s:
                 self._send_error(HttpResponse(408, body=b"body_timeout\n"))
         else:
@@ -138,7 +141,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start handling completed requests."""
-        if self._is_closing:
+        if self._is_ending:
             return
         self._last_data_at = read_now()
         try:
@@ -158,6 +161,7 @@
         """Unregister from the server and cancel all requests."""
         del exc
         self._is_closing = True
+        self._end_requests()
         self._server.connections.discard(self)
         self._cancel_exchanges()
 
@@ -173,8 +177,11 @@
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
-            if self._is_closing:
-                return
+            if self._is_ending:
+                self._release(request)
+                continue
+            if not request.is_keep_alive:
+                self._end_requests()
             exchange = _Exchange(request)
             self._exchanges.append(exchange)
             exchange.task = asyncio.get_running_loop().create_task(
@@ -198,6 +205,8 @@
                 error=f"{type(error).__name__}: {error}",
             )
             exchange.response = HttpResponse(500)
+        if exchange.response.closes_connection:
+            self._end_requests()
         self._send_ready_responses()
 
     def _send_ready_responses(self) -> None:
@@ -206,7 +215,7 @@
             if exchange.response is None:
                 break
             self._exchanges.popleft()
-            self._release(exchange)
+            self._release(exchange.request)
             self._write_response(exchange.request, exchange.response)
         if not self._exchanges:
             self.idle_since = read_now()
@@ -216,10 +225,9 @@
         self, request: HttpRequest, response: HttpResponse
     ) -> None:
         self._has_responded = True
-        closes_connection = (
-            response.closes_connection
-            or not request.is_keep_alive
-            or self._server.is_stopping
+        closes_connection = not self._exchanges and (
+            self._is_ending
+            or (self._server.is_stopping and not self._is_in_request)
         )
         is_head = request.method == b"HEAD"
         self._transport.write(
@@ -231,9 +239,10 @@
     def _update_backpressure(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        # Keep reading while few requests are in progress, to detect when the
+        # What comes after the last request is read and discarded. Otherwise
+        # keep reading while few requests are in progress, to detect when the
         # caller closes the connection.
-        should_read = (
+        should_read = self._is_ending or (
             self._can_write and len(self._exchanges) < PIPELINED_REQUESTS_MAX
         )
         if should_read and not self._is_reading:
@@ -242,9 +251,20 @@
             self._transport.pause_reading()
         self._is_reading = should_read
 
+    @property
+    def _is_in_request(self) -> bool:
+        return self._parser.is_in_message and not self._is_ending
+
+    def _end_requests(self) -> None:
+        """Take no further request, nor the one received only in part."""
+        self._is_ending = True
+        self._parser.release()
+
     def _handle_request_error(self, error: RequestError) -> None:
+        if self._is_ending:
+            return
         log_event("request_rejected", code=error.code, error=error.message)
-        self._parser.release()
+        self._end_requests()
         response = _make_error_response(error.code)
         if not self._exchanges:
             self._send_error(response)
@@ -261,6 +281,7 @@
         if self._is_closing:
             return
         self._is_closing = True
+        self._end_requests()
         self._cancel_exchanges()
         if self._transport.is_closing():
             return
@@ -268,16 +289,16 @@
             self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
-    def _release(self, exchange: _Exchange) -> None:
+    def _release(self, request: HttpRequest) -> None:
         if self._server.budget is not None:
-            self._server.budget.release(len(exchange.request.body))
+            self._server.budget.release(len(request.body))
 
     def _cancel_exchanges(self) -> None:
         exchanges = list(self._exchanges)
         self._exchanges.clear()
         self._parser.release()
         for exchange in exchanges:
-            self._release(exchange)
+            self._release(exchange.request)
             if exchange.task is not None and exchange.response is None:
                 exchange.task.cancel()
 
