Pass on no request that begins after the server stops to accept

Callers saw a first request on a connection opened just before the end of the drain end without an answer.

Cause: stop_accepting closed idle connections once. A new one that was still silent was left open, counted as idle 0.5 s later, and nobody closed it; it went on to read and to pass on while the process ended. Ruled out: the backlog of the listener, which is closed at that moment.

Now the server has is_accepting beside is_stopping. A request of which the first byte was read before is handled; one that begins later is refused with 503 and Retry-After if it is first in line, by a function that HttpServer is given, or left unanswered behind the answer that closes. The check of timeouts closes connections that become idle, each 0.05 s from then on. The server's own answers moved to refusals.py.

The tests failed before: - late first request: [(200, True, b'/a')] != [(503, True, b'stopping\n')] - silent new connection: TimeoutError - late part of a request: [(200, False, b'/a'), (408, True, b'header_timeout\n')] != [(200, True, b'/a')] - late request behind others: [(200, False, b'/a'), (200, True, b'/c')] != [(200, True, b'/a')] - request read in part: [(200, False, b'/a'), (200, True, b'/b')] != [(200, True, b'/a')] The test of an idle connection passed before.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -11,6 +11,7 @@
 from kumquatwalk.http1.encoder import encode_response
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
@@ -31,15 +32,6 @@
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
-# 503 promises that the request was not run, and 413 that it will not fit later.
-_STATUS_BY_CODE = {
-    "head_too_long": 431,
-    "body_too_long": 413,
-    "memory_exhausted": 503,
-}
-# Time after which to retry a request that there was no memory for, in seconds.
-MEMORY_RETRY_AFTER_S = 1
-
 
 @dataclasses.dataclass(slots=True)
 class _Exchange:
@@ -73,6 +65,9 @@
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         # Whether no further request is taken.
         self._is_ending = False
+        # Whether a request was received in part when the server stopped to
+        # accept requests; it is handled.
+        self._expects_rest = False
         self._is_closing = False
         self._can_write = True
         self._is_reading = True
@@ -81,28 +76,43 @@
         self._last_data_at = self._opened_at
         self.idle_since = self._opened_at
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is in progress or expected, and all is sent.
+    def is_idle(self, now: float) -> bool:
+        """Return whether no request is in progress or expected.
 
         A connection that has just been opened is not idle, since its first
-        request is probably in transit.
+        request is probably in transit; nor is one with unsent bytes.
+
+        Args:
+            now: Current time, in seconds.
         """
         if self._exchanges or self._is_in_request:
             return False
         if self._transport.get_write_buffer_size():
             return False
         return (
-            self._has_responded
-            or read_now() - self._opened_at > FIRST_REQUEST_WAIT_S
+            self._has_responded or now - self._opened_at > FIRST_REQUEST_WAIT_S
         )
 
+    def stop_accepting(self, now: float) -> None:
+        """Close the connection if it is idle; else once it becomes idle.
+
+        A request received in part is still handled. One that begins later is
+        refused, or left unanswered if it stands behind others.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._expects_rest = self._is_in_request
+        if self.is_idle(now):
+            self._close_gracefully()
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if its header or idle timeout has expired.
 
         A request head that does not arrive in time is answered with 408, and so
         is a body of which nothing has come for the idle timeout: it would hold
-        memory that other requests need.
+        memory that other requests need. Once the server accepts no requests, an
+        idle connection is closed at once.
 
         Args:
             now: Current time, in seconds.
@@ -112,17 +122,13 @@
             return
         if self._parser.is_in_head:
             if now - self._parser.started_at > limits.header_timeout_s:
-                self._send_error(HttpResponse(408, body=b"header_timeout\n"))
+                self._end_with(make_error_response("header_timeout"))
         elif self._is_in_request:
             if now - self._last_data_at > limits.idle_timeout_s:
-                self._send_error(HttpResponse(408, body=b"body_timeout\n"))
-        else:
-            if now - self.idle_since > limits.idle_timeout_s + IDLE_MARGIN_S:
-                self._close_gracefully()
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress or expected."""
-        if self.is_idle:
+                self._end_with(make_error_response("body_timeout"))
+        elif now - self.idle_since > limits.idle_timeout_s + IDLE_MARGIN_S:
+            self._close_gracefully()
+        elif not self._server.is_accepting and self.is_idle(now):
             self._close_gracefully()
 
     def abort(self) -> None:
@@ -177,17 +183,28 @@
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
-            if self._is_ending:
+            if not self._is_ending:
+                self._start_exchange(request)
+            else:
                 self._release(request)
-                continue
-            if not request.is_keep_alive:
-                self._end_requests()
-            exchange = _Exchange(request)
-            self._exchanges.append(exchange)
+        self._send_ready_responses()
+
+    def _start_exchange(self, request: HttpRequest) -> None:
+        exchange = _Exchange(request)
+        if self._is_late:
+            self._end_requests()
+            if self._exchanges:
+                self._release(request)
+                return
+            exchange.response = self._server.refuse(request)
+        elif not request.is_keep_alive:
+            self._end_requests()
+        self._expects_rest = False
+        self._exchanges.append(exchange)
+        if exchange.response is None:
             exchange.task = asyncio.get_running_loop().create_task(
                 self._run_handler(exchange)
             )
-        self._update_backpressure()
 
     async def _run_handler(self, exchange: _Exchange) -> None:
         try:
@@ -227,7 +244,10 @@
         self._has_responded = True
         closes_connection = not self._exchanges and (
             self._is_ending
-            or (self._server.is_stopping and not self._is_in_request)
+            or (
+                self._server.is_stopping
+                and (self._is_late or not self._is_in_request)
+            )
         )
         is_head = request.method == b"HEAD"
         self._transport.write(
@@ -255,6 +275,11 @@
     def _is_in_request(self) -> bool:
         return self._parser.is_in_message and not self._is_ending
 
+    @property
+    def _is_late(self) -> bool:
+        """Whether the next request to be completed has begun after the stop."""
+        return not self._server.is_accepting and not self._expects_rest
+
     def _end_requests(self) -> None:
         """Take no further request, nor the one received only in part."""
         self._is_ending = True
@@ -264,17 +289,14 @@
         if self._is_ending:
             return
         log_event("request_rejected", code=error.code, error=error.message)
+        self._end_with(make_error_response(error.code))
+
+    def _end_with(self, response: HttpResponse) -> None:
+        """Take no further request, and answer the present one without it."""
         self._end_requests()
-        response = _make_error_response(error.code)
-        if not self._exchanges:
-            self._send_error(response)
-            return
         request = HttpRequest(b"GET", b"", (), b"", False, read_now())
         self._exchanges.append(_Exchange(request, response=response))
-
-    def _send_error(self, response: HttpResponse) -> None:
-        self._transport.write(encode_response(response, False, True))
-        self._close_gracefully()
+        self._send_ready_responses()
 
     def _close_gracefully(self) -> None:
         """Half-close, then close when the caller does or after ``LINGER_S``."""
@@ -301,11 +323,3 @@
             self._release(exchange.request)
             if exchange.task is not None and exchange.response is None:
                 exchange.task.cancel()
-
-
-def _make_error_response(code: str) -> HttpResponse:
-    headers = ()
-    if code == "memory_exhausted":
-        headers = ((b"Retry-After", b"%d" % MEMORY_RETRY_AFTER_S),)
-    status = _STATUS_BY_CODE.get(code, 400)
-    return HttpResponse(status, headers, code.encode() + b"\n")
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, targets and health checks."""
 
 import asyncio
+from collections.abc import Callable
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
@@ -8,6 +9,9 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.refusals import make_stopping_response
 from kumquatwalk.tasks import keep_running
 
 __all__ = ["HttpServer"]
@@ -18,6 +22,8 @@
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+# The same once no requests are accepted, when connections are to end soon.
+STOP_CHECK_INTERVAL_S = 0.05
 
 
 class HttpServer:
@@ -30,13 +36,18 @@
         limits: Size limits and timeouts for callers' connections.
         budget: Bytes of request bodies that the process may hold; None for no
             bound.
+        refuse: Returns the answer, which promises that the request is not run,
+            to a request that begins after ``stop_accepting``.
 
     Attributes:
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
         budget: Bytes of request bodies that the process may hold.
-        is_stopping: Whether connections are closed after their next response.
+        refuse: Returns the answer to a request that begins after the stop.
+        is_stopping: Whether connections are closed once all requests read from
+            them are answered.
+        is_accepting: Whether requests are passed to the handler.
         connections: Open connections.
     """
 
@@ -46,12 +57,15 @@
         handler: Handler,
         limits: CallerLimits = CallerLimits(),
         budget: ByteBudget | None = None,
+        refuse: Callable[[HttpRequest], HttpResponse] = make_stopping_response,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits
         self.budget = budget
+        self.refuse = refuse
         self.is_stopping = False
+        self.is_accepting = True
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
@@ -74,25 +88,29 @@
             self._address.port,
             backlog=BACKLOG,
         )
-        self._timeout_task = keep_running(
-            self._check_timeouts, "connection_check"
-        )
+        self._start_checks()
 
     @property
     def busy_connections(self) -> int:
         """Number of connections with a request in progress or expected."""
-        return sum(not c.is_idle for c in self.connections)
+        now = read_now()
+        return sum(not c.is_idle(now) for c in self.connections)
 
     def stop_accepting(self) -> None:
-        """Stop listening and close idle connections.
+        """Stop listening and pass no further requests to the handler.
 
-        Requests in progress continue; each connection closes after its next
-        response.
+        A request of which the first byte has been read is handled. One that
+        begins later is refused, or left unanswered if it stands behind others
+        on its connection. Each connection closes once it is idle or after its
+        last answer.
         """
         self.is_stopping = True
+        self.is_accepting = False
         self._server.close()
+        now = read_now()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.stop_accepting(now)
+        self._start_checks()
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
@@ -103,9 +121,21 @@
         for connection in tuple(self.connections):
             connection.abort()
 
+    def _start_checks(self) -> None:
+        if self._timeout_task is not None:
+            self._timeout_task.cancel()
+        self._timeout_task = keep_running(
+            self._check_timeouts, "connection_check"
+        )
+
     async def _check_timeouts(self) -> None:
+        interval_s = (
+            TIMEOUT_CHECK_INTERVAL_S
+            if self.is_accepting
+            else STOP_CHECK_INTERVAL_S
+        )
         while True:
-            await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             now = read_now()
             for connection in tuple(self.connections):
                 connection.check_timeouts(now)
--- /dev/null
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -0,0 +1,88 @@
+"""Tests of callers' connections after the server stops to accept requests."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.http1.tests.connection_case import HANG_S
+from kumquatwalk.http1.tests.connection_case import ConnectionCase
+from kumquatwalk.http1.tests.connection_case import make_get
+
+_REFUSAL = [(503, True, b"stopping\n")]
+
+
+class StopAcceptingTest(ConnectionCase):
+
+    # Guards against LOST: a new connection that was silent at the stop was left
+    # open, and its first request was passed on while the process ended.
+    async def test_late_first_request_is_refused(self):
+        reader, writer = await self.open()
+        await self.wait_for(lambda: self.server.connections)
+        self.server.stop_accepting()
+        writer.write(make_get("/a"))
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, [])
+
+    # Guards against LOST: nobody closed a new connection that stayed silent.
+    async def test_silent_new_connection_is_closed(self):
+        reader, _ = await self.open()
+        await self.wait_for(lambda: self.server.connections)
+        self.server.stop_accepting()
+        self.assertEqual(await self.read_all(reader), [])
+
+    # Guards against LOST: a connection that was busy at the stop and became
+    # idle later was left open.
+    async def test_idle_connection_is_closed_at_once(self):
+        reader, _ = await self.open(make_get("/a"))
+        async with asyncio.timeout(HANG_S):
+            await reader.readuntil(b"/a")
+        self.server.stop_accepting()
+        self.assertEqual(await self.read_all(reader), [])
+
+    # Guards against LOST: a request that begins after the stop was passed on
+    # behind others.
+    async def test_late_request_behind_others_is_left_unanswered(self):
+        self.hold("/a")
+        reader, writer = await self.open(make_get("/a"))
+        await self.wait_for(lambda: self.seen)
+        self.server.stop_accepting()
+        writer.write(make_get("/b"))
+        connection = next(iter(self.server.connections))
+        # Passed in by hand, so that it is surely read before the answer.
+        connection.data_received(make_get("/c"))
+        self.release("/a")
+        self.assertEqual(await self.read_all(reader), [(200, True, b"/a")])
+        self.assertEqual(self.seen, ["/a"])
+
+    # Guards against LOST: a late request read in part must not hold the answer
+    # that closes the connection, nor be passed on.
+    async def test_late_part_of_a_request_is_left_behind(self):
+        self.hold("/a")
+        reader, _ = await self.open(make_get("/a"))
+        await self.wait_for(lambda: self.seen)
+        self.server.stop_accepting()
+        connection = next(iter(self.server.connections))
+        connection.data_received(make_get("/b")[:9])
+        self.release("/a")
+        self.assertEqual(await self.read_all(reader), [(200, True, b"/a")])
+        self.assertEqual(self.seen, ["/a"])
+
+    # Guards against LOST: a request of which the first byte was read before the
+    # stop is handled, the next one is not.
+    async def test_request_read_in_part_at_the_stop_is_handled(self):
+        data = make_get("/a")
+        reader, writer = await self.open(data[:9])
+        await self.wait_for(lambda: self.server.connections)
+        await self.wait_for(lambda: not self.is_silent())
+        self.server.stop_accepting()
+        writer.write(data[9:] + make_get("/b"))
+        self.assertEqual(await self.read_all(reader), [(200, True, b"/a")])
+        self.assertEqual(self.seen, ["/a"])
+
+    def is_silent(self) -> bool:
+        """Return whether no connection has received anything."""
+        # pylint: disable=protected-access
+        return not any(c._parser.is_in_message for c in self.server.connections)
+
+
+if __name__ == "__main__":
+    unittest.main()
