Count a request as owed until the client has taken its answer

Callers saw broken answers at the end of a process or of a lingering connection.

Cause: LINGER_S counted from the decision to close, and lingering connections counted as idle, so that the process' end aborted them. Either resets the connection if bytes of the client are unread, and a reset drops the answer before it. Ruled out: a cut in the handler, as the tests let it answer at once.

Now HttpServer.owed_requests counts requests from the first byte read to the last byte of the answer taken, by the kernel's count of unacknowledged bytes (SIOCOUTQ), else by the transport's buffer. HttpServer.is_settled also waits for LINGER_S after a closing answer was taken, or until the client closes. A connection lingers from that moment. One whose client takes nothing for the idle timeout while an answer waits is aborted. busy_connections stays for the drain and counts the connections that are not settled.

The tests failed before: the slow client with "ConnectionResetError: [Errno 104] Connection reset by peer", the others as the server had no such measure ("AttributeError: 'HttpServer' object has no attribute 'owed_requests'").

--- /dev/null
+++ b/kumquatwalk/http1/answer_writer.py
@@ -0,0 +1,85 @@
+"""Answers written to one connection, until the client has taken them."""
+
+import asyncio
+import collections
+
+from kumquatwalk.http1.encoder import encode_response
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.sockets import count_untaken_bytes
+
+__all__ = ["AnswerWriter"]
+
+
+class AnswerWriter:
+    """Writes answers and knows which of them the client has not taken yet.
+
+    An answer is taken once the client's kernel has acknowledged its last byte.
+
+    Args:
+        transport: Transport of the connection.
+        now: Current time, in seconds.
+
+    Attributes:
+        can_write: Whether the transport takes more bytes.
+        progress_at: Time at which the client was last seen to have taken bytes
+            or the first untaken answer was written, in seconds.
+        has_written: Whether an answer has been written.
+    """
+
+    def __init__(self, transport: asyncio.Transport, now: float):
+        self._transport = transport
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        # Number of bytes written up to the end of each untaken answer.
+        self._untaken: collections.deque[int] = collections.deque()
+        self.can_write = True
+        self.progress_at = now
+        self.has_written = False
+
+    @property
+    def untaken(self) -> int:
+        """Number of answers that were not taken at the last update."""
+        return len(self._untaken)
+
+    def write(
+        self,
+        request: HttpRequest,
+        response: HttpResponse,
+        closes_connection: bool,
+        now: float,
+    ) -> None:
+        """Write an answer.
+
+        Args:
+            request: Request that it answers.
+            response: The answer.
+            closes_connection: Whether to announce that the connection closes.
+            now: Current time, in seconds.
+        """
+        self.update(now)
+        if not self._untaken:
+            self.progress_at = now
+        data = encode_response(
+            response, request.method == b"HEAD", closes_connection
+        )
+        self.has_written = True
+        self._written_bytes += len(data)
+        self._untaken.append(self._written_bytes)
+        self._transport.write(data)
+
+    def update(self, now: float) -> None:
+        """Note which answers the client has taken.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if not self._untaken:
+            return
+        # The end of the stream may count as one byte that is not taken.
+        taken_bytes = self._written_bytes - count_untaken_bytes(self._transport)
+        if taken_bytes > self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self.progress_at = now
+        while self._untaken and self._untaken[0] <= taken_bytes:
+            self._untaken.popleft()
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -8,7 +8,7 @@
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import RequestError
-from kumquatwalk.http1.encoder import encode_response
+from kumquatwalk.http1.answer_writer import AnswerWriter
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_error_response
@@ -22,8 +22,9 @@
 
 # Number of requests in progress on one connection at which reading pauses.
 PIPELINED_REQUESTS_MAX = 64
-# Time for which data is still read after the last response, in seconds. Closing
-# with unread data could reset the connection before the caller has read it.
+# Time for which data is still read after the last response has been taken, in
+# seconds. Closing with unread data could reset the connection before the client
+# has read it.
 LINGER_S = 1.0
 # Time added to the idle timeout, in seconds, so that a request sent just before
 # the timeout does not race with the close.
@@ -69,9 +70,9 @@
         # accept requests; it is handled.
         self._expects_rest = False
         self._is_closing = False
-        self._can_write = True
+        self._closed_at = 0.0
+        self._writer: AnswerWriter | None = None
         self._is_reading = True
-        self._has_responded = False
         self._opened_at = read_now()
         self._last_data_at = self._opened_at
         self.idle_since = self._opened_at
@@ -80,17 +81,47 @@
         """Return whether no request is in progress or expected.
 
         A connection that has just been opened is not idle, since its first
-        request is probably in transit; nor is one with unsent bytes.
+        request is probably in transit; nor is one whose last answer is not
+        taken.
 
         Args:
             now: Current time, in seconds.
         """
-        if self._exchanges or self._is_in_request:
+        if self.count_owed(now):
             return False
-        if self._transport.get_write_buffer_size():
+        return (
+            self._writer.has_written
+            or now - self._opened_at > FIRST_REQUEST_WAIT_S
+        )
+
+    def count_owed(self, now: float) -> int:
+        """Return the number of requests whose answer is not taken yet.
+
+        A request counts from its first byte read.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._writer.update(now)
+        owed = len(self._exchanges) + self._writer.untaken
+        return owed + self._is_in_request
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether the connection can be aborted without a loss.
+
+        It cannot for ``LINGER_S`` after the client has taken the last answer:
+        a reset could discard the answer before it has been read.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if not self._is_closing:
+            return self.is_idle(now)
+        if self.count_owed(now):
             return False
         return (
-            self._has_responded or now - self._opened_at > FIRST_REQUEST_WAIT_S
+            not self._writer.has_written
+            or now - self._writer.progress_at > LINGER_S
         )
 
     def stop_accepting(self, now: float) -> None:
@@ -111,13 +142,25 @@
 
         A request head that does not arrive in time is answered with 408, and so
         is a body of which nothing has come for the idle timeout: it would hold
-        memory that other requests need. Once the server accepts no requests, an
-        idle connection is closed at once.
+        memory that other requests need. If a client takes nothing for the idle
+        timeout while an answer waits, the connection is aborted. Once the
+        server accepts no requests, an idle connection is closed at once. A
+        half-closed one is closed ``LINGER_S`` after its last answer was taken.
 
         Args:
             now: Current time, in seconds.
         """
         limits = self._server.limits
+        self._writer.update(now)
+        unused_s = now - max(self.idle_since, self._writer.progress_at)
+        if self._writer.untaken:
+            if now - self._writer.progress_at > limits.idle_timeout_s:
+                self.abort()
+                return
+        elif self._is_closing:
+            closed_s = now - max(self._closed_at, self._writer.progress_at)
+            if closed_s > LINGER_S:
+                self._transport.close()
         if self._exchanges or self._is_closing:
             return
         if self._parser.is_in_head:
@@ -126,7 +169,9 @@
         elif self._is_in_request:
             if now - self._last_data_at > limits.idle_timeout_s:
                 self._end_with(make_error_response("body_timeout"))
-        elif now - self.idle_since > limits.idle_timeout_s + IDLE_MARGIN_S:
+        elif self._writer.untaken:
+            return
+        elif unused_s > limits.idle_timeout_s + IDLE_MARGIN_S:
             self._close_gracefully()
         elif not self._server.is_accepting and self.is_idle(now):
             self._close_gracefully()
@@ -141,6 +186,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register with the server."""
         self._transport = transport
+        self._writer = AnswerWriter(transport, self._opened_at)
         peer = transport.get_extra_info("peername")
         self._parser.peer_host = peer[0] if peer else ""
         self._server.connections.add(self)
@@ -160,6 +206,8 @@
 
     def eof_received(self) -> bool:
         """Cancel all requests: the caller has closed and awaits no response."""
+        self._is_closing = True
+        self._end_requests()
         self._cancel_exchanges()
         return False
 
@@ -173,12 +221,12 @@
 
     def pause_writing(self) -> None:
         """Stop writing responses, and reading, until the caller reads."""
-        self._can_write = False
+        self._writer.can_write = False
         self._update_backpressure()
 
     def resume_writing(self) -> None:
         """Write the responses that are ready, and resume reading."""
-        self._can_write = True
+        self._writer.can_write = True
         self._send_ready_responses()
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
@@ -227,7 +275,9 @@
         self._send_ready_responses()
 
     def _send_ready_responses(self) -> None:
-        while self._exchanges and self._can_write and not self._is_closing:
+        while (
+            self._exchanges and self._writer.can_write and not self._is_closing
+        ):
             exchange = self._exchanges[0]
             if exchange.response is None:
                 break
@@ -241,7 +291,6 @@
     def _write_response(
         self, request: HttpRequest, response: HttpResponse
     ) -> None:
-        self._has_responded = True
         closes_connection = not self._exchanges and (
             self._is_ending
             or (
@@ -249,21 +298,19 @@
                 and (self._is_late or not self._is_in_request)
             )
         )
-        is_head = request.method == b"HEAD"
-        self._transport.write(
-            encode_response(response, is_head, closes_connection)
-        )
+        self._writer.write(request, response, closes_connection, read_now())
         if closes_connection:
             self._close_gracefully()
 
     def _update_backpressure(self) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._transport.is_closing():
             return
         # What comes after the last request is read and discarded. Otherwise
         # keep reading while few requests are in progress, to detect when the
         # caller closes the connection.
         should_read = self._is_ending or (
-            self._can_write and len(self._exchanges) < PIPELINED_REQUESTS_MAX
+            self._writer.can_write
+            and len(self._exchanges) < PIPELINED_REQUESTS_MAX
         )
         if should_read and not self._is_reading:
             self._transport.resume_reading()
@@ -303,13 +350,13 @@
         if self._is_closing:
             return
         self._is_closing = True
+        self._closed_at = read_now()
         self._end_requests()
         self._cancel_exchanges()
         if self._transport.is_closing():
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def _release(self, request: HttpRequest) -> None:
         if self._server.budget is not None:
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -90,11 +90,30 @@
         )
         self._start_checks()
 
+    @property
+    def owed_requests(self) -> int:
+        """Number of requests whose answer the client has not taken yet.
+
+        A request counts from its first byte read to the last byte of its answer
+        taken by the client.
+        """
+        now = read_now()
+        return sum(c.count_owed(now) for c in self.connections)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether all connections can be aborted without a loss.
+
+        Nothing is owed, no first request is expected, and no client may still
+        lose an answer by a reset.
+        """
+        return not self.busy_connections
+
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request in progress or expected."""
+        """Number of connections that are not settled."""
         now = read_now()
-        return sum(not c.is_idle(now) for c in self.connections)
+        return sum(not c.is_settled(now) for c in self.connections)
 
     def stop_accepting(self) -> None:
         """Stop listening and pass no further requests to the handler.
--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -1,9 +1,12 @@
-"""TCP socket options that detect an unresponsive peer."""
+"""TCP sockets: detection of an unresponsive peer, bytes not acknowledged."""
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 
-__all__ = ["set_liveness_options"]
+__all__ = ["count_untaken_bytes", "set_liveness_options"]
 
 # Idle time before the first keep-alive probe and interval between probes, in
 # seconds; the minimum that the socket options accept.
@@ -45,3 +48,24 @@
         # The connection has been lost already; asyncio reports that to the
         # protocol.
         return
+
+
+def count_untaken_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the number of written bytes that the peer has not acknowledged.
+
+    Counts the bytes in the transport's buffer and those in the kernel (tcp(7),
+    ``SIOCOUTQ``); only the former where the kernel does not tell. The end of
+    the stream, if written, may count as one byte.
+
+    Args:
+        transport: Transport of an open TCP connection.
+    """
+    size = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return size
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return size
+    return size + int.from_bytes(raw, sys.byteorder)
