Hold answers that clients have not taken in the budget of bodies

A process was killed over its memory, with all requests in progress, while slow clients left large answers unread.

Cause: answers were counted by no bound. Ruled out: the bodies of requests, which are reserved before they are read.

Now ByteBudget.hold counts the body of an answer from the moment it is made, beyond the limit if need be, until its last byte has left the transport's buffer, also behind other answers; it is released once on every path. One answer at a time is in that buffer, so that the transport tells when it has left. While the budget is exhausted, new requests, also those without a body, are refused with 503 and Retry-After before they are passed on. The queue of exchanges moved to its own file.

The tests of untaken and waiting answers and of a client that leaves failed before: TimeoutError while they waited for the budget to count the answer. The two others guard against leaks and false refusals of the new code and passed before.

--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.encoder import encode_response
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
@@ -15,20 +16,31 @@
     """Writes answers and knows which of them the client has not taken yet.
 
     An answer is taken once the client's kernel has acknowledged its last byte.
+    One answer at a time is in the transport's buffer.
 
     Args:
         transport: Transport of the connection.
+        budget: Bytes that the process may hold; None for no bound. The bytes of
+            an answer's body are released when they have left the transport.
         now: Current time, in seconds.
 
     Attributes:
-        can_write: Whether the transport takes more bytes.
+        can_write: Whether the transport's buffer is empty.
         progress_at: Time at which the client was last seen to have taken bytes
             or the first untaken answer was written, in seconds.
         has_written: Whether an answer has been written.
     """
 
-    def __init__(self, transport: asyncio.Transport, now: float):
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        budget: ByteBudget | None,
+        now: float,
+    ):
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._budget = budget
+        self._held_bytes = 0
         self._written_bytes = 0
         self._taken_bytes = 0
         # Number of bytes written up to the end of each untaken answer.
@@ -66,7 +78,25 @@
         self.has_written = True
         self._written_bytes += len(data)
         self._untaken.append(self._written_bytes)
+        self._held_bytes += len(response.body)
         self._transport.write(data)
+        if not self._transport.get_write_buffer_size():
+            self.release()
+
+    def pause(self) -> None:
+        """Note that the transport's buffer is not empty."""
+        self.can_write = False
+
+    def resume(self) -> None:
+        """Note that the transport's buffer is empty."""
+        self.can_write = True
+        self.release()
+
+    def release(self) -> None:
+        """Release the bytes held for the answers written."""
+        if self._budget is not None:
+            self._budget.release(self._held_bytes)
+        self._held_bytes = 0
 
     def update(self, now: float) -> None:
         """Note which answers the client has taken.
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -1,14 +1,14 @@
 """Server side of a caller's connection, with support for pipelining."""
 
 import asyncio
-import collections
-import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import RequestError
 from kumquatwalk.http1.answer_writer import AnswerWriter
+from kumquatwalk.http1.exchange_queue import Exchange
+from kumquatwalk.http1.exchange_queue import ExchangeQueue
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_error_response
@@ -34,13 +34,6 @@
 FIRST_REQUEST_WAIT_S = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    request: HttpRequest
-    task: asyncio.Task | None = None
-    response: HttpResponse | None = None
-
-
 class CallerConnection(asyncio.Protocol):
     """Protocol of one connection from a caller.
 
@@ -63,7 +56,7 @@
             limits.header_bytes_max, limits.body_bytes_max, server.budget
         )
         self._transport: asyncio.Transport | None = None
-        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._exchanges = ExchangeQueue(server.budget)
         # Whether no further request is taken.
         self._is_ending = False
         # Whether a request was received in part when the server stopped to
@@ -186,7 +179,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register with the server."""
         self._transport = transport
-        self._writer = AnswerWriter(transport, self._opened_at)
+        self._writer = AnswerWriter(
+            transport, self._server.budget, self._opened_at
+        )
         peer = transport.get_extra_info("peername")
         self._parser.peer_host = peer[0] if peer else ""
         self._server.connections.add(self)
@@ -208,7 +203,7 @@
         """Cancel all requests: the caller has closed and awaits no response."""
         self._is_closing = True
         self._end_requests()
-        self._cancel_exchanges()
+        self._exchanges.cancel()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -217,16 +212,17 @@
         self._is_closing = True
         self._end_requests()
         self._server.connections.discard(self)
-        self._cancel_exchanges()
+        self._exchanges.cancel()
+        self._writer.release()
 
     def pause_writing(self) -> None:
         """Stop writing responses, and reading, until the caller reads."""
-        self._writer.can_write = False
+        self._writer.pause()
         self._update_backpressure()
 
     def resume_writing(self) -> None:
         """Write the responses that are ready, and resume reading."""
-        self._writer.can_write = True
+        self._writer.resume()
         self._send_ready_responses()
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
@@ -234,29 +230,33 @@
             if not self._is_ending:
                 self._start_exchange(request)
             else:
-                self._release(request)
+                self._exchanges.release_request(request)
         self._send_ready_responses()
 
     def _start_exchange(self, request: HttpRequest) -> None:
-        exchange = _Exchange(request)
+        exchange = Exchange(request)
         if self._is_late:
             self._end_requests()
             if self._exchanges:
-                self._release(request)
+                self._exchanges.release_request(request)
                 return
             exchange.response = self._server.refuse(request)
-        elif not request.is_keep_alive:
+        elif self._server.has_memory_for(request):
+            exchange.response = None
+        else:
+            exchange.response = make_error_response("memory_exhausted")
+        if not request.is_keep_alive:
             self._end_requests()
         self._expects_rest = False
-        self._exchanges.append(exchange)
+        self._exchanges.add(exchange)
         if exchange.response is None:
             exchange.task = asyncio.get_running_loop().create_task(
                 self._run_handler(exchange)
             )
 
-    async def _run_handler(self, exchange: _Exchange) -> None:
+    async def _run_handler(self, exchange: Exchange) -> None:
         try:
-            exchange.response = await self._server.handler(exchange.request)
+            response = await self._server.handler(exchange.request)
         except ConnectionAbortedError:
             # The handler asks to close the connection without a response.
             self.abort()
@@ -269,20 +269,17 @@
                 Level.ERROR,
                 error=f"{type(error).__name__}: {error}",
             )
-            exchange.response = HttpResponse(500)
-        if exchange.response.closes_connection:
+            response = HttpResponse(500)
+        self._exchanges.set_response(exchange, response)
+        if response.closes_connection:
             self._end_requests()
         self._send_ready_responses()
 
     def _send_ready_responses(self) -> None:
-        while (
-            self._exchanges and self._writer.can_write and not self._is_closing
-        ):
-            exchange = self._exchanges[0]
-            if exchange.response is None:
+        while self._writer.can_write and not self._is_closing:
+            exchange = self._exchanges.take_ready()
+            if exchange is None:
                 break
-            self._exchanges.popleft()
-            self._release(exchange.request)
             self._write_response(exchange.request, exchange.response)
         if not self._exchanges:
             self.idle_since = read_now()
@@ -342,7 +339,7 @@
         """Take no further request, and answer the present one without it."""
         self._end_requests()
         request = HttpRequest(b"GET", b"", (), b"", False, read_now())
-        self._exchanges.append(_Exchange(request, response=response))
+        self._exchanges.add(Exchange(request, response))
         self._send_ready_responses()
 
     def _close_gracefully(self) -> None:
@@ -352,21 +349,8 @@
         self._is_closing = True
         self._closed_at = read_now()
         self._end_requests()
-        self._cancel_exchanges()
+        self._exchanges.cancel()
         if self._transport.is_closing():
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-
-    def _release(self, request: HttpRequest) -> None:
-        if self._server.budget is not None:
-            self._server.budget.release(len(request.body))
-
-    def _cancel_exchanges(self) -> None:
-        exchanges = list(self._exchanges)
-        self._exchanges.clear()
-        self._parser.release()
-        for exchange in exchanges:
-            self._release(exchange.request)
-            if exchange.task is not None and exchange.response is None:
-                exchange.task.cancel()
--- /dev/null
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -0,0 +1,99 @@
+"""Requests in progress on one connection, in the order of their answers."""
+
+import asyncio
+import collections
+import dataclasses
+
+from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+
+__all__ = ["Exchange", "ExchangeQueue"]
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A request and its answer.
+
+    Attributes:
+        request: The request.
+        response: Its answer; None until it is made.
+        task: Task of the handler; None if the server answers by itself.
+        is_over: Whether the exchange has ended, so that an answer is not sent.
+    """
+
+    request: HttpRequest
+    response: HttpResponse | None = None
+    task: asyncio.Task | None = None
+    is_over: bool = False
+
+
+class ExchangeQueue:
+    """Exchanges that are not written yet, and the bytes held for them.
+
+    Args:
+        budget: Bytes of bodies that the process may hold; None for no bound.
+    """
+
+    def __init__(self, budget: ByteBudget | None):
+        self._budget = budget
+        self._exchanges: collections.deque[Exchange] = collections.deque()
+
+    def __len__(self) -> int:
+        """Return the number of exchanges."""
+        return len(self._exchanges)
+
+    def add(self, exchange: Exchange) -> None:
+        """Add an exchange; the bytes of its request's body are reserved."""
+        self._exchanges.append(exchange)
+        if exchange.response is not None:
+            self._hold(exchange.response)
+
+    def set_response(self, exchange: Exchange, response: HttpResponse) -> None:
+        """Store the answer and hold the bytes of its body.
+
+        Args:
+            exchange: An exchange without an answer. If it is over, the answer
+                is discarded.
+            response: The answer.
+        """
+        if exchange.is_over:
+            return
+        exchange.response = response
+        self._hold(response)
+
+    def take_ready(self) -> Exchange | None:
+        """Remove and return the first exchange if it has its answer.
+
+        The bytes of the answer stay held; they are its receiver's to release.
+        """
+        if not self._exchanges or self._exchanges[0].response is None:
+            return None
+        exchange = self._exchanges.popleft()
+        exchange.is_over = True
+        self.release_request(exchange.request)
+        return exchange
+
+    def cancel(self) -> None:
+        """End all exchanges, cancel their handlers and release their bytes."""
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
+        for exchange in exchanges:
+            exchange.is_over = True
+            self.release_request(exchange.request)
+            if exchange.response is not None:
+                self._release(len(exchange.response.body))
+            elif exchange.task is not None:
+                exchange.task.cancel()
+
+    def release_request(self, request: HttpRequest) -> None:
+        """Release the bytes of a request's body."""
+        self._release(len(request.body))
+
+    def _hold(self, response: HttpResponse) -> None:
+        if self._budget is not None:
+            self._budget.hold(len(response.body))
+
+    def _release(self, size: int) -> None:
+        if self._budget is not None:
+            self._budget.release(size)
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -34,8 +34,9 @@
         handler: Serves one request; cancelled when the caller closes its
             connection.
         limits: Size limits and timeouts for callers' connections.
-        budget: Bytes of request bodies that the process may hold; None for no
-            bound.
+        budget: Bytes of bodies, of requests and of answers not sent, that the
+            process may hold; None for no bound. While it is exhausted, requests
+            are refused.
         refuse: Returns the answer, which promises that the request is not run,
             to a request that begins after ``stop_accepting``.
 
@@ -43,7 +44,7 @@
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
-        budget: Bytes of request bodies that the process may hold.
+        budget: Bytes of bodies that the process may hold.
         refuse: Returns the answer to a request that begins after the stop.
         is_stopping: Whether connections are closed once all requests read from
             them are answered.
@@ -115,6 +116,16 @@
         now = read_now()
         return sum(not c.is_settled(now) for c in self.connections)
 
+    def has_memory_for(self, request: HttpRequest) -> bool:
+        """Return whether there is memory for the answer to a request.
+
+        Args:
+            request: Request whose body is reserved.
+        """
+        if self.budget is None:
+            return True
+        return self.budget.used - len(request.body) < self.budget.limit
+
     def stop_accepting(self) -> None:
         """Stop listening and pass no further requests to the handler.
 
