Report each request that ends without a complete answer

Operators could not tell from an identifier that a request had got no answer, at which stage, and which end had taken it: no log line said so and no counter did.

Now the event request_unanswered has the fields request, stage (reading, read, passed_on, answered), end (caller_left, closing_answer, connection_lost, handler, process_end, timeout) and elapsed_s. It is a warning, except for a caller that left and for a request behind the last answer, which the client sends again. The metric kumquatwalk_requests_unanswered_total counts them by stage and end. HttpServer is given functions for the identifier and the count; CallerSide marks a request as passed on, with the identifier that the target gets, so that the native interface has one too. A handler's cancellation carries the end as its message. `kumquatwalk explain` knows the event.

The tests failed before, as there was no such event ("AttributeError: <module 'kumquatwalk.http1.server'> does not have the attribute 'log_event'"); the one of the command with "'no log line belongs to request d4' != 'cause: ended without a complete answer at stage passed_on: process_end'".

--- a/kumquatwalk/cli/tests/test_explain.py
+++ b/kumquatwalk/cli/tests/test_explain.py
@@ -14,6 +14,7 @@
 time=2026-07-17T20:07:10.000Z level=info event=daemon_started node=vm-1 zone=a
 time=2026-07-17T20:07:22.500Z level=info event=request_refused node=vm-1 attempt=b2.c3 code=overloaded retry_after_s=0.5
 time=2026-07-17T20:07:23.000Z level=info event=request_outcome_unknown node=vm-1 attempt=a1 route=pay tried=vm-2 code=target_failed
+time=2026-07-17T20:07:23.050Z level=warning event=request_unanswered node=vm-1 request=d4 stage=passed_on end=process_end elapsed_s=0.7
 time=2026-07-17T20:07:23.100Z level=info event=request_refused node=vm-1 attempt=a10 code=overloaded retry_after_s=0.5
 """
 TARGET = """\
@@ -71,6 +72,15 @@
             result.stdout,
         )
 
+    # Guards against LOST: no log line said that a request got no answer.
+    def test_request_without_an_answer_names_its_stage_and_end(self):
+        result = self.explain("d4")
+        self.assertEqual(
+            result.stdout.splitlines()[-1],
+            "cause: ended without a complete answer at stage passed_on:"
+            " process_end",
+        )
+
     def test_logs_from_standard_input_as_json(self):
         result = self.explain("a10", "--json", files=[], text=CALLER)
         document = json.loads(result.stdout)
--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -14,6 +14,7 @@
 from kumquatwalk.daemon.target_prober import TargetProber
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.native.settings import NodeSettings
+from kumquatwalk.platform.request_headers import find_attempt_id
 
 __all__ = ["make_daemon"]
 
@@ -53,7 +54,11 @@
             HttpServer(settings.metrics_listener, status.handle)
         )
     server = HttpServer(
-        settings.caller_listener, callers.handle, budget=core.body_budget
+        settings.caller_listener,
+        callers.handle,
+        budget=core.body_budget,
+        identify=find_attempt_id,
+        on_unanswered=core.metrics.record_unanswered,
     )
     target_server = HttpServer(settings.heartbeat_listener, heartbeats.handle)
     daemon = Daemon(core, server, target_server, tuple(auxiliary_services))
@@ -117,9 +122,13 @@
         entries.handle,
         limits,
         core.body_budget,
+        on_unanswered=core.metrics.record_unanswered,
     )
     local_server = HttpServer(
-        Address(settings.local_host, settings.local_port), local.handle, limits
+        Address(settings.local_host, settings.local_port),
+        local.handle,
+        limits,
+        on_unanswered=core.metrics.record_unanswered,
     )
     restorer = CatalogueRestorer(core.store, core.configs, core.has_watch_duty)
     claim_restorer = ClaimRestorer(core.store, claim_store.held)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -308,6 +308,7 @@
 
     async def _send(self, view: TargetView, request: PendingRequest) -> Reply:
         call = self._make_call(request)
+        request.http.progress.mark_passed_on(request.caller.attempt_id)
         request.last_node = view.node_id
         if view is self._own_view:
             return await self._target_side.serve(call)
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -98,6 +98,7 @@
         self._interface = interface
         self._config_pull = ConfigPull()
         self.registry = MetricsRegistry()
+        self.metrics = DaemonMetrics(self.registry)
         self.partition = Partition()
         self.body_budget = ByteBudget(
             int(settings.memory_max_bytes * BODY_MEMORY_FRACTION)
@@ -192,7 +193,7 @@
         )
 
     def _make_call_sides(self) -> None:
-        metrics = DaemonMetrics(self.registry)
+        metrics = self.metrics
         self.peers = Peers(
             self.own_view,
             self.make_hello,
--- a/kumquatwalk/daemon/metrics.py
+++ b/kumquatwalk/daemon/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a daemon's request path."""
 
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.metrics.counter import Counter
 from kumquatwalk.metrics.label import Label
@@ -31,6 +33,7 @@
             help_text="Requests sent again after they reached a target.",
         )
         self._requests: dict[tuple[str, str, str], Counter] = {}
+        self._unanswered: dict[tuple[Stage, End], Counter] = {}
         self._target_calls: dict[tuple[str, str], Counter] = {}
 
     def record_request(
@@ -58,6 +61,24 @@
         counter.increment()
         self._request_latency.record(elapsed_s)
 
+    def record_unanswered(self, stage: Stage, end: End) -> None:
+        """Count a request that ended without a complete answer.
+
+        Args:
+            stage: How far the request had come.
+            end: What ended it.
+        """
+        counter = self._unanswered.get((stage, end))
+        if counter is None:
+            counter = self._registry.counter(
+                "kumquatwalk_requests_unanswered_total",
+                Label("stage", stage.value),
+                Label("end", end.value),
+                help_text="Requests that ended without a complete answer.",
+            )
+            self._unanswered[stage, end] = counter
+        counter.increment()
+
     def record_retry(self) -> None:
         """Count a retry of a request that had reached a target."""
         self._retries.increment()
--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import collections
+import dataclasses
 
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.encoder import encode_response
+from kumquatwalk.http1.exchange_queue import Report
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.sockets import count_untaken_bytes
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
 
 __all__ = ["AnswerWriter"]
 
@@ -22,6 +26,7 @@
         transport: Transport of the connection.
         budget: Bytes that the process may hold; None for no bound. The bytes of
             an answer's body are released when they have left the transport.
+        report: Reports a request whose answer was not wholly taken.
         now: Current time, in seconds.
 
     Attributes:
@@ -35,16 +40,21 @@
         self,
         transport: asyncio.Transport,
         budget: ByteBudget | None,
+        report: Report,
         now: float,
     ):
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
         self._budget = budget
+        self._report = report
         self._held_bytes = 0
         self._written_bytes = 0
         self._taken_bytes = 0
-        # Number of bytes written up to the end of each untaken answer.
-        self._untaken: collections.deque[int] = collections.deque()
+        # For each untaken answer the number of bytes written up to its end, and
+        # its request without the body.
+        self._untaken: collections.deque[tuple[int, HttpRequest]] = (
+            collections.deque()
+        )
         self.can_write = True
         self.progress_at = now
         self.has_written = False
@@ -77,12 +87,27 @@
         )
         self.has_written = True
         self._written_bytes += len(data)
-        self._untaken.append(self._written_bytes)
+        if request.body:
+            request = dataclasses.replace(request, body=b"")
+        self._untaken.append((self._written_bytes, request))
         self._held_bytes += len(response.body)
         self._transport.write(data)
         if not self._transport.get_write_buffer_size():
             self.release()
 
+    def end(self, end: End, now: float) -> None:
+        """Report the requests whose answers the client has not taken.
+
+        Args:
+            end: What ends the connection.
+            now: Current time, in seconds.
+        """
+        if self.can_write:
+            self.update(now)
+        # Otherwise the transport may have discarded its buffer.
+        while self._untaken:
+            self._report(self._untaken.popleft()[1], Stage.ANSWERED, end)
+
     def pause(self) -> None:
         """Note that the transport's buffer is not empty."""
         self.can_write = False
@@ -111,5 +136,5 @@
         if taken_bytes > self._taken_bytes:
             self._taken_bytes = taken_bytes
             self.progress_at = now
-        while self._untaken and self._untaken[0] <= taken_bytes:
+        while self._untaken and self._untaken[0][0] <= taken_bytes:
             self._untaken.popleft()
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -13,6 +13,8 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 
@@ -56,7 +58,7 @@
             limits.header_bytes_max, limits.body_bytes_max, server.budget
         )
         self._transport: asyncio.Transport | None = None
-        self._exchanges = ExchangeQueue(server.budget)
+        self._exchanges = ExchangeQueue(server.budget, server.report_unanswered)
         # Whether no further request is taken.
         self._is_ending = False
         # Whether a request was received in part when the server stopped to
@@ -148,7 +150,7 @@
         unused_s = now - max(self.idle_since, self._writer.progress_at)
         if self._writer.untaken:
             if now - self._writer.progress_at > limits.idle_timeout_s:
-                self.abort()
+                self.abort(End.TIMEOUT)
                 return
         elif self._is_closing:
             closed_s = now - max(self._closed_at, self._writer.progress_at)
@@ -169,9 +171,14 @@
         elif not self._server.is_accepting and self.is_idle(now):
             self._close_gracefully()
 
-    def abort(self) -> None:
-        """Close the connection immediately and discard unsent bytes."""
+    def abort(self, end: End) -> None:
+        """Close the connection immediately and discard unsent bytes.
+
+        Args:
+            end: What ends it, for the requests that are not answered.
+        """
         if self._transport is not None:
+            self._end(end)
             self._transport.abort()
 
     # Methods of asyncio.Protocol.
@@ -180,7 +187,10 @@
         """Store the transport and register with the server."""
         self._transport = transport
         self._writer = AnswerWriter(
-            transport, self._server.budget, self._opened_at
+            transport,
+            self._server.budget,
+            self._server.report_unanswered,
+            self._opened_at,
         )
         peer = transport.get_extra_info("peername")
         self._parser.peer_host = peer[0] if peer else ""
@@ -201,18 +211,14 @@
 
     def eof_received(self) -> bool:
         """Cancel all requests: the caller has closed and awaits no response."""
-        self._is_closing = True
-        self._end_requests()
-        self._exchanges.cancel()
+        self._end(End.CALLER_LEFT)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister from the server and cancel all requests."""
         del exc
-        self._is_closing = True
-        self._end_requests()
         self._server.connections.discard(self)
-        self._exchanges.cancel()
+        self._end(End.CONNECTION_LOST)
         self._writer.release()
 
     def pause_writing(self) -> None:
@@ -230,7 +236,7 @@
             if not self._is_ending:
                 self._start_exchange(request)
             else:
-                self._exchanges.release_request(request)
+                self._exchanges.leave_behind(request)
         self._send_ready_responses()
 
     def _start_exchange(self, request: HttpRequest) -> None:
@@ -238,7 +244,7 @@
         if self._is_late:
             self._end_requests()
             if self._exchanges:
-                self._exchanges.release_request(request)
+                self._exchanges.leave_behind(request)
                 return
             exchange.response = self._server.refuse(request)
         elif self._server.has_memory_for(request):
@@ -259,7 +265,7 @@
             response = await self._server.handler(exchange.request)
         except ConnectionAbortedError:
             # The handler asks to close the connection without a response.
-            self.abort()
+            self.abort(End.HANDLER)
             return
         except Exception as error:  # pylint: disable=broad-exception-caught
             # An internal error must not leave the caller without a response.
@@ -324,11 +330,26 @@
         """Whether the next request to be completed has begun after the stop."""
         return not self._server.is_accepting and not self._expects_rest
 
-    def _end_requests(self) -> None:
+    def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
+        if self._is_in_request:
+            request = self._make_placeholder()
+            self._server.report_unanswered(request, Stage.READING, end)
         self._is_ending = True
         self._parser.release()
 
+    def _make_placeholder(self) -> HttpRequest:
+        """Return what stands for a request that was not received whole."""
+        started_at = self._parser.started_at or read_now()
+        return HttpRequest(b"GET", b"", (), b"", False, started_at)
+
+    def _end(self, end: End) -> None:
+        """End all that is owed; the transport is closed by the caller."""
+        self._is_closing = True
+        self._end_requests(end)
+        self._exchanges.cancel(end)
+        self._writer.end(end, read_now())
+
     def _handle_request_error(self, error: RequestError) -> None:
         if self._is_ending:
             return
@@ -337,9 +358,9 @@
 
     def _end_with(self, response: HttpResponse) -> None:
         """Take no further request, and answer the present one without it."""
-        self._end_requests()
-        request = HttpRequest(b"GET", b"", (), b"", False, read_now())
-        self._exchanges.add(Exchange(request, response))
+        self._is_ending = True
+        self._parser.release()
+        self._exchanges.add(Exchange(self._make_placeholder(), response))
         self._send_ready_responses()
 
     def _close_gracefully(self) -> None:
@@ -349,7 +370,6 @@
         self._is_closing = True
         self._closed_at = read_now()
         self._end_requests()
-        self._exchanges.cancel()
         if self._transport.is_closing():
             return
         if self._transport.can_write_eof():
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -3,12 +3,19 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
+from kumquatwalk.http1.unanswered import find_stage
 
-__all__ = ["Exchange", "ExchangeQueue"]
+__all__ = ["Exchange", "ExchangeQueue", "Report"]
+
+# Reports a request that ended without a complete answer.
+Report = Callable[[HttpRequest, Stage, End], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,10 +40,12 @@
 
     Args:
         budget: Bytes of bodies that the process may hold; None for no bound.
+        report: Reports a request that ended without an answer.
     """
 
-    def __init__(self, budget: ByteBudget | None):
+    def __init__(self, budget: ByteBudget | None, report: Report):
         self._budget = budget
+        self._report = report
         self._exchanges: collections.deque[Exchange] = collections.deque()
 
     def __len__(self) -> int:
@@ -74,17 +83,30 @@
         self.release_request(exchange.request)
         return exchange
 
-    def cancel(self) -> None:
-        """End all exchanges, cancel their handlers and release their bytes."""
+    def cancel(self, end: End) -> None:
+        """End all exchanges, cancel their handlers and release their bytes.
+
+        Args:
+            end: What ends them; the message of the handlers' cancellation.
+        """
         exchanges = list(self._exchanges)
         self._exchanges.clear()
         for exchange in exchanges:
             exchange.is_over = True
-            self.release_request(exchange.request)
-            if exchange.response is not None:
-                self._release(len(exchange.response.body))
+            request, response = exchange.request, exchange.response
+            self.release_request(request)
+            self._report(
+                request, find_stage(request, response is not None), end
+            )
+            if response is not None:
+                self._release(len(response.body))
             elif exchange.task is not None:
-                exchange.task.cancel()
+                exchange.task.cancel(end)
+
+    def leave_behind(self, request: HttpRequest) -> None:
+        """End a request that stands behind the last answer, not handled."""
+        self.release_request(request)
+        self._report(request, Stage.READ, End.CLOSING_ANSWER)
 
     def release_request(self, request: HttpRequest) -> None:
         """Release the bytes of a request's body."""
--- a/kumquatwalk/http1/message.py
+++ b/kumquatwalk/http1/message.py
@@ -2,11 +2,39 @@
 
 import dataclasses
 
-__all__ = ["Header", "HttpRequest", "HttpResponse", "find_header"]
+__all__ = [
+    "Header",
+    "HttpRequest",
+    "HttpResponse",
+    "RequestProgress",
+    "find_header",
+]
 
 Header = tuple[bytes, bytes]
 
 
+@dataclasses.dataclass(slots=True)
+class RequestProgress:
+    """How far a request has come; changes while it is handled.
+
+    Attributes:
+        is_passed_on: Whether it has been passed on to a target.
+        request_id: Identifier with which it was passed on; empty until then.
+    """
+
+    is_passed_on: bool = False
+    request_id: str = ""
+
+    def mark_passed_on(self, request_id: bytes) -> None:
+        """Note that the request is being passed on to a target.
+
+        Args:
+            request_id: Identifier under which the target gets it.
+        """
+        self.is_passed_on = True
+        self.request_id = request_id.decode("latin-1")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
     """Request that has been received completely.
@@ -19,6 +47,7 @@
         is_keep_alive: Whether the connection persists after the response.
         received_at: Time at which the first byte was read, in seconds.
         peer_host: IP address of the caller; empty if unknown.
+        progress: How far the request has come; not part of comparisons.
     """
 
     method: bytes
@@ -28,6 +57,9 @@
     is_keep_alive: bool
     received_at: float
     peer_host: str = ""
+    progress: RequestProgress = dataclasses.field(
+        default_factory=RequestProgress, compare=False, repr=False
+    )
 
     def find_header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a name, or None.
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -12,6 +12,10 @@
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_stopping_response
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
+from kumquatwalk.http1.unanswered import find_level
+from kumquatwalk.logs import log_event
 from kumquatwalk.tasks import keep_running
 
 __all__ = ["HttpServer"]
@@ -39,6 +43,10 @@
             are refused.
         refuse: Returns the answer, which promises that the request is not run,
             to a request that begins after ``stop_accepting``.
+        identify: Returns the identifier of a request, for the log; empty if it
+            has none.
+        on_unanswered: Called with the stage of each request that ended without
+            a complete answer, and what ended it.
 
     Attributes:
         handler: Handler of the requests.
@@ -59,12 +67,16 @@
         limits: CallerLimits = CallerLimits(),
         budget: ByteBudget | None = None,
         refuse: Callable[[HttpRequest], HttpResponse] = make_stopping_response,
+        identify: Callable[[HttpRequest], str] = lambda _: "",
+        on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits
         self.budget = budget
         self.refuse = refuse
+        self._identify = identify
+        self._on_unanswered = on_unanswered
         self.is_stopping = False
         self.is_accepting = True
         self.connections: set[CallerConnection] = set()
@@ -126,6 +138,27 @@
             return True
         return self.budget.used - len(request.body) < self.budget.limit
 
+    def report_unanswered(
+        self, request: HttpRequest, stage: Stage, end: End
+    ) -> None:
+        """Log and count a request that ended without a complete answer.
+
+        Args:
+            request: The request; its URL is empty if only a part was received.
+            stage: How far it had come.
+            end: What ended it.
+        """
+        request_id = request.progress.request_id or self._identify(request)
+        log_event(
+            "request_unanswered",
+            find_level(end),
+            request=request_id,
+            stage=stage,
+            end=end,
+            elapsed_s=read_now() - request.received_at,
+        )
+        self._on_unanswered(stage, end)
+
     def stop_accepting(self) -> None:
         """Stop listening and pass no further requests to the handler.
 
@@ -149,7 +182,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.abort()
+            connection.abort(End.PROCESS_END)
 
     def _start_checks(self) -> None:
         if self._timeout_task is not None:
--- a/kumquatwalk/logs/timeline.py
+++ b/kumquatwalk/logs/timeline.py
@@ -32,6 +32,8 @@
     "request_timed_out": "timed out on route {route}; last node asked:"
     " {asked}",
     "request_outcome_unknown": "may have run at {tried}: {code}",
+    "request_unanswered": "ended without a complete answer at stage {stage}:"
+    " {end}",
 }
 _CAUSE_TEMPLATES = {
     "target_exchange_failed": "the exchange with the target beside {node}"
@@ -95,7 +97,7 @@
     context: list[TimelineEvent] = []
     for at_s, fields in rows:
         name = fields.get("event", "")
-        if _belongs(fields.get("attempt", ""), request_id):
+        if _belongs(_find_request_id(fields), request_id):
             own.append(_make_event(at_s, fields, True))
         elif name in _CONTEXT_EVENTS:
             context.append(_make_event(at_s, fields, False))
@@ -109,6 +111,10 @@
     return RequestTimeline(tuple(events), _find_cause(request_id, own, nearby))
 
 
+def _find_request_id(fields: Mapping[str, str]) -> str:
+    return fields.get("attempt") or fields.get("request", "")
+
+
 def _belongs(attempt: str, request_id: str) -> bool:
     return attempt == request_id or attempt.startswith(request_id + ".")
 
@@ -141,13 +147,13 @@
         e
         for e in own
         if e.name in _OUTCOME_TEMPLATES
-        and e.fields.get("attempt") == request_id
+        and _find_request_id(e.fields) == request_id
     ]
     call_outcomes = [
         e
         for e in own
         if e.name in _OUTCOME_TEMPLATES
-        and e.fields.get("attempt") != request_id
+        and _find_request_id(e.fields) != request_id
     ]
     parts = [
         _format(_OUTCOME_TEMPLATES[e.name], e)
@@ -167,7 +173,8 @@
 
 
 def _format(template: str, event: TimelineEvent) -> str:
-    values = dict.fromkeys(("asked", "code", "error", "route", "tried"), "")
+    names = ("asked", "code", "end", "error", "route", "stage", "tried")
+    values = dict.fromkeys(names, "")
     values.update(event.fields)
     values["node"] = event.node
     return template.format(**values)
--- a/kumquatwalk/platform/request_headers.py
+++ b/kumquatwalk/platform/request_headers.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "decode_caller_request",
+    "find_attempt_id",
     "make_retry_after",
     "make_target_headers",
 ]
@@ -49,6 +50,16 @@
     )
 
 
+def find_attempt_id(request: HttpRequest) -> str:
+    """Return the attempt identifier of a caller's request; empty if missing.
+
+    Args:
+        request: Request as received from the caller.
+    """
+    value = request.find_header(names.HEADER_ATTEMPT_ID) or b""
+    return value.decode("latin-1")
+
+
 def make_target_headers(
     headers: tuple[Header, ...],
     caller_service: str,
