--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -367,6 +367,7 @@
 
     async def _send(self, view: TargetView, request: PendingRequest) -> Reply:
         call = self._make_call(request)
+        request.http.progress.mark_passed_on(request.caller.attempt_id)
         request.last_node = view.node_id
         request.is_in_flight = True
         if view is self._own_view:
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -1,17 +1,20 @@
 """Server side of a caller's connection, with support for pipelining."""
 
 import asyncio
-import collections
-import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import RequestError
-from kumquatwalk.http1.encoder import encode_response
+from kumquatwalk.http1.answer_writer import AnswerWriter
+from kumquatwalk.http1.exchange_queue import Exchange
+from kumquatwalk.http1.exchange_queue import ExchangeQueue
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 
@@ -21,8 +24,9 @@
 
 # Number of requests in progress on one connection at which reading pauses.
 PIPELINED_REQUESTS_MAX = 64
-# Time for which data is still read after the last response, in seconds. Closing
-# with unread data could reset the connection before the caller has read it.
+# Time for which data is still read after the last response has been taken, in
+# seconds. Closing with unread data could reset the connection before the client
+# has read it.
 LINGER_S = 1.0
 # Time added to the idle timeout, in seconds, so that a request sent just before
 # the timeout does not race with the close.
@@ -31,28 +35,13 @@
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
-# 503 promises that the request was not run, and 413 that it will not fit later.
-_STATUS_BY_CODE = {
-    "head_too_long": 431,
-    "body_too_long": 413,
-    "memory_exhausted": 503,
-}
-# Time after which to retry a request that there was no memory for, in seconds.
-MEMORY_RETRY_AFTER_S = 1
-
-
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    request: HttpRequest
-    task: asyncio.Task | None = None
-    response: HttpResponse | None = None
-
 
 class CallerConnection(asyncio.Protocol):
     """Protocol of one connection from a caller.
 
     Requests are handled concurrently; responses are sent in the order of the
-    requests.
+    requests. ``Connection: close`` stands on the last response only: whatever
+    ends the connection, the requests taken before it are answered first.
 
     Args:
         server: Server that owns the connection. Its limits on header and body
@@ -69,62 +58,127 @@
             limits.header_bytes_max, limits.body_bytes_max, server.budget
         )
         self._transport: asyncio.Transport | None = None
-        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._exchanges = ExchangeQueue(server.budget, server.report_unanswered)
+        # Whether no further request is taken.
+        self._is_ending = False
+        # Whether a request was received in part when the server stopped to
+        # accept requests; it is handled.
+        self._expects_rest = False
         self._is_closing = False
-        self._can_write = True
+        self._closed_at = 0.0
+        self._writer: AnswerWriter | None = None
         self._is_reading = True
-        self._has_responded = False
         self._opened_at = read_now()
         self._last_data_at = self._opened_at
         self.idle_since = self._opened_at
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is in progress or expected, and all is sent.
+    def is_idle(self, now: float) -> bool:
+        """Return whether no request is in progress or expected.
 
         A connection that has just been opened is not idle, since its first
-        request is probably in transit.
+        request is probably in transit; nor is one whose last answer is not
+        taken.
+
+        Args:
+            now: Current time, in seconds.
         """
-        if self._exchanges or self._parser.is_in_message:
+        if self.count_owed(now):
             return False
-        if self._transport.get_write_buffer_size():
+        return (
+            self._writer.has_written
+            or now - self._opened_at > FIRST_REQUEST_WAIT_S
+        )
+
+    def count_owed(self, now: float) -> int:
+        """Return the number of requests whose answer is not taken yet.
+
+        A request counts from its first byte read.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._writer.update(now)
+        owed = len(self._exchanges) + self._writer.untaken
+        return owed + self._is_in_request
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether the connection can be aborted without a loss.
+
+        It cannot for ``LINGER_S`` after the client has taken the last answer:
+        a reset could discard the answer before it has been read.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if not self._is_closing:
+            return self.is_idle(now)
+        if self.count_owed(now):
             return False
         return (
-            self._has_responded
-            or read_now() - self._opened_at > FIRST_REQUEST_WAIT_S
+            not self._writer.has_written
+            or now - self._writer.progress_at > LINGER_S
         )
 
+    def stop_accepting(self, now: float) -> None:
+        """Close the connection if it is idle; else once it becomes idle.
+
+        A request received in part is still handled. One that begins later is
+        refused, or left unanswered if it stands behind others.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._expects_rest = self._is_in_request
+        if self.is_idle(now):
+            self._close_gracefully()
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if its header or idle timeout has expired.
 
         A request head that does not arrive in time is answered with 408, and so
         is a body of which nothing has come for the idle timeout: it would hold
-        memory that other requests need.
+        memory that other requests need. If a client takes nothing for the idle
+        timeout while an answer waits, the connection is aborted. Once the
+        server accepts no requests, an idle connection is closed at once. A
+        half-closed one is closed ``LINGER_S`` after its last answer was taken.
 
         Args:
             now: Current time, in seconds.
         """
         limits = self._server.limits
+        self._writer.update(now)
+        unused_s = now - max(self.idle_since, self._writer.progress_at)
+        if self._writer.untaken:
+            if now - self._writer.progress_at > limits.idle_timeout_s:
+                self.abort(End.TIMEOUT)
+                return
+        elif self._is_closing:
+            closed_s = now - max(self._closed_at, self._writer.progress_at)
+            if closed_s > LINGER_S:
+                self._transport.close()
         if self._exchanges or self._is_closing:
             return
         if self._parser.is_in_head:
             if now - self._parser.started_at > limits.header_timeout_s:
-                self._send_error(HttpResponse(408, body=b"header_timeout\n"))
-        elif self._parser.is_in_message:
+                self._end_with(make_error_response("header_timeout"))
+        elif self._is_in_request:
             if now - self._last_data_at > limits.idle_timeout_s:
-                self._send_error(HttpResponse(408, body=b"body_timeout\n"))
-        else:
-            if now - self.idle_since > limits.idle_timeout_s + IDLE_MARGIN_S:
-                self._close_gracefully()
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress or expected."""
-        if self.is_idle:
+                self._end_with(make_error_response("body_timeout"))
+        elif self._writer.untaken:
+            return
+        elif unused_s > limits.idle_timeout_s + IDLE_MARGIN_S:
             self._close_gracefully()
+        elif not self._server.is_accepting and self.is_idle(now):
+            self._close_gracefully()
+
+    def abort(self, end: End) -> None:
+        """Close the connection immediately and discard unsent bytes.
 
-    def abort(self) -> None:
-        """Close the connection immediately and discard unsent bytes."""
+        Args:
+            end: What ends it, for the requests that are not answered.
+        """
         if self._transport is not None:
+            self._end(end)
             self._transport.abort()
 
     # Methods of asyncio.Protocol.
@@ -132,13 +186,19 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register with the server."""
         self._transport = transport
+        self._writer = AnswerWriter(
+            transport,
+            self._server.budget,
+            self._server.report_unanswered,
+            self._opened_at,
+        )
         peer = transport.get_extra_info("peername")
         self._parser.peer_host = peer[0] if peer else ""
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start handling completed requests."""
-        if self._is_closing:
+        if self._is_ending:
             return
         self._last_data_at = read_now()
         try:
@@ -151,43 +211,61 @@
 
     def eof_received(self) -> bool:
         """Cancel all requests: the caller has closed and awaits no response."""
-        self._cancel_exchanges()
+        self._end(End.CALLER_LEFT)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister from the server and cancel all requests."""
         del exc
-        self._is_closing = True
         self._server.connections.discard(self)
-        self._cancel_exchanges()
+        self._end(End.CONNECTION_LOST)
+        self._writer.release()
 
     def pause_writing(self) -> None:
         """Stop writing responses, and reading, until the caller reads."""
-        self._can_write = False
+        self._writer.pause()
         self._update_backpressure()
 
     def resume_writing(self) -> None:
         """Write the responses that are ready, and resume reading."""
-        self._can_write = True
+        self._writer.resume()
         self._send_ready_responses()
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
-            if self._is_closing:
+            if not self._is_ending:
+                self._start_exchange(request)
+            else:
+                self._exchanges.leave_behind(request)
+        self._send_ready_responses()
+
+    def _start_exchange(self, request: HttpRequest) -> None:
+        exchange = Exchange(request)
+        if self._is_late:
+            self._end_requests()
+            if self._exchanges:
+                self._exchanges.leave_behind(request)
                 return
-            exchange = _Exchange(request)
-            self._exchanges.append(exchange)
+            exchange.response = self._server.refuse(request)
+        elif self._server.has_memory_for(request):
+            exchange.response = None
+        else:
+            exchange.response = make_error_response("memory_exhausted")
+        if not request.is_keep_alive:
+            self._end_requests()
+        self._expects_rest = False
+        self._exchanges.add(exchange)
+        if exchange.response is None:
             exchange.task = asyncio.get_running_loop().create_task(
                 self._run_handler(exchange)
             )
-        self._update_backpressure()
 
-    async def _run_handler(self, exchange: _Exchange) -> None:
+    async def _run_handler(self, exchange: Exchange) -> None:
         try:
-            exchange.response = await self._server.handler(exchange.request)
+            response = await self._server.handler(exchange.request)
         except ConnectionAbortedError:
             # The handler asks to close the connection without a response.
-            self.abort()
+            self.abort(End.HANDLER)
             return
         except Exception as error:  # pylint: disable=broad-exception-caught
             # An internal error must not leave the caller without a response.
@@ -197,16 +275,17 @@
                 Level.ERROR,
                 error=f"{type(error).__name__}: {error}",
             )
-            exchange.response = HttpResponse(500)
+            response = HttpResponse(500)
+        self._exchanges.set_response(exchange, response)
+        if response.closes_connection:
+            self._end_requests()
         self._send_ready_responses()
 
     def _send_ready_responses(self) -> None:
-        while self._exchanges and self._can_write and not self._is_closing:
-            exchange = self._exchanges[0]
-            if exchange.response is None:
+        while self._writer.can_write and not self._is_closing:
+            exchange = self._exchanges.take_ready()
+            if exchange is None:
                 break
-            self._exchanges.popleft()
-            self._release(exchange)
             self._write_response(exchange.request, exchange.response)
         if not self._exchanges:
             self.idle_since = read_now()
@@ -215,26 +294,26 @@
     def _write_response(
         self, request: HttpRequest, response: HttpResponse
     ) -> None:
-        self._has_responded = True
-        closes_connection = (
-            response.closes_connection
-            or not request.is_keep_alive
-            or self._server.is_stopping
-        )
-        is_head = request.method == b"HEAD"
-        self._transport.write(
-            encode_response(response, is_head, closes_connection)
+        closes_connection = not self._exchanges and (
+            self._is_ending
+            or (
+                self._server.is_stopping
+                and (self._is_late or not self._is_in_request)
+            )
         )
+        self._writer.write(request, response, closes_connection, read_now())
         if closes_connection:
             self._close_gracefully()
 
     def _update_backpressure(self) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._transport.is_closing():
             return
-        # Keep reading while few requests are in progress, to detect when the
+        # What comes after the last request is read and discarded. Otherwise
+        # keep reading while few requests are in progress, to detect when the
         # caller closes the connection.
-        should_read = (
-            self._can_write and len(self._exchanges) < PIPELINED_REQUESTS_MAX
+        should_read = self._is_ending or (
+            self._writer.can_write
+            and len(self._exchanges) < PIPELINED_REQUESTS_MAX
         )
         if should_read and not self._is_reading:
             self._transport.resume_reading()
@@ -242,49 +321,56 @@
             self._transport.pause_reading()
         self._is_reading = should_read
 
-    def _handle_request_error(self, error: RequestError) -> None:
-        log_event("request_rejected", code=error.code, error=error.message)
+    @property
+    def _is_in_request(self) -> bool:
+        return self._parser.is_in_message and not self._is_ending
+
+    @property
+    def _is_late(self) -> bool:
+        """Whether the next request to be completed has begun after the stop."""
+        return not self._server.is_accepting and not self._expects_rest
+
+    def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
+        """Take no further request, nor the one received only in part."""
+        if self._is_in_request:
+            request = self._make_placeholder()
+            self._server.report_unanswered(request, Stage.READING, end)
+        self._is_ending = True
         self._parser.release()
-        response = _make_error_response(error.code)
-        if not self._exchanges:
-            self._send_error(response)
+
+    def _make_placeholder(self) -> HttpRequest:
+        """Return what stands for a request that was not received whole."""
+        started_at = self._parser.started_at or read_now()
+        return HttpRequest(b"GET", b"", (), b"", False, started_at)
+
+    def _end(self, end: End) -> None:
+        """End all that is owed; the transport is closed by the caller."""
+        self._is_closing = True
+        self._end_requests(end)
+        self._exchanges.cancel(end)
+        self._writer.end(end, read_now())
+
+    def _handle_request_error(self, error: RequestError) -> None:
+        if self._is_ending:
             return
-        request = HttpRequest(b"GET", b"", (), b"", False, read_now())
-        self._exchanges.append(_Exchange(request, response=response))
+        log_event("request_rejected", code=error.code, error=error.message)
+        self._end_with(make_error_response(error.code))
 
-    def _send_error(self, response: HttpResponse) -> None:
-        self._transport.write(encode_response(response, False, True))
-        self._close_gracefully()
+    def _end_with(self, response: HttpResponse) -> None:
+        """Take no further request, and answer the present one without it."""
+        self._is_ending = True
+        self._parser.release()
+        self._exchanges.add(Exchange(self._make_placeholder(), response))
+        self._send_ready_responses()
 
     def _close_gracefully(self) -> None:
         """Half-close, then close when the caller does or after ``LINGER_S``."""
         if self._is_closing:
             return
         self._is_closing = True
-        self._cancel_exchanges()
+        self._closed_at = read_now()
+        self._end_requests()
         if self._transport.is_closing():
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
-
-    def _release(self, exchange: _Exchange) -> None:
-        if self._server.budget is not None:
-            self._server.budget.release(len(exchange.request.body))
-
-    def _cancel_exchanges(self) -> None:
-        exchanges = list(self._exchanges)
-        self._exchanges.clear()
-        self._parser.release()
-        for exchange in exchanges:
-            self._release(exchange)
-            if exchange.task is not None and exchange.response is None:
-                exchange.task.cancel()
-
-
-def _make_error_response(code: str) -> HttpResponse:
-    headers = ()
-    if code == "memory_exhausted":
-        headers = ((b"Retry-After", b"%d" % MEMORY_RETRY_AFTER_S),)
-    status = _STATUS_BY_CODE.get(code, 400)
-    return HttpResponse(status, headers, code.encode() + b"\n")
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, targets and health checks."""
 
 import asyncio
+from collections.abc import Callable
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
@@ -8,6 +9,13 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.refusals import make_stopping_response
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
+from kumquatwalk.http1.unanswered import find_level
+from kumquatwalk.logs import log_event
 from kumquatwalk.tasks import keep_running
 
 __all__ = ["HttpServer"]
@@ -18,6 +26,8 @@
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+# The same once no requests are accepted, when connections are to end soon.
+STOP_CHECK_INTERVAL_S = 0.05
 
 
 class HttpServer:
@@ -28,15 +38,25 @@
         handler: Serves one request; cancelled when the caller closes its
             connection.
         limits: Size limits and timeouts for callers' connections.
-        budget: Bytes of request bodies that the process may hold; None for no
-            bound.
+        budget: Bytes of bodies, of requests and of answers not sent, that the
+            process may hold; None for no bound. While it is exhausted, requests
+            are refused.
+        refuse: Returns the answer, which promises that the request is not run,
+            to a request that begins after ``stop_accepting``.
+        identify: Returns the identifier of a request, for the log; empty if it
+            has none.
+        on_unanswered: Called with the stage of each request that ended without
+            a complete answer, and what ended it.
 
     Attributes:
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
-        budget: Bytes of request bodies that the process may hold.
-        is_stopping: Whether connections are closed after their next response.
+        budget: Bytes of bodies that the process may hold.
+        refuse: Returns the answer to a request that begins after the stop.
+        is_stopping: Whether connections are closed once all requests read from
+            them are answered.
+        is_accepting: Whether requests are passed to the handler.
         connections: Open connections.
     """
 
@@ -46,12 +66,19 @@
         handler: Handler,
         limits: CallerLimits = CallerLimits(),
         budget: ByteBudget | None = None,
+        refuse: Callable[[HttpRequest], HttpResponse] = make_stopping_response,
+        identify: Callable[[HttpRequest], str] = lambda _: "",
+        on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits
         self.budget = budget
+        self.refuse = refuse
+        self._identify = identify
+        self._on_unanswered = on_unanswered
         self.is_stopping = False
+        self.is_accepting = True
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
@@ -74,25 +101,79 @@
             self._address.port,
             backlog=BACKLOG,
         )
-        self._timeout_task = keep_running(
-            self._check_timeouts, "connection_check"
-        )
+        self._start_checks()
+
+    @property
+    def owed_requests(self) -> int:
+        """Number of requests whose answer the client has not taken yet.
+
+        A request counts from its first byte read to the last byte of its answer
+        taken by the client.
+        """
+        now = read_now()
+        return sum(c.count_owed(now) for c in self.connections)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether all connections can be aborted without a loss.
+
+        Nothing is owed, no first request is expected, and no client may still
+        lose an answer by a reset.
+        """
+        return not self.busy_connections
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request in progress or expected."""
-        return sum(not c.is_idle for c in self.connections)
+        """Number of connections that are not settled."""
+        now = read_now()
+        return sum(not c.is_settled(now) for c in self.connections)
+
+    def has_memory_for(self, request: HttpRequest) -> bool:
+        """Return whether there is memory for the answer to a request.
+
+        Args:
+            request: Request whose body is reserved.
+        """
+        if self.budget is None:
+            return True
+        return self.budget.used - len(request.body) < self.budget.limit
+
+    def report_unanswered(
+        self, request: HttpRequest, stage: Stage, end: End
+    ) -> None:
+        """Log and count a request that ended without a complete answer.
+
+        Args:
+            request: The request; its URL is empty if only a part was received.
+            stage: How far it had come.
+            end: What ended it.
+        """
+        request_id = request.progress.request_id or self._identify(request)
+        log_event(
+            "request_unanswered",
+            find_level(end),
+            request=request_id,
+            stage=stage,
+            end=end,
+            elapsed_s=read_now() - request.received_at,
+        )
+        self._on_unanswered(stage, end)
 
     def stop_accepting(self) -> None:
-        """Stop listening and close idle connections.
+        """Stop listening and pass no further requests to the handler.
 
-        Requests in progress continue; each connection closes after its next
-        response.
+        A request of which the first byte has been read is handled. One that
+        begins later is refused, or left unanswered if it stands behind others
+        on its connection. Each connection closes once it is idle or after its
+        last answer.
         """
         self.is_stopping = True
+        self.is_accepting = False
         self._server.close()
+        now = read_now()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.stop_accepting(now)
+        self._start_checks()
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
@@ -101,11 +182,23 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.abort()
+            connection.abort(End.PROCESS_END)
+
+    def _start_checks(self) -> None:
+        if self._timeout_task is not None:
+            self._timeout_task.cancel()
+        self._timeout_task = keep_running(
+            self._check_timeouts, "connection_check"
+        )
 
     async def _check_timeouts(self) -> None:
+        interval_s = (
+            TIMEOUT_CHECK_INTERVAL_S
+            if self.is_accepting
+            else STOP_CHECK_INTERVAL_S
+        )
         while True:
-            await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
+            await asyncio.sleep(interval_s)
             now = read_now()
             for connection in tuple(self.connections):
                 connection.check_timeouts(now)
