Serve as before while callers are still sent to a stopping node

With the longest time of late as the measure from SIGTERM on, one request of 3 s turned most others of its route away, though callers are sent elsewhere only after two failed readiness checks.

Until CALLER_DRAIN_S after SIGTERM the mean time in the window now counts; after that the longest.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -2,15 +2,14 @@
 
 import math
 
-from kumquatwalk.admission.recent_longest import RecentLongest
+from kumquatwalk.admission.recent_times import RecentTimes
 
 __all__ = ["StopAdmission"]
 
-# A request may take longer than the longest one of late: the time that is
-# expected for it is that of the longest, times this factor, plus this time in
-# seconds.
-LONGEST_FACTOR = 1.25
-LONGEST_MARGIN_S = 0.3
+# A request may take longer than those of late: the time that is expected for it
+# is theirs, times this factor, plus this time in seconds.
+TIME_FACTOR = 1.25
+TIME_MARGIN_S = 0.3
 # Time from the end of the drain until a restarted process serves, in seconds.
 RESTART_S = 1.5
 # Maximum retry delay, in seconds: callers are sent to other nodes before the
@@ -33,17 +32,22 @@
     def __init__(self):
         self.ends_at = math.inf
         self.refused = 0
-        self._recent = RecentLongest()
+        self._typical_until = -math.inf
+        self._recent = RecentTimes()
         self._in_progress: dict[str, dict[int, float]] = {}
         self._last_key = 0
 
-    def set_end(self, ends_at: float) -> None:
+    def set_end(self, ends_at: float, typical_until: float = -math.inf) -> None:
         """Set the end of the drain; a later one than set before is ignored.
 
         Args:
             ends_at: Time at which requests must have ended, in seconds.
+            typical_until: Time until which a request is taken to last as long
+                as its route does in the mean, in seconds. One long request does
+                not turn all others away then.
         """
         self.ends_at = min(self.ends_at, ends_at)
+        self._typical_until = typical_until
 
     def begin(self, route: str, now: float) -> int:
         """Record the start of a request.
@@ -83,7 +87,8 @@
 
         It will if its deadline lies before the end, or if the longest time that
         a request of its route took of late does. The age of requests in
-        progress counts too. Counts the refusals.
+        progress counts too. Until ``typical_until`` the mean time counts
+        instead. Counts the refusals.
 
         Args:
             route: Name of its route.
@@ -118,9 +123,16 @@
         return min(RETRY_DELAY_MAX_S, self.ends_at - now + RESTART_S)
 
     def _estimate_s(self, route: str, objective_s: float, now: float) -> float:
-        longest_s = self._recent.find(route, now)
+        if now < self._typical_until:
+            mean_s = self._recent.find_mean(route, now)
+            return objective_s if mean_s is None else _stretch(mean_s)
+        longest_s = self._recent.find_longest(route, now)
         started = self._in_progress.get(route)
         oldest_s = now - next(iter(started.values())) if started else 0.0
         if longest_s is None:
             return max(objective_s, oldest_s)
-        return LONGEST_FACTOR * max(longest_s, oldest_s) + LONGEST_MARGIN_S
+        return _stretch(max(longest_s, oldest_s))
+
+
+def _stretch(time_s: float) -> float:
+    return TIME_FACTOR * time_s + TIME_MARGIN_S
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -6,12 +6,12 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from kumquatwalk.admission import recent_longest
-from kumquatwalk.admission.recent_longest import RecentLongest
+from kumquatwalk.admission import recent_times
+from kumquatwalk.admission.recent_times import RecentTimes
 from kumquatwalk.admission.stop import RETRY_DELAY_MAX_S
 from kumquatwalk.admission.stop import StopAdmission
 
-WINDOW_S = recent_longest.BUCKETS * recent_longest.BUCKET_S
+WINDOW_S = recent_times.BUCKETS * recent_times.BUCKET_S
 # Multiples of a power of two, so that sums of times are exact.
 SECONDS = st.integers(0, 30 * 64).map(lambda n: n / 64)
 # Time since the previous request, time that it took, whether it ran.
@@ -95,6 +95,23 @@
         self.assertFalse(gate.admits("pay", 60.0, 0.1, 2.5))
         self.assertTrue(gate.admits("other", 60.0, 0.1, 2.5))
 
+    def test_one_long_request_turns_others_away_late_only(self):
+        # Guards against the loss of worth at a stop: one long request of late
+        # turned all others away while callers were still sent here.
+        gate = StopAdmission()
+        for number in range(20):
+            taken_s = 3.0 if number == 10 else 0.5
+            gate.finish("pay", gate.begin("pay", 0.0), True, taken_s)
+        gate.set_end(8.4, typical_until=5.6)
+        self.assertTrue(gate.admits("pay", 60.0, 1.0, 5.5))
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 5.7))
+
+    def test_long_mean_turns_requests_away_at_once(self):
+        gate = StopAdmission()
+        gate.finish("pay", gate.begin("pay", 0.0), True, 3.0)
+        gate.set_end(6.0, typical_until=5.6)
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 3.0))
+
     def test_route_without_requests_takes_its_objective(self):
         gate = StopAdmission()
         gate.set_end(5.0)
@@ -122,24 +139,33 @@
         self.assertEqual(gate.estimate_retry_delay(0.0), RETRY_DELAY_MAX_S)
 
 
-class RecentLongestTest(unittest.TestCase):
+class RecentTimesTest(unittest.TestCase):
 
     def test_durations_leave_the_window(self):
-        recent = RecentLongest()
+        recent = RecentTimes()
         recent.record("pay", 3.0, 100.0)
         recent.record("pay", 1.0, 100.5)
         recent.record("pay", 0.5, 105.0)
-        self.assertEqual(recent.find("pay", 105.0), 3.0)
-        self.assertEqual(recent.find("pay", 100.0 + WINDOW_S), 0.5)
-        self.assertIsNone(recent.find("pay", 106.0 + WINDOW_S))
-        self.assertIsNone(recent.find("other", 105.0))
+        self.assertEqual(recent.find_longest("pay", 105.0), 3.0)
+        self.assertEqual(recent.find_longest("pay", 100.0 + WINDOW_S), 0.5)
+        self.assertIsNone(recent.find_longest("pay", 106.0 + WINDOW_S))
+        self.assertIsNone(recent.find_longest("other", 105.0))
+        self.assertIsNone(recent.find_mean("other", 105.0))
+
+    def test_mean_is_of_the_window(self):
+        recent = RecentTimes()
+        recent.record("pay", 9.0, 90.0)
+        recent.record("pay", 1.0, 100.0)
+        recent.record("pay", 0.5, 105.0)
+        recent.record("pay", 0.0, 105.5)
+        self.assertEqual(recent.find_mean("pay", 106.0), 0.5)
 
     def test_number_of_routes_is_bounded(self):
-        recent = RecentLongest()
-        for number in range(recent_longest.ROUTES_MAX + 5):
+        recent = RecentTimes()
+        for number in range(recent_times.ROUTES_MAX + 5):
             recent.record(f"route-{number}", 1.0, 100.0)
-        self.assertIsNone(recent.find("route-4", 100.0))
-        self.assertEqual(recent.find("route-5", 100.0), 1.0)
+        self.assertIsNone(recent.find_longest("route-4", 100.0))
+        self.assertEqual(recent.find_longest("route-5", 100.0), 1.0)
 
 
 if __name__ == "__main__":
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -133,15 +133,16 @@
         """
         self._retry_budgets.set_bounds(bounds)
 
-    def set_end(self, ends_at: float) -> None:
+    def set_end(self, ends_at: float, typical_until: float) -> None:
         """Set the end of the drain, at which all requests have an answer.
 
         Requests that would last longer are refused from now on.
 
         Args:
             ends_at: End of the drain, in seconds.
+            typical_until: See ``StopAdmission.set_end``.
         """
-        self.stop_admission.set_end(ends_at)
+        self.stop_admission.set_end(ends_at, typical_until)
         self._request_timeouts.set_end(ends_at)
 
     def clear_backoffs(self) -> None:
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -178,14 +178,15 @@
         self.target_side.close()
         self.store.close()
 
-    def set_end(self, ends_at: float) -> None:
+    def set_end(self, ends_at: float, typical_until: float = -math.inf) -> None:
         """Set the end of the drain, at which all requests have an answer.
 
         Args:
             ends_at: End of the drain, in seconds.
+            typical_until: See ``StopAdmission.set_end``.
         """
-        self.caller_side.set_end(ends_at)
-        self.target_side.set_end(ends_at)
+        self.caller_side.set_end(ends_at, typical_until)
+        self.target_side.stop_admission.set_end(ends_at, typical_until)
 
     def make_hello(self) -> Hello:
         """Return this node's first message on a link."""
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -125,7 +125,8 @@
         ends_at = began_at + grace_s - ANSWER_MARGIN_S
         self.is_stopping = True
         self._caller_server.is_stopping = True
-        self.core.set_end(ends_at)
+        # Callers that come before this time are not sent elsewhere yet.
+        self.core.set_end(ends_at, began_at + CALLER_DRAIN_S)
         log_event("daemon_stopping")
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -159,14 +159,6 @@
         """
         self.is_stopping = True
 
-    def set_end(self, ends_at: float) -> None:
-        """Set the end of the drain; refuse calls that would last longer.
-
-        Args:
-            ends_at: End of the drain, in seconds.
-        """
-        self.stop_admission.set_end(ends_at)
-
     def refuse_queued_calls(self) -> None:
         """Refuse all calls that wait for the target; admitted ones continue."""
         self._waiter.close(codes.TARGET_LEAVING)
