Stand-ins: fleet on the platform's interface and callers that pipeline

Change: PlatformFleet runs `kumquatwalk daemon` processes beside scripted targets and a store. ConnectionCaller uses plain sockets and each connection until it ends: one request at a time, up to six in line, new connections, a late first request, slow readers of up to 2 MB, requests in pieces. It records for each request its times, its place on the connection and what came after. ScriptedTarget says when a run ended and whether it broke off itself.

--- /dev/null
+++ b/kumquatwalk/standin/connection_caller.py
@@ -0,0 +1,135 @@
+"""Simulated caller that uses each connection until it ends."""
+
+import asyncio
+import functools
+import random
+import socket
+from collections.abc import Callable
+
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.attempt import Habit
+from kumquatwalk.standin.connection_use import LIMIT_S
+from kumquatwalk.standin.connection_use import SLOW_READ_BYTES
+from kumquatwalk.standin.connection_use import ConnectionUse
+from kumquatwalk.standin.daemon_fleet import HOST
+
+__all__ = ["ConnectionCaller"]
+
+_RETRY_S = 0.05
+_BUFFER_BYTES = 65536
+# Longest run that a request asks for, in milliseconds, and that of one in ten.
+_WORK_MS = 500
+_LONG_WORK_MS = 2000
+
+
+class ConnectionCaller:
+    """Sends requests of one habit to one node, on plain sockets.
+
+    Args:
+        name: Name that begins the identifiers of its attempts.
+        habit: Habit of the caller.
+        node: Name of the node.
+        address: Address of the node's listener for callers.
+        get_pid: Returns the present process of the node.
+        rng: Source of all choices.
+        attempts: Gets each attempt when it is sent.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        habit: Habit,
+        node: str,
+        address: Address,
+        get_pid: Callable[[], int],
+        rng: random.Random,
+        attempts: list[Attempt],
+    ):
+        self._name = name
+        self._habit = habit
+        self._node = node
+        self._address = address
+        self._get_pid = get_pid
+        self._rng = rng
+        self._attempts = attempts
+        self._connections = 0
+        self._count = 0
+        self._is_stopped = False
+        self._use: ConnectionUse | None = None
+
+    def stop(self) -> None:
+        """Send no further request; ``run`` returns after the last answer."""
+        self._is_stopped = True
+        if self._use is not None:
+            self._use.stop()
+
+    async def run(self) -> None:
+        """Open one connection after the other, until stopped."""
+        while not self._is_stopped:
+            self._connections += 1
+            pid = self._get_pid()
+            try:
+                reader, writer = await self._open()
+            except OSError:
+                await asyncio.sleep(_RETRY_S)
+                continue
+            if pid != self._get_pid():
+                # Either process may have accepted it.
+                writer.transport.abort()
+                continue
+            self._use = ConnectionUse(
+                self._habit,
+                self._rng,
+                reader,
+                writer,
+                functools.partial(self._make_attempt, pid),
+            )
+            await self._use.run()
+            await asyncio.sleep(self._rng.uniform(0.0, _RETRY_S))
+
+    async def _open(self):
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self._habit.read_pause_s:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES
+            )
+        try:
+            await asyncio.get_running_loop().sock_connect(
+                sock, (self._address.host, self._address.port)
+            )
+        except BaseException:
+            sock.close()
+            raise
+        return await asyncio.open_connection(sock=sock, limit=_BUFFER_BYTES)
+
+    def _make_attempt(
+        self, pid: int, position: int, is_behind: bool
+    ) -> tuple[Attempt, bytes]:
+        self._count += 1
+        habit, rng = self._habit, self._rng
+        attempt = Attempt(
+            f"{self._name}-{self._count}",
+            habit.name,
+            habit.is_safe,
+            self._node,
+            pid,
+            self._connections,
+            position,
+            is_behind,
+            rng.randint(*habit.sizes),
+            read_now(),
+        )
+        longest_ms = _LONG_WORK_MS if rng.random() < 0.1 else _WORK_MS
+        route, method = ("look", "GET") if habit.is_safe else ("pay-pay", "PUT")
+        body = b"" if habit.is_safe else b"x" * rng.randint(1, 3000)
+        head = (
+            f"{method} /{route}/{rng.randint(10, longest_ms)}/{attempt.size}"
+            f" HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt.attempt_id}\r\n"
+            f"Deadline-Ms: {LIMIT_S * 1000:.0f}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self._attempts.append(attempt)
+        return attempt, head.encode() + body
--- /dev/null
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -0,0 +1,237 @@
+"""Daemon processes on the platform's interface, beside simulated targets."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.standin.daemon_fleet import exchange
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.platform_node import GRACE_S
+from kumquatwalk.standin.platform_node import PlatformNode
+from kumquatwalk.standin.scripted_target import ScriptedTarget
+
+__all__ = ["PlatformFleet"]
+
+SERVICES = ("look", "pay")
+ROUTE_TIMEOUT_S = 5.0
+_HEARTBEAT_S = 1.5
+_START_TIMEOUT_S = 30.0
+_LISTENERS = ("inbound", "outbound", "ready", "control", "metrics")
+
+
+class PlatformFleet:
+    """Store, targets and daemon processes on loopback addresses.
+
+    The store and the targets run on the running event loop; each daemon is
+    started as ``kumquatwalk daemon --settings FILE``. Route ``/look/`` is safe,
+    ``/pay-pay/`` is unsafe.
+
+    Args:
+        folder: Folder of settings files and logs, one log for each process.
+
+    Attributes:
+        nodes: Nodes by name.
+        store: Simulated store.
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self.nodes: dict[str, PlatformNode] = {}
+        self.store = KvStore()
+        self._folder = folder
+        self._version = 0
+        self._beats: list[asyncio.Task] = []
+        # Apart from other fleets, and from the ports of outgoing connections.
+        self._subnet = random.SystemRandom().randrange(100, 250)
+
+    async def start(self, nodes: int) -> None:
+        """Start all processes and wait until each serves each route.
+
+        Args:
+            nodes: Number of nodes, in three zones.
+
+        Raises:
+            TimeoutError: They did not within 30 s.
+        """
+        await self.store.start()
+        self.change_config()
+        for number in range(nodes):
+            await self._add_node(number)
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            for name in self.nodes:
+                await self.wait_until_served(name)
+
+    async def close(self) -> None:
+        """Kill all daemons; close the targets and the store."""
+        for task in self._beats:
+            task.cancel()
+        for node in self.nodes.values():
+            if node.is_running:
+                node.process.kill()
+            if node.process is not None:
+                node.process.wait()
+            await node.target.close()
+        await self.store.close()
+
+    def change_config(self) -> None:
+        """Write the next version of the fleet configuration to the store."""
+        self._version += 1
+        config = make_config(
+            SERVICES,
+            self._version,
+            timeoutS=ROUTE_TIMEOUT_S,
+            targetLatencyS=1.5 + self._version % 2,
+        )
+        self.store.put("op/config", config)
+
+    def start_daemon(self, node: PlatformNode) -> None:
+        """Start the daemon of a node; do not wait until it is ready.
+
+        Args:
+            node: Node whose daemon is not running.
+        """
+        node.starts += 1
+        log = self._folder / f"{node.name}-{node.starts}.log"
+        with log.open("wb") as output:
+            node.process = subprocess.Popen(
+                [sys.executable, "-m", "kumquatwalk", "daemon"]
+                + ["--settings", str(node.settings)],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def change_settings(self, node: PlatformNode) -> None:
+        """Change a bound in the settings file and send SIGHUP.
+
+        Args:
+            node: Node whose settings change.
+        """
+        node.reloads += 1
+        node.write_settings(self.store.address)
+        node.signal(signal.SIGHUP)
+
+    async def stop_daemon(self, node: PlatformNode) -> None:
+        """Send SIGTERM, and SIGKILL after ``GRACE_S``, as the platform does.
+
+        Args:
+            node: Node to stop; returns once its daemon has ended.
+        """
+        process = node.process
+        process.send_signal(signal.SIGTERM)
+        deadline = read_now() + GRACE_S
+        while process.poll() is None:
+            if read_now() > deadline:
+                process.kill()
+                process.wait()
+            await asyncio.sleep(0.01)
+
+    async def restart_target(self, node: PlatformNode) -> None:
+        """Start a crashed target again, under a new identifier.
+
+        Args:
+            node: Node beside the target; one that runs is left as it is.
+        """
+        if node.target.is_running or node.state == "starting":
+            return
+        node.state = "starting"
+        await node.target.restart(f"i-{node.name}-{time.time_ns()}")
+        node.born, node.sequence = time.time_ns() // 1_000_000, 0
+        node.state = "ready"
+
+    async def wait_until_served(self, name: str) -> None:
+        """Wait until a node serves each route.
+
+        Args:
+            name: Name of the node.
+        """
+        listener = self.nodes[name].listeners["outbound"]
+        for path in (b"/look/0/1", b"/pay-pay/0/1"):
+            status = 0
+            while status != 200:
+                await asyncio.sleep(0.05)
+                attempt = (b"Attempt-Id", os.urandom(8).hex().encode())
+                limit = (b"Deadline-Ms", b"2000")
+                with contextlib.suppress(Exception):
+                    status = (
+                        await exchange(
+                            listener, b"GET", path, (attempt, limit), b""
+                        )
+                    ).status
+
+    async def _add_node(self, number: int) -> None:
+        name = f"n{number + 1}"
+        host = f"127.{self._subnet}.{number // 250}.{number % 250 + 1}"
+        target = ScriptedTarget(f"i-{name}", host=host)
+        await target.start()
+        node = PlatformNode(
+            name,
+            SERVICES[number % 2],
+            f"z{number // 2 % 3 + 1}",
+            target,
+            dict(zip(_LISTENERS, _reserve(host, len(_LISTENERS)))),
+            self._folder / f"{name}.toml",
+            target.address,
+        )
+        target.choose_script = node.choose_script
+        node.write_settings(self.store.address)
+        self.nodes[name] = node
+        self.start_daemon(node)
+        loop = asyncio.get_running_loop()
+        self._beats.append(loop.create_task(self._send_beats(node)))
+
+    async def _send_beats(self, node: PlatformNode) -> None:
+        while True:
+            if node.target.is_running:
+                with contextlib.suppress(Exception):
+                    await self.send_beat(node)
+            # Soon again until the daemon has started.
+            await asyncio.sleep(_HEARTBEAT_S if node.sequence > 5 else 0.2)
+
+    async def send_beat(self, node: PlatformNode) -> None:
+        """Send one heartbeat of a node's target to its daemon.
+
+        Args:
+            node: Node beside the target.
+        """
+        node.sequence += 1
+        target = node.target
+        document = {
+            "service": node.service,
+            "address": str(node.target_address),
+            "zone": node.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": node.state,
+            "coldLeftS": 0,
+            "sequence": node.sequence,
+            "born": node.born,
+        }
+        await exchange(
+            node.listeners["control"],
+            b"PUT",
+            f"/instances/{target.target_id}".encode(),
+            (),
+            json.dumps(document).encode(),
+        )
+
+
+def _reserve(host: str, count: int) -> list[Address]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((host, 0))
+        return [Address(host, sock.getsockname()[1]) for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
--- /dev/null
+++ b/kumquatwalk/standin/platform_node.py
@@ -0,0 +1,137 @@
+"""Daemon process on the platform's interface and the target beside it."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+
+from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.standin.scripted_target import Script
+from kumquatwalk.standin.scripted_target import ScriptedTarget
+
+__all__ = ["GRACE_S", "PlatformNode", "make_body"]
+
+# Bounds that the operators' pages give as an example, in seconds.
+GRACE_S = 6.0
+_BOUNDS = (
+    f"graceS={GRACE_S}",
+    "drainS=2",
+    "addrReuseS=2",
+    "retryBudgetRatio=0.2",
+    "budgetWindowS=10",
+)
+_BUDGET_SLACK = 48
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformNode:
+    """One VM: a daemon process and the target beside it.
+
+    Attributes:
+        name: Name of the node.
+        service: Service of the target.
+        zone: Availability zone.
+        target: Target, served by this process.
+        listeners: Addresses of the daemon by listener name.
+        settings: Path of the settings file.
+        target_address: Address of the target, also while it is down.
+        process: Daemon process; None before the first start.
+        state: State that the target reports.
+        work_factor: Factor by which runs take longer.
+        silent_until: Time until which no run ends, in seconds.
+        sequence: Sequence number of the last heartbeat.
+        born: Start of the target, in Unix milliseconds.
+        starts: Number of starts of the daemon.
+        reloads: Number of changes of the settings.
+    """
+
+    name: str
+    service: str
+    zone: str
+    target: ScriptedTarget
+    listeners: dict[str, Address]
+    settings: pathlib.Path
+    target_address: Address
+    process: subprocess.Popen | None = None
+    state: str = "ready"
+    work_factor: float = 1.0
+    silent_until: float = 0.0
+    sequence: int = 0
+    born: int = 1000
+    starts: int = 0
+    reloads: int = 0
+
+    @property
+    def pid(self) -> int:
+        """Process id of the daemon."""
+        return self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the daemon has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the daemon if it is running."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    def choose_script(self, request: HttpRequest) -> Script:
+        """Return the behaviour that the path ``/ROUTE/WORK_MS/BYTES`` asks for.
+
+        Args:
+            request: Request to run.
+        """
+        _, _, work_ms, size = request.url.decode("ascii").split("/")
+        attempt_id = (request.find_header(b"attempt-id") or b"").decode()
+        silent_s = max(0.0, self.silent_until - read_now())
+        return Script(
+            work_s=silent_s + self.work_factor * int(work_ms) / 1000,
+            body=make_body(attempt_id, int(size)),
+        )
+
+    def write_settings(self, store: Address) -> None:
+        """Write the settings file, with the fields that a daemon reads.
+
+        Args:
+            store: Address of the store.
+        """
+        temporary = self.settings.with_suffix(".new")
+        temporary.write_text(self._make_settings(store), encoding="utf-8")
+        temporary.replace(self.settings)
+
+    def _make_settings(self, store: Address) -> str:
+        metrics = self.listeners["metrics"]
+        slack = f"budgetSlack={_BUDGET_SLACK + self.reloads}"
+        names = ("inbound", "outbound", "ready", "control")
+        listen = [f'{n} = "{self.listeners[n]}"' for n in names]
+        lines = [
+            f'node = "{self.name}"',
+            f'ip = "{metrics.host}"',
+            f'zone = "{self.zone}"',
+            f'service = "{self.service}"',
+            f'appAddr = "{self.target_address}"',
+            f"portRange = [{metrics.port}, {metrics.port}]",
+            f"bounds = {json.dumps((*_BOUNDS, slack))}",
+            "[listen]",
+            *listen,
+            "[limits]",
+            "memoryMb = 300",
+            "[platform]",
+            f'address = "{store}"',
+        ]
+        return "\n".join(lines) + "\n"
+
+
+def make_body(attempt_id: str, size: int) -> bytes:
+    """Return the body with which a target answers an attempt.
+
+    Args:
+        attempt_id: Value of ``Attempt-Id``.
+        size: Size of the body, in bytes.
+    """
+    word = attempt_id.encode() + b"."
+    return (word * (size // len(word) + 1))[:size]
--- a/kumquatwalk/standin/scripted_target.py
+++ b/kumquatwalk/standin/scripted_target.py
@@ -14,6 +14,8 @@
 _HEADER_BYTES_MAX = 65536
 _BODY_BYTES_MAX = 1 << 26
 _BUFFER_BYTES_MAX = 1 << 20
+# Time for which an answer that was written may be in transit, in seconds.
+_TRANSIT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,12 +67,18 @@
         request: Request that is run.
         at: Monotonic start time, in seconds.
         is_aborted: Whether the connection was lost during the run.
+        ended_at: Monotonic time at which the answer was written or the
+            connection was lost, in seconds; None before.
+        is_broken_off: Whether the target broke the connection off during the
+            run, or so soon after it that the answer may be lost.
     """
 
     attempt_id: str
     request: HttpRequest
     at: float
     is_aborted: bool = False
+    ended_at: float | None = None
+    is_broken_off: bool = False
 
 
 class ScriptedTarget:
@@ -79,6 +87,7 @@
     Args:
         target_id: Identifier of the target.
         choose_script: Returns the script for a request.
+        host: Address to listen on.
 
     Attributes:
         runs: Runs in order of their start.
@@ -92,6 +101,7 @@
         self,
         target_id: str,
         choose_script: Callable[[HttpRequest], Script] = lambda _: Script(),
+        host: str = "127.0.0.1",
     ):
         self.target_id = target_id
         self.choose_script = choose_script
@@ -99,6 +109,7 @@
         self.connections_accepted = 0
         self.is_healthy = True
         self.crash_count = 0
+        self._host = host
         self._port = 0
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Transport] = set()
@@ -106,13 +117,13 @@
     @property
     def address(self) -> Address:
         """Listening address; available once the target is started."""
-        return Address("127.0.0.1", self._server.sockets[0].getsockname()[1])
+        return Address(self._host, self._server.sockets[0].getsockname()[1])
 
     async def start(self) -> None:
         """Start the server, on the port it had before or a free one."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", self._port
+            lambda: _Connection(self), self._host, self._port
         )
         self._port = self.address.port
 
@@ -203,10 +214,16 @@
 
     def connection_lost(self, exc):
         self._target.untrack(self._transport)
+        if self._run is not None and not self._target.is_running:
+            ended_at = self._run.ended_at
+            self._run.is_broken_off = (
+                ended_at is None or read_now() - ended_at < _TRANSIT_S
+            )
         if self._task is not None and not self._task.done():
             self._task.cancel()
             if self._run is not None:
                 self._run.is_aborted = True
+                self._run.ended_at = read_now()
 
     async def _serve(self, request: HttpRequest) -> None:
         if request.url == b"/health":
@@ -239,6 +256,8 @@
             self._transport.close()
             return
         self._transport.write(script.prefix + answer + script.suffix)
+        if not script.was_not_run:
+            self._run.ended_at = read_now()
         if not script.has_length:
             self._transport.close()
 
