Soak: check of rule LOST and of answers' promises on the platform

The present check leaves out each request that was sent twice and knows one request on a connection. check_record states the operators' rules: around a planned stop of the process that took it, a request that a target ran has the target's complete answer, also one behind another on its connection. Excused are the caller's limit, a target that broke off, a run in the last sixth of graceS on a request sent within 3 s, and an unplanned impairment of a node that took part, from stableS before. Load excuses nothing. 503, 429, 408 and 421 mean no run; unsafe requests run once; nothing follows the last answer.

--- /dev/null
+++ b/kumquatwalk/soak/platform_records.py
@@ -0,0 +1,197 @@
+"""Promises to the callers of the platform's interface, checked on a record."""
+
+import collections
+import dataclasses
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from kumquatwalk.history import Violation
+from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.connection_use import LIMIT_S
+from kumquatwalk.standin.platform_node import GRACE_S
+from kumquatwalk.standin.scripted_target import Run
+
+__all__ = ["Impairment", "PlatformRecord", "PlannedWork", "check_record"]
+
+# Statuses that promise that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Bounds of the operators' rules, in seconds.
+STABLE_S = 3.0
+LOSS_SLACK_S = 0.2
+CONFIG_APPLY_S = 2.0
+SENT_EARLY_S = 3.0
+LAST_PART_S = GRACE_S / 6
+# Requests that a machine may leave without an answer at any time.
+UNANSWERED_MAX = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedWork:
+    """SIGTERM or SIGHUP of a daemon.
+
+    Attributes:
+        node: Node of the daemon.
+        pid: Its process.
+        at: Time of the signal, in seconds.
+        is_stop: Whether it was SIGTERM.
+    """
+
+    node: str
+    pid: int
+    at: float
+    is_stop: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Impairment:
+    """Unplanned impairment of a node.
+
+    Attributes:
+        node: Node.
+        began_at: Its begin, in seconds.
+        ended_at: Its end, in seconds.
+    """
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformRecord:
+    """What callers and targets saw, and what was done to the daemons.
+
+    Attributes:
+        attempts: Requests of the callers, ended.
+        runs: Node beside the target and run, in order of the runs, by attempt.
+        works: Planned work, each SIGTERM only once for each process.
+        impairments: Unplanned impairments.
+    """
+
+    attempts: Sequence[Attempt]
+    runs: Mapping[str, Sequence[tuple[str, Run]]]
+    works: Sequence[PlannedWork]
+    impairments: Sequence[Impairment]
+
+
+def check_record(record: PlatformRecord) -> list[Violation]:
+    """Check rule LOST and what answers promise, as the operators state them.
+
+    Args:
+        record: Record after all callers and runs have ended.
+    """
+    violations = []
+    unanswered = collections.Counter()
+    for attempt in record.attempts:
+        runs = record.runs.get(attempt.attempt_id, ())
+        for rule in _list_broken(attempt, runs):
+            violations.append(_describe(rule, attempt, runs, ""))
+        if _is_answered(attempt) or _is_excused(attempt, runs, record):
+            continue
+        cause = _find_planned_loss(attempt, runs, record.works)
+        if cause:
+            violations.append(_describe("lost", attempt, runs, cause))
+        elif runs and not attempt.status and attempt.habit != "fresh":
+            unanswered[attempt.node] += 1
+    for node, count in unanswered.items():
+        if count > UNANSWERED_MAX:
+            detail = f"{count} requests that ran, without planned work"
+            violations.append(Violation("lost_at_any_time", node, detail))
+    return violations
+
+
+def _is_answered(attempt: Attempt) -> bool:
+    """Return whether the answer is the target's and complete."""
+    return bool(attempt.status) and attempt.has_seal and attempt.has_body
+
+
+def _list_broken(attempt: Attempt, runs: Sequence) -> list[str]:
+    """Return the promises that are broken whatever has happened meanwhile."""
+    is_whole = attempt.has_seal and attempt.has_body
+    is_success = 200 <= attempt.status < 300
+    broken = {
+        "run_though_refused": attempt.status in NOT_RUN_STATUSES and runs,
+        "run_twice": not attempt.is_safe and len(runs) > 1,
+        "not_the_target's": (is_success or attempt.has_seal) and not is_whole,
+        "not_run_but_answered": is_success and not runs,
+        "not_the_last_answer": attempt.is_followed,
+    }
+    return [rule for rule, is_broken in broken.items() if is_broken]
+
+
+def _is_excused(
+    attempt: Attempt, runs: Sequence[tuple[str, Run]], record: PlatformRecord
+) -> bool:
+    """Return whether a limit, the target or an impairment explains a loss."""
+    if attempt.ended_at - attempt.began_at >= LIMIT_S:
+        return True
+    if runs and runs[-1][1].is_broken_off:
+        return True
+    nodes = {attempt.node, *(node for node, _ in runs)}
+    return any(
+        impairment.node in nodes
+        and impairment.began_at <= attempt.ended_at
+        and impairment.ended_at >= attempt.began_at - STABLE_S
+        for impairment in record.impairments
+    )
+
+
+def _find_planned_loss(
+    attempt: Attempt,
+    runs: Sequence[tuple[str, Run]],
+    works: Sequence[PlannedWork],
+) -> str:
+    """Return the planned work around which a request was lost; "" for none."""
+    if not runs and not _is_read_and_left(attempt):
+        return ""
+    for work in works:
+        after_s = attempt.ended_at - work.at
+        if work.pid != attempt.pid or after_s < 0.0:
+            continue
+        sent_after_s = (attempt.sent_at or attempt.began_at) - work.at
+        if work.is_stop:
+            # An answer of the node's own in place of the target's counts too.
+            is_lost = after_s <= GRACE_S + 1.0 and not (
+                sent_after_s <= SENT_EARLY_S and _is_late(runs, work.at)
+            )
+        else:
+            is_lost = not attempt.status and sent_after_s <= CONFIG_APPLY_S
+        if is_lost:
+            name = "SIGTERM" if work.is_stop else "SIGHUP"
+            return f"sent {sent_after_s:.2f} s, ended {after_s:.2f} s" + (
+                f" after {name}"
+            )
+    return ""
+
+
+def _is_read_and_left(attempt: Attempt) -> bool:
+    """Return whether a request that never ran was read, but not answered."""
+    return (
+        not attempt.status
+        and not attempt.is_behind
+        and not attempt.is_after_close
+        and attempt.sent_at is not None
+        and attempt.ended_at - attempt.sent_at > LOSS_SLACK_S
+    )
+
+
+def _is_late(runs: Sequence[tuple[str, Run]], stopped_at: float) -> bool:
+    """Return whether a target was at work in the last sixth of the stop."""
+    from_at = stopped_at + GRACE_S - LAST_PART_S
+    return any(
+        run.at <= stopped_at + GRACE_S
+        and (run.ended_at is None or run.ended_at >= from_at)
+        for _, run in runs
+    )
+
+
+def _describe(
+    rule: str, attempt: Attempt, runs: Sequence, cause: str
+) -> Violation:
+    detail = (
+        f"{attempt.habit} at {attempt.node} ({attempt.pid}), number"
+        f" {attempt.position} on its connection, behind={attempt.is_behind}"
+        f" after_close={attempt.is_after_close} status={attempt.status}"
+        f" received={attempt.received} {attempt.error}, {len(runs)} runs; "
+    )
+    return Violation(rule, attempt.attempt_id, detail + cause)
--- /dev/null
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -0,0 +1,156 @@
+"""Tests of the check of what callers of the platform's interface saw."""
+
+import dataclasses
+import unittest
+
+from kumquatwalk.soak.platform_records import Impairment
+from kumquatwalk.soak.platform_records import PlannedWork
+from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.scripted_target import Run
+
+PID = 7
+STOP = PlannedWork("n1", PID, 100.0, True)
+RELOAD = PlannedWork("n1", PID, 100.0, False)
+# Cut off in a stop: sent before it, ended 1 s after it.
+CUT = Attempt(
+    "a", "pipelined", True, "n1", PID, 1, 2, True, 10, 99.0, 99.0, 101.0
+)
+RUN = Run("a", None, 99.1, False, 100.5)
+
+
+def change(entry, **fields):
+    """Return a changed copy."""
+    return dataclasses.replace(entry, **fields)
+
+
+class CheckTest(unittest.TestCase):
+
+    def check(self, attempt, *runs, works=(STOP,), impairments=(), node="n2"):
+        """Return the rules found broken for one attempt."""
+        runs = {"a": [(node, run) for run in runs]} if runs else {}
+        record = PlatformRecord([attempt], runs, works, impairments)
+        return [violation.rule for violation in check_record(record)]
+
+    # Guards against LOST: a request that ran behind another got no answer.
+    def test_request_behind_a_closing_answer_that_ran_is_lost(self):
+        behind = change(CUT, is_after_close=True)
+        self.assertEqual(self.check(behind, RUN), ["lost"])
+
+    def test_complete_answer_of_the_target_is_no_loss(self):
+        answered = change(CUT, status=200, has_seal=True, has_body=True)
+        self.assertEqual(self.check(answered, RUN), [])
+
+    def test_own_answer_in_place_of_the_targets_is_lost_at_a_stop_only(self):
+        failed = change(CUT, status=502)
+        self.assertEqual(self.check(failed, RUN), ["lost"])
+        self.assertEqual(self.check(failed, RUN, works=(RELOAD,)), [])
+        self.assertEqual(self.check(failed, RUN, works=()), [])
+
+    def test_reload_counts_for_requests_sent_until_it_is_applied(self):
+        self.assertEqual(self.check(CUT, RUN, works=(RELOAD,)), ["lost"])
+        late = change(CUT, began_at=102.1, sent_at=102.1, ended_at=103.0)
+        self.assertEqual(self.check(late, RUN, works=(RELOAD,)), [])
+
+    def test_stop_of_another_process_does_not_count(self):
+        self.assertEqual(self.check(change(CUT, pid=8), RUN), [])
+
+    def test_loss_after_the_end_of_the_stop_does_not_count(self):
+        late = change(CUT, began_at=106.0, sent_at=106.0, ended_at=107.1)
+        self.assertEqual(self.check(late, RUN), [])
+        self.assertEqual(
+            self.check(change(late, ended_at=106.9), RUN), ["lost"]
+        )
+
+    def test_limit_of_the_caller_excuses(self):
+        self.assertEqual(self.check(change(CUT, ended_at=104.0), RUN), [])
+        self.assertEqual(self.check(change(CUT, ended_at=103.9), RUN), ["lost"])
+
+    def test_target_that_broke_off_excuses_its_last_run_only(self):
+        broken = change(RUN, is_broken_off=True)
+        self.assertEqual(self.check(CUT, broken), [])
+        self.assertEqual(self.check(CUT, broken, RUN), ["lost"])
+
+    def test_work_in_the_last_sixth_excuses_what_was_sent_in_time(self):
+        late_run = change(RUN, ended_at=105.0)
+        cut = change(CUT, began_at=103.0, sent_at=103.0, ended_at=105.6)
+        self.assertEqual(self.check(cut, late_run), [])
+        self.assertEqual(self.check(cut, change(RUN, ended_at=104.9)), ["lost"])
+        after = change(cut, sent_at=103.1)
+        self.assertEqual(self.check(after, late_run), ["lost"])
+
+    def test_impairment_of_a_node_that_took_part_excuses(self):
+        for node in ("n1", "n2"):
+            impairment = Impairment(node, 95.9, 96.0)
+            self.assertEqual(
+                self.check(CUT, RUN, impairments=(impairment,)), []
+            )
+        for impairment in (
+            Impairment("n3", 100.0, 101.0),
+            Impairment("n1", 95.0, 95.9),
+            Impairment("n1", 101.1, 102.0),
+        ):
+            with self.subTest(impairment):
+                self.assertEqual(
+                    self.check(CUT, RUN, impairments=(impairment,)), ["lost"]
+                )
+
+    def test_request_that_was_read_and_left_is_lost_if_first_in_line(self):
+        first = change(CUT, is_behind=False)
+        self.assertEqual(self.check(first), ["lost"])
+        self.assertEqual(self.check(CUT), [])
+        self.assertEqual(self.check(change(first, is_after_close=True)), [])
+        self.assertEqual(self.check(change(first, ended_at=99.1)), [])
+        self.assertEqual(self.check(change(first, sent_at=None)), [])
+
+    def test_more_than_three_kept_connections_cut_at_any_time(self):
+        for count, expected in ((3, []), (4, ["lost_at_any_time"])):
+            record = PlatformRecord([CUT] * count, {"a": [("n2", RUN)]}, (), ())
+            found = [violation.rule for violation in check_record(record)]
+            self.assertEqual(found, expected)
+
+
+class PromiseTest(unittest.TestCase):
+
+    def check(self, attempt, *runs):
+        """Return the rules broken, in spite of an impairment at the time."""
+        runs = {"a": [("n2", run) for run in runs]} if runs else {}
+        impairment = Impairment("n1", 98.0, 102.0)
+        record = PlatformRecord([attempt], runs, (STOP,), (impairment,))
+        return [violation.rule for violation in check_record(record)]
+
+    def test_status_that_promises_no_run(self):
+        for status in (408, 421, 429, 503):
+            refused = change(CUT, status=status)
+            self.assertEqual(self.check(refused, RUN), ["run_though_refused"])
+            self.assertEqual(self.check(refused), [])
+        self.assertEqual(self.check(change(CUT, status=502), RUN), [])
+
+    def test_unsafe_request_runs_once(self):
+        unsafe = change(CUT, is_safe=False)
+        self.assertEqual(self.check(unsafe, RUN), [])
+        self.assertEqual(self.check(unsafe, RUN, RUN), ["run_twice"])
+        self.assertEqual(self.check(CUT, RUN, RUN), [])
+
+    def test_answer_that_looks_whole_is_the_targets(self):
+        for fields in (
+            {"status": 200, "has_seal": True},
+            {"status": 200, "has_body": True},
+            {"status": 500, "has_seal": True},
+        ):
+            with self.subTest(fields):
+                found = self.check(change(CUT, **fields), RUN)
+                self.assertEqual(found, ["not_the_target's"])
+        whole = change(CUT, status=200, has_seal=True, has_body=True)
+        self.assertEqual(self.check(whole), ["not_run_but_answered"])
+
+    def test_nothing_follows_the_last_answer(self):
+        followed = change(
+            CUT, status=200, has_seal=True, has_body=True, is_followed=True
+        )
+        self.assertEqual(self.check(followed, RUN), ["not_the_last_answer"])
+
+
+if __name__ == "__main__":
+    unittest.main()
