Soak on the platform's interface, with callers that pipeline

A cut of links is left out: the daemon has no fault for it. Logs and record of a soak that broke a promise are kept.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -1,9 +1,11 @@
 """Command line of the fault soak: ``python -m kumquatwalk.soak``."""
 
+import collections
 import sys
 
 import click
 
+from kumquatwalk.soak.platform_runner import run_platform_soak
 from kumquatwalk.soak.runner import run_soak
 
 __all__ = ["main"]
@@ -18,14 +20,34 @@
     show_default=True,
     help="Time in which faults begin, for each seed.",
 )
-def main(first: int, seeds: int, seconds: float) -> None:
+@click.option(
+    "--interface",
+    type=click.Choice(["own", "platform"]),
+    default="own",
+    show_default=True,
+    help="Interface of the nodes.",
+)
+@click.option(
+    "--keep",
+    type=click.Path(exists=True, file_okay=False),
+    help="Folder that keeps the logs and the record (platform only).",
+)
+def main(
+    first: int, seeds: int, seconds: float, interface: str, keep: str | None
+) -> None:
     """Run soaks with a seed each; exit with 1 if a promise was broken."""
     broken = 0
     for seed in range(first, first + seeds):
-        result = run_soak(seed, seconds)
+        if interface == "own":
+            result = run_soak(seed, seconds)
+        else:
+            result = run_platform_soak(seed, seconds, keep)
         broken += bool(result.violations)
         outcomes = " ".join(f"{k}={v}" for k, v in result.outcomes.items())
         click.echo(f"seed={seed} faults={result.actions} {outcomes}")
+        rules = collections.Counter(v.rule for v in result.violations)
+        if rules:
+            click.echo("  " + " ".join(f"{k}={v}" for k, v in rules.items()))
         for violation in result.violations[:20]:
             click.echo(f"  {violation}")
     click.echo(f"seeds={seeds} broken={broken}")
