Proof: slow readers get their whole answers at a planned stop

Cause, as read: the node closes its side LINGER_S after the last answer was written, whether it was taken or not; a request that the caller sends after that resets the connection.

The caller sends up to three requests on a connection, reads some 200 KB in a second and a half, and stops to send once it has read `Connection: close`. The slow habit of the soak has three requests in line too.

--- a/kumquatwalk/standin/connection_use.py
+++ b/kumquatwalk/standin/connection_use.py
@@ -80,7 +80,9 @@
         for attempt in self._waiting:
             attempt.ended_at = read_now()
             attempt.error = self._error or "behind"
-            attempt.is_after_close = self._is_closed
+            attempt.is_after_close = (
+                self._answered is not None and self._answered.is_last
+            )
 
     async def _watch(self, sender: asyncio.Task) -> None:
         """Give up when the time is over; close when all is done."""
@@ -168,14 +170,14 @@
         first, *lines = head.decode("latin-1").lower().split("\r\n")
         headers = dict(line.split(": ", 1) for line in lines if ": " in line)
         attempt.received = len(head)
-        is_last = headers.get("connection") == "close"
+        self._is_closed = headers.get("connection") == "close"
         body = await self._read_body(attempt, int(headers["content-length"]))
         self._waiting.popleft()
         attempt.ended_at = read_now()
         attempt.status = int(first.split()[1])
         attempt.has_seal = "server-seal" in headers
         attempt.has_body = body == make_body(attempt.attempt_id, attempt.size)
-        attempt.is_last = self._is_closed = is_last
+        attempt.is_last = self._is_closed
         self._answered = attempt
 
     async def _read_body(self, attempt: Attempt, size: int) -> bytes:
