Soak: name SIGTERM before SIGHUP as cause, count ends at the start apart

A process that a SIGHUP ends before a caller was connected to it owed nothing; it is counted as ended_at_start and is no violation, as no program catches a signal before its interpreter runs. One that callers were connected to stays one (ended_by_itself), with the time since its start. The record is written beside the checks.

--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import json
+import pathlib
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -11,7 +13,13 @@
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.scripted_target import Run
 
-__all__ = ["Impairment", "PlatformRecord", "PlannedWork", "check_record"]
+__all__ = [
+    "Impairment",
+    "PlannedWork",
+    "PlatformRecord",
+    "check_record",
+    "write_record",
+]
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -100,6 +108,30 @@
     return violations
 
 
+def write_record(
+    folder: pathlib.Path,
+    record: PlatformRecord,
+    violations: Sequence[Violation],
+) -> None:
+    """Write ``record.jsonl``, a document a line, and ``violations.txt``.
+
+    Args:
+        folder: Folder of both files.
+        record: What was seen.
+        violations: Broken promises.
+    """
+    text = "".join(f"{violation}\n" for violation in violations)
+    (folder / "violations.txt").write_text(text, encoding="utf-8")
+    entries = (*record.works, *record.impairments, *record.attempts)
+    documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
+    for attempt_id, runs in record.runs.items():
+        for name, run in runs:
+            times = (run.at, run.ended_at, run.is_broken_off)
+            documents.append({"Run": [attempt_id, name, *times]})
+    lines = "".join(json.dumps(document) + "\n" for document in documents)
+    (folder / "record.jsonl").write_text(lines, encoding="utf-8")
+
+
 def _is_answered(attempt: Attempt) -> bool:
     """Return whether the answer is the target's and complete."""
     return bool(attempt.status) and attempt.has_seal and attempt.has_body
@@ -144,7 +176,7 @@
     """Return the planned work around which a request was lost; "" for none."""
     if not runs and not _is_read_and_left(attempt):
         return ""
-    for work in works:
+    for work in sorted(works, key=lambda work: not work.is_stop):
         after_s = attempt.ended_at - work.at
         if work.pid != attempt.pid or after_s < 0.0:
             continue
--- a/kumquatwalk/soak/platform_runner.py
+++ b/kumquatwalk/soak/platform_runner.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import dataclasses
-import json
 import pathlib
 import random
 import shutil
@@ -23,6 +22,7 @@
 from kumquatwalk.soak.platform_records import PlannedWork
 from kumquatwalk.soak.platform_records import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.soak.platform_records import write_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
 from kumquatwalk.standin.attempt import HABITS
@@ -82,6 +82,7 @@
         self._impairments: list[Impairment] = []
         self._violations: list[Violation] = []
         self._signalled: set[int] = set()
+        self._ended_at_start = 0
         self._tasks: list[asyncio.Task] = []
 
     async def run(self, duration_s: float) -> SoakResult:
@@ -107,7 +108,7 @@
             self._attempts, self._collect_runs(), self._works, self._impairments
         )
         self._violations += check_record(record)
-        self._write(record)
+        write_record(self._folder, record, self._violations)
         return SoakResult(
             tuple(self._violations), len(plan), self._count_outcomes()
         )
@@ -235,10 +236,7 @@
                 if node.is_running:
                     continue
                 if node.pid not in self._signalled:
-                    status = f"status {node.process.returncode}"
-                    self._violations.append(
-                        Violation("ended_by_itself", node.name, status)
-                    )
+                    self._note_end(node)
                 else:
                     self._impair_if_killed(node)
                 self._fleet.start_daemon(node)
@@ -246,6 +244,21 @@
                     self._start_task(self._reload_soon(node))
             await asyncio.sleep(POLL_S)
 
+    def _note_end(self, node: PlatformNode) -> None:
+        """Note that a process ended though nobody stopped or killed it.
+
+        One that a SIGHUP ended before it had a caller owed nothing, and no
+        program catches signals before its interpreter runs: it is counted.
+        """
+        status = node.process.returncode
+        is_used = any(a.pid == node.pid for a in self._attempts)
+        if status == -signal.SIGHUP and not is_used:
+            self._ended_at_start += 1
+            return
+        after_s = read_now() - node.started_at
+        detail = f"status {status}, {after_s:.2f} s after its start"
+        self._violations.append(Violation("ended_by_itself", node.name, detail))
+
     async def _reload_soon(self, node: PlatformNode) -> None:
         pid = node.pid
         await asyncio.sleep(self._rng.uniform(0.0, RELOAD_AFTER_START_S))
@@ -278,25 +291,7 @@
             found[run.attempt_id].append((name, run))
         return dict(found)
 
-    def _write(self, record: PlatformRecord) -> None:
-        """Write record and violations beside the logs."""
-        text = "".join(f"{violation}\n" for violation in self._violations)
-        (self._folder / "violations.txt").write_text(text, encoding="utf-8")
-        path = self._folder / "record.jsonl"
-        with path.open("w", encoding="utf-8") as file:
-            for entry in (*record.works, *record.impairments, *record.attempts):
-                document = {type(entry).__name__: dataclasses.asdict(entry)}
-                file.write(json.dumps(document) + "\n")
-            for attempt_id, runs in record.runs.items():
-                for name, run in runs:
-                    times = (run.at, run.ended_at, run.is_broken_off)
-                    document = {"Run": [attempt_id, name, *times]}
-                    file.write(json.dumps(document) + "\n")
-
     def _count_outcomes(self) -> dict[str, int]:
-        return dict(
-            collections.Counter(
-                str(attempt.status or attempt.error)
-                for attempt in self._attempts
-            )
-        )
+        ends = (str(a.status or a.error) for a in self._attempts)
+        counts = dict(collections.Counter(ends))
+        return counts | {"ended_at_start": self._ended_at_start}
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -101,6 +101,7 @@
             node: Node whose daemon is not running.
         """
         node.starts += 1
+        node.started_at = read_now()
         log = self._folder / f"{node.name}-{node.starts}.log"
         with log.open("wb") as output:
             node.process = subprocess.Popen(
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -45,6 +45,7 @@
         sequence: Sequence number of the last heartbeat.
         born: Start of the target, in Unix milliseconds.
         starts: Number of starts of the daemon.
+        started_at: Time of the last one, in seconds.
         reloads: Number of changes of the settings.
     """
 
@@ -62,6 +63,7 @@
     sequence: int = 0
     born: int = 1000
     starts: int = 0
+    started_at: float = 0.0
     reloads: int = 0
 
     @property
