Bound the replies kept for repeats of calls

Cause: the table of retained calls kept the whole reply to each call that isn't idempotent for 15 s, also when its caller had it, and no bound counted it. It also forgot a call 15 s after it began, whatever its deadline, and nobody read `CallFrame.is_resent`: a copy of a forgotten call would have run again.

Ruled out: bodies being read (the budget counts them and refuses) and the answers in the callers' connections (the case reads at once).

Change: `RetainedCalls` knows that a call began until its deadline and a margin, apart from its reply. Calls of the own node leave nothing behind. The reply to a peer is kept until the peer sends Cancel for the answered call, at most until the call is forgotten; kept replies are held in the budget, a quarter of it at most, and the oldest go first. A copy whose reply is gone, and a resent call that is not known, get "outcome unknown" and are not run. A peer of an earlier release sends no such Cancel and its replies stay for their time, within the bound.

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -125,7 +125,8 @@
         self.link_server = LinkServer(
             settings.link_listener,
             self.make_hello,
-            self.target_side.serve,
+            self.target_side.serve_peer,
+            self.target_side.release_reply,
             self._serve_query,
             self.target_side.get_status,
             self.target_side.get_load,
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -1,8 +1,8 @@
 """Target side of a node: admits calls to the local target and runs them."""
 
 import asyncio
-import collections
 import dataclasses
+import functools
 import zlib
 from collections.abc import Callable
 
@@ -16,6 +16,7 @@
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.daemon.metrics import DaemonMetrics
+from kumquatwalk.daemon.retained_calls import RetainedCalls
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
@@ -41,10 +42,6 @@
 
 __all__ = ["TargetSide"]
 
-# Time for which the reply to a non-idempotent call is retained, in seconds:
-# longer than it takes to detect a broken link and to reconnect, after which the
-# caller side sends the call again to get its reply.
-REPLY_RETENTION_S = 15.0
 # Weight of one run in the moving average of failed runs.
 FAILURE_WEIGHT = 0.05
 # Maximum number of routes whose mean run time is published to other nodes.
@@ -52,10 +49,9 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _RetainedCall:
-    """Non-idempotent call, retained to answer duplicates of it."""
+class _CallInProgress:
+    """Non-idempotent call that goes on when those who wait for it leave."""
 
-    began_at: float
     task: asyncio.Task | None = None
     is_admitted: bool = False
 
@@ -112,9 +108,8 @@
         self._client = TargetClient(settings.target, budget)
         self.service = settings.service
         self.runs = RunTable()
-        self._retained_calls: collections.OrderedDict[int, _RetainedCall] = (
-            collections.OrderedDict()
-        )
+        self._calls_in_progress: dict[int, _CallInProgress] = {}
+        self._retained_calls = RetainedCalls(budget)
         self._failure_share = 0.0
         self.is_stopping = False
         self._refuses_new_calls = False
@@ -225,15 +220,33 @@
             self._set_record(record)
 
     async def serve(self, call: Call) -> Reply:
-        """Run a call at the target if it is admitted.
+        """Run a call of this node at the target if it is admitted.
+
+        When its caller cancels it, a non-idempotent call continues if it has
+        been admitted, and is cancelled otherwise.
+
+        Args:
+            call: The call, with its deadline on this node's clock.
+
+        Returns:
+            The target's answer, or a reply that says why there is none and
+            whether the call may have run.
+        """
+        if call.is_idempotent:
+            return await self._check_and_admit(call)
+        return await self._join(self._start_call(call, is_retained=False))
+
+    async def serve_peer(self, call: Call, is_resent: bool) -> Reply:
+        """Run a call of a peer at the target if it is admitted.
 
         A non-idempotent call is deduplicated by its key: a duplicate gets the
-        reply of the first copy. It continues when its link breaks. When the
-        caller cancels it, it continues if it has been admitted, and is
-        cancelled otherwise.
+        reply of the first copy, as long as it is kept. It continues when its
+        link breaks. When it is cancelled, it is as in ``serve``.
 
         Args:
             call: The call, with its deadline on this node's clock.
+            is_resent: Whether the peer sent the call before, on a connection
+                that has failed since.
 
         Returns:
             The target's answer, or a reply that says why there is none and
@@ -241,21 +254,57 @@
         """
         if call.is_idempotent:
             return await self._check_and_admit(call)
-        self._evict_retained_calls()
-        retained = self._retained_calls.get(call.key)
-        if retained is None:
-            retained = _RetainedCall(read_now())
-            self._retained_calls[call.key] = retained
-            retained.task = asyncio.get_running_loop().create_task(
-                self._check_and_admit(call, retained)
+        running = self._calls_in_progress.get(call.key)
+        if running is None:
+            reply = self._retained_calls.begin(
+                call.key, call.deadline, is_resent, read_now()
             )
+            if reply is not None:
+                return reply
+            running = self._start_call(call, is_retained=True)
+        return await self._join(running)
+
+    def release_reply(self, key: int) -> None:
+        """Drop the reply kept for a peer's call.
+
+        Args:
+            key: Key of a call that its peer will not send again.
+        """
+        self._retained_calls.release_reply(key)
+
+    def _start_call(self, call: Call, is_retained: bool) -> _CallInProgress:
+        running = _CallInProgress()
+        self._calls_in_progress[call.key] = running
+        running.task = asyncio.get_running_loop().create_task(
+            self._check_and_admit(call, running)
+        )
+        running.task.add_done_callback(
+            functools.partial(self._end_call, call.key, is_retained)
+        )
+        return running
+
+    def _end_call(
+        self, key: int, is_retained: bool, task: asyncio.Task
+    ) -> None:
+        running = self._calls_in_progress.pop(key)
+        if not is_retained:
+            return
+        if not task.cancelled() and task.exception() is None:
+            reply = task.result()
+        elif running.is_admitted:
+            reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
+        else:
+            reply = Reply(Outcome.NOT_RUN, codes.CALL_CANCELLED)
+        self._retained_calls.end(key, reply, read_now())
+
+    async def _join(self, running: _CallInProgress) -> Reply:
         try:
-            return await asyncio.shield(retained.task)
+            return await asyncio.shield(running.task)
         except asyncio.CancelledError as error:
-            if retained.task.cancelled():
+            if running.task.cancelled():
                 return Reply(Outcome.NOT_RUN, codes.CALL_CANCELLED)
-            if error.args != (LINK_LOST,) and not retained.is_admitted:
-                retained.task.cancel()
+            if error.args != (LINK_LOST,) and not running.is_admitted:
+                running.task.cancel()
             raise
 
     def _get_published_state(self) -> TargetState:
@@ -293,7 +342,7 @@
             self._client = TargetClient(heartbeat.address, self._budget)
 
     async def _check_and_admit(
-        self, call: Call, retained: _RetainedCall | None = None
+        self, call: Call, running: _CallInProgress | None = None
     ) -> Reply:
         """Run a call unless a route limit, quarantine or limiter refuses it."""
         content = make_content(call)
@@ -306,13 +355,13 @@
             return self._reply_not_run(code)
         try:
             if self._classify(content) is CrashStatus.CLEAR:
-                reply = await self._admit(call, content, retained)
+                reply = await self._admit(call, content, running)
                 if reply is not None:
                     return reply
             # Run suspect requests one at a time, so that a crash can be
             # attributed to one of them.
             async with self._suspect_lock:
-                return await self._admit(call, content, retained, True)
+                return await self._admit(call, content, running, True)
         finally:
             if route is not None:
                 self._limits.end(route)
@@ -348,7 +397,7 @@
         self,
         call: Call,
         content: RequestContent,
-        retained: _RetainedCall | None,
+        running: _CallInProgress | None,
         is_only_suspect: bool = False,
     ) -> Reply | None:
         """Run a call when there is capacity.
@@ -373,8 +422,8 @@
                 return self._reply_not_run(codes.QUARANTINED)
             if status is CrashStatus.SUSPECT and not is_only_suspect:
                 return None
-            if retained is not None:
-                retained.is_admitted = True
+            if running is not None:
+                running.is_admitted = True
             reply = await self._run(call, content)
             if reply.outcome is not Outcome.NOT_RUN:
                 run_s = read_now() - began_at
@@ -463,14 +512,6 @@
         self._metrics.record_refusal(reply)
         return reply
 
-    def _evict_retained_calls(self) -> None:
-        oldest = read_now() - REPLY_RETENTION_S
-        while self._retained_calls:
-            key, retained = next(iter(self._retained_calls.items()))
-            if retained.began_at > oldest or not retained.task.done():
-                return
-            del self._retained_calls[key]
-
 
 _RUN_FINDINGS = (Finding.SOUND, Finding.FAILED, Finding.CONNECTION_LOST)
 _CLOSED_CODES = {
--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_kept_replies.py
@@ -0,0 +1,175 @@
+"""Tests of what a node keeps of calls that are not idempotent."""
+
+import asyncio
+import tracemalloc
+import unittest
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
+from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import ReplyFrame
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.standin.daemon_fleet import DaemonFleet
+from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.scripted_target import Script
+
+RECEIPT_BYTES = 1_000_000
+PAYMENTS = 30
+
+
+class RawPeer:
+    """Peer that sends single calls over a link, made by hand.
+
+    Attributes:
+        replies: Replies received, by the identifiers of their calls.
+    """
+
+    def __init__(self):
+        self.replies: asyncio.Queue[ReplyFrame] = asyncio.Queue()
+        self._link: LinkProtocol | None = None
+
+    async def connect(self, address) -> None:
+        """Connect to a node and send the handshake message."""
+        loop = asyncio.get_running_loop()
+        _, self._link = await loop.create_connection(
+            lambda: LinkProtocol(_ignore, self._handle, _ignore),
+            address.host,
+            address.port,
+        )
+        self._link.send(Hello("raw", 1, "z1", "web", "127.0.0.1", 1, 0.0))
+
+    def close(self) -> None:
+        """Abort the connection."""
+        self._link.abort()
+
+    def send(self, message) -> None:
+        """Send a message."""
+        self._link.send(message)
+
+    async def call(self, call: Call, call_id: int, is_resent: bool):
+        """Send a call and return its reply."""
+        self.send(CallFrame(call_id, is_resent, call))
+        async with asyncio.timeout(20):
+            frame = await self.replies.get()
+        assert frame.call_id == call_id
+        return frame.reply
+
+    def _handle(self, _link, message) -> None:
+        if isinstance(message, ReplyFrame):
+            self.replies.put_nowait(message)
+
+
+def _ignore(_link) -> None:
+    pass
+
+
+class KeptReplyTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.fleet = DaemonFleet()
+        await self.fleet.start(make_config(("web", "pay"), timeoutS=5.0))
+        self.addAsyncCleanup(self.fleet.close)
+        self.web = await self.fleet.add_node("web-1", "web")
+        self.pay = await self.fleet.add_node("pay-1", "pay")
+        self.pay.target.choose_script = lambda _: Script(
+            body=b"r" * RECEIPT_BYTES
+        )
+        await self.fleet.wait_until_ready()
+        self.budget = self.pay.daemon.core.body_budget
+
+    async def _open_peer(self) -> RawPeer:
+        peer = RawPeer()
+        await peer.connect(self.pay.settings.link_listener)
+        self.addCleanup(peer.close)
+        return peer
+
+    def _make_call(self, key: int, body: bytes = b"") -> Call:
+        now = read_now()
+        return Call(
+            key=key,
+            attempt_id=b"id-%d" % key,
+            route="pay-pay",
+            service="pay",
+            caller_service="web",
+            is_idempotent=False,
+            is_returning=False,
+            rank=0,
+            deadline=now + 20.0,
+            start_by=now + 20.0,
+            method=b"POST",
+            url=b"/pay-pay/",
+            headers=((b"Attempt-Id", b"id-%d" % key),),
+            body=body,
+        )
+
+    async def _wait_for(self, is_done) -> None:
+        async with asyncio.timeout(20):
+            while not is_done():
+                await asyncio.sleep(0.01)
+
+    async def _measure_payments(self, entry: str) -> int:
+        """Return the bytes allocated since before many payments."""
+        await self.fleet.call(entry, "/pay-pay/", "warm", 5000, b"POST")
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(PAYMENTS):
+            answer = await self.fleet.call(
+                entry, "/pay-pay/", f"id-{number}", 5000, b"POST"
+            )
+            self.assertEqual((answer.status, len(answer.body)), (200, 10**6))
+        answer = None
+        await self._wait_for(lambda: not self.budget.used)
+        return tracemalloc.get_traced_memory()[0]
+
+    # Guards against LOST: answers that were given stay in memory until the
+    # process is over its limit and ends with all requests in progress.
+    async def test_answers_given_on_the_own_vm_leave_the_memory(self):
+        held = await self._measure_payments("pay-1")
+        self.assertLess(held, 10 * RECEIPT_BYTES)
+
+    # Guards against LOST: the same for answers that a peer has taken.
+    async def test_answers_taken_by_a_peer_leave_the_memory(self):
+        held = await self._measure_payments("web-1")
+        self.assertLess(held, 10 * RECEIPT_BYTES)
+
+    async def test_answer_is_kept_until_the_peer_says_it_has_it(self):
+        peer = await self._open_peer()
+        reply = await peer.call(self._make_call(7), 1, False)
+        self.assertEqual(reply.status, 200)
+        await self._wait_for(lambda: 0 < self.budget.used < 2 * RECEIPT_BYTES)
+        again = await self._open_peer()
+        copy = await again.call(self._make_call(7), 1, True)
+        self.assertEqual(copy, reply)
+        again.send(Cancel(1))
+        await self._wait_for(lambda: not self.budget.used)
+        copy = await again.call(self._make_call(7), 2, True)
+        self.assertEqual(copy.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.pay.target.count_runs("id-7"), 1)
+
+    # Guards against LOST: replies that no peer takes fill the memory.
+    async def test_answers_that_no_peer_takes_are_bounded(self):
+        peer = await self._open_peer()
+        self.budget.limit = 10 * RECEIPT_BYTES
+        for key in range(1, 12):
+            await peer.call(self._make_call(key), key, False)
+        await self._wait_for(lambda: self.budget.used < 3 * RECEIPT_BYTES)
+        first = await peer.call(self._make_call(1), 21, True)
+        self.assertEqual(first.outcome, Outcome.UNKNOWN)
+        last = await peer.call(self._make_call(11), 22, True)
+        self.assertEqual(last.status, 200)
+        self.assertEqual(len(self.pay.target.runs), 11)
+
+    # Guards against TWICE: a call whose first copy may have run and been
+    # forgotten is run again when it is sent again.
+    async def test_call_sent_again_and_not_known_is_unknown_and_not_run(self):
+        peer = await self._open_peer()
+        reply = await peer.call(self._make_call(9), 1, True)
+        self.assertEqual(reply.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.pay.target.runs, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/http1/byte_budget.py
+++ b/kumquatwalk/http1/byte_budget.py
@@ -29,6 +29,14 @@
         self.used += size
         return True
 
+    def hold(self, size: int) -> None:
+        """Count bytes that exist already, beyond the limit if need be.
+
+        Args:
+            size: Number of bytes, at least 0.
+        """
+        self.used += size
+
     def release(self, size: int) -> None:
         """Return reserved bytes.
 
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -34,6 +34,9 @@
 # Cancellation message for calls whose link was lost. The caller may still be
 # waiting and send the call again on another connection.
 LINK_LOST = "link_lost"
+# Maximum number of calls of a link whose keys are remembered after their
+# replies: a peer of an earlier release does not say that it has taken them.
+KEYS_MAX = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +44,8 @@
     link: LinkProtocol
     peer: Hello | None = None
     tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+    # Keys of calls that are not idempotent, by the calls' identifiers.
+    keys: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
 class LinkServer:
@@ -49,8 +54,11 @@
     Args:
         address: Address to listen on.
         make_hello: Returns this node's handshake message.
-        serve_call: Serves one call; cancelled when the caller cancels the call
-            or, with message ``LINK_LOST``, when the link is lost.
+        serve_call: Serves one call; its second argument is whether the peer
+            sent it before. Cancelled when the caller cancels the call or, with
+            message ``LINK_LOST``, when the link is lost.
+        release_reply: Called with the key of a call that is not idempotent
+            when the peer has its reply or does not want it any more.
         serve_query: Serves a request that this node may own; cancelled as
             ``serve_call`` is.
         get_status: Returns the state of this node's target.
@@ -69,7 +77,8 @@
         self,
         address: Address,
         make_hello: Callable[[], Hello],
-        serve_call: Callable[[Call], Awaitable[Reply]],
+        serve_call: Callable[[Call, bool], Awaitable[Reply]],
+        release_reply: Callable[[int], None],
         serve_query: Callable[[OwnerQuery], Awaitable[Reply]],
         get_status: Callable[[], TargetStatus],
         get_load: Callable[[], tuple[int, int]],
@@ -82,6 +91,7 @@
         self._address = address
         self._make_hello = make_hello
         self._serve_call = serve_call
+        self._release_reply = release_reply
         self._serve_query = serve_query
         self._partition = partition
         self._budget = budget
@@ -168,10 +178,11 @@
                     link.send(notice)
                 self._on_hello(message)
             case CallFrame():
+                self._remember_key(session, message)
                 serve = self._serve_call
                 if message.call.body:
                     serve = self._serve_within_budget
-                pending_reply = serve(message.call)
+                pending_reply = serve(message.call, message.is_resent)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case OwnerQueryFrame():
                 pending_reply = self._serve_query(message.query)
@@ -180,18 +191,28 @@
                 task = session.tasks.pop(message.call_id, None)
                 if task is not None:
                     task.cancel()
+                key = session.keys.pop(message.call_id, None)
+                if key is not None:
+                    self._release_reply(key)
             case ConfigRequest():
                 self._send_config(link, message)
             case _:
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
 
-    async def _serve_within_budget(self, call: Call) -> Reply:
+    def _remember_key(self, session: _Session, frame: CallFrame) -> None:
+        if frame.call.is_idempotent:
+            return
+        session.keys[frame.call_id] = frame.call.key
+        if len(session.keys) > KEYS_MAX:
+            del session.keys[next(iter(session.keys))]
+
+    async def _serve_within_budget(self, call: Call, is_resent: bool) -> Reply:
         size = len(call.body)
         if not self._budget.try_reserve(size):
             return Reply(Outcome.NOT_RUN, codes.MEMORY_EXHAUSTED)
         try:
-            return await self._serve_call(call)
+            return await self._serve_call(call, is_resent)
         finally:
             self._budget.release(size)
 
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -220,6 +220,8 @@
 class Cancel:
     """Cancels a call or query whose caller no longer waits for the reply.
 
+    Sent also once a call's reply has arrived, so that the peer drops its copy.
+
     Attributes:
         call_id: Identifier of the call or query.
     """
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -376,6 +376,9 @@
         view.queued = frame.queued
         view.in_flight_reported = max(0, view.in_flight - 1)
         pending.reply.set_result(frame.reply)
+        if not pending.fails_on_disconnect and frame.reply.status:
+            # The peer keeps this reply until it hears that it has arrived.
+            self._link.send(Cancel(frame.call_id))
 
 
 def _ignore(_link: LinkProtocol) -> None:
