Count the bytes that wait on links between nodes

Callers saw: nothing by itself; with large answers the process may go over its memory and end with all requests in progress (LOST).

Cause: the budget counted an answer only while it was read from the target. Replies in a link's write buffer, frames held back by a partition and frames received in part belonged to nobody. A peer that does not read filled the memory.

Change: `LinkProtocol` counts what waits in it and adjusts the one figure at each event, so that nothing is released twice; a lost link counts nothing. Up to 64 KiB of unsent bytes are not counted: the transport does not report when so few have been sent.

Not covered: an answer between its reading and its link or caller's connection, for about one turn of the loop.

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -134,6 +134,7 @@
             self._list_crash_notices,
             self._add_peer,
             self.partition,
+            self.body_budget,
         )
         self.config_watcher = StoreWatcher(
             self.store,
@@ -203,6 +204,7 @@
                 self._handle_crash_notice,
             ),
             self.partition,
+            self.body_budget,
         )
         self.target_side = TargetSide(
             self.settings,
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.message import Hello
@@ -53,6 +54,8 @@
         make_hello: Returns this node's first message on a link.
         callbacks: Functions called with messages from other nodes.
         partition: Fault injection that cuts this node off from hosts.
+        budget: Bytes of bodies that the process may hold; None not to count
+            those on links.
     """
 
     def __init__(
@@ -61,11 +64,13 @@
         make_hello: Callable[[], Hello],
         callbacks: PeerCallbacks,
         partition: Partition,
+        budget: ByteBudget | None = None,
     ):
         self._own_view = own_view
         self._make_hello = make_hello
         self._callbacks = callbacks
         self._partition = partition
+        self._budget = budget
         self._entries: dict[str, RosterEntry] = {}
         self._ranked: dict[str, RankedNodes] = {}
         self._links: dict[str, PeerLink] = {}
@@ -329,6 +334,7 @@
             self._make_hello,
             self._callbacks,
             self._partition,
+            self._budget,
         )
         link.start()
         self._links[entry.node_id] = link
--- a/kumquatwalk/daemon/tests/test_kept_replies.py
+++ b/kumquatwalk/daemon/tests/test_kept_replies.py
@@ -30,12 +30,13 @@
 
     def __init__(self):
         self.replies: asyncio.Queue[ReplyFrame] = asyncio.Queue()
+        self._transport: asyncio.Transport | None = None
         self._link: LinkProtocol | None = None
 
     async def connect(self, address) -> None:
         """Connect to a node and send the handshake message."""
         loop = asyncio.get_running_loop()
-        _, self._link = await loop.create_connection(
+        self._transport, self._link = await loop.create_connection(
             lambda: LinkProtocol(_ignore, self._handle, _ignore),
             address.host,
             address.port,
@@ -46,6 +47,10 @@
         """Abort the connection."""
         self._link.abort()
 
+    def stop_reading(self) -> None:
+        """Read nothing more."""
+        self._transport.pause_reading()
+
     def send(self, message) -> None:
         """Send a message."""
         self._link.send(message)
@@ -203,6 +208,25 @@
         self.assertEqual(self.budget.used, 5000)
         await self._wait_for(lambda: self.budget.used < 5000)
 
+    # Guards against LOST: replies that wait for a peer that does not read are
+    # counted by nobody.
+    async def test_replies_that_a_peer_does_not_read_are_counted(self):
+        self.pay.target.choose_script = lambda _: Script(
+            body=b"r" * 5 * RECEIPT_BYTES
+        )
+        peer = await self._open_peer()
+        peer.stop_reading()
+        call = dataclasses.replace(self._make_call(0), is_idempotent=True)
+        for call_id in range(6):
+            peer.send(CallFrame(call_id, False, call))
+        server = self.pay.daemon.core.link_server
+        await self._wait_for(lambda: len(self.pay.target.runs) == 6)
+        # One is the link itself, with what it has not sent yet.
+        await self._wait_for(lambda: server.calls_in_progress == 1)
+        self.assertGreater(self.budget.used, 10 * RECEIPT_BYTES)
+        peer.close()
+        await self._wait_for(lambda: not self.budget.used)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -71,6 +71,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of a frame that has been received in part."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes and return the payloads now complete.
 
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -5,6 +5,7 @@
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import FrameError
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.sockets import set_liveness_options
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
@@ -22,17 +23,23 @@
 # Unsent bytes above which a link counts as congested: the size of several large
 # responses.
 CONGESTION_THRESHOLD_BYTES = 1024 * 1024
+# Unsent bytes up to which they do not count in the budget. Above it the
+# transport calls resume_writing once most of them have been sent.
+UNCOUNTED_BYTES_MAX = 64 * 1024
 
 
 class LinkProtocol(asyncio.Protocol):
     """Sends and receives messages; either end may send first.
 
-    A malformed frame aborts the connection.
+    A malformed frame aborts the connection. Bytes that wait here count in the
+    budget: those not sent yet, if they are many, and those of frames received
+    in part.
 
     Args:
         on_open: Called when the connection is established.
         on_message: Called with each received message.
         on_lost: Called when the connection is closed or lost.
+        budget: Bytes of bodies that the process may hold; None not to count.
 
     Attributes:
         last_received_at: Time at which data was last received, or at which the
@@ -44,10 +51,13 @@
         on_open: Callable[["LinkProtocol"], None],
         on_message: Callable[["LinkProtocol", Message], None],
         on_lost: Callable[["LinkProtocol"], None],
+        budget: ByteBudget | None = None,
     ):
         self._on_open = on_open
         self._on_message = on_message
         self._on_lost = on_lost
+        self._budget = budget
+        self._counted_bytes = 0
         self._frame_reader = FrameReader()
         self._compressor: PayloadCompressor | None = None
         self._decompressor: PayloadDecompressor | None = None
@@ -122,6 +132,7 @@
             self._held_frames.append(frame)
         else:
             self._transport.write(frame)
+        self._count_bytes()
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
@@ -140,12 +151,31 @@
             self._transport.write(frame)
         self._held_frames.clear()
         self._transport.resume_reading()
+        self._count_bytes()
+
+    def _count_bytes(self) -> None:
+        """Count what waits here at present; nothing once it is closed."""
+        if self._budget is None:
+            return
+        size = 0
+        if self.is_open:
+            size = self._transport.get_write_buffer_size()
+            if size <= UNCOUNTED_BYTES_MAX:
+                size = 0
+            size += sum(map(len, self._held_frames))
+            size += self._frame_reader.pending_bytes
+        if size > self._counted_bytes:
+            self._budget.hold(size - self._counted_bytes)
+        else:
+            self._budget.release(self._counted_bytes - size)
+        self._counted_bytes = size
 
     # Methods of asyncio.Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and report the connection as open."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=UNCOUNTED_BYTES_MAX)
         self.last_received_at = read_now()
         # The status of one end comes each second; it shows the other end a dead
         # link by its silence, and its sender by the missing acknowledgement.
@@ -168,10 +198,16 @@
                 error=error.message,
             )
             self.abort()
+        self._count_bytes()
+
+    def resume_writing(self) -> None:
+        """Stop counting the bytes that have been sent."""
+        self._count_bytes()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the connection as lost."""
         del exc
+        self._count_bytes()
         if self._partition is not None:
             self._partition.remove_listener(self._apply_partition)
         self._on_lost(self)
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -8,6 +8,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.address import Address
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.codec import encode
@@ -68,6 +69,8 @@
         list_notices: Returns the notices that a newly linked peer must know.
         on_hello: Called with each handshake message from a peer.
         partition: Simulated network partition of this node.
+        budget: Bytes of bodies that the process may hold; the links count in
+            it what waits to be sent and what has been received in part.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         list_notices: Callable[[], Iterable[CrashNotice]],
         on_hello: Callable[[Hello], None],
         partition: Partition,
+        budget: ByteBudget,
     ):
         self._address = address
         self._make_hello = make_hello
@@ -90,6 +94,7 @@
         self._release_reply = release_reply
         self._serve_query = serve_query
         self._partition = partition
+        self._budget = budget
         self._get_status = get_status
         self._get_load = get_load
         self._get_config = get_config
@@ -123,7 +128,10 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: LinkProtocol(
-                self._add_session, self._handle_message, self._remove_session
+                self._add_session,
+                self._handle_message,
+                self._remove_session,
+                self._budget,
             ),
             self._address.host,
             self._address.port,
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -8,6 +8,7 @@
 from kumquatwalk import codes
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_protocol import LinkProtocol
@@ -68,6 +69,7 @@
         make_hello: Returns this node's handshake message.
         callbacks: Functions called with messages from the peer.
         partition: Simulated network partition of this node.
+        budget: Bytes of bodies that the process may hold; None not to count.
 
     Attributes:
         address: Address at which the peer accepts links.
@@ -85,6 +87,7 @@
         make_hello: Callable[[], Hello],
         callbacks: PeerCallbacks,
         partition: Partition,
+        budget: ByteBudget | None = None,
     ):
         self.address = address
         self.view = view
@@ -93,6 +96,7 @@
         self._make_hello = make_hello
         self._callbacks = callbacks
         self._partition = partition
+        self._budget = budget
         self._link: LinkProtocol | None = None
         self._clock_offset_s = 0.0
         self._own_zone = ""
@@ -276,7 +280,10 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
                     lambda: LinkProtocol(
-                        _ignore, self._handle_message, self._on_link_lost
+                        _ignore,
+                        self._handle_message,
+                        self._on_link_lost,
+                        self._budget,
                     ),
                     self.address.host,
                     self.address.port,
