Let answers wait for memory instead of losing them

Callers saw: 502 for payments that ran, when several large answers came at once ("an answer counts as lost"); the outcome stays unknown to the caller.

Cause: a connection to the target whose answer found no room in the budget was closed as if the answer were too long.

Change: a connection whose answer finds no room stops reading; the target waits. It reads on when there is room, or its request ends at its deadline. Parsers used without this still refuse, as their tests check.

Not covered: what the kernel holds of an answer that waits.

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -23,6 +23,7 @@
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.link_server import LINK_LOST
 from kumquatwalk.mesh.message import Call
@@ -105,7 +106,8 @@
         self._suspect_lock = asyncio.Lock()
         self._limits = RouteLimits()
         self._budget = budget
-        self._client = TargetClient(settings.target, budget)
+        self._read_limiter = ReadLimiter(budget)
+        self._client = TargetClient(settings.target, self._read_limiter)
         self.service = settings.service
         self.runs = RunTable()
         self._calls_in_progress: dict[int, _CallInProgress] = {}
@@ -354,7 +356,7 @@
         self.service = heartbeat.service
         if heartbeat.address != self._client.address:
             self._client.close()
-            self._client = TargetClient(heartbeat.address, self._budget)
+            self._client = TargetClient(heartbeat.address, self._read_limiter)
 
     async def _check_and_admit(
         self, call: Call, running: _CallInProgress | None = None
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -7,8 +7,9 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.exception import ExchangeError
-from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.read_limiter import ReadLimiter
+from kumquatwalk.http1.read_limiter import ReadShare
 from kumquatwalk.http1.response_parser import ResponseParser
 from kumquatwalk.http1.sockets import set_liveness_options
 
@@ -24,7 +25,7 @@
     timeout_s: float,
     body_bytes_max: int,
     source_host: str = "",
-    budget: ByteBudget | None = None,
+    limiter: ReadLimiter | None = None,
 ) -> "ClientConnection":
     """Open a connection to an HTTP server.
 
@@ -34,8 +35,8 @@
         body_bytes_max: Maximum size of a response body, in bytes.
         source_host: Local IP address to connect from; if empty, the operating
             system selects it.
-        budget: Bytes of bodies that the process may hold while they are read;
-            None for no bound.
+        limiter: Pauses the reading of responses while the memory for bodies is
+            used up; None for no bound.
 
     Returns:
         The open connection.
@@ -47,7 +48,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(body_bytes_max, budget),
+                lambda: ClientConnection(body_bytes_max, limiter),
                 address.host,
                 address.port,
                 local_addr=(source_host, 0) if source_host else None,
@@ -64,8 +65,8 @@
 
     Args:
         body_bytes_max: Maximum size of a response body, in bytes.
-        budget: Bytes of bodies that the process may hold while they are read;
-            None for no bound.
+        limiter: Pauses the reading of responses while the memory for bodies is
+            used up; None for no bound.
 
     Attributes:
         idle_since: Start of the idle time, in seconds; set by connection pools.
@@ -73,9 +74,10 @@
             None if unknown. Set by connection pools.
     """
 
-    def __init__(self, body_bytes_max: int, budget: ByteBudget | None = None):
+    def __init__(self, body_bytes_max: int, limiter: ReadLimiter | None = None):
         self._body_bytes_max = body_bytes_max
-        self._budget = budget
+        self._limiter = limiter
+        self._share: ReadShare | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: ResponseParser | None = None
         self._waiter: asyncio.Future[HttpResponse] | None = None
@@ -125,8 +127,10 @@
                 "connection is closed or in use",
                 sent=False,
             )
+        if self._limiter is not None:
+            self._share = self._limiter.make_share()
         self._parser = ResponseParser(
-            is_head, self._body_bytes_max, self._budget
+            is_head, self._body_bytes_max, self._share
         )
         self._is_match = is_match or _match_any
         self._mismatched_count = 0
@@ -140,6 +144,8 @@
         finally:
             self._parser.release()
             self._waiter = None
+            if self._limiter is not None:
+                self._limiter.leave(self._share)
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -170,6 +176,8 @@
         self._deliver(parser.take_completed(), parser.has_partial)
         if parser.is_too_long:
             self._fail("response_too_long", "response body exceeds the limit")
+        elif self._limiter is not None and not self._waiter.done():
+            self._limit_reading()
 
     def eof_received(self) -> bool:
         """Handle the server's close, which may complete a response."""
@@ -184,6 +192,18 @@
         self._is_usable = False
         self._fail("connection_lost", str(exc) if exc else "closed by peer")
 
+    def _limit_reading(self) -> None:
+        """Pause or fail a response that is not complete, if need be."""
+        if self._limiter.is_too_large(self._share):
+            self._fail("response_too_long", "response exceeds the memory")
+        elif not self._limiter.has_room(self._share):
+            self._transport.pause_reading()
+            self._limiter.wait(self._share, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def _deliver(self, responses: list[HttpResponse], has_extra: bool) -> None:
         for index, response in enumerate(responses):
             if self._is_match(response):
--- a/kumquatwalk/http1/response_parser.py
+++ b/kumquatwalk/http1/response_parser.py
@@ -5,6 +5,7 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.read_limiter import ReadShare
 
 __all__ = ["ResponseParser"]
 
@@ -31,7 +32,7 @@
         self,
         is_head: bool,
         body_bytes_max: int,
-        budget: ByteBudget | None = None,
+        budget: ByteBudget | ReadShare | None = None,
     ):
         self._is_head = is_head
         self._body_bytes_max = body_bytes_max
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -5,10 +5,10 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import ExchangeError
-from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.client_connection import ClientConnection
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.read_limiter import ReadLimiter
 
 __all__ = ["TargetClient"]
 
@@ -42,17 +42,17 @@
 
     Args:
         address: Address of the target.
-        budget: Bytes of bodies that the process may hold while they are read;
-            None for no bound.
+        limiter: Pauses the reading of responses while the memory for bodies is
+            used up; None for no bound.
 
     Attributes:
         address: Address of the target.
         connections_opened: Number of connections opened so far.
     """
 
-    def __init__(self, address: Address, budget: ByteBudget | None = None):
+    def __init__(self, address: Address, limiter: ReadLimiter | None = None):
         self.address = address
-        self._budget = budget
+        self._limiter = limiter
         self._idle: list[ClientConnection] = []
         self._connections: list[ClientConnection] = []
         self.connections_opened = 0
@@ -146,7 +146,7 @@
             self.address,
             CONNECT_TIMEOUT_S,
             RESPONSE_BYTES_MAX,
-            budget=self._budget,
+            limiter=self._limiter,
         )
         self._connections = [c for c in self._connections if c.is_open]
         self._connections.append(connection)
