Count the body of a call that runs on without its caller

Callers saw: nothing by itself; bodies counted by nobody may take the process over its memory, which loses all requests in progress (LOST).

Cause: the caller's connection owns the body of a request and releases it when the caller leaves, while a payment that was admitted runs on with it.

Change: `UniqueCalls`, taken out of `TargetSide`, owns the calls that must not run twice: what waits for them, their bodies once nobody else counts them, and the table of retained calls.

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import functools
 import zlib
 from collections.abc import Callable
 
@@ -16,16 +15,16 @@
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.daemon.metrics import DaemonMetrics
-from kumquatwalk.daemon.retained_calls import RetainedCalls
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.daemon.unique_calls import CallInProgress
+from kumquatwalk.daemon.unique_calls import UniqueCalls
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.logs import log_event
-from kumquatwalk.mesh.link_server import LINK_LOST
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import TargetStatus
@@ -49,14 +48,6 @@
 PUBLISHED_ROUTES_MAX = 8
 
 
-@dataclasses.dataclass(slots=True)
-class _CallInProgress:
-    """Non-idempotent call that goes on when those who wait for it leave."""
-
-    task: asyncio.Task | None = None
-    is_admitted: bool = False
-
-
 class TargetSide:
     """Runs calls at the local target, within the limits of target and route.
 
@@ -110,8 +101,7 @@
         self._client = TargetClient(settings.target, self._read_limiter)
         self.service = settings.service
         self.runs = RunTable()
-        self._calls_in_progress: dict[int, _CallInProgress] = {}
-        self._retained_calls = RetainedCalls(budget)
+        self._unique_calls = UniqueCalls(self._check_and_admit, budget)
         self._failure_share = 0.0
         self.is_stopping = False
         self._refuses_new_calls = False
@@ -236,7 +226,7 @@
         """
         if call.is_idempotent:
             return await self._check_and_admit(call)
-        return await self._join(self._start_call(call, is_retained=False))
+        return await self._unique_calls.serve_own(call)
 
     async def serve_peer(self, call: Call, is_resent: bool) -> Reply:
         """Run a call of a peer at the target if it is admitted.
@@ -256,19 +246,9 @@
         """
         if call.is_idempotent:
             return await self._serve_within_budget(call)
-        running = self._calls_in_progress.get(call.key)
-        if running is not None:
-            return await self._join(running)
-        # Whether a copy has run is known whatever the memory.
-        if not is_resent and not self._budget.try_reserve(len(call.body)):
-            return self._reply_not_run(codes.MEMORY_EXHAUSTED)
-        reply = self._retained_calls.begin(
-            call.key, call.deadline, is_resent, read_now()
-        )
-        if reply is None:
-            return await self._join(self._start_call(call, is_retained=True))
-        if not is_resent:
-            self._budget.release(len(call.body))
+        reply = await self._unique_calls.serve_peer(call, is_resent)
+        if reply.code == codes.MEMORY_EXHAUSTED:
+            self._metrics.record_refusal(reply)
         return reply
 
     async def _serve_within_budget(self, call: Call) -> Reply:
@@ -286,43 +266,7 @@
         Args:
             key: Key of a call that its peer will not send again.
         """
-        self._retained_calls.release_reply(key)
-
-    def _start_call(self, call: Call, is_retained: bool) -> _CallInProgress:
-        running = _CallInProgress()
-        self._calls_in_progress[call.key] = running
-        running.task = asyncio.get_running_loop().create_task(
-            self._check_and_admit(call, running)
-        )
-        running.task.add_done_callback(
-            functools.partial(self._end_call, call, is_retained)
-        )
-        return running
-
-    def _end_call(
-        self, call: Call, is_retained: bool, task: asyncio.Task
-    ) -> None:
-        running = self._calls_in_progress.pop(call.key)
-        if not is_retained:
-            return
-        self._budget.release(len(call.body))
-        if not task.cancelled() and task.exception() is None:
-            reply = task.result()
-        elif running.is_admitted:
-            reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
-        else:
-            reply = Reply(Outcome.NOT_RUN, codes.CALL_CANCELLED)
-        self._retained_calls.end(call.key, reply, read_now())
-
-    async def _join(self, running: _CallInProgress) -> Reply:
-        try:
-            return await asyncio.shield(running.task)
-        except asyncio.CancelledError as error:
-            if running.task.cancelled():
-                return Reply(Outcome.NOT_RUN, codes.CALL_CANCELLED)
-            if error.args != (LINK_LOST,) and not running.is_admitted:
-                running.task.cancel()
-            raise
+        self._unique_calls.release_reply(key)
 
     def _get_published_state(self) -> TargetState:
         if self.record.state is TargetState.READY and not self.limiter.is_open:
@@ -359,7 +303,7 @@
             self._client = TargetClient(heartbeat.address, self._read_limiter)
 
     async def _check_and_admit(
-        self, call: Call, running: _CallInProgress | None = None
+        self, call: Call, running: CallInProgress | None = None
     ) -> Reply:
         """Run a call unless a route limit, quarantine or limiter refuses it."""
         content = make_content(call)
@@ -414,7 +358,7 @@
         self,
         call: Call,
         content: RequestContent,
-        running: _CallInProgress | None,
+        running: CallInProgress | None,
         is_only_suspect: bool = False,
     ) -> Reply | None:
         """Run a call when there is capacity.
--- a/kumquatwalk/daemon/tests/test_kept_replies.py
+++ b/kumquatwalk/daemon/tests/test_kept_replies.py
@@ -208,6 +208,25 @@
         self.assertEqual(self.budget.used, 5000)
         await self._wait_for(lambda: self.budget.used < 5000)
 
+    # Guards against LOST: the same for a call whose caller on this VM left.
+    async def test_body_is_counted_until_the_run_ends_without_its_caller(self):
+        self.pay.target.choose_script = lambda _: Script(work_s=1.0, body=b"")
+        task = asyncio.create_task(
+            self.fleet.call(
+                "pay-1", "/pay-pay/", "id-1", 5000, b"POST", b"x" * 5000
+            )
+        )
+        await self._wait_for(lambda: self.pay.target.runs)
+        task.cancel()
+        await asyncio.wait([task])
+        limiter = self.pay.daemon.core.target_side.limiter
+        counted = []
+        while limiter.running:
+            counted.append(self.budget.used)
+            await asyncio.sleep(0.01)
+        self.assertEqual(counted[-1], 5000)
+        await self._wait_for(lambda: not self.budget.used)
+
     # Guards against LOST: replies that wait for a peer that does not read are
     # counted by nobody.
     async def test_replies_that_a_peer_does_not_read_are_counted(self):
