Limit what the kernel holds of an answer that waits

Callers saw: nothing by itself; bytes that the kernel has received for a process count as its memory, and a process over its memory loses all requests in progress (LOST).

Cause: the receive buffer of a connection to the target grows to megabytes, up to 32 MB by this system's setting, while its answer waits to be read.

Change: connections that can be paused have a receive buffer of 256 KiB, which the kernel doubles.

Before the change the test failed: "1702222 not less than or equal to 524288".

--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -8,9 +8,11 @@
 from kumquatwalk.address import Address
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.read_limiter import READ_BYTES_MAX
 from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.http1.read_limiter import ReadShare
 from kumquatwalk.http1.response_parser import ResponseParser
+from kumquatwalk.http1.sockets import limit_received_bytes
 from kumquatwalk.http1.sockets import set_liveness_options
 
 __all__ = ["ClientConnection", "open_connection"]
@@ -160,6 +162,9 @@
         self._transport = transport
         self._is_usable = True
         set_liveness_options(transport)
+        if self._limiter is not None:
+            # Bytes that wait unread belong to this process too.
+            limit_received_bytes(transport, READ_BYTES_MAX)
 
     def data_received(self, data: bytes) -> None:
         """Parse response data; unexpected data aborts the connection."""
--- a/kumquatwalk/http1/tests/test_read_limiter.py
+++ b/kumquatwalk/http1/tests/test_read_limiter.py
@@ -1,6 +1,9 @@
 """Tests that answers wait for memory and that some answer can always end."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 import unittest
 
 from hypothesis import settings
@@ -72,6 +75,28 @@
             self.assertEqual(await task, ANSWER_BYTES)
         self.assertEqual(self.budget.used, 0)
 
+    # Guards against LOST: the kernel holds megabytes of each answer that waits,
+    # and they count as memory of the process.
+    async def test_little_of_an_answer_that_waits_is_held_unread(self):
+        self.target.choose_script = lambda _: Script(body=b"r" * 20_000_000)
+        self.budget.limit = 8_000_000
+        connection = await open_connection(
+            self.target.address, 5.0, 1 << 26, limiter=self.limiter
+        )
+        task = asyncio.create_task(connection.exchange(REQUEST))
+        await self._wait_for(lambda: self.budget.used > 4_000_000)
+        self.budget.hold(self.limiter.overrun_max)
+        transport = connection._transport  # pylint: disable=protected-access
+        file = transport.get_extra_info("socket").fileno()
+        unread_max = 0
+        for _ in range(100):
+            await asyncio.sleep(0.005)
+            unread = fcntl.ioctl(file, termios.FIONREAD, bytes(4))
+            unread_max = max(unread_max, *struct.unpack("i", unread))
+        task.cancel()
+        await asyncio.wait([task])
+        self.assertLessEqual(unread_max, 2 * READ_BYTES_MAX)
+
     async def test_request_that_ends_while_it_waits_leaves_nothing(self):
         self.budget.hold(self.limiter.overrun_max)
         task = asyncio.create_task(self._exchange())
