--- a/kumquatwalk/http1/byte_budget.py
+++ b/kumquatwalk/http1/byte_budget.py
@@ -11,7 +11,7 @@
 
     Attributes:
         limit: Maximum of the bytes reserved at once.
-        used: Bytes reserved at present.
+        used: Bytes reserved or held at present.
     """
 
     def __init__(self, limit: int):
@@ -30,7 +30,7 @@
         return True
 
     def hold(self, size: int) -> None:
-        """Count bytes that exist already, beyond the limit if need be.
+        """Count bytes that exist already, even if they exceed the limit.
 
         Args:
             size: Number of bytes, at least 0.
@@ -38,9 +38,9 @@
         self.used += size
 
     def release(self, size: int) -> None:
-        """Return reserved bytes.
+        """Return reserved or held bytes.
 
         Args:
-            size: Number of bytes that were reserved.
+            size: Number of bytes that were reserved or held.
         """
         self.used -= size
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -11,8 +11,8 @@
 from kumquatwalk.http1.read_limiter import READ_BYTES_MAX
 from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.http1.read_limiter import ReadShare
+from kumquatwalk.http1.receive_buffer import limit_received_bytes
 from kumquatwalk.http1.response_parser import ResponseParser
-from kumquatwalk.http1.sockets import limit_received_bytes
 from kumquatwalk.http1.sockets import set_liveness_options
 
 __all__ = ["ClientConnection", "open_connection"]
--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -1,9 +1,9 @@
-"""TCP socket options: to detect an unresponsive peer, to bound memory."""
+"""TCP socket options that detect an unresponsive peer."""
 
 import asyncio
 import socket
 
-__all__ = ["limit_received_bytes", "set_liveness_options"]
+__all__ = ["set_liveness_options"]
 
 # Idle time before the first keep-alive probe and interval between probes, in
 # seconds; the minimum that the socket options accept.
@@ -45,23 +45,3 @@
         # The connection has been lost already; asyncio reports that to the
         # protocol.
         return
-
-
-def limit_received_bytes(transport: asyncio.BaseTransport, size: int) -> None:
-    """Limit what the kernel holds of received data that is not read.
-
-    The kernel doubles the size for its own use, and otherwise lets the buffer
-    of a fast connection grow to several megabytes. Does nothing if the
-    connection has already been lost.
-
-    Args:
-        transport: Transport of a TCP connection.
-        size: Size of the receive buffer, in bytes.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-    except OSError:
-        return  # asyncio reports the loss to the protocol
