Run calls without a body whatever memory is held

Before the change the test failed: "Tuples differ: (<Outcome.NOT_RUN: 1>, 0) != (<Outcome.DONE: 0>, 200)".

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -251,15 +251,6 @@
             self._metrics.record_refusal(reply)
         return reply
 
-    async def _serve_within_budget(self, call: Call) -> Reply:
-        size = len(call.body)
-        if not self._budget.try_reserve(size):
-            return self._reply_not_run(codes.MEMORY_EXHAUSTED)
-        try:
-            return await self._check_and_admit(call)
-        finally:
-            self._budget.release(size)
-
     def release_reply(self, key: int) -> None:
         """Drop the reply kept for a peer's call.
 
@@ -268,6 +259,15 @@
         """
         self._unique_calls.release_reply(key)
 
+    async def _serve_within_budget(self, call: Call) -> Reply:
+        size = len(call.body)
+        if size and not self._budget.try_reserve(size):
+            return self._reply_not_run(codes.MEMORY_EXHAUSTED)
+        try:
+            return await self._check_and_admit(call)
+        finally:
+            self._budget.release(size)
+
     def _get_published_state(self) -> TargetState:
         if self.record.state is TargetState.READY and not self.limiter.is_open:
             return TargetState.UNKNOWN
--- a/kumquatwalk/daemon/tests/test_kept_replies.py
+++ b/kumquatwalk/daemon/tests/test_kept_replies.py
@@ -194,6 +194,19 @@
         self.assertEqual(refused.outcome, Outcome.NOT_RUN)
         self.assertEqual(len(self.pay.target.runs), 1)
 
+    # Guards against a node that refuses all calls while a few peers or callers
+    # that read slowly hold its memory.
+    async def test_call_without_a_body_needs_no_memory(self):
+        self.pay.target.choose_script = lambda _: Script()
+        peer = await self._open_peer()
+        self.budget.hold(self.budget.limit + 1)
+        for key, is_idempotent in ((1, False), (2, True)):
+            call = dataclasses.replace(
+                self._make_call(key), is_idempotent=is_idempotent
+            )
+            reply = await peer.call(call, key, False)
+            self.assertEqual((reply.outcome, reply.status), (Outcome.DONE, 200))
+
     # Guards against LOST: the body of a call that runs on after its link broke
     # is counted by nobody.
     async def test_body_is_counted_until_the_run_ends_without_its_link(self):
--- a/kumquatwalk/daemon/unique_calls.py
+++ b/kumquatwalk/daemon/unique_calls.py
@@ -85,7 +85,8 @@
             return await self._join(running)
         size = len(call.body)
         # Whether a copy has run is known whatever the memory.
-        if not is_resent and not self._budget.try_reserve(size):
+        is_counted = not is_resent and size > 0
+        if is_counted and not self._budget.try_reserve(size):
             return Reply(Outcome.NOT_RUN, codes.MEMORY_EXHAUSTED)
         reply = self._retained.begin(
             call.key, call.deadline, is_resent, read_now()
@@ -93,7 +94,7 @@
         if reply is None:
             running = CallInProgress(call, is_retained=True, is_counted=True)
             return await self._join(self._start(running))
-        if not is_resent:
+        if is_counted:
             self._budget.release(size)
         return reply
 
