--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -126,7 +126,8 @@
         self.link_server = LinkServer(
             settings.link_listener,
             self.make_hello,
-            self.target_side.serve,
+            self.target_side.serve_peer,
+            self.target_side.release_reply,
             self._serve_query,
             self.target_side.get_status,
             self.target_side.get_load,
@@ -214,6 +215,7 @@
                 self._handle_crash_notice,
             ),
             self.partition,
+            self.body_budget,
         )
         self.target_side = TargetSide(
             self.settings,
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -1,7 +1,6 @@
 """Target side of a node: admits calls to the local target and runs them."""
 
 import asyncio
-import collections
 import dataclasses
 import math
 import zlib
@@ -23,9 +22,11 @@
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.daemon.unique_calls import CallInProgress
+from kumquatwalk.daemon.unique_calls import UniqueCalls
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.logs import log_event
-from kumquatwalk.mesh.link_server import LINK_LOST
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import TargetStatus
@@ -43,25 +44,12 @@
 
 __all__ = ["TargetSide"]
 
-# Time for which the reply to a non-idempotent call is retained, in seconds:
-# longer than it takes to detect a broken link and to reconnect, after which the
-# caller side sends the call again to get its reply.
-REPLY_RETENTION_S = 15.0
 # Weight of one run in the moving average of failed runs.
 FAILURE_WEIGHT = 0.05
 # Maximum number of routes whose mean run time is published to other nodes.
 PUBLISHED_ROUTES_MAX = 8
 
 
-@dataclasses.dataclass(slots=True)
-class _RetainedCall:
-    """Non-idempotent call, retained to answer duplicates of it."""
-
-    began_at: float
-    task: asyncio.Task | None = None
-    is_admitted: bool = False
-
-
 class TargetSide:
     """Runs calls at the local target, within the limits of target and route.
 
@@ -112,12 +100,11 @@
         self._suspect_lock = asyncio.Lock()
         self._limits = RouteLimits()
         self._budget = budget
-        self._client = TargetClient(settings.target, budget)
+        self._read_limiter = ReadLimiter(budget)
+        self._client = TargetClient(settings.target, self._read_limiter)
         self.service = settings.service
         self.runs = RunTable()
-        self._retained_calls: collections.OrderedDict[int, _RetainedCall] = (
-            collections.OrderedDict()
-        )
+        self._unique_calls = UniqueCalls(self._check_and_admit, budget)
         self._failure_share = 0.0
         self.is_stopping = False
         self.stop_admission = StopAdmission()
@@ -228,12 +215,10 @@
             self._set_record(record)
 
     async def serve(self, call: Call) -> Reply:
-        """Run a call at the target if it is admitted.
+        """Run a call of this node at the target if it is admitted.
 
-        A non-idempotent call is deduplicated by its key: a duplicate gets the
-        reply of the first copy. It continues when its link breaks. When the
-        caller cancels it, it continues if it has been admitted, and is
-        cancelled otherwise.
+        When its caller cancels it, a non-idempotent call continues if it has
+        been admitted, and is cancelled otherwise.
 
         Args:
             call: The call, with its deadline on this node's clock.
@@ -244,22 +229,47 @@
         """
         if call.is_idempotent:
             return await self._check_and_admit(call)
-        self._evict_retained_calls()
-        retained = self._retained_calls.get(call.key)
-        if retained is None:
-            retained = _RetainedCall(read_now())
-            self._retained_calls[call.key] = retained
-            retained.task = asyncio.get_running_loop().create_task(
-                self._check_and_admit(call, retained)
-            )
+        return await self._unique_calls.serve_own(call)
+
+    async def serve_peer(self, call: Call, is_resent: bool) -> Reply:
+        """Run a call of a peer at the target if it is admitted.
+
+        A non-idempotent call is deduplicated by its key: a duplicate gets the
+        reply of the first copy, as long as it is kept. It continues when its
+        link breaks. When it is cancelled, it is as in ``serve``.
+
+        Args:
+            call: The call, with its deadline on this node's clock.
+            is_resent: Whether the peer sent the call before, on a connection
+                that has failed since.
+
+        Returns:
+            The target's answer, or a reply that says why there is none and
+            whether the call may have run.
+        """
+        if call.is_idempotent:
+            return await self._serve_within_budget(call)
+        reply = await self._unique_calls.serve_peer(call, is_resent)
+        if reply.code == codes.MEMORY_EXHAUSTED:
+            self._metrics.record_refusal(reply)
+        return reply
+
+    def release_reply(self, key: int) -> None:
+        """Drop the reply kept for a peer's call.
+
+        Args:
+            key: Key of a call that its peer will not send again.
+        """
+        self._unique_calls.release_reply(key)
+
+    async def _serve_within_budget(self, call: Call) -> Reply:
+        size = len(call.body)
+        if size and not self._budget.try_reserve(size):
+            return self._reply_not_run(codes.MEMORY_EXHAUSTED)
         try:
-            return await asyncio.shield(retained.task)
-        except asyncio.CancelledError as error:
-            if retained.task.cancelled():
-                return Reply(Outcome.NOT_RUN, codes.CALL_CANCELLED)
-            if error.args != (LINK_LOST,) and not retained.is_admitted:
-                retained.task.cancel()
-            raise
+            return await self._check_and_admit(call)
+        finally:
+            self._budget.release(size)
 
     def _get_published_state(self) -> TargetState:
         if self.stop_admission.has_ended(read_now()):
@@ -295,10 +305,10 @@
         self.service = heartbeat.service
         if heartbeat.address != self._client.address:
             self._client.close()
-            self._client = TargetClient(heartbeat.address, self._budget)
+            self._client = TargetClient(heartbeat.address, self._read_limiter)
 
     async def _check_and_admit(
-        self, call: Call, retained: _RetainedCall | None = None
+        self, call: Call, running: CallInProgress | None = None
     ) -> Reply:
         """Run a call unless a route limit, quarantine or limiter refuses it."""
         content = make_content(call)
@@ -311,13 +321,13 @@
             return self._reply_not_run(code)
         try:
             if self._classify(content) is CrashStatus.CLEAR:
-                reply = await self._admit(call, content, retained)
+                reply = await self._admit(call, content, running)
                 if reply is not None:
                     return reply
             # Run suspect requests one at a time, so that a crash can be
             # attributed to one of them.
             async with self._suspect_lock:
-                return await self._admit(call, content, retained, True)
+                return await self._admit(call, content, running, True)
         finally:
             if route is not None:
                 self._limits.end(route)
@@ -362,7 +372,7 @@
         self,
         call: Call,
         content: RequestContent,
-        retained: _RetainedCall | None,
+        running: CallInProgress | None,
         is_only_suspect: bool = False,
     ) -> Reply | None:
         """Run a call when there is capacity.
@@ -389,8 +399,8 @@
                 return None
             if not self._can_end(call):
                 return self._reply_not_run(codes.TARGET_LEAVING)
-            if retained is not None:
-                retained.is_admitted = True
+            if running is not None:
+                running.is_admitted = True
             key = self.stop_admission.begin(call.route, read_now())
             try:
                 reply = await self._run(call, content)
@@ -485,14 +495,6 @@
         self._metrics.record_refusal(reply)
         return reply
 
-    def _evict_retained_calls(self) -> None:
-        oldest = read_now() - REPLY_RETENTION_S
-        while self._retained_calls:
-            key, retained = next(iter(self._retained_calls.items()))
-            if retained.began_at > oldest or not retained.task.done():
-                return
-            del self._retained_calls[key]
-
 
 _RUN_FINDINGS = (Finding.SOUND, Finding.FAILED, Finding.CONNECTION_LOST)
 _CLOSED_CODES = {
--- a/kumquatwalk/mesh/tests/test_link_server.py
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -55,6 +55,7 @@
             Address("127.0.0.1", 0),
             lambda: HELLO,
             self._serve_call,
+            lambda _: None,
             self._serve_query,
             TargetStatus,
             lambda: (0, 0),
@@ -73,7 +74,7 @@
         await self.loop.sock_connect(self.sock, address)
         await self._send(HELLO)
 
-    async def _serve_call(self, call: Call) -> Reply:
+    async def _serve_call(self, call: Call, _is_resent: bool) -> Reply:
         self.served.append(call.url)
         if call.url == b"/never":
             await asyncio.Event().wait()
