Let slow readers of large answers keep no small request out

Cause: answers that wait to be read and bodies of requests shared one budget, and while it was exhausted every request was refused, whatever its answer takes.

Change: answers that callers have not taken have a budget of their own. A request is refused when the usual answer of its route does not fit there; one with a small answer is admitted up to twice the limit.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -57,6 +57,7 @@
         settings.caller_listener,
         callers.handle,
         budget=core.body_budget,
+        answer_budget=core.answer_budget,
         identify=find_attempt_id,
         on_unanswered=core.metrics.record_unanswered,
     )
@@ -122,6 +123,7 @@
         entries.handle,
         limits,
         core.body_budget,
+        core.answer_budget,
         on_unanswered=core.metrics.record_unanswered,
     )
     local_server = HttpServer(
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -4,6 +4,7 @@
 import secrets
 
 from kumquatwalk import codes
+from kumquatwalk.admission.memory import MemoryAdmission
 from kumquatwalk.admission.stop import StopAdmission
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
@@ -87,6 +88,7 @@
         retry_budgets: Retry budget of each service.
         metrics: Metrics of the daemon.
         crash_tracker: Tells which requests crash targets.
+        memory: Refuses requests whose answers there is no memory for.
 
     Attributes:
         stop_admission: Refuses requests that a stop would cut off.
@@ -105,6 +107,7 @@
         retry_budgets: RetryBudgets,
         metrics: DaemonMetrics,
         crash_tracker: CrashTracker,
+        memory: MemoryAdmission,
     ):
         self._settings = settings
         self._target_side = target_side
@@ -116,6 +119,7 @@
         self._retry_budgets = retry_budgets
         self._metrics = metrics
         self._crash_tracker = crash_tracker
+        self._memory = memory
         self._rng = random.Random()
         self._splitter = TrafficSplitter(self._rng)
         self._sizes = RouteSizes()
@@ -209,6 +213,10 @@
         )
         if not self._can_end(request):
             return self._refuse_for_stop(request)
+        if not self._memory.admits(self._sizes.estimate(route.name)):
+            return make_refusal(
+                caller, codes.MEMORY_EXHAUSTED, 0.0, self._rng, route.name
+            )
         is_nested = chain is not None and chain.depth > 0
         if not is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -6,6 +6,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.address import Address
+from kumquatwalk.admission.memory import MemoryAdmission
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.caller_side import CallerSide
@@ -61,6 +62,9 @@
 # Fraction of the memory of the process that bodies in progress may take. A body
 # exists up to four times for a moment: as received, joined, encoded and queued.
 BODY_MEMORY_FRACTION = 0.125
+# Fraction that answers may take which callers have not taken yet. It is apart
+# from the one above, so that slow readers do not keep bodies of requests out.
+ANSWER_MEMORY_FRACTION = 0.125
 _US = 1_000_000
 
 
@@ -103,6 +107,9 @@
         self.body_budget = ByteBudget(
             int(settings.memory_max_bytes * BODY_MEMORY_FRACTION)
         )
+        self.answer_budget = ByteBudget(
+            int(settings.memory_max_bytes * ANSWER_MEMORY_FRACTION)
+        )
         self.own_view = TargetView(
             settings.node_id,
             settings.availability_zone,
@@ -239,6 +246,7 @@
             RetryBudgets(self.settings.bounds, self.peers, self._graph),
             metrics,
             self._crash_tracker,
+            MemoryAdmission(self.answer_budget),
         )
 
     def _make_entry(self) -> RosterEntry:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -4,6 +4,7 @@
 import unittest
 
 from kumquatwalk import codes
+from kumquatwalk.admission.memory import MemoryAdmission
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.tests.samples import make_route
 from kumquatwalk.daemon.caller_request import CallerRequest
@@ -15,6 +16,7 @@
 from kumquatwalk.daemon.settings import FleetBounds
 from kumquatwalk.daemon.tests.samples import make_settings
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
@@ -121,6 +123,7 @@
             RetryBudgets(FleetBounds(), self.peers, graph),
             DaemonMetrics(MetricsRegistry()),
             CrashTracker(CrashTable(), lambda report: None),
+            MemoryAdmission(ByteBudget(1 << 20)),
         )
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
         route = make_route(
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -58,7 +58,9 @@
             limits.header_bytes_max, limits.body_bytes_max, server.budget
         )
         self._transport: asyncio.Transport | None = None
-        self._exchanges = ExchangeQueue(server.budget, server.report_unanswered)
+        self._exchanges = ExchangeQueue(
+            server.budget, server.answer_budget, server.report_unanswered
+        )
         # Whether no further request is taken.
         self._is_ending = False
         # Whether a request was received in part when the server stopped to
@@ -188,7 +190,7 @@
         self._transport = transport
         self._writer = AnswerWriter(
             transport,
-            self._server.budget,
+            self._server.answer_budget,
             self._server.report_unanswered,
             self._opened_at,
         )
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -39,12 +39,20 @@
     """Exchanges that are not written yet, and the bytes held for them.
 
     Args:
-        budget: Bytes of bodies that the process may hold; None for no bound.
+        budget: Bytes of requests' bodies that the process may hold; None for no
+            bound.
+        answer_budget: The same for the bodies of answers.
         report: Reports a request that ended without an answer.
     """
 
-    def __init__(self, budget: ByteBudget | None, report: Report):
+    def __init__(
+        self,
+        budget: ByteBudget | None,
+        answer_budget: ByteBudget | None,
+        report: Report,
+    ):
         self._budget = budget
+        self._answer_budget = answer_budget
         self._report = report
         self._exchanges: collections.deque[Exchange] = collections.deque()
 
@@ -99,7 +107,7 @@
                 request, find_stage(request, response is not None), end
             )
             if response is not None:
-                self._release(len(response.body))
+                self._release_answer(response)
             elif exchange.task is not None:
                 exchange.task.cancel(end)
 
@@ -110,12 +118,13 @@
 
     def release_request(self, request: HttpRequest) -> None:
         """Release the bytes of a request's body."""
-        self._release(len(request.body))
+        if self._budget is not None:
+            self._budget.release(len(request.body))
 
     def _hold(self, response: HttpResponse) -> None:
-        if self._budget is not None:
-            self._budget.hold(len(response.body))
+        if self._answer_budget is not None:
+            self._answer_budget.hold(len(response.body))
 
-    def _release(self, size: int) -> None:
-        if self._budget is not None:
-            self._budget.release(size)
+    def _release_answer(self, response: HttpResponse) -> None:
+        if self._answer_budget is not None:
+            self._answer_budget.release(len(response.body))
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -23,6 +23,9 @@
 # Connections that may wait to be accepted; more than a burst opens between two
 # iterations of the event loop.
 BACKLOG = 1024
+# Multiple of the memory for answers not sent at which all requests are refused.
+# Those with large answers are refused by their handler before.
+ANSWER_OVERRUN_MAX = 2
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 1.0
@@ -38,9 +41,11 @@
         handler: Serves one request; cancelled when the caller closes its
             connection.
         limits: Size limits and timeouts for callers' connections.
-        budget: Bytes of bodies, of requests and of answers not sent, that the
-            process may hold; None for no bound. While it is exhausted, requests
-            are refused.
+        budget: Bytes of requests' bodies that the process may hold; None for no
+            bound.
+        answer_budget: Bytes of answers not sent that the process may hold; None
+            to count them in ``budget``. At ``ANSWER_OVERRUN_MAX`` times its
+            limit, all requests are refused.
         refuse: Returns the answer, which promises that the request is not run,
             to a request that begins after ``stop_accepting``.
         identify: Returns the identifier of a request, for the log; empty if it
@@ -52,7 +57,8 @@
         handler: Handler of the requests.
         limits: Size limits and timeouts; may be replaced at any time. Open
             connections keep their size limits and use the new timeouts.
-        budget: Bytes of bodies that the process may hold.
+        budget: Bytes of requests' bodies that the process may hold.
+        answer_budget: Bytes of answers not sent that it may hold.
         refuse: Returns the answer to a request that begins after the stop.
         is_stopping: Whether connections are closed once all requests read from
             them are answered.
@@ -66,6 +72,7 @@
         handler: Handler,
         limits: CallerLimits = CallerLimits(),
         budget: ByteBudget | None = None,
+        answer_budget: ByteBudget | None = None,
         refuse: Callable[[HttpRequest], HttpResponse] = make_stopping_response,
         identify: Callable[[HttpRequest], str] = lambda _: "",
         on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
@@ -74,6 +81,7 @@
         self.handler = handler
         self.limits = limits
         self.budget = budget
+        self.answer_budget = budget if answer_budget is None else answer_budget
         self.refuse = refuse
         self._identify = identify
         self._on_unanswered = on_unanswered
@@ -134,9 +142,11 @@
         Args:
             request: Request whose body is reserved.
         """
-        if self.budget is None:
+        answers = self.answer_budget
+        if answers is None:
             return True
-        return self.budget.used - len(request.body) < self.budget.limit
+        own_bytes = len(request.body) if answers is self.budget else 0
+        return answers.used - own_bytes < ANSWER_OVERRUN_MAX * answers.limit
 
     def report_unanswered(
         self, request: HttpRequest, stage: Stage, end: End
