Let a second stop_accepting change nothing

A request that began after the stop could be passed on: a second call of stop_accepting took it, if it was read in part, for one that was read before.

The test failed before: [(200, True, b'/a')] != [(503, True, b'stopping\n')].

--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -165,8 +165,10 @@
         A request of which the first byte has been read is handled. One that
         begins later is refused, or left unanswered if it stands behind others
         on its connection. Each connection closes once it is idle or after its
-        last answer.
+        last answer. Does nothing the second time.
         """
+        if not self.is_accepting:
+            return
         self.is_stopping = True
         self.is_accepting = False
         self._server.close()
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -78,6 +78,20 @@
         self.assertEqual(await self.read_all(reader), [(200, True, b"/a")])
         self.assertEqual(self.seen, ["/a"])
 
+    # Guards against LOST: a second call took a late request read in part for
+    # one that was read before the stop, and it was passed on.
+    async def test_second_call_changes_nothing(self):
+        data = make_get("/a")
+        reader, writer = await self.open()
+        await self.wait_for(lambda: self.server.connections)
+        self.server.stop_accepting()
+        connection = next(iter(self.server.connections))
+        connection.data_received(data[:9])
+        self.server.stop_accepting()
+        writer.write(data[9:])
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, [])
+
     def is_silent(self) -> bool:
         """Return whether no connection has received anything."""
         # pylint: disable=protected-access
