--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -102,9 +102,9 @@
             end: What ends the connection.
             now: Current time, in seconds.
         """
-        if self.can_write:
+        # A transport that is closing may have discarded its buffer.
+        if self.can_write or not self._transport.is_closing():
             self.update(now)
-        # Otherwise the transport may have discarded its buffer.
         while self._untaken:
             self._report(self._untaken.popleft()[1], Stage.ANSWERED, end)
 
