End a connection whose client has left and takes nothing

A client that half-closed its side while an answer waited for it, and then took nothing, held the answer in memory without a bound: its connection was closed only once the buffer was empty. No caller has seen it; the state machine found it when a client that has left took no further bytes.

Now such a connection is aborted after the idle timeout.

The machine failed before, at the line "assert self.transport.is_lost and not self.server.connections".

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -153,9 +153,7 @@
                 self.abort(End.TIMEOUT)
                 return
         elif self._is_closing:
-            closed_s = now - max(self._closed_at, self._writer.progress_at)
-            if closed_s > LINGER_S:
-                self._transport.close()
+            self._check_closing(now)
         if self._exchanges or self._is_closing:
             return
         if self._parser.is_in_head:
@@ -171,6 +169,15 @@
         elif not self._server.is_accepting and self.is_idle(now):
             self._close_gracefully()
 
+    def _check_closing(self, now: float) -> None:
+        closed_s = now - max(self._closed_at, self._writer.progress_at)
+        if not self._transport.is_closing():
+            if closed_s > LINGER_S:
+                self._transport.close()
+        elif closed_s > self._server.limits.idle_timeout_s:
+            # A client that has left takes nothing of the buffer.
+            self._transport.abort()
+
     def abort(self, end: End) -> None:
         """Close the connection immediately and discard unsent bytes.
 
@@ -346,6 +353,7 @@
     def _end(self, end: End) -> None:
         """End all that is owed; the transport is closed by the caller."""
         self._is_closing = True
+        self._closed_at = read_now()
         self._end_requests(end)
         self._exchanges.cancel(end)
         self._writer.end(end, read_now())
