Soak: what stands behind a request that reached its limit ends with its caller

The check took an end by the caller for one by the node. It now leaves out a request which its caller gave up because the limit of another request on the same connection had come. A cut, another connection, another caller, or a first request that has not reached its limit count as before, each with a case in the test.

--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -90,12 +90,15 @@
     """
     violations = []
     unanswered = collections.Counter()
+    abandoned = _list_abandoned(record.attempts)
     for attempt in record.attempts:
         runs = record.runs.get(attempt.attempt_id, ())
         for rule in _list_broken(attempt, runs):
             violations.append(_describe(rule, attempt, runs, ""))
         if _is_answered(attempt) or _is_excused(attempt, runs, record):
             continue
+        if attempt.error == "limit" and _get_connection(attempt) in abandoned:
+            continue
         cause = _find_planned_loss(attempt, runs, record.works)
         if cause:
             violations.append(_describe("lost", attempt, runs, cause))
@@ -132,6 +135,24 @@
     (folder / "record.jsonl").write_text(lines, encoding="utf-8")
 
 
+def _get_connection(attempt: Attempt) -> tuple[str, int]:
+    """Return the caller and the number of its connection."""
+    return attempt.attempt_id.rpartition("-")[0], attempt.connection
+
+
+def _list_abandoned(attempts: Sequence[Attempt]) -> set[tuple[str, int]]:
+    """Return connections that their callers closed at a request's limit.
+
+    What stands behind that request on the connection ends with it.
+    """
+    return {
+        _get_connection(attempt)
+        for attempt in attempts
+        if attempt.error == "limit"
+        and attempt.ended_at - attempt.began_at >= LIMIT_S
+    }
+
+
 def _is_answered(attempt: Attempt) -> bool:
     """Return whether the answer is the target's and complete."""
     return bool(attempt.status) and attempt.has_seal and attempt.has_body
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -67,6 +67,27 @@
         self.assertEqual(self.check(change(CUT, ended_at=104.0), RUN), [])
         self.assertEqual(self.check(change(CUT, ended_at=103.9), RUN), ["lost"])
 
+    def test_caller_that_closes_at_a_limit_excuses_what_stands_behind(self):
+        first = change(CUT, attempt_id="n1-1-1", began_at=95.0, error="limit")
+        behind = change(CUT, attempt_id="n1-1-2", error="limit")
+        runs = {a.attempt_id: [("n2", RUN)] for a in (first, behind)}
+
+        def check(*attempts):
+            record = PlatformRecord(attempts, runs, (STOP,), ())
+            return [violation.name for violation in check_record(record)]
+
+        self.assertEqual(check(first, behind), [])
+        self.assertEqual(check(behind), ["n1-1-2"])
+        for changes in (
+            {"attempt_id": "n1-2-1"},
+            {"connection": 2},
+            {"began_at": 99.0},
+            {"error": ""},
+        ):
+            self.assertIn("n1-1-2", check(change(first, **changes), behind))
+        cut = change(behind, error="ConnectionResetError")
+        self.assertEqual(check(first, cut), ["n1-1-2"])
+
     def test_target_that_broke_off_excuses_its_last_run_only(self):
         broken = change(RUN, is_broken_off=True)
         self.assertEqual(self.check(CUT, broken), [])
