Refuse requests after the stop in the format of the interface

The server's own refusal had the body 'stopping' and neither a code nor, on the project's own interface, the outcome header that each answer of a node carries. The test failed before: 'RouteHandler' has no 'refuse'.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -58,6 +58,7 @@
         callers.handle,
         budget=core.body_budget,
         answer_budget=core.answer_budget,
+        refuse=callers.refuse,
         identify=find_attempt_id,
         on_unanswered=core.metrics.record_unanswered,
     )
@@ -124,6 +125,7 @@
         limits,
         core.body_budget,
         core.answer_budget,
+        entries.refuse,
         on_unanswered=core.metrics.record_unanswered,
     )
     local_server = HttpServer(
--- a/kumquatwalk/daemon/route_handler.py
+++ b/kumquatwalk/daemon/route_handler.py
@@ -3,6 +3,7 @@
 import random
 
 from kumquatwalk import codes
+from kumquatwalk.admission.stop import RETRY_DELAY_MAX_S
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.caller_side import CallerSide
 from kumquatwalk.daemon.config_holder import ConfigHolder
@@ -46,6 +47,18 @@
         reply = await self._serve(request, caller)
         return encode_reply(reply, caller.attempt_id)
 
+    def refuse(self, request: HttpRequest) -> HttpResponse:
+        """Return the refusal of a request that came after the stop.
+
+        Args:
+            request: The request; it is not passed on.
+        """
+        caller = decode_caller_request(request)
+        reply = make_refusal(
+            caller, codes.NODE_STOPPING, RETRY_DELAY_MAX_S, self._rng, route=""
+        )
+        return encode_reply(reply, caller.attempt_id)
+
     async def _serve(
         self, request: HttpRequest, caller: CallerRequest
     ) -> Reply:
--- a/kumquatwalk/native/entry_handler.py
+++ b/kumquatwalk/native/entry_handler.py
@@ -1,6 +1,7 @@
 """HTTP handler for outside callers of the native interface."""
 
 from kumquatwalk import codes
+from kumquatwalk.admission.stop import RETRY_DELAY_MAX_S
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.caller_side import CallerSide
@@ -90,6 +91,21 @@
             return encode_json({"ticket": self._issuer.issue(read_now())})
         return encode_reply(await self._serve(request))
 
+    def refuse(self, request: HttpRequest) -> HttpResponse:
+        """Return the refusal of a request that came after the stop.
+
+        Args:
+            request: The request; it is not passed on.
+        """
+        del request
+        return encode_reply(
+            Reply(
+                Outcome.NOT_RUN,
+                codes.NODE_STOPPING,
+                retry_after_s=RETRY_DELAY_MAX_S,
+            )
+        )
+
     async def _serve(self, request: HttpRequest) -> Reply:
         if request.find_header(names.HEADER_CONTEXT) is not None:
             # Nested calls are accepted only by the local listener.
