Serve the calls of runs that a stop waits for

Cause: StopAdmission judged them by the longest time of their route, like requests of callers. But a refusal fails a run as surely as the end of the stop would.

Change: nested calls, known by their chain or, on the platform's interface, by a route that only targets call, are judged by the mean until the end.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -88,14 +88,21 @@
             self._recent.record(route, now - began_at, now)
 
     def admits(
-        self, route: str, deadline: float, objective_s: float, now: float
+        self,
+        route: str,
+        deadline: float,
+        objective_s: float,
+        now: float,
+        *,
+        is_nested: bool = False,
     ) -> bool:
         """Return whether a request will end before the drain does.
 
         It will if its deadline lies before the end, or if the longest time that
         a request of its route took of late does; a route with few requests has
         none. The age of requests in progress counts too. Until
-        ``typical_until`` the mean time counts instead. Counts the refusals.
+        ``typical_until``, and for a nested call, the mean time counts instead.
+        Counts the refusals.
 
         Args:
             route: Name of its route.
@@ -103,12 +110,15 @@
             objective_s: Mean time assumed where no request of the route is
                 known, in seconds.
             now: Current time, in seconds.
+            is_nested: Whether it is a call of a run in progress, which a
+                refusal would fail as surely as the end of the stop.
         """
         if self.ends_at == math.inf:
             return True
         is_admitted = now < self.ends_at and (
             deadline < self.ends_at
-            or now + self._estimate_s(route, objective_s, now) < self.ends_at
+            or now + self._estimate_s(route, objective_s, is_nested, now)
+            < self.ends_at
         )
         self.refused += not is_admitted
         return is_admitted
@@ -129,8 +139,10 @@
         """
         return min(RETRY_DELAY_MAX_S, self.ends_at - now + RESTART_S)
 
-    def _estimate_s(self, route: str, objective_s: float, now: float) -> float:
-        if now < self._typical_until:
+    def _estimate_s(
+        self, route: str, objective_s: float, is_nested: bool, now: float
+    ) -> float:
+        if is_nested or now < self._typical_until:
             mean_s = self._recent.find_mean(route, now)
             return objective_s if mean_s is None else _stretch(mean_s)
         if self._recent.count(route, now) < self._requests_min:
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -114,6 +114,19 @@
         self.assertTrue(gate.admits("pay", 60.0, 1.0, 5.5))
         self.assertFalse(gate.admits("pay", 60.0, 1.0, 5.7))
 
+    # Guards against the failure of runs that a stop waits for: their calls were
+    # refused because one call of the route took long, or few were known.
+    def test_nested_calls_are_judged_by_the_mean_until_the_end(self):
+        gate = StopAdmission()
+        for number in range(20):
+            taken_s = 2.2 if number == 10 else 0.02
+            gate.finish("pay", gate.begin("pay", 0.0), True, taken_s)
+        gate.set_end(5.4, typical_until=2.6)
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 3.0))
+        self.assertTrue(gate.admits("pay", 60.0, 1.0, 4.5, is_nested=True))
+        self.assertTrue(gate.admits("other", 60.0, 0.5, 4.5, is_nested=True))
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 5.2, is_nested=True))
+
     def test_long_mean_turns_requests_away_at_once(self):
         gate = StopAdmission()
         gate.finish("pay", gate.begin("pay", 0.0), True, 3.0)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -241,11 +241,14 @@
     def _can_end(self, request: PendingRequest) -> bool:
         """Return whether a request will end before a stop does."""
         route = request.route
+        chain = request.chain
+        is_nested = chain is not None and chain.depth > 0
         return self.stop_admission.admits(
             route.name,
             request.deadline,
             min(route.objective_s, route.timeout_s),
             read_now(),
+            is_nested=is_nested or self._graph.is_internal(route.name),
         )
 
     def _refuse_for_stop(self, request: PendingRequest) -> Reply:
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -10,6 +10,8 @@
 from kumquatwalk.daemon.platform_interface import PlatformInterface
 from kumquatwalk.daemon.status import add_state_gauges
 from kumquatwalk.daemon.tests.samples import make_settings
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.metrics import MetricsRegistry
 from kumquatwalk.native.caller_response import _STATUS_BY_CODE
@@ -48,6 +50,7 @@
     reply = Reply(outcome=Outcome.DONE, code="", status=200)
     meters.record_request("r", reply, 0.0)
     meters.record_run(reply, 0.0)
+    meters.record_unanswered(Stage.READ, End.TIMEOUT)
     return core.registry
 
 
