Trust a route to be internal at a stop only after ten seconds

Cause: the process was three seconds old when its stop began. Its graph of calls had reports of few nodes, several of which restarted, and took two routes of callers for internal ones, so the mean counted for them and not the longest.

Change: a route counts as internal for the stop once it has been so for ten seconds and no caller was seen on it meanwhile.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -34,6 +34,7 @@
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.leaving_targets import LeavingTargets
 from kumquatwalk.routing.route_sizes import RouteSizes
+from kumquatwalk.routing.settled_routes import SettledRoutes
 from kumquatwalk.routing.split import TrafficSplitter
 from kumquatwalk.routing.target_choice import ChoiceContext
 from kumquatwalk.routing.target_choice import TargetView
@@ -125,6 +126,7 @@
         self._sizes = RouteSizes()
         self._timeouts = LongestTimeouts()
         self._leaving = LeavingTargets()
+        self._settled = SettledRoutes()
         self._request_timeouts = RequestTimeouts()
         self.stop_admission = StopAdmission()
         self.capped = 0
@@ -202,6 +204,12 @@
             timeout_s = min(timeout_s, caller.timeout_s)
         deadline = http.received_at + timeout_s
         self._traffic.record_arrival(route.name)
+        self._settled.record(
+            route.name,
+            self._graph.is_internal(route.name),
+            self._graph.is_external(route.name),
+            read_now(),
+        )
         request = PendingRequest(
             http,
             caller,
@@ -248,7 +256,8 @@
             request.deadline,
             min(route.objective_s, route.timeout_s),
             read_now(),
-            is_nested=is_nested or self._graph.is_internal(route.name),
+            is_nested=is_nested
+            or self._settled.is_internal(route.name, read_now()),
         )
 
     def _refuse_for_stop(self, request: PendingRequest) -> Reply:
--- a/kumquatwalk/daemon/tests/test_stop_nested_calls.py
+++ b/kumquatwalk/daemon/tests/test_stop_nested_calls.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from kumquatwalk.routing import settled_routes
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
@@ -48,8 +49,11 @@
         for number in range(CALLS):
             await self.call("/other/", f"short-{number}")
         # On the platform's interface a nested call is known by its route only.
-        with mock.patch.object(
-            CallGraph, "is_internal", lambda _, route: route == "other"
+        with (
+            mock.patch.object(
+                CallGraph, "is_internal", lambda _, route: route == "other"
+            ),
+            mock.patch.object(settled_routes, "SETTLED_S", 0.0),
         ):
             drain = asyncio.create_task(node.daemon.drain())
             await asyncio.sleep(RUN_AFTER_S)
