Pass nothing on behind answers that a client has not taken at a stop

Change: while the server stops, a connection with more than 64 KiB of answers not taken gets no further request: it is refused, or left behind the closing answer. The test failed before: the request was answered 200 and not refused.

--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -64,6 +64,11 @@
         """Number of answers that were not taken at the last update."""
         return len(self._untaken)
 
+    @property
+    def untaken_bytes(self) -> int:
+        """Bytes of answers that were not taken at the last update."""
+        return self._written_bytes - self._taken_bytes if self._untaken else 0
+
     def write(
         self,
         request: HttpRequest,
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -32,6 +32,10 @@
 # the timeout does not race with the close.
 IDLE_MARGIN_S = 1.0
 
+# Bytes of answers not taken at which a connection gets no further request while
+# the server stops: what comes behind them may not be taken in time.
+BACKLOG_BYTES_MAX = 64 * 1024
+
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
@@ -250,7 +254,7 @@
 
     def _start_exchange(self, request: HttpRequest) -> None:
         exchange = Exchange(request)
-        if self._is_late:
+        if self._is_late or self._has_backlog(read_now()):
             self._end_requests()
             if self._exchanges:
                 self._exchanges.leave_behind(request)
@@ -339,6 +343,13 @@
         """Whether the next request to be completed has begun after the stop."""
         return not self._server.is_accepting and not self._expects_rest
 
+    def _has_backlog(self, now: float) -> bool:
+        """Return whether a stop could come before the answers are taken."""
+        if not self._server.is_stopping:
+            return False
+        self._writer.update(now)
+        return self._writer.untaken_bytes > BACKLOG_BYTES_MAX
+
     def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
         if self._is_in_request:
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -1,8 +1,10 @@
 """Tests of callers' connections after the server stops to accept requests."""
 
 import asyncio
+import socket
 import unittest
 
+from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.tests.connection_case import HANG_S
 from kumquatwalk.http1.tests.connection_case import ConnectionCase
 from kumquatwalk.http1.tests.connection_case import make_get
@@ -38,6 +40,32 @@
         self.server.stop_accepting()
         self.assertEqual(await self.read_all(reader), [])
 
+    # Guards against LOST: a request behind large answers that its client reads
+    # slowly was passed on, and its answer was cut off at the end of the stop.
+    async def test_request_behind_untaken_answers_is_refused_at_a_stop(self):
+        large = bytes(1024 * 1024)
+        self.answers["/large"] = HttpResponse(200, body=large)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        sock.setblocking(False)
+        address = ("127.0.0.1", self.server.port)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.close)
+        writer.transport.pause_reading()
+        writer.write(make_get("/large"))
+        await self.wait_for(lambda: self.seen)
+        await asyncio.sleep(0)
+        self.server.is_stopping = True
+        connection = next(iter(self.server.connections))
+        # Passed in by hand, as reading may pause.
+        connection.data_received(make_get("/b"))
+        writer.transport.resume_reading()
+        self.assertEqual(
+            await self.read_all(reader), [(200, False, large), *_REFUSAL]
+        )
+        self.assertEqual(self.seen, ["/large"])
+
     # Guards against LOST: a request that begins after the stop was passed on
     # behind others.
     async def test_late_request_behind_others_is_left_unanswered(self):
