End a link when its peer has taken the last reply

Callers saw: no answer or an unknown outcome for a request that another node had answered, when that node stopped and its reply was still on a long path.

Cause: calls_in_progress counted the transport's buffer only, so that a reply in the kernel was owed by nobody; links were aborted 0.1 s after their end, below a round trip at 60 ms one way, and the peer's next message then reset the connection and discarded the rest. A message after the end of the stream also raised an error in the task that sent it, and a link in a partition wrote its end before its held replies.

Ruled out: a reply that never left the transport (it is counted as before).

Change: a link knows the position of its last reply in its stream and asks the kernel how much the peer has acknowledged. A status that is not taken is not owed. At the close, links stay until the replies are taken, at most until 0.2 s before SIGKILL is due (1 s where there was no drain).

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -26,6 +26,7 @@
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.mesh.callbacks import PeerCallbacks
+from kumquatwalk.mesh.link_server import LINGER_MAX_S
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import Hello
@@ -177,13 +178,17 @@
         self.roster.start()
         self.state_publisher.start()
 
-    async def close(self) -> None:
-        """Stop all tasks and close all sockets."""
+    async def close(self, linger_max_s: float = LINGER_MAX_S) -> None:
+        """Stop all tasks and close all sockets.
+
+        Args:
+            linger_max_s: See ``LinkServer.close``.
+        """
         self.state_publisher.close()
         self.config_watcher.close()
         self.roster.close()
         self.peers.close()
-        await self.link_server.close()
+        await self.link_server.close(linger_max_s)
         self.target_side.close()
         self.store.close()
 
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -1,6 +1,7 @@
 """Life cycle of a daemon: start, graceful stop, close."""
 
 import asyncio
+import math
 from typing import Protocol
 
 from kumquatwalk.clock import read_now
@@ -9,6 +10,7 @@
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
+from kumquatwalk.mesh.link_server import LINGER_MAX_S
 
 __all__ = ["Component", "Daemon"]
 
@@ -23,6 +25,9 @@
 ANSWER_MARGIN_S = 0.6
 # Time before SIGKILL until which callers may take their answers, in seconds.
 SETTLE_MARGIN_S = 0.3
+# Time before SIGKILL until which other nodes may take their replies, in
+# seconds.
+CLOSE_MARGIN_S = 0.2
 # Time before the end of the drain at which calls in the queue of the target are
 # refused, in seconds, so that the refusals still reach their callers.
 QUEUE_MARGIN_S = 0.15
@@ -66,6 +71,7 @@
     ):
         self.core = core
         self.is_stopping = False
+        self._closes_by = math.inf
         self._caller_server = caller_server
         self._target_server = target_server
         self._components = (target_server, *components)
@@ -123,6 +129,7 @@
         began_at = read_now()
         grace_s = self.core.settings.bounds.grace_s
         ends_at = began_at + grace_s - ANSWER_MARGIN_S
+        self._closes_by = began_at + grace_s - CLOSE_MARGIN_S
         self.is_stopping = True
         self._caller_server.is_stopping = True
         # Callers that come before this time are not sent elsewhere yet.
@@ -199,7 +206,10 @@
         await self._caller_server.close()
         for component in reversed(self._components):
             await component.close()
-        await self.core.close()
+        linger_max_s = LINGER_MAX_S
+        if self.is_stopping:
+            linger_max_s = max(0.0, self._closes_by - read_now())
+        await self.core.close(linger_max_s)
         log_event("daemon_stopped")
 
     def _can_stop_accepting(self, elapsed_s: float) -> bool:
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -6,6 +6,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import FrameError
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.sockets import count_untaken_bytes
 from kumquatwalk.http1.sockets import set_liveness_options
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
@@ -66,6 +67,10 @@
         self._peer_host = ""
         self._is_partitioned = False
         self._held_frames: list[bytes] = []
+        self._is_ended = False
+        # Positions in the stream of sent bytes.
+        self._end = 0
+        self._replies_end = 0
         self.last_received_at = read_now()
 
     @property
@@ -74,9 +79,18 @@
         return self._transport is not None and not self._transport.is_closing()
 
     @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether bytes wait to be sent on the open connection."""
-        return self.is_open and self._transport.get_write_buffer_size() > 0
+    def has_untaken_reply(self) -> bool:
+        """Whether the peer has yet to acknowledge bytes of a reply.
+
+        It is False once the connection is closed. What was sent after the last
+        reply does not count, but for the end of the stream, which counts as a
+        byte of it.
+        """
+        if not self.is_open or not self._replies_end:
+            return False
+        untaken = count_untaken_bytes(self._transport)
+        untaken += sum(map(len, self._held_frames))
+        return self._end - untaken < self._replies_end
 
     @property
     def is_congested(self) -> bool:
@@ -117,17 +131,32 @@
         if self.is_open:
             self.send_payload(encode(message))
 
+    def send_reply(self, message: Message) -> None:
+        """Send a message that is owed to the peer until it has taken it.
+
+        Does nothing if the connection is closed or its stream has ended.
+
+        Args:
+            message: The message.
+        """
+        if self.is_open and not self._is_ended:
+            self.send(message)
+            self._replies_end = self._end
+
     def send_payload(self, payload: bytes) -> None:
-        """Send an encoded message; does nothing if the connection is closed.
+        """Send an encoded message.
+
+        Does nothing if the connection is closed or its stream has ended.
 
         Args:
             payload: The message, as ``encode`` returns it.
         """
-        if not self.is_open:
+        if not self.is_open or self._is_ended:
             return
         if self._compressor is not None:
             payload = self._compressor.compress(payload)
         frame = make_frame(payload)
+        self._end += len(frame)
         if self._is_partitioned:
             self._held_frames.append(frame)
         else:
@@ -141,7 +170,9 @@
         would lose what it has not received.
         """
         if self.is_open and self._transport.can_write_eof():
-            self._transport.write_eof()
+            self._is_ended = True
+            if not self._is_partitioned:
+                self._transport.write_eof()
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
@@ -159,6 +190,8 @@
         for frame in self._held_frames:
             self._transport.write(frame)
         self._held_frames.clear()
+        if self._is_ended:
+            self._transport.write_eof()
         self._transport.resume_reading()
         self._count_bytes()
 
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -8,6 +8,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.address import Address
+from kumquatwalk.clock import read_now
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
@@ -34,9 +35,11 @@
 # Cancellation message for calls whose link was lost. The caller may still be
 # waiting and send the call again on another connection.
 LINK_LOST = "link_lost"
-# Maximum time for which the last replies are taken before links are aborted, in
-# seconds: several round trips between zones.
+# Time that peers have to close their ends before links are aborted, in seconds.
 LINGER_S = 0.1
+# Maximum time that peers have to take the last replies, in seconds: several
+# round trips between zones.
+LINGER_MAX_S = 1.0
 _POLL_S = 0.01
 # Maximum number of calls of a link whose keys are remembered after their
 # replies: a peer of an earlier release does not say that it has taken them.
@@ -112,10 +115,10 @@
     def calls_in_progress(self) -> int:
         """Number of calls and queries from peers without a reply yet.
 
-        A link with unsent bytes counts as one, as they may be of a reply.
+        A link whose peer has yet to take a reply counts as one.
         """
         return sum(
-            len(s.tasks) + s.link.has_unsent_bytes
+            len(s.tasks) + s.link.has_untaken_reply
             for s in self._sessions.values()
         )
 
@@ -143,21 +146,24 @@
             backlog=1024,
         )
 
-    async def close(self) -> None:
+    async def close(self, linger_max_s: float = LINGER_MAX_S) -> None:
         """Stop listening, end all calls and close all connections.
 
-        Calls in progress get a reply that the outcome is unknown. Peers have
-        ``LINGER_S`` to take the last replies.
+        Calls in progress get a reply that the outcome is unknown. Links are
+        closed when their peers have taken the last replies.
+
+        Args:
+            linger_max_s: Time after which links are aborted whatever their
+                peers have taken, in seconds.
         """
+        began_at = read_now()
         self._is_closing = True
         if self._server is not None:
             self._server.close()
         for session in tuple(self._sessions.values()):
             self._end_calls(session)
             session.link.close_sending()
-        for _ in range(round(LINGER_S / _POLL_S)):
-            if not self._sessions:
-                return
+        while self._must_linger(read_now() - began_at, linger_max_s):
             await asyncio.sleep(_POLL_S)
         for link in tuple(self._sessions):
             link.abort()
@@ -178,6 +184,14 @@
             ):
                 link.send_payload(payload)
 
+    def _must_linger(self, elapsed_s: float, linger_max_s: float) -> bool:
+        """Return whether peers may still take what they are owed."""
+        if elapsed_s >= linger_max_s or not self._sessions:
+            return False
+        return elapsed_s < LINGER_S or any(
+            link.has_untaken_reply for link in self._sessions
+        )
+
     def _add_session(self, link: LinkProtocol) -> None:
         self._sessions[link] = _Session(link)
 
@@ -259,7 +273,7 @@
 
     def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
         running, queued = self._get_load()
-        session.link.send(ReplyFrame(call_id, running, queued, reply))
+        session.link.send_reply(ReplyFrame(call_id, running, queued, reply))
 
     def _end_calls(self, session: _Session) -> None:
         """Reply to all calls and queries in progress, and cancel them."""
