Let a stop wait for peers that have yet to get a kept reply

Callers saw: 504 for an unsafe request that had run and whose answer was at hand, when the target's node stopped while the link to it was down for 0.8 s.

Cause: the drain counted connections and calls with a link only. A call that runs on without its link, and a reply kept for its peer, were owed by nobody, so the process ended with most of its time left.

Ruled out: a peer that gives up (it asks again until the deadline).

Change: the drain asks UniqueCalls also. A call without its link is owed, and so is a kept answer of a target until its peer has confirmed it or the call's deadline has passed; a peer that never confirms holds a stop up until that deadline only. An answer without headers and body is kept as others are. Replies that no target gave are not counted: peers do not confirm these.

Of the tests added, the peer that never confirms failed before with "AssertionError: ... not greater than ..." (the stop ended before the deadline); the others need the new method.

--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -156,7 +156,7 @@
                 # Connections accepted from here on would be cut off at the end.
                 self._caller_server.stop_accepting()
                 is_accepting = False
-            if now > ends_at or not (is_accepting or self._count_owed()):
+            if now > ends_at or not (is_accepting or self._count_owed(now)):
                 return
 
     async def _end_requests(self, settles_at: float) -> None:
@@ -172,16 +172,19 @@
         while True:
             await asyncio.sleep(_POLL_S)
             now = read_now()
-            is_settled = not self._count_owed() and now > ended_at + REFUSAL_S
+            is_settled = (
+                not self._count_owed(now) and now > ended_at + REFUSAL_S
+            )
             if is_settled or now > settles_at:
                 return
 
     def _log_end(self, began_at: float) -> None:
         caller_side = self.core.caller_side
+        now = read_now()
         log_event(
             "daemon_drained",
-            seconds=read_now() - began_at,
-            owed=self._count_owed(),
+            seconds=now - began_at,
+            owed=self._count_owed(now),
             refused=caller_side.stop_admission.refused
             + self.core.target_side.stop_admission.refused,
             capped=caller_side.capped,
@@ -217,11 +220,12 @@
         running = self.core.target_side.limiter.running
         return elapsed_s > CALLER_DRAIN_S and not running
 
-    def _count_owed(self) -> int:
+    def _count_owed(self, now: float) -> int:
         """Return how many callers and calls may still lack their answer."""
         return (
             self._caller_server.busy_connections
             + self.core.link_server.calls_in_progress
+            + self.core.target_side.count_owed(now)
         )
 
     def _apply_config(self, config: FleetConfig) -> None:
--- a/kumquatwalk/daemon/retained_calls.py
+++ b/kumquatwalk/daemon/retained_calls.py
@@ -28,6 +28,7 @@
 class _Entry:
     """What is known of one call; ``reply`` is None while it runs."""
 
+    deadline: float
     forget_at: float
     reply: Reply | None = None
     size: int = 0
@@ -92,7 +93,7 @@
         if entry is not None:
             return entry.reply or _UNKNOWN
         last = max(now, min(deadline, now + RETENTION_MAX_S - MARGIN_S))
-        self._entries[key] = _Entry(last + MARGIN_S)
+        self._entries[key] = _Entry(deadline, last + MARGIN_S)
         if not is_resent:
             return None
         # The first copy may still arrive, on the connection before.
@@ -113,7 +114,7 @@
         size = measure_reply(reply)
         if entry.is_taken or size > self.bytes_max:
             entry.reply = _strip(reply)
-        elif size:
+        elif size or reply.status:
             entry.size = size
             self._kept[key] = None
             self.bytes_kept += size
@@ -135,6 +136,26 @@
         if key in self._kept:
             self._drop_reply(key)
 
+    def is_awaited(self, key: int, now: float) -> bool:
+        """Return whether a peer may still ask for the reply to a call.
+
+        Args:
+            key: Key of the call; no peer asks for one that is not known.
+            now: Current time, in seconds.
+        """
+        entry = self._entries.get(key)
+        return (
+            entry is not None and not entry.is_taken and now <= entry.deadline
+        )
+
+    def count_awaited(self, now: float) -> int:
+        """Return how many kept replies a peer may still ask for.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return sum(self.is_awaited(key, now) for key in self._kept)
+
     def forget_old(self, now: float) -> None:
         """Forget ended calls whose time has passed or that are too many.
 
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -262,6 +262,16 @@
         """
         self._unique_calls.release_reply(key)
 
+    def count_owed(self, now: float) -> int:
+        """Return how many replies are owed to peers that have no link now.
+
+        See ``UniqueCalls.count_owed``.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return self._unique_calls.count_owed(now)
+
     async def _serve_within_budget(self, call: Call) -> Reply:
         size = len(call.body)
         if size and not self._budget.try_reserve(size):
--- a/kumquatwalk/daemon/unique_calls.py
+++ b/kumquatwalk/daemon/unique_calls.py
@@ -27,6 +27,7 @@
         is_retained: Whether a copy of it may come from a peer.
         is_counted: Whether its body is counted here, and not by its caller.
         is_admitted: Whether it has been admitted to the target.
+        waiters: Number of tasks that wait for its reply.
         task: Task that runs it.
     """
 
@@ -34,6 +35,7 @@
     is_retained: bool
     is_counted: bool
     is_admitted: bool = False
+    waiters: int = 0
     task: asyncio.Task | None = None
 
 
@@ -106,6 +108,21 @@
         """
         self._retained.release_reply(key)
 
+    def count_owed(self, now: float) -> int:
+        """Return how many replies are owed to peers that may ask again.
+
+        These are calls that go on without their link, and replies that are kept
+        until their peers have taken them; none after the call's deadline.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        count = self._retained.count_awaited(now)
+        for key, running in self._in_progress.items():
+            if not running.waiters:
+                count += self._retained.is_awaited(key, now)
+        return count
+
     def _start(self, running: CallInProgress) -> CallInProgress:
         self._in_progress[running.call.key] = running
         running.task = asyncio.get_running_loop().create_task(
@@ -129,6 +146,7 @@
             self._retained.end(call.key, reply, read_now())
 
     async def _join(self, running: CallInProgress) -> Reply:
+        running.waiters += 1
         try:
             return await asyncio.shield(running.task)
         except asyncio.CancelledError as error:
@@ -141,3 +159,5 @@
                 running.is_counted = True
                 self._budget.hold(len(running.call.body))
             raise
+        finally:
+            running.waiters -= 1
