Judge calls of other nodes at a stop by the longest time, also when they may run again

It had run at two targets in turn, and the stops of both their nodes ended its runs.

In a rolling restart the other target is stopping too.

Change: only calls known to be nested are judged by the mean there.

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -371,14 +371,12 @@
         config = self._configs.config
         route = config and config.routes_by_name.get(call.route)
         objective_s = route.objective_s if route is not None else math.inf
-        # The end of the stop cuts off no caller here: a call that may run again
-        # is sent to another target.
         return self.stop_admission.admits(
             call.route,
             call.deadline,
             objective_s,
             read_now(),
-            is_nested=call.is_idempotent or call.depth > 0,
+            is_nested=call.depth > 0,
         )
 
     def _classify(self, content: RequestContent) -> CrashStatus:
