Read large replies of peers slowly while memory is short

Callers saw: a burst of large answers from other nodes took the callers' node over its memory, where the platform kills it with all requests in progress.

Cause: the memory was checked when a request came, against what was held then; the answers of requests in progress counted nowhere, and links read replies with no limit. Ruled out: the targets' nodes, where answers wait since.

Change: MemoryAdmission reserves the expected size of a large answer from the admission of its request to its end. For routes whose size is not known yet, and for answers larger than expected, a link that brings in more than 16 KB pauses while answers and other bodies hold both their limits together: it reads one piece each 0.25 s, so that neither the silence nor TCP_USER_TIMEOUT ends it and each reply ends. The reply waits in the sender's buffer, and the target behind it. No call is sent over a paused link, as its reply would come too late; the caller is refused before the run.

Not covered: one piece of a compressed link may unpack to many large replies; replies behind a large one on a paused link wait with it; a route without replies is reserved nothing.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -213,10 +213,20 @@
         )
         if not self._can_end(request):
             return self._refuse_for_stop(request)
-        if not self._memory.admits(self._sizes.estimate(route.name)):
+        size_kb = self._sizes.estimate(route.name)
+        if not self._memory.try_reserve(size_kb):
             return make_refusal(
                 caller, codes.MEMORY_EXHAUSTED, 0.0, self._rng, route.name
             )
+        try:
+            return await self._serve_admitted(request)
+        finally:
+            # From here on the connection holds the answer.
+            self._memory.release(size_kb)
+
+    async def _serve_admitted(self, request: PendingRequest) -> Reply:
+        """Serve a request for whose answer there is memory."""
+        route, caller, chain = request.route, request.caller, request.chain
         is_nested = chain is not None and chain.depth > 0
         if not is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -110,6 +110,7 @@
         self.answer_budget = ByteBudget(
             int(settings.memory_max_bytes * ANSWER_MEMORY_FRACTION)
         )
+        self.memory = MemoryAdmission(self.answer_budget, self.body_budget)
         self.own_view = TargetView(
             settings.node_id,
             settings.availability_zone,
@@ -223,6 +224,7 @@
             ),
             self.partition,
             self.body_budget,
+            self.memory.is_short,
         )
         self.target_side = TargetSide(
             self.settings,
@@ -246,7 +248,7 @@
             RetryBudgets(self.settings.bounds, self.peers, self._graph),
             metrics,
             self._crash_tracker,
-            MemoryAdmission(self.answer_budget),
+            self.memory,
         )
 
     def _make_entry(self) -> RosterEntry:
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -56,6 +56,7 @@
         partition: Fault injection that cuts this node off from hosts.
         budget: Bytes of bodies that the process may hold; None not to count
             those on links.
+        is_memory_short: Returns whether links read large replies only slowly.
     """
 
     def __init__(
@@ -65,12 +66,14 @@
         callbacks: PeerCallbacks,
         partition: Partition,
         budget: ByteBudget | None = None,
+        is_memory_short: Callable[[], bool] = lambda: False,
     ):
         self._own_view = own_view
         self._make_hello = make_hello
         self._callbacks = callbacks
         self._partition = partition
         self._budget = budget
+        self._is_memory_short = is_memory_short
         self._entries: dict[str, RosterEntry] = {}
         self._ranked: dict[str, RankedNodes] = {}
         self._links: dict[str, PeerLink] = {}
@@ -335,6 +338,7 @@
             self._callbacks,
             self._partition,
             self._budget,
+            self._is_memory_short,
         )
         link.start()
         self._links[entry.node_id] = link
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -26,6 +26,12 @@
 # Unsent bytes up to which they do not count in the budget. Above it the
 # transport calls resume_writing once most of them have been sent.
 UNCOUNTED_BYTES_MAX = 64 * 1024
+# Received bytes, of one frame or of a frame received in part, above which a
+# link pauses while memory is short: smaller messages pass.
+SMALL_FRAME_BYTES = 16 * 1024
+# Time for which a link then pauses, in seconds. It reads one piece after each
+# pause, so that neither end takes it for dead and each frame ends.
+READ_PAUSE_S = 0.25
 
 
 class LinkProtocol(asyncio.Protocol):
@@ -40,6 +46,7 @@
         on_message: Called with each received message.
         on_lost: Called when the connection is closed or lost.
         budget: Bytes of bodies that the process may hold; None not to count.
+        is_memory_short: Returns whether large messages are read only slowly.
 
     Attributes:
         last_received_at: Time at which data was last received, or at which the
@@ -52,11 +59,14 @@
         on_message: Callable[["LinkProtocol", Message], None],
         on_lost: Callable[["LinkProtocol"], None],
         budget: ByteBudget | None = None,
+        is_memory_short: Callable[[], bool] = lambda: False,
     ):
         self._on_open = on_open
         self._on_message = on_message
         self._on_lost = on_lost
         self._budget = budget
+        self._is_memory_short = is_memory_short
+        self._read_timer: asyncio.TimerHandle | None = None
         self._counted_bytes = 0
         self._frame_reader = FrameReader()
         self._compressor: PayloadCompressor | None = None
@@ -73,6 +83,11 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether it reads large messages only slowly, as memory is short."""
+        return self._read_timer is not None
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether bytes wait to be sent on the open connection."""
@@ -159,9 +174,23 @@
         for frame in self._held_frames:
             self._transport.write(frame)
         self._held_frames.clear()
-        self._transport.resume_reading()
+        if self._read_timer is None:
+            self._transport.resume_reading()
         self._count_bytes()
 
+    def _pause_reading(self) -> None:
+        if self._read_timer is None and self.is_open:
+            self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self._read_timer = loop.call_later(
+                READ_PAUSE_S, self._resume_reading
+            )
+
+    def _resume_reading(self) -> None:
+        self._read_timer = None
+        if self.is_open and not self._is_partitioned:
+            self._transport.resume_reading()
+
     def _count_bytes(self) -> None:
         """Count what waits here at present; nothing once it is closed."""
         if self._budget is None:
@@ -194,10 +223,12 @@
     def data_received(self, data: bytes) -> None:
         """Decode received frames and pass on their messages."""
         self.last_received_at = read_now()
+        largest = 0
         try:
             for payload in self._frame_reader.feed(data):
                 if self._decompressor is not None:
                     payload = self._decompressor.decompress(payload)
+                largest = max(largest, len(payload))
                 self._on_message(self, decode(payload))
         except FrameError as error:
             log_event(
@@ -208,6 +239,9 @@
             )
             self.abort()
         self._count_bytes()
+        largest = max(largest, self._frame_reader.pending_bytes)
+        if largest > SMALL_FRAME_BYTES and self._is_memory_short():
+            self._pause_reading()
 
     def resume_writing(self) -> None:
         """Stop counting the bytes that have been sent."""
@@ -216,6 +250,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the connection as lost."""
         del exc
+        if self._read_timer is not None:
+            self._read_timer.cancel()
         self._count_bytes()
         if self._partition is not None:
             self._partition.remove_listener(self._apply_partition)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -70,6 +70,7 @@
         callbacks: Functions called with messages from the peer.
         partition: Simulated network partition of this node.
         budget: Bytes of bodies that the process may hold; None not to count.
+        is_memory_short: Returns whether large replies are read only slowly.
 
     Attributes:
         address: Address at which the peer accepts links.
@@ -88,6 +89,7 @@
         callbacks: PeerCallbacks,
         partition: Partition,
         budget: ByteBudget | None = None,
+        is_memory_short: Callable[[], bool] = lambda: False,
     ):
         self.address = address
         self.view = view
@@ -97,6 +99,7 @@
         self._callbacks = callbacks
         self._partition = partition
         self._budget = budget
+        self._is_memory_short = is_memory_short
         self._link: LinkProtocol | None = None
         self._clock_offset_s = 0.0
         self._own_zone = ""
@@ -180,8 +183,11 @@
         Returns:
             The reply. With code ``LINK_FAILED``, its outcome is NOT_RUN if the
             link was not usable and nothing was sent, and UNKNOWN if the link
-            failed later.
+            failed later. Nothing is sent either while the link is paused: the
+            reply would come too late.
         """
+        if self._link is not None and self._link.is_paused:
+            return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
         self.view.in_flight += 1
         try:
             return await self._exchange(call)
@@ -284,6 +290,7 @@
                         self._handle_message,
                         self._on_link_lost,
                         self._budget,
+                        self._is_memory_short,
                     ),
                     self.address.host,
                     self.address.port,
