End clients that read too slowly while memory for answers is short

Callers saw: 8 callers that took 4,000 bytes/s of answers of 10 MB used up the memory for answers; the node then refused every other request with 503 memory_exhausted, for as long as the slow callers took anything at all.

Cause: at twice the memory for answers all requests are refused, and any byte taken counted as progress against the idle timeout, the only bound on a client. Ruled out: a leak of the budget; it is released when a client is ended.

Change: while answers hold more than their limit, or a request has been refused for want of their memory, clients that took less than 16 KB in the latest window of a second are ended (End.TIMEOUT, logged and counted as unanswered), the one for which most is held first, until the rest is within the limit. A window in which the process did not run does not count. As long as nobody needs the memory, a slow client reads as before.

The price: an ended client does not get the rest of an answer that was made.

--- a/kumquatwalk/admission/memory.py
+++ b/kumquatwalk/admission/memory.py
@@ -39,6 +39,7 @@
             return True
         used = self._answers.used + self._reserved_bytes
         if used + size > self._answers.limit:
+            self._answers.note_refusal(size)
             return False
         self._reserved_bytes += size
         return True
--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -9,6 +9,7 @@
 from kumquatwalk.http1.exchange_queue import Report
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.reading_rate import ReadingRate
 from kumquatwalk.http1.sockets import count_untaken_bytes
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
@@ -50,6 +51,7 @@
         self._held_bytes = 0
         self._written_bytes = 0
         self._taken_bytes = 0
+        self._rate = ReadingRate()
         # For each untaken answer the number of bytes written up to its end, and
         # its request without the body.
         self._untaken: collections.deque[tuple[int, HttpRequest]] = (
@@ -64,6 +66,14 @@
         """Number of answers that were not taken at the last update."""
         return len(self._untaken)
 
+    @property
+    def slowly_taken_bytes(self) -> int:
+        """Bytes held for a client that reads slowly; 0 for others.
+
+        See ``ReadingRate``, as of the last update.
+        """
+        return self._held_bytes if self._untaken and self._rate.is_slow else 0
+
     def write(
         self,
         request: HttpRequest,
@@ -82,6 +92,7 @@
         self.update(now)
         if not self._untaken:
             self.progress_at = now
+            self._rate.restart(self._taken_bytes, now)
         data = encode_response(
             response, request.method == b"HEAD", closes_connection
         )
@@ -136,5 +147,6 @@
         if taken_bytes > self._taken_bytes:
             self._taken_bytes = taken_bytes
             self.progress_at = now
+        self._rate.update(self._taken_bytes, now)
         while self._untaken and self._untaken[0][0] <= taken_bytes:
             self._untaken.popleft()
--- a/kumquatwalk/http1/byte_budget.py
+++ b/kumquatwalk/http1/byte_budget.py
@@ -12,11 +12,13 @@
     Attributes:
         limit: Maximum of the bytes reserved at once.
         used: Bytes reserved or held at present.
+        refusals: Number of reservations refused so far for what others hold.
     """
 
     def __init__(self, limit: int):
         self.limit = limit
         self.used = 0
+        self.refusals = 0
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes and return True, unless they exceed the limit.
@@ -25,10 +27,19 @@
             size: Number of bytes, at least 0.
         """
         if self.used + size > self.limit:
+            self.note_refusal(size)
             return False
         self.used += size
         return True
 
+    def note_refusal(self, size: int) -> None:
+        """Count a refusal, unless the size alone exceeds the limit.
+
+        Args:
+            size: Number of bytes refused.
+        """
+        self.refusals += size <= self.limit
+
     def hold(self, size: int) -> None:
         """Count bytes that exist already, even if they exceed the limit.
 
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -103,6 +103,15 @@
         owed = len(self._exchanges) + self._writer.untaken
         return owed + self._is_in_request
 
+    def count_slowly_taken(self, now: float) -> int:
+        """Return the bytes held for a client that reads slowly; else 0.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._writer.update(now)
+        return self._writer.slowly_taken_bytes
+
     def is_settled(self, now: float) -> bool:
         """Return whether the connection can be aborted without a loss.
 
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -29,6 +29,8 @@
 # Interval between checks of connection timeouts, in seconds; well below the
 # timeouts.
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+# The same while memory for answers is short.
+MEMORY_CHECK_INTERVAL_S = 0.25
 # The same once no requests are accepted, when connections are to end soon.
 STOP_CHECK_INTERVAL_S = 0.05
 
@@ -90,6 +92,7 @@
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
+        self._refusals_seen = 0
 
     @property
     def port(self) -> int:
@@ -204,13 +207,43 @@
         )
 
     async def _check_timeouts(self) -> None:
-        interval_s = (
-            TIMEOUT_CHECK_INTERVAL_S
-            if self.is_accepting
-            else STOP_CHECK_INTERVAL_S
-        )
         while True:
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(self._choose_check_interval())
             now = read_now()
             for connection in tuple(self.connections):
                 connection.check_timeouts(now)
+            self._end_slow_clients(now)
+
+    def _choose_check_interval(self) -> float:
+        if not self.is_accepting:
+            return STOP_CHECK_INTERVAL_S
+        if self._count_excess_bytes() > 0:
+            return MEMORY_CHECK_INTERVAL_S
+        return TIMEOUT_CHECK_INTERVAL_S
+
+    def _count_excess_bytes(self) -> int:
+        """Return the bytes to free so that answers have memory; else 0."""
+        answers = self.answer_budget
+        return 0 if answers is None else max(0, answers.used - answers.limit)
+
+    def _end_slow_clients(self, now: float) -> None:
+        """End clients that read slowly while memory for answers is short.
+
+        Those for which most is held come first, until the rest is within the
+        limit; at least one while requests are refused for want of memory.
+        """
+        if self.answer_budget is None:
+            return
+        excess = self._count_excess_bytes()
+        refusals = self.answer_budget.refusals
+        if refusals > self._refusals_seen:
+            excess = max(excess, 1)
+        self._refusals_seen = refusals
+        if not excess:
+            return
+        sizes = {c: c.count_slowly_taken(now) for c in self.connections}
+        for connection in sorted(sizes, key=sizes.get, reverse=True):
+            if excess <= 0 or not sizes[connection]:
+                return
+            excess -= sizes[connection]
+            connection.abort(End.TIMEOUT)
--- /dev/null
+++ b/kumquatwalk/proofs/tests/test_slow_callers.py
@@ -0,0 +1,74 @@
+"""Test that a few slow callers do not keep a node from serving others."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import tempfile
+import unittest
+
+from kumquatwalk.standin.daemon_fleet import exchange
+from kumquatwalk.standin.platform_fleet import PlatformFleet
+
+SLOW_CALLERS = 8
+ANSWER_BYTES = 10_000_000
+# Each slow caller reads this many bytes, then pauses for a time in seconds.
+PIECE_BYTES = 2000
+READ_PAUSE_S = 0.5
+# Time until the answers have come, in seconds.
+WAIT_S = 2.0
+REQUESTS = 20
+
+
+class SlowCallersTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="kumquatwalk-")
+        self.addCleanup(folder.cleanup)
+        self.fleet = PlatformFleet(pathlib.Path(folder.name))
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(4)
+        self.listener = self.fleet.nodes["n2"].listeners["outbound"]
+
+    async def read_slowly(self, attempt_id: str) -> None:
+        """Ask for a large answer and read it in small pieces."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (self.listener.host, self.listener.port))
+        head = (
+            f"GET /look/10/{ANSWER_BYTES} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Attempt-Id: {attempt_id}\r\nDeadline-Ms: 5000\r\n\r\n"
+        )
+        await loop.sock_sendall(sock, head.encode())
+        with contextlib.suppress(OSError):
+            while await loop.sock_recv(sock, PIECE_BYTES):
+                await asyncio.sleep(READ_PAUSE_S)
+
+    # Guards against refusals of all requests of a node for as long as a few
+    # callers read large answers slowly.
+    async def test_small_requests_are_served_beside_slow_callers(self):
+        tasks = [
+            asyncio.create_task(self.read_slowly(f"slow-{n}"))
+            for n in range(SLOW_CALLERS)
+        ]
+        await asyncio.sleep(WAIT_S)
+        statuses = []
+        for number in range(REQUESTS):
+            attempt = (b"Attempt-Id", b"small-%d" % number)
+            limit = (b"Deadline-Ms", b"2000")
+            answer = await exchange(
+                self.listener, b"GET", b"/look/0/10", (attempt, limit), b""
+            )
+            statuses.append(answer.status)
+            await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+        served = statuses.count(200)
+        self.assertGreater(served, REQUESTS // 2, f"statuses {statuses}")
+
+
+if __name__ == "__main__":
+    unittest.main()
