DRAIN: confirm first heartbeats, so that a target that left stays left

Cause: what a node acknowledges is known to its process only. The new process started with an empty TargetRecord, and the first heartbeat was the truth.

Change: a heartbeat that says ready counts only if the record can place it. After the start of the process, for a target of unknown order, or for one that has left, it is unconfirmed until the target answers a health check with 200 under the same identifier, or until its heartbeats have gone on for longer than one may be late (8 s), so that a sound target whose health check fails comes back. A health check sent before the heartbeat came confirms nothing. Health checks begin as soon as the configuration is known, not 0.7 s later, and a heartbeat that waits asks for one at once. A departure of another identifier than the current one is remembered.

Set-ups changed: DaemonFleet also waits until each node's own target is ready; a daemon that a test puts together gets a prober; a service that a test uses is in its configuration.

--- a/kumquatwalk/daemon/heartbeats.py
+++ b/kumquatwalk/daemon/heartbeats.py
@@ -18,8 +18,9 @@
     """Passes heartbeats and departures of the target to the target side.
 
     The answer is an acknowledgement, so it is sent only after the change is in
-    force. Heartbeats that the target side ignores are acknowledged too: those
-    of another service, and outdated ones.
+    force. Heartbeats that the target side ignores are acknowledged too, those
+    of another service and outdated ones, unless the target is in use and says
+    that it leaves.
 
     Args:
         target_side: Target side of the node.
@@ -36,7 +37,8 @@
 
         Returns:
             200 as an acknowledgement; 400 for a malformed heartbeat, 404 for
-            an unknown path and 405 for another method.
+            an unknown path, 405 for another method and 409 for an outdated
+            heartbeat that says that the target in use leaves.
         """
         path = request.url.decode("latin-1").partition("?")[0]
         if not path.startswith(HEARTBEAT_PATH_PREFIX):
@@ -57,5 +59,13 @@
                 error=error.message,
             )
             return HttpResponse(400, (_JSON_HEADER,), b'{"error":"malformed"}')
-        self._target_side.handle_heartbeat(heartbeat)
+        if not self._target_side.handle_heartbeat(heartbeat):
+            log_event(
+                "heartbeat_outdated",
+                Level.WARNING,
+                target=target_id,
+                incarnation=heartbeat.incarnation,
+                sequence=heartbeat.sequence,
+            )
+            return HttpResponse(409, (_JSON_HEADER,), b'{"error":"outdated"}')
         return HttpResponse(200, (_JSON_HEADER,), b"{}")
--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_side import TargetSide
@@ -15,9 +16,11 @@
 
 __all__ = ["TargetProber"]
 
-# Interval between probes while they are needed, in seconds.
-# Heartbeats, which come every 1.5 s, usually end the probing.
+# Minimum interval between probes, and interval of the checks whether one is
+# needed, in seconds.
 PROBE_INTERVAL_S = 0.7
+# Interval of the checks whether the configuration is known yet, in seconds.
+CONFIG_POLL_S = 0.05
 # Timeout of a probe, in seconds: it may be queued at the target.
 PROBE_TIMEOUT_S = 1.0
 _ANSWER_BYTES_MAX = 65536
@@ -57,10 +60,20 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        while not self._configs.config:
+            await asyncio.sleep(CONFIG_POLL_S)
+        requested = self._target_side.probe_requested
         while True:
-            if self._target_side.needs_probe and self._configs.config:
+            requested.clear()
+            if self._target_side.needs_probe:
                 await self._probe()
-            await asyncio.sleep(PROBE_INTERVAL_S)
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                continue
+            try:
+                async with asyncio.timeout(PROBE_INTERVAL_S):
+                    await requested.wait()
+            except TimeoutError:
+                pass  # a probe may be needed for another reason
 
     async def _probe(self) -> None:
         service = self._configs.config.services.get(self._settings.service)
@@ -72,6 +85,7 @@
             ((b"Host", str(self._settings.target).encode()),),
             b"",
         )
+        asked_at = read_now()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection = await open_connection(
@@ -86,7 +100,9 @@
             return
         if response.status == 200:
             self._target_side.handle_probe(
-                read_target_id(response), read_target_slots(response)
+                read_target_id(response),
+                read_target_slots(response),
+                asked_at,
             )
         else:
             log_event("target_probe_unhealthy", status=response.status)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -71,6 +71,7 @@
     Attributes:
         service: Service of the target; empty while unknown.
         record: Last known state of the target.
+        probe_requested: Set when a heartbeat waits to be confirmed by a probe.
         runs: Runs in progress.
         is_stopping: Whether this node is stopping, so that other nodes should
             choose other targets.
@@ -110,7 +111,9 @@
         self.stop_admission = StopAdmission()
         self._waiter = AdmissionWaiter()
         self.limiter.named_rate.expect_response(read_now())
-        self.record = TargetRecord()
+        # A service that the target announces is not probed.
+        self.record = TargetRecord(is_probed=bool(settings.service))
+        self.probe_requested = asyncio.Event()
 
     @property
     def limiter(self) -> TargetLimiter:
@@ -126,11 +129,13 @@
     def needs_probe(self) -> bool:
         """Whether a probe is needed to learn if the target accepts calls.
 
-        It is while the state is unknown, and while a ready target gets no calls
-        because it could not be reached.
+        It is while the state is unknown or a heartbeat is unconfirmed, and
+        while a ready target gets no calls because it could not be reached.
         """
         if self.record.state is TargetState.UNKNOWN:
             return True
+        if self.record.unconfirmed is not None:
+            return True
         return (
             self.record.state is TargetState.READY and not self.limiter.is_open
         )
@@ -172,7 +177,7 @@
         """Return the numbers of running and of queued calls."""
         return self.limiter.running, self.limiter.queued
 
-    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Update the target's state from a heartbeat.
 
         A heartbeat of another service than the configured one is ignored.
@@ -181,6 +186,10 @@
 
         Args:
             heartbeat: Decoded heartbeat.
+
+        Returns:
+            Whether it may be acknowledged: not if it says that the target
+            leaves and is ignored while the target is in use.
         """
         if self._settings.service not in ("", heartbeat.service):
             log_event(
@@ -188,11 +197,15 @@
                 service=heartbeat.service,
                 expected=self._settings.service,
             )
-            return
+            return True
         record = self.record.handle_heartbeat(heartbeat, read_now())
         if record is not self.record and not self._settings.service:
             self._use_announced_service(heartbeat)
         self._set_record(record)
+        is_current = record.target_id == heartbeat.target_id
+        return heartbeat.state is not TargetState.DRAINING or not (
+            is_current and record.state is TargetState.READY
+        )
 
     def handle_departure(self, target_id: str) -> None:
         """Record that the target has announced its permanent departure.
@@ -202,15 +215,18 @@
         """
         self._set_record(self.record.handle_departure(target_id))
 
-    def handle_probe(self, target_id: str, slots: int) -> None:
+    def handle_probe(self, target_id: str, slots: int, asked_at: float) -> None:
         """Update the target's state from a successful health probe.
 
         Args:
             target_id: Identifier that the target answered with.
             slots: Number of concurrent runs that it reported; 0 when it
                 reported none.
+            asked_at: Time at which the probe was sent, in seconds.
         """
-        record = self.record.handle_probe(target_id, slots)
+        record = self.record.handle_probe(
+            target_id, slots, asked_at, read_now()
+        )
         if record.target_id == target_id:
             self._set_record(record)
 
@@ -290,6 +306,8 @@
 
     def _set_record(self, record: TargetRecord) -> None:
         before, self.record = self.record, record
+        if record.unconfirmed not in (None, before.unconfirmed):
+            self._request_confirmation(record.unconfirmed)
         if record.state is TargetState.READY:
             self._waiter.open(record.slots)
         else:
@@ -310,6 +328,15 @@
                     self.limiter.named_rate.clear()
             self._on_change()
 
+    def _request_confirmation(self, heartbeat: Heartbeat) -> None:
+        log_event(
+            "heartbeat_unconfirmed",
+            target=heartbeat.target_id,
+            incarnation=heartbeat.incarnation,
+            sequence=heartbeat.sequence,
+        )
+        self.probe_requested.set()
+
     def _use_announced_service(self, heartbeat: Heartbeat) -> None:
         """Use the service and the address that the target has announced."""
         self.service = heartbeat.service
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -13,6 +13,7 @@
 from kumquatwalk.daemon.platform_interface import PlatformInterface
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.daemon.route_handler import RouteHandler
+from kumquatwalk.daemon.target_prober import TargetProber
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.encoder import encode_request
@@ -236,7 +237,7 @@
         core,
         HttpServer(settings.caller_listener, handler.handle),
         HttpServer(settings.heartbeat_listener, heartbeats.handle),
-        (component,),
+        (TargetProber(settings, core.target_side, core.configs), component),
     )
 
 
--- a/kumquatwalk/daemon/tests/test_stopping.py
+++ b/kumquatwalk/daemon/tests/test_stopping.py
@@ -13,7 +13,8 @@
 
     async def asyncSetUp(self):
         self.fleet = DaemonFleet()
-        await self.fleet.start(make_config(("web",), timeoutS=3.0))
+        config = make_config(("web", "other"), timeoutS=3.0)
+        await self.fleet.start(config)
         self.addAsyncCleanup(self.fleet.close)
         for name in ("web-1", "web-2"):
             node = await self.fleet.add_node(name, "web")
--- a/kumquatwalk/standin/daemon_fleet.py
+++ b/kumquatwalk/standin/daemon_fleet.py
@@ -15,6 +15,7 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.standin.kv_store import KvStore
 from kumquatwalk.standin.scripted_target import ScriptedTarget
+from kumquatwalk.targets.heartbeat import TargetState
 
 __all__ = ["DaemonFleet", "FleetNode", "make_config"]
 
@@ -167,6 +168,17 @@
             json.dumps(document).encode(),
         )
 
+    async def send_departure(self, name: str) -> HttpResponse:
+        """Let a node's target tell its daemon that it leaves for good.
+
+        Args:
+            name: Name of the node.
+        """
+        node = self.nodes[name]
+        path = f"/instances/{node.target.target_id}".encode()
+        address = node.settings.heartbeat_listener
+        return await exchange(address, b"DELETE", path, (), b"")
+
     async def wait_until_ready(self) -> None:
         """Send heartbeats and wait until all daemons are ready and connected.
 
@@ -208,7 +220,11 @@
     def _is_ready(self, node: FleetNode) -> bool:
         daemon = node.daemon
         others = len(self.nodes) - 1
-        return daemon.is_ready and daemon.core.peers.count_ready() >= others
+        return (
+            daemon.is_ready
+            and daemon.core.target_side.record.state is TargetState.READY
+            and daemon.core.peers.count_ready() >= others
+        )
 
     def _make_settings(
         self,
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -5,6 +5,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.targets.heartbeat import Heartbeat
 from kumquatwalk.targets.heartbeat import TargetState
+from kumquatwalk.targets.record import LATE_HEARTBEAT_MAX_S
 from kumquatwalk.targets.record import TargetRecord
 
 
@@ -87,13 +88,59 @@
         self.assertEqual(record.target_id, "i-2")
 
     def test_probe_changes_only_the_unknown_state(self):
-        record = TargetRecord().handle_probe("i-1", 8)
+        record = TargetRecord().handle_probe("i-1", 8, 10.0, 10.0)
         self.assertIs(record.state, TargetState.READY)
         record = apply(make_heartbeat(state=TargetState.DRAINING)).handle_probe(
-            "i-1", 8
+            "i-1", 8, 10.0, 10.0
         )
         self.assertIs(record.state, TargetState.DRAINING)
 
+    # Guards against a sound target staying out because its health check fails.
+    def test_heartbeats_that_go_on_count_without_a_probe(self):
+        record = TargetRecord(is_probed=True)
+        for sequence, now in ((1, 0.0), (2, LATE_HEARTBEAT_MAX_S)):
+            heartbeat = make_heartbeat(sequence=sequence)
+            record = record.handle_heartbeat(heartbeat, now)
+            self.assertIs(record.state, TargetState.UNKNOWN)
+        now = LATE_HEARTBEAT_MAX_S + 0.1
+        again = record.handle_heartbeat(make_heartbeat(sequence=1), now)
+        self.assertIs(again.state, TargetState.UNKNOWN)
+        record = record.handle_heartbeat(make_heartbeat(sequence=3), now)
+        self.assertIs(record.state, TargetState.READY)
+
+    def test_probe_that_was_sent_before_a_heartbeat_does_not_confirm_it(self):
+        record = TargetRecord(is_probed=True).handle_departure("i-1")
+        record = record.handle_heartbeat(make_heartbeat(), 10.0)
+        record = record.handle_probe("i-1", 8, 9.9, 10.1)
+        self.assertIs(record.state, TargetState.GONE)
+
+    def test_unplaced_heartbeat_does_not_replace_the_target(self):
+        record = TargetRecord(is_probed=True)
+        record = record.handle_probe("i-1", 8, 9.0, 9.1)
+        record = record.handle_heartbeat(make_heartbeat(sequence=5), 9.2)
+        for state in (TargetState.READY, TargetState.DRAINING):
+            other = make_heartbeat(target_id="i-2", incarnation=0, state=state)
+            record = record.handle_heartbeat(other, 9.3)
+        record = record.handle_probe("i-1", 8, 9.4, 9.5)
+        self.assertEqual(
+            (record.target_id, record.state), ("i-1", TargetState.READY)
+        )
+        self.assertIsNone(record.unconfirmed)
+        heartbeat = make_heartbeat(sequence=6, state=TargetState.DRAINING)
+        record = record.handle_heartbeat(heartbeat, 9.6)
+        self.assertIs(record.state, TargetState.DRAINING)
+
+    # Guards against the departure of a target being forgotten because another
+    # one was current when it came.
+    def test_late_heartbeat_after_a_departure_does_not_make_it_current(self):
+        record = TargetRecord(is_probed=True)
+        record = record.handle_probe("i-1", 8, 9.0, 9.1)
+        record = record.handle_heartbeat(make_heartbeat(), 9.2)
+        record = record.handle_departure("i-2")
+        late = make_heartbeat(target_id="i-2", incarnation=2000)
+        record = record.handle_heartbeat(late, 9.3)
+        self.assertEqual(record.target_id, "i-1")
+
 
 if __name__ == "__main__":
     unittest.main()
