DRAIN: a report with missing fields names no target

Cause: decode_heartbeat did not require version and coldLeftS, which PROTOCOL.md lists ("fields missing or of another type [...] names no backend to use"), and an ignored report was acknowledged.

Change: both fields are required.

--- a/kumquatwalk/daemon/tests/test_late_heartbeats.py
+++ b/kumquatwalk/daemon/tests/test_late_heartbeats.py
@@ -102,6 +102,25 @@
         await self.fleet.send_heartbeat("web-1", born=2000, sequence=1)
         await self._wait_for_run()
 
+    # Guards against DRAIN: after a report of another writer, in which fields
+    # are missing, the reports of the target were acknowledged and ignored.
+    async def test_target_leaves_after_a_report_of_another_writer(self):
+        for changes in ({"version": None, "born": 0}, {"born": 0}):
+            with self.subTest(changes=changes):
+                await self.fleet.send_heartbeat("web-1", "other", **changes)
+        await self._wait_for_run()
+        answer = await self.fleet.send_heartbeat("web-1", state="draining")
+        self.assertEqual(answer.status, 200)
+        await self._check_it_gets_nothing()
+
+    # Guards against a report that is ignored being acknowledged.
+    async def test_outdated_report_that_the_target_leaves_is_refused(self):
+        for born, status in ((500, 409), (1000, 200)):
+            answer = await self.fleet.send_heartbeat(
+                "web-1", state="draining", born=born
+            )
+            self.assertEqual(answer.status, status)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/platform/heartbeat.py
+++ b/kumquatwalk/platform/heartbeat.py
@@ -43,6 +43,8 @@
         raise PlatformFormatError(
             "field_invalid", "the path has no target identifier"
         )
+    # A report without it comes from another writer and names no target.
+    fields.read_text(table, "version")
     return Heartbeat(
         target_id=target_id,
         service=fields.read_text(table, "service"),
@@ -50,7 +52,7 @@
         availability_zone=fields.read_text(table, "zone"),
         slots=fields.read_int(table, "slots"),
         state=state,
-        cold_left_s=fields.read_number(table, "coldLeftS", 0.0),
+        cold_left_s=fields.read_number(table, "coldLeftS"),
         # Start time of the target in Unix milliseconds; 0 if not given.
         incarnation=fields.read_int(table, "born", 0),
         sequence=fields.read_int(table, "sequence"),
--- a/kumquatwalk/platform/tests/test_decoders.py
+++ b/kumquatwalk/platform/tests/test_decoders.py
@@ -188,8 +188,10 @@
             "service",
             "address",
             "zone",
+            "version",
             "slots",
             "state",
+            "coldLeftS",
             "sequence",
         ):
             for value in (None, [], {}, -1, "", True):
--- a/kumquatwalk/standin/daemon_fleet.py
+++ b/kumquatwalk/standin/daemon_fleet.py
@@ -139,11 +139,15 @@
         node.daemon = make_daemon(node.settings)
         await node.daemon.start()
 
-    async def send_heartbeat(self, name: str, **changes) -> HttpResponse:
+    async def send_heartbeat(
+        self, name: str, target_id: str = "", **changes
+    ) -> HttpResponse:
         """Send a heartbeat from a node's target to its daemon.
 
         Args:
             name: Name of the node.
+            target_id: Identifier of another target that it is of; empty for the
+                node's own.
             **changes: JSON fields that override the defaults.
         """
         node = self.nodes[name]
@@ -163,7 +167,7 @@
         return await exchange(
             node.settings.heartbeat_listener,
             b"PUT",
-            f"/instances/{node.target.target_id}".encode(),
+            f"/instances/{target_id or node.target.target_id}".encode(),
             (),
             json.dumps(document).encode(),
         )
