DRAIN: peers remember departures and tell a node that has been restarted

Not seen by operators; found while weighing where the health check fails as a witness.

Cause: all nodes are told DRAINING or GONE before the acknowledgement, and nobody remembers it beyond the next status. LeavingTargets kept only what a target says in its answers.

Change: a status says whether the target leaves, apart from a node that stops; callers remember identifier and start of such targets, choose them no more, and name them in the handshake with the node beside them, which then takes the target for draining. Another start of the target is used. What has no start time is not remembered, as it could not be told from the next start. The fields of the messages are added, so a node of an earlier release ignores them.

What remains: until a peer has linked to the restarted node again (up to 0.8 s), callers on that VM itself may reach such a target; and all nodes restarted at once, with wrong health checks and a late heartbeat, remember nothing. The store was weighed: an entry could not be waited for, as an acknowledgement binds also while the store is away, and it would add a write for each departure.

Test: test_peers_remember_a_departure_when_the_health_check_is_wrong failed on the commit before.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -125,7 +125,7 @@
         self._splitter = TrafficSplitter(self._rng)
         self._sizes = RouteSizes()
         self._timeouts = LongestTimeouts()
-        self._leaving = LeavingTargets()
+        self.leaving = LeavingTargets()
         self._settled = SettledRoutes()
         self._request_timeouts = RequestTimeouts()
         self.stop_admission = StopAdmission()
@@ -334,7 +334,7 @@
     ) -> None:
         request.tried_nodes.add(view.node_id)
         if reply.is_leaving:
-            self._leaving.record(view.node_id, view.status)
+            self.leaving.record(view.node_id, view.status)
         if reply.crash_mark:
             request.crash_marks += reply.crash_mark
             self._crash_tracker.record_marks(
@@ -386,7 +386,7 @@
         views = [
             view
             for view in self._peers.list_views(request.service)
-            if not self._leaving.has(view.node_id, view.status)
+            if not self.leaving.has(view.node_id, view.status)
         ]
         return choose_target(views, context, self._rng)
 
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -203,9 +203,16 @@
         self.caller_side.set_end(ends_at, typical_until)
         self.target_side.stop_admission.set_end(ends_at, typical_until)
 
-    def make_hello(self) -> Hello:
-        """Return this node's first message on a link."""
+    def make_hello(self, receiver: str = "") -> Hello:
+        """Return this node's first message on a link.
+
+        Args:
+            receiver: Identifier of the node that it is for. The message says
+                which target of that node has left, as a node that has been
+                restarted does not know it.
+        """
         settings = self.settings
+        left_key, left_start_ms = self.caller_side.leaving.find(receiver)
         return Hello(
             node_id=settings.node_id,
             incarnation=self.incarnation,
@@ -214,6 +221,8 @@
             host=settings.link_listener.host,
             port=self.link_server.port,
             clock_s=read_now(),
+            left_target_key=left_key,
+            left_target_start_ms=left_start_ms,
         )
 
     def _make_call_sides(self) -> None:
@@ -279,8 +288,15 @@
 
     def _add_peer(self, hello: Hello) -> None:
         self.roster.add_peer(hello)
+        if hello.left_target_key:
+            self.target_side.recall_departure(
+                hello.left_target_key, hello.left_target_start_ms
+            )
 
     def _handle_status(self, view: TargetView, status: TargetStatus) -> None:
+        # Without its start, it could not be told from its next one.
+        if status.is_leaving and status.target_start_ms:
+            self.caller_side.leaving.record(view.node_id, status)
         is_due = self._config_pull.is_due(
             status.config_version,
             self.configs.version,
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -51,7 +51,7 @@
 
     Args:
         own_view: State of this node's own target, as used to choose targets.
-        make_hello: Returns this node's first message on a link.
+        make_hello: Returns this node's first message on a link to a node.
         callbacks: Functions called with messages from other nodes.
         partition: Fault injection that cuts this node off from hosts.
         budget: Bytes of bodies that the process may hold; None not to count
@@ -62,7 +62,7 @@
     def __init__(
         self,
         own_view: TargetView,
-        make_hello: Callable[[], Hello],
+        make_hello: Callable[[str], Hello],
         callbacks: PeerCallbacks,
         partition: Partition,
         budget: ByteBudget | None = None,
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -114,6 +114,7 @@
         # A service that the target announces is not probed.
         self.record = TargetRecord(is_probed=bool(settings.service))
         self.probe_requested = asyncio.Event()
+        self._departures: dict[int, int] = {}
 
     @property
     def limiter(self) -> TargetLimiter:
@@ -169,8 +170,10 @@
             config_version=self._configs.version,
             route_times=limiter.run_times.list_means(PUBLISHED_ROUTES_MAX),
             failure_share=self._failure_share,
-            target_key=zlib.crc32(self.record.target_id.encode()),
+            target_key=_hash_identifier(self.record.target_id),
             target_start_ms=self.record.incarnation,
+            # Identifiers of targets that are not probed are used again.
+            is_leaving=self.record.is_probed and self.record.is_leaving,
         )
 
     def get_load(self) -> tuple[int, int]:
@@ -215,6 +218,16 @@
         """
         self._set_record(self.record.handle_departure(target_id))
 
+    def recall_departure(self, target_key: int, start_ms: int) -> None:
+        """Record what a peer remembers: that a target has left.
+
+        Args:
+            target_key: Hash of its identifier, as this node published it.
+            start_ms: Start of the target in Unix milliseconds.
+        """
+        self._departures[target_key] = start_ms
+        self._set_record(self.record)
+
     def handle_probe(self, target_id: str, slots: int, asked_at: float) -> None:
         """Update the target's state from a successful health probe.
 
@@ -305,6 +318,9 @@
         return self.record.state
 
     def _set_record(self, record: TargetRecord) -> None:
+        key = _hash_identifier(record.target_id)
+        if key in self._departures:
+            record = record.apply_departure(self._departures[key])
         before, self.record = self.record, record
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
@@ -537,6 +553,10 @@
         return reply
 
 
+def _hash_identifier(target_id: str) -> int:
+    return zlib.crc32(target_id.encode())
+
+
 _RUN_FINDINGS = (Finding.SOUND, Finding.FAILED, Finding.CONNECTION_LOST)
 _CLOSED_CODES = {
     TargetState.UNKNOWN: codes.TARGET_ABSENT,
--- a/kumquatwalk/daemon/tests/test_late_heartbeats.py
+++ b/kumquatwalk/daemon/tests/test_late_heartbeats.py
@@ -88,6 +88,24 @@
         await self._call("web-1")
         self.assertEqual(self.target.runs, [])
 
+    # Guards against the same where the health check of the target is wrong: the
+    # nodes that know of the departure remember it, and tell the restarted one.
+    async def test_peers_remember_a_departure_when_the_health_check_is_wrong(
+        self,
+    ):
+        await self.fleet.send_departure("web-1")
+        await self.fleet.restart_daemon("web-1")
+        await self._send_late()
+        await self._check_it_gets_nothing()
+        async with asyncio.timeout(10):
+            while not self.node.daemon.core.target_side.record.is_leaving:
+                await asyncio.sleep(0.01)
+        await self._call("web-1")
+        self.assertEqual(self.target.runs, [])
+        # Another start under the same identifier is used again.
+        await self.fleet.send_heartbeat("web-1", born=2000, sequence=1)
+        await self._wait_for_run()
+
     async def test_sound_target_is_used_after_a_restart_without_heartbeat(self):
         await self.fleet.restart_daemon("web-1")
         self.target.runs.clear()
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -71,6 +71,8 @@
         host=str(reader.host),
         port=int(reader.port),
         clock_s=reader.clockUs / US_PER_S,
+        left_target_key=int(reader.leftTargetKey),
+        left_target_start_ms=int(reader.leftTargetStartMs),
     )
 
 
@@ -163,6 +165,7 @@
         failure_share=reader.failurePercent / 100,
         target_key=int(reader.targetKey),
         target_start_ms=int(reader.targetStartMs),
+        is_leaving=bool(reader.isLeaving),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -55,6 +55,8 @@
     builder.host = message.host
     builder.port = message.port
     builder.clockUs = int(message.clock_s * US_PER_S)
+    builder.leftTargetKey = message.left_target_key
+    builder.leftTargetStartMs = message.left_target_start_ms
 
 
 @write_frame.register
@@ -140,6 +142,7 @@
     builder.failurePercent = round(100 * min(1.0, message.failure_share))
     builder.targetKey = message.target_key
     builder.targetStartMs = message.target_start_ms
+    builder.isLeaving = message.is_leaving
     times = builder.init("routeTimes", len(message.route_times))
     for entry, (route, run_s) in zip(times, message.route_times):
         entry.route = route
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -9,6 +9,8 @@
   host @5 :Text;
   port @6 :UInt16;
   clockUs @7 :UInt64;
+  leftTargetKey @8 :UInt32;
+  leftTargetStartMs @9 :UInt64;
 }
 
 struct Call {
@@ -82,6 +84,7 @@
   failurePercent @8 :UInt8;
   targetKey @9 :UInt32;
   targetStartMs @10 :UInt64;
+  isLeaving @11 :Bool;
 }
 
 struct ConfigRequest {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -44,6 +44,10 @@
         host: IP address at which the sender accepts links.
         port: TCP port at which the sender accepts links.
         clock_s: Sender's clock when it sent the message, in seconds.
+        left_target_key: Hash of the identifier of a target beside the receiver
+            of which the sender knows that it has said that it leaves; 0 if it
+            knows of none.
+        left_target_start_ms: Start of that target in Unix milliseconds.
     """
 
     node_id: str
@@ -53,6 +57,8 @@
     host: str
     port: int
     clock_s: float
+    left_target_key: int = 0
+    left_target_start_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,6 +252,7 @@
         target_key: Hash of the target's identifier; 0 when it is not known.
         target_start_ms: Start of the target in Unix milliseconds; 0 when it is
             not known.
+        is_leaving: Whether the target has said that it leaves.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -259,6 +266,7 @@
     failure_share: float = 0.0
     target_key: int = 0
     target_start_ms: int = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -66,7 +66,7 @@
     Args:
         address: Address at which the peer accepts links.
         view: State of the peer's target as seen by this node; updated here.
-        make_hello: Returns this node's handshake message.
+        make_hello: Returns this node's handshake message to a peer.
         callbacks: Functions called with messages from the peer.
         partition: Simulated network partition of this node.
         budget: Bytes of bodies that the process may hold; None not to count.
@@ -85,7 +85,7 @@
         self,
         address: Address,
         view: TargetView,
-        make_hello: Callable[[], Hello],
+        make_hello: Callable[[str], Hello],
         callbacks: PeerCallbacks,
         partition: Partition,
         budget: ByteBudget | None = None,
@@ -297,7 +297,7 @@
                 )
                 link.attach_partition(self._partition, self.address.host)
                 self._link = link
-                hello = self._make_hello()
+                hello = self._make_hello(self.view.node_id)
                 self._own_zone = hello.availability_zone
                 link.send(hello)
                 await self._handshake_done.wait()
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -81,6 +81,8 @@
     ),
     CrashNotice(b"C12345678"),
     Cancel(3),
+    TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
+    Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
     TargetStatus(
         TargetState.DRAINING,
         8,
--- a/kumquatwalk/routing/leaving_targets.py
+++ b/kumquatwalk/routing/leaving_targets.py
@@ -1,4 +1,4 @@
-"""Targets that have said in an answer that they leave."""
+"""Targets that have said that they leave."""
 
 import collections
 
@@ -32,6 +32,19 @@
         if len(self._leaving) > NODES_MAX:
             self._leaving.popitem(last=False)
 
+    def find(self, node_id: str) -> tuple[int, int]:
+        """Return key and start of the last target beside a node that left.
+
+        Args:
+            node_id: Identifier of the node.
+
+        Returns:
+            As in ``TargetStatus``; both 0 if there is none or its start is not
+            known.
+        """
+        key, start_ms = self._leaving.get(node_id, (0, 0))
+        return (key, start_ms) if start_ms else (0, 0)
+
     def has(self, node_id: str, status: TargetStatus) -> bool:
         """Return whether the target beside a node has said that it leaves.
 
--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -152,6 +152,20 @@
             return self
         return dataclasses.replace(self, state=TargetState.DRAINING)
 
+    def apply_departure(self, incarnation: int) -> "TargetRecord":
+        """Return the record after others told that a start of it has left.
+
+        Args:
+            incarnation: Start of the target that has left. The current start
+                may be the same one if it is not known.
+        """
+        may_be_same = self.incarnation in (0, incarnation)
+        if self.state is not TargetState.READY or not may_be_same:
+            return self
+        return dataclasses.replace(
+            self, state=TargetState.DRAINING, incarnation=incarnation
+        )
+
     def mark_replaced(self) -> "TargetRecord":
         """Return the record after another target responded at the address."""
         return dataclasses.replace(
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -114,6 +114,16 @@
         record = record.handle_probe("i-1", 8, 9.9, 10.1)
         self.assertIs(record.state, TargetState.GONE)
 
+    def test_departure_that_others_remember_ends_with_another_start(self):
+        record = TargetRecord(is_probed=True)
+        record = record.handle_probe("i-1", 8, 9.0, 9.1).apply_departure(1000)
+        self.assertIs(record.state, TargetState.DRAINING)
+        record = record.handle_heartbeat(make_heartbeat(sequence=7), 9.2)
+        self.assertIs(record.state, TargetState.DRAINING)
+        started = make_heartbeat(incarnation=2000)
+        record = record.handle_heartbeat(started, 9.3).apply_departure(1000)
+        self.assertIs(record.state, TargetState.READY)
+
     def test_unplaced_heartbeat_does_not_replace_the_target(self):
         record = TargetRecord(is_probed=True)
         record = record.handle_probe("i-1", 8, 9.0, 9.1)
