--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -14,6 +14,7 @@
 from kumquatwalk.standin.scripted_target import Run
 
 __all__ = [
+    "Departure",
     "Impairment",
     "PlannedWork",
     "PlatformRecord",
@@ -27,6 +28,7 @@
 STABLE_S = 3.0
 LOSS_SLACK_S = 0.2
 CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
 SENT_EARLY_S = 3.0
 LAST_PART_S = GRACE_S / 6
 # Requests that a machine may leave without an answer at any time.
@@ -65,6 +67,21 @@
     ended_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """Planned departure of a target.
+
+    Attributes:
+        node: Node beside the target.
+        acked_at: Time at which a daemon acknowledged it, in seconds.
+        ended_at: End of the target, in seconds.
+    """
+
+    node: str
+    acked_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformRecord:
     """What callers and targets saw, and what was done to the daemons.
@@ -74,16 +91,18 @@
         runs: Node beside the target and run, in order of the runs, by attempt.
         works: Planned work, each SIGTERM only once for each process.
         impairments: Unplanned impairments.
+        departures: Acknowledged departures of targets.
     """
 
     attempts: Sequence[Attempt]
     runs: Mapping[str, Sequence[tuple[str, Run]]]
     works: Sequence[PlannedWork]
     impairments: Sequence[Impairment]
+    departures: Sequence[Departure] = ()
 
 
 def check_record(record: PlatformRecord) -> list[Violation]:
-    """Check rule LOST and what answers promise, as the operators state them.
+    """Check rules LOST and DRAIN and what answers promise.
 
     Args:
         record: Record after all callers and runs have ended.
@@ -108,7 +127,7 @@
         if count > UNANSWERED_MAX:
             detail = f"{count} requests that ran, without planned work"
             violations.append(Violation("lost_at_any_time", node, detail))
-    return violations
+    return violations + _list_late_runs(record)
 
 
 def write_record(
@@ -125,7 +144,12 @@
     """
     text = "".join(f"{violation}\n" for violation in violations)
     (folder / "violations.txt").write_text(text, encoding="utf-8")
-    entries = (*record.works, *record.impairments, *record.attempts)
+    entries = (
+        *record.works,
+        *record.impairments,
+        *record.departures,
+        *record.attempts,
+    )
     documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
     for attempt_id, runs in record.runs.items():
         for name, run in runs:
@@ -135,6 +159,43 @@
     (folder / "record.jsonl").write_text(lines, encoding="utf-8")
 
 
+def _list_late_runs(record: PlatformRecord) -> list[Violation]:
+    """Return the runs at targets that had left, sent by sound nodes."""
+    callers = {a.attempt_id: a.node for a in record.attempts}
+    violations = []
+    for attempt_id, runs in record.runs.items():
+        for name, run in runs:
+            nodes = {name, callers.get(attempt_id, name)}
+            if _is_impaired(nodes, run.at, run.at, record.impairments):
+                continue
+            for departure in record.departures:
+                late_s = run.at - departure.acked_at
+                is_of_it = (
+                    departure.node == name and run.at < departure.ended_at
+                )
+                if is_of_it and late_s > DRAIN_S:
+                    detail = (
+                        f"{late_s:.2f} s after the acknowledgement at {name}"
+                    )
+                    violations.append(Violation("late_run", attempt_id, detail))
+    return violations
+
+
+def _is_impaired(
+    nodes: set[str],
+    began_at: float,
+    ended_at: float,
+    impairments: Sequence[Impairment],
+) -> bool:
+    """Return whether a node was impaired in a time or shortly before it."""
+    return any(
+        impairment.node in nodes
+        and impairment.began_at <= ended_at
+        and impairment.ended_at >= began_at - STABLE_S
+        for impairment in impairments
+    )
+
+
 def _get_connection(attempt: Attempt) -> tuple[str, int]:
     """Return the caller and the number of its connection."""
     return attempt.attempt_id.rpartition("-")[0], attempt.connection
@@ -181,11 +242,8 @@
     if runs and runs[-1][1].is_broken_off:
         return True
     nodes = {attempt.node, *(node for node, _ in runs)}
-    return any(
-        impairment.node in nodes
-        and impairment.began_at <= attempt.ended_at
-        and impairment.ended_at >= attempt.began_at - STABLE_S
-        for impairment in record.impairments
+    return _is_impaired(
+        nodes, attempt.began_at, attempt.ended_at, record.impairments
     )
 
 
--- a/kumquatwalk/soak/platform_runner.py
+++ b/kumquatwalk/soak/platform_runner.py
@@ -18,6 +18,7 @@
 from kumquatwalk.soak.platform_plan import ChangeKind
 from kumquatwalk.soak.platform_plan import make_changes
 from kumquatwalk.soak.platform_plan import make_platform_plan
+from kumquatwalk.soak.platform_records import Departure
 from kumquatwalk.soak.platform_records import Impairment
 from kumquatwalk.soak.platform_records import PlannedWork
 from kumquatwalk.soak.platform_records import PlatformRecord
@@ -37,8 +38,19 @@
 NODE_COUNT = 6
 POLL_S = 0.02
 SLOW_FACTOR = 5.0
-# Time for which a target that leaves is still served, in seconds.
-LEAVE_S = 2.5
+# Range of the time for which a target that leaves still runs, in seconds.
+LEAVE_S = (2.5, 8.0)
+# Attempts to have a departure acknowledged, and the pause between them.
+DEPARTURE_TRIES = 4
+DEPARTURE_PAUSE_S = 0.5
+# Probability that the node beside a target that leaves is ended, and range of
+# the time after the acknowledgement, in seconds.
+END_RATIO = 0.7
+END_AFTER_S = (0.0, 1.0)
+# Late heartbeats of a target that leaves: largest number, and range of their
+# delays in seconds.
+LATE_HEARTBEATS_MAX = 3
+LATE_S = (0.5, 4.0)
 # A node that has started is reloaded within this time, in seconds.
 RELOAD_AFTER_START_S = 1.5
 HANG_GUARD_S = 60.0
@@ -80,6 +92,7 @@
         self._attempts: list[Attempt] = []
         self._works: list[PlannedWork] = []
         self._impairments: list[Impairment] = []
+        self._departures: list[Departure] = []
         self._violations: list[Violation] = []
         self._signalled: set[int] = set()
         self._ended_at_start = 0
@@ -105,7 +118,11 @@
         finally:
             await fleet.close()
         record = PlatformRecord(
-            self._attempts, self._collect_runs(), self._works, self._impairments
+            self._attempts,
+            self._collect_runs(),
+            self._works,
+            self._impairments,
+            self._departures,
         )
         self._violations += check_record(record)
         write_record(self._folder, record, self._violations)
@@ -160,9 +177,7 @@
             case Fault.NODE_STOP:
                 self._stop(node)
             case Fault.NODE_KILL:
-                self._impair(node, now)
-                self._signalled.add(node.pid)
-                node.signal(signal.SIGKILL)
+                self._kill(node)
             case Fault.NODE_PAUSE:
                 self._impair(node, now + action.hold_s)
                 node.signal(signal.SIGSTOP)
@@ -220,15 +235,64 @@
         self._works.append(PlannedWork(node.name, node.pid, read_now(), True))
         self._start_task(self._fleet.stop_daemon(node))
 
+    def _kill(self, node: PlatformNode) -> None:
+        self._impair(node, read_now())
+        self._signalled.add(node.pid)
+        node.signal(signal.SIGKILL)
+
     async def _restart_target(self, node: PlatformNode) -> None:
-        """Let a target leave as planned, then start another in its place."""
+        """Let a target leave as planned, then start another in its place.
+
+        At times the node beside it is ended, and heartbeats from before the
+        departure come late, more than once and in any order.
+        """
         if node.state != "ready" or not node.target.is_running:
             return
-        node.state = "draining"
-        await asyncio.sleep(LEAVE_S)
+        target_id = node.target.target_id
+        late = [
+            node.make_heartbeat()
+            for _ in range(self._rng.randint(0, LATE_HEARTBEATS_MAX))
+        ]
+        node.state = self._rng.choice(("draining", "gone"))
+        node.target.is_healthy = False
+        acked_at = await self._say_that_it_leaves(node, target_id)
+        if acked_at is not None and self._rng.random() < END_RATIO:
+            self._start_task(self._end_soon(node))
+        for heartbeat in late:
+            for _ in range(self._rng.randint(1, 2)):
+                self._start_task(self._report_late(node, target_id, heartbeat))
+        await asyncio.sleep(self._rng.uniform(*LEAVE_S))
         node.target.crash()
+        if acked_at is not None:
+            departure = Departure(node.name, acked_at, read_now())
+            self._departures.append(departure)
         await self._fleet.restart_target(node)
 
+    async def _say_that_it_leaves(
+        self, node: PlatformNode, target_id: str
+    ) -> float | None:
+        """Return when a departure was acknowledged; None if it was not."""
+        for _ in range(DEPARTURE_TRIES):
+            is_gone = node.state == "gone"
+            heartbeat = None if is_gone else node.make_heartbeat()
+            if await self._fleet.report(node, target_id, heartbeat) == 200:
+                return read_now()
+            await asyncio.sleep(DEPARTURE_PAUSE_S)
+        return None
+
+    async def _end_soon(self, node: PlatformNode) -> None:
+        await asyncio.sleep(self._rng.uniform(*END_AFTER_S))
+        if self._seed % 2:
+            self._stop(node)
+        else:
+            self._kill(node)
+
+    async def _report_late(
+        self, node: PlatformNode, target_id: str, heartbeat: dict
+    ) -> None:
+        await asyncio.sleep(self._rng.uniform(*LATE_S))
+        await self._fleet.report(node, target_id, heartbeat)
+
     async def _restart_ended(self) -> None:
         """Start what has ended; note a process that ended by itself."""
         while True:
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -3,6 +3,7 @@
 import dataclasses
 import unittest
 
+from kumquatwalk.soak.platform_records import Departure
 from kumquatwalk.soak.platform_records import Impairment
 from kumquatwalk.soak.platform_records import PlannedWork
 from kumquatwalk.soak.platform_records import PlatformRecord
@@ -174,5 +175,45 @@
         self.assertEqual(self.check(followed, RUN), ["not_the_last_answer"])
 
 
+LEFT = Departure("n2", 100.0, 107.0)
+
+
+class DepartureTest(unittest.TestCase):
+
+    def check(self, at, node="n2", impairments=()):
+        """Return the rules found broken for a run at a time."""
+        attempt = change(
+            CUT,
+            began_at=at,
+            sent_at=at,
+            status=200,
+            has_seal=True,
+            has_body=True,
+        )
+        runs = {"a": [(node, Run("a", None, at, False, at + 0.1))]}
+        record = PlatformRecord([attempt], runs, (), impairments, (LEFT,))
+        return [violation.rule for violation in check_record(record)]
+
+    # Guards against DRAIN: a target that had left got requests again.
+    def test_run_after_the_drain_of_a_departed_target_is_late(self):
+        self.assertEqual(self.check(102.1), ["late_run"])
+        self.assertEqual(self.check(106.9), ["late_run"])
+
+    def test_runs_in_the_drain_or_at_another_target_are_not_late(self):
+        self.assertEqual(self.check(102.0), [])
+        self.assertEqual(self.check(107.1), [])
+        self.assertEqual(self.check(103.0, node="n3"), [])
+
+    def test_nodes_that_were_impaired_shortly_before_do_not_count(self):
+        for node in ("n1", "n2"):
+            impaired = (Impairment(node, 100.5, 100.6),)
+            self.assertEqual(self.check(103.5, impairments=impaired), [])
+            self.assertEqual(
+                self.check(103.7, impairments=impaired), ["late_run"]
+            )
+        other = (Impairment("n3", 100.5, 100.6),)
+        self.assertEqual(self.check(103.5, impairments=other), ["late_run"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -14,6 +14,7 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.exception import ExchangeError
 from kumquatwalk.standin.daemon_fleet import exchange
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.kv_store import KvStore
@@ -26,6 +27,7 @@
 SERVICES = ("look", "pay")
 ROUTE_TIMEOUT_S = 5.0
 _HEARTBEAT_S = 1.5
+_REPORT_TIMEOUT_S = 1.0
 _START_TIMEOUT_S = 30.0
 _LISTENERS = ("inbound", "outbound", "ready", "control", "metrics")
 
@@ -147,6 +149,7 @@
             return
         node.state = "starting"
         await node.target.restart(f"i-{node.name}-{time.time_ns()}")
+        node.target.is_healthy = True
         node.born, node.sequence = time.time_ns() // 1_000_000, 0
         node.state = "ready"
 
@@ -193,9 +196,8 @@
 
     async def _send_beats(self, node: PlatformNode) -> None:
         while True:
-            if node.target.is_running:
-                with contextlib.suppress(Exception):
-                    await self.send_beat(node)
+            if node.target.is_running and node.state != "gone":
+                await self.send_beat(node)
             # Soon again until the daemon has started.
             await asyncio.sleep(_HEARTBEAT_S if node.sequence > 5 else 0.2)
 
@@ -205,26 +207,32 @@
         Args:
             node: Node beside the target.
         """
-        node.sequence += 1
-        target = node.target
-        document = {
-            "service": node.service,
-            "address": str(node.target_address),
-            "zone": node.zone,
-            "version": "v1",
-            "slots": 64,
-            "state": node.state,
-            "coldLeftS": 0,
-            "sequence": node.sequence,
-            "born": node.born,
-        }
-        await exchange(
-            node.listeners["control"],
-            b"PUT",
-            f"/instances/{target.target_id}".encode(),
-            (),
-            json.dumps(document).encode(),
-        )
+        await self.report(node, node.target.target_id, node.make_heartbeat())
+
+    async def report(
+        self, node: PlatformNode, target_id: str, document: dict | None
+    ) -> int:
+        """Send what a target says of itself to the daemon beside it.
+
+        Args:
+            node: Node of the daemon.
+            target_id: Identifier of the target.
+            document: Heartbeat; None to say that the target leaves for good.
+
+        Returns:
+            Status of the answer; 0 without an answer in time.
+        """
+        method = b"DELETE" if document is None else b"PUT"
+        body = b"" if document is None else json.dumps(document).encode()
+        path = f"/instances/{target_id}".encode()
+        try:
+            async with asyncio.timeout(_REPORT_TIMEOUT_S):
+                answer = await exchange(
+                    node.listeners["control"], method, path, (), body
+                )
+        except (ExchangeError, TimeoutError):
+            return 0
+        return answer.status
 
 
 def _reserve(host: str, count: int) -> list[Address]:
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -95,6 +95,21 @@
             body=make_body(attempt_id, int(size)),
         )
 
+    def make_heartbeat(self) -> dict[str, object]:
+        """Return the document of the target's next heartbeat."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": str(self.target_address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": self.state,
+            "coldLeftS": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
     def write_settings(self, store: Address) -> None:
         """Write the settings file, with the fields that a daemon reads.
 
