LOST: late in a stop, take only requests that end whatever their target does

Cause: from 2.6 s on a request was taken if the longest time of its route of late fitted into the rest of the stop.

Ruled out: the caller (limit 5 s, not reached), the target's end (its run ended with the cancellation, 0.3 ms after the answer), the process (it ended at 5.5 s by itself).

Change: from 2.8 s after SIGTERM, a request of a caller on this VM is taken only if its deadline lies before the end of the stop. Calls of runs and of peers are judged as before: a refusal would fail the runs, and peers choose other targets.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -40,11 +40,17 @@
         self.ends_at = math.inf
         self.refused = 0
         self._typical_until = -math.inf
+        self._certain_from = math.inf
         self._recent = RecentTimes()
         self._in_progress: dict[str, dict[int, float]] = {}
         self._last_key = 0
 
-    def set_end(self, ends_at: float, typical_until: float = -math.inf) -> None:
+    def set_end(
+        self,
+        ends_at: float,
+        typical_until: float = -math.inf,
+        certain_from: float = math.inf,
+    ) -> None:
         """Set the end of the drain; a later one than set before is ignored.
 
         Args:
@@ -52,9 +58,13 @@
             typical_until: Time until which a request is taken to last as long
                 as its route does in the mean, in seconds. One long request does
                 not turn all others away then.
+            certain_from: Time from which a request is admitted only if its
+                deadline lies before the end, in seconds: a target may turn slow
+                after that.
         """
         self.ends_at = min(self.ends_at, ends_at)
         self._typical_until = typical_until
+        self._certain_from = certain_from
 
     def begin(self, route: str, now: float) -> int:
         """Record the start of a request.
@@ -101,7 +111,8 @@
         It will if its deadline lies before the end, or if the longest time that
         a request of its route took of late does; a route with few requests has
         none. The age of requests in progress counts too. Until
-        ``typical_until``, and for a nested call, the mean time counts instead.
+        ``typical_until``, and for a nested call, the mean time counts instead;
+        from ``certain_from`` on, and not for a nested call, only the deadline.
         Counts the refusals.
 
         Args:
@@ -142,6 +153,8 @@
     def _estimate_s(
         self, route: str, objective_s: float, is_nested: bool, now: float
     ) -> float:
+        if now >= self._certain_from and not is_nested:
+            return math.inf
         if is_nested or now < self._typical_until:
             mean_s = self._recent.find_mean(route, now)
             return objective_s if mean_s is None else _stretch(mean_s)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -139,7 +139,9 @@
         """
         self._retry_budgets.set_bounds(bounds)
 
-    def set_end(self, ends_at: float, typical_until: float) -> None:
+    def set_end(
+        self, ends_at: float, typical_until: float, certain_from: float
+    ) -> None:
         """Set the end of the drain, at which all requests have an answer.
 
         Requests that would last longer are refused from now on.
@@ -147,8 +149,9 @@
         Args:
             ends_at: End of the drain, in seconds.
             typical_until: See ``StopAdmission.set_end``.
+            certain_from: See ``StopAdmission.set_end``.
         """
-        self.stop_admission.set_end(ends_at, typical_until)
+        self.stop_admission.set_end(ends_at, typical_until, certain_from)
         self._request_timeouts.set_end(ends_at)
 
     def clear_backoffs(self) -> None:
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -193,14 +193,21 @@
         self.target_side.close()
         self.store.close()
 
-    def set_end(self, ends_at: float, typical_until: float = -math.inf) -> None:
+    def set_end(
+        self,
+        ends_at: float,
+        typical_until: float = -math.inf,
+        certain_from: float = math.inf,
+    ) -> None:
         """Set the end of the drain, at which all requests have an answer.
 
         Args:
             ends_at: End of the drain, in seconds.
             typical_until: See ``StopAdmission.set_end``.
+            certain_from: See ``StopAdmission.set_end``; for requests of callers
+                on this VM only, as peers choose other targets.
         """
-        self.caller_side.set_end(ends_at, typical_until)
+        self.caller_side.set_end(ends_at, typical_until, certain_from)
         self.target_side.stop_admission.set_end(ends_at, typical_until)
 
     def make_hello(self, receiver: str = "") -> Hello:
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -17,6 +17,9 @@
 # Minimum time after SIGTERM for which callers are accepted, in seconds. They
 # are sent elsewhere after two failed readiness checks, made once a second.
 CALLER_DRAIN_S = 2.6
+# Time after SIGTERM from which a request that was taken must end in time whatever
+# its target does, in seconds.
+CERTAIN_AFTER_S = 2.8
 # Time after SIGTERM at which other nodes are told to choose other targets, in
 # seconds.
 TARGET_DRAIN_DELAY_S = 1.6
@@ -133,7 +136,9 @@
         self.is_stopping = True
         self._caller_server.is_stopping = True
         # Callers that come before this time are not sent elsewhere yet.
-        self.core.set_end(ends_at, began_at + CALLER_DRAIN_S)
+        self.core.set_end(
+            ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
+        )
         log_event("daemon_stopping")
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -170,6 +170,26 @@
             else:
                 self.assertRegex(answer, "^503 ")
 
+    # Guards against LOST: a request sent over three seconds after SIGTERM was
+    # cut off because its target turned slow after it had been taken.
+    async def test_target_that_turns_slow_late_in_a_stop_loses_nothing(self):
+        node = await self._add_node("web-1", "web", 0.5)
+        await self.fleet.wait_until_ready()
+        # The longest time of the route is known.
+        for _ in range(6):
+            await asyncio.gather(
+                *(self._call("web-1", "/web-pay/", "x") for _ in range(10))
+            )
+        stop = asyncio.create_task(self._stop("web-1"))
+        calls = asyncio.create_task(
+            self._call_until("web-1", "/web-pay/", stop)
+        )
+        await asyncio.sleep(3.0)
+        node.target.choose_script = lambda _: Script(work_s=4.0)
+        late = [call for call in await calls if call[0] > 3.0]
+        self.assertEqual([c for c in late if c[2] and c[1] != "200"], [])
+        self.assertIn("503 node_stopping", [c[1] for c in late])
+
     async def test_end_of_the_drain_is_logged(self):
         # Guards against LOST: no log line told what a stop refused or ended.
         await self._add_node("web-1", "web", 6.0, grace_s=2.0)
