--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -274,9 +274,14 @@
                     continue
                 self._logs[child.pid] = child.read_log()[-LOG_TAIL_BYTES:]
                 if child.pid not in self._signalled:
+                    detail = (
+                        f"process {child.pid}, status {child.exit_status}: "
+                    )
                     self._violations.append(
                         Violation(
-                            "ended_by_itself", node_id, child.read_log()[-500:]
+                            "ended_by_itself",
+                            node_id,
+                            detail + child.read_log()[-500:],
                         )
                     )
                     self._signalled.add(child.pid)
--- a/kumquatwalk/standin/child.py
+++ b/kumquatwalk/standin/child.py
@@ -77,6 +77,11 @@
         """Return whether the process was started and has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status of the process; None while it runs or was not started."""
+        return None if self._process is None else self._process.poll()
+
     def stop(self) -> int:
         """Terminate the process with SIGTERM and wait until it ends.
 
