--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -226,7 +226,9 @@
             start_ms: Start of the target in Unix milliseconds.
         """
         self._departures[target_key] = start_ms
-        self._set_record(self.record)
+        record = self._apply_departures(self.record)
+        if record is not self.record:
+            self._set_record(record)
 
     def handle_probe(self, target_id: str, slots: int, asked_at: float) -> None:
         """Update the target's state from a successful health probe.
@@ -318,9 +320,7 @@
         return self.record.state
 
     def _set_record(self, record: TargetRecord) -> None:
-        key = _hash_identifier(record.target_id)
-        if key in self._departures:
-            record = record.apply_departure(self._departures[key])
+        record = self._apply_departures(record)
         before, self.record = self.record, record
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
@@ -344,6 +344,10 @@
                     self.limiter.named_rate.clear()
             self._on_change()
 
+    def _apply_departures(self, record: TargetRecord) -> TargetRecord:
+        start_ms = self._departures.get(_hash_identifier(record.target_id))
+        return record if start_ms is None else record.apply_departure(start_ms)
+
     def _request_confirmation(self, heartbeat: Heartbeat) -> None:
         log_event(
             "heartbeat_unconfirmed",
