--- a/kumquatwalk/targets/tests/test_late_heartbeats.py
+++ b/kumquatwalk/targets/tests/test_late_heartbeats.py
@@ -38,7 +38,9 @@
 class LateHeartbeatMachine(stateful.RuleBasedStateMachine):
     """Starts a target again and again beside a node that restarts too.
 
-    Health checks tell the truth; the others check what a false one does.
+    Health checks tell the truth here. One that fails at a sound target is in
+    ``test_record``, one that succeeds at a leaving target in
+    ``daemon.tests.test_late_heartbeats``.
     """
 
     def __init__(self):
