--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -104,21 +104,17 @@
         """
         if not target_id:
             return self
-        unconfirmed = self.unconfirmed
+        record, unconfirmed = self, self.unconfirmed
         if unconfirmed is not None and asked_at >= self.unconfirmed_since:
             if unconfirmed.target_id == target_id:
                 return self._accept(unconfirmed, now, is_confirmed=True)
-            return dataclasses.replace(self, unconfirmed=None).handle_probe(
-                target_id, slots, asked_at, now
-            )
+            record = dataclasses.replace(self, unconfirmed=None)
         if self.state is not TargetState.UNKNOWN or target_id in self.departed:
-            return self
-        record = self
+            return record
         if target_id != self.target_id:
             # Nothing is known of this target's start yet.
             record = TargetRecord(
                 target_id=target_id,
-                superseded=self._list_superseded(target_id),
                 departed=self.departed,
                 is_probed=self.is_probed,
             )
@@ -126,7 +122,7 @@
             record,
             state=TargetState.READY,
             slots=slots,
-            superseded=record.superseded - {target_id},
+            superseded=self._list_superseded(target_id),
             is_confirmed=True,
             unconfirmed=None,
         )
