--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -170,6 +170,22 @@
         gate.set_end(5.0)
         self.assertEqual(gate.estimate_retry_delay(0.0), RETRY_DELAY_MAX_S)
 
+    # Guards against LOST: a target turned slow after a stop had taken a request
+    # of a route that was quick until then.
+    def test_late_request_is_admitted_only_if_its_deadline_is_certain(self):
+        gate = StopAdmission(FEW)
+        for _ in range(FEW):
+            gate.finish("pay", gate.begin("pay", 10.0), True, 10.1)
+        gate.set_end(15.4, 12.6, 12.8)
+        for now, deadline, is_admitted in (
+            (12.7, 17.7, True),
+            (12.8, 17.8, False),
+            (12.8, 15.3, True),
+        ):
+            answer = gate.admits("pay", deadline, 0.5, now)
+            self.assertEqual(answer, is_admitted, (now, deadline))
+        self.assertTrue(gate.admits("pay", 17.8, 0.5, 12.8, is_nested=True))
+
 
 class RecentTimesTest(unittest.TestCase):
 
@@ -199,22 +215,6 @@
         self.assertIsNone(recent.find_longest("route-4", 100.0))
         self.assertEqual(recent.find_longest("route-5", 100.0), 1.0)
 
-    # Guards against LOST: a target turned slow after a stop had taken a request
-    # of a route that was quick until then.
-    def test_late_request_is_admitted_only_if_its_deadline_is_certain(self):
-        gate = StopAdmission(FEW)
-        for _ in range(FEW):
-            gate.finish("pay", gate.begin("pay", 10.0), True, 10.1)
-        gate.set_end(15.4, 12.6, 12.8)
-        for now, deadline, is_admitted in (
-            (12.7, 17.7, True),
-            (12.8, 17.8, False),
-            (12.8, 15.3, True),
-        ):
-            answer = gate.admits("pay", deadline, 0.5, now)
-            self.assertEqual(answer, is_admitted, (now, deadline))
-        self.assertTrue(gate.admits("pay", 17.8, 0.5, 12.8, is_nested=True))
-
 
 if __name__ == "__main__":
     unittest.main()
