Compute what a stop asks of a request only once a stop has begun

Each request and call worked out its route, objective and class for StopAdmission.admits before any stop too. Whether a request is a nested call is asked in one place. No change of behaviour.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -45,6 +45,11 @@
         self._in_progress: dict[str, dict[int, float]] = {}
         self._last_key = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a stop has begun; until then, all is admitted."""
+        return self.ends_at < math.inf
+
     def set_end(
         self,
         ends_at: float,
@@ -124,7 +129,7 @@
             is_nested: Whether it is a call of a run in progress, which a
                 refusal would fail as surely as the end of the stop.
         """
-        if self.ends_at == math.inf:
+        if not self.has_begun:
             return True
         is_admitted = now < self.ends_at and (
             deadline < self.ends_at
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -92,6 +92,7 @@
         memory: Refuses requests whose answers there is no memory for.
 
     Attributes:
+        leaving: Targets that have said that they leave.
         stop_admission: Refuses requests that a stop would cut off.
         capped: Number of requests that the end of a stop has ended.
     """
@@ -237,9 +238,8 @@
 
     async def _serve_admitted(self, request: PendingRequest) -> Reply:
         """Serve a request for whose answer there is memory."""
-        route, caller, chain = request.route, request.caller, request.chain
-        is_nested = chain is not None and chain.depth > 0
-        if not is_nested and not self._admission.admits(
+        route, caller = request.route, request.caller
+        if not request.is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
         ):
             delay_s = self._admission.draw_retry_delay(
@@ -261,15 +261,15 @@
 
     def _can_end(self, request: PendingRequest) -> bool:
         """Return whether a request will end before a stop does."""
+        if not self.stop_admission.has_begun:
+            return True
         route = request.route
-        chain = request.chain
-        is_nested = chain is not None and chain.depth > 0
         return self.stop_admission.admits(
             route.name,
             request.deadline,
             min(route.objective_s, route.timeout_s),
             read_now(),
-            is_nested=is_nested
+            is_nested=request.is_nested
             or self._settled.is_internal(route.name, read_now()),
         )
 
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -58,6 +58,11 @@
             self.route.name, http.method, http.url, http.body
         )
 
+    @property
+    def is_nested(self) -> bool:
+        """Whether it is a call of a run in progress."""
+        return self.chain is not None and self.chain.depth > 0
+
     @property
     def rank(self) -> int:
         """Priority under overload; 0 is the highest."""
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -415,6 +415,8 @@
 
     def _can_end(self, call: Call) -> bool:
         """Return whether a call that starts now will end before a stop does."""
+        if not self.stop_admission.has_begun:
+            return True
         config = self._configs.config
         route = config and config.routes_by_name.get(call.route)
         objective_s = route.objective_s if route is not None else math.inf
