--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -14,13 +14,12 @@
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.daemon.route_handler import RouteHandler
 from kumquatwalk.daemon.target_prober import TargetProber
+from kumquatwalk.daemon.tests.stop_case import StopCase
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.standin.daemon_fleet import HOST
-from kumquatwalk.standin.daemon_fleet import DaemonFleet
-from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
 
 # Time between two requests, in seconds.
@@ -29,15 +28,7 @@
 CUT = "cut"
 
 
-class StopEndTest(unittest.IsolatedAsyncioTestCase):
-
-    async def asyncSetUp(self):
-        self.fleet = DaemonFleet()
-        config = make_config(
-            ("web", "other"), timeoutS=8.0, targetLatencyS=1.0, maxAttempts=1
-        )
-        await self.fleet.start(config)
-        self.addAsyncCleanup(self.fleet.close)
+class StopEndTest(StopCase):
 
     async def _add_node(self, name: str, service: str, work_s: float, **bounds):
         node = await self.fleet.add_node(name, service, **bounds)
--- a/kumquatwalk/daemon/tests/test_stop_kept_reply.py
+++ b/kumquatwalk/daemon/tests/test_stop_kept_reply.py
@@ -5,6 +5,7 @@
 import unittest
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon.tests.stop_case import StopCase
 from kumquatwalk.daemon.tests.test_kept_replies import RawPeer
 from kumquatwalk.daemon.unique_calls import UniqueCalls
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -13,8 +14,6 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 
-from kumquatwalk.standin.daemon_fleet import DaemonFleet
-from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
 
 ANSWER = Reply(Outcome.DONE, status=200)
@@ -112,15 +111,7 @@
 LINK_PAUSE_S = 0.8
 
 
-class StopKeptReplyTest(unittest.IsolatedAsyncioTestCase):
-
-    async def asyncSetUp(self):
-        self.fleet = DaemonFleet()
-        config = make_config(
-            ("web", "other"), timeoutS=8.0, targetLatencyS=1.0, maxAttempts=1
-        )
-        await self.fleet.start(config)
-        self.addAsyncCleanup(self.fleet.close)
+class StopKeptReplyTest(StopCase):
 
     # Guards against LOST: a stop that had most of its time left ended before a
     # peer, whose link was down for a moment, could ask for the kept reply.
--- a/kumquatwalk/daemon/tests/test_stop_nested_calls.py
+++ b/kumquatwalk/daemon/tests/test_stop_nested_calls.py
@@ -4,10 +4,9 @@
 import unittest
 from unittest import mock
 
+from kumquatwalk.daemon.tests.stop_case import StopCase
 from kumquatwalk.routing import settled_routes
 from kumquatwalk.routing.call_graph import CallGraph
-from kumquatwalk.standin.daemon_fleet import DaemonFleet
-from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
 
 SHORT_S = 0.02
@@ -20,15 +19,7 @@
 CALL_AFTER_S = 0.5
 
 
-class StopNestedCallsTest(unittest.IsolatedAsyncioTestCase):
-
-    async def asyncSetUp(self):
-        self.fleet = DaemonFleet()
-        config = make_config(
-            ("web", "other"), timeoutS=8.0, targetLatencyS=1.0, maxAttempts=1
-        )
-        await self.fleet.start(config)
-        self.addAsyncCleanup(self.fleet.close)
+class StopNestedCallsTest(StopCase):
 
     async def call(self, path: str, attempt_id: str) -> tuple[int, bytes]:
         """Return status and body of the answer to a request at ``web-1``."""
--- a/kumquatwalk/proofs/tests/test_slow_callers.py
+++ b/kumquatwalk/proofs/tests/test_slow_callers.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import contextlib
-import pathlib
 import socket
-import tempfile
 import unittest
 
+from kumquatwalk.proofs.tests.platform_case import PlatformCase
 from kumquatwalk.standin.daemon_fleet import exchange
-from kumquatwalk.standin.platform_fleet import PlatformFleet
 
 SLOW_CALLERS = 8
 ANSWER_BYTES = 10_000_000
@@ -20,14 +18,10 @@
 REQUESTS = 20
 
 
-class SlowCallersTest(unittest.IsolatedAsyncioTestCase):
+class SlowCallersTest(PlatformCase):
 
     async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory(prefix="kumquatwalk-")
-        self.addCleanup(folder.cleanup)
-        self.fleet = PlatformFleet(pathlib.Path(folder.name))
-        self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start(4)
+        await super().asyncSetUp()
         self.listener = self.fleet.nodes["n2"].listeners["outbound"]
 
     async def read_slowly(self, attempt_id: str) -> None:
--- a/kumquatwalk/proofs/tests/test_stopping_pipelined.py
+++ b/kumquatwalk/proofs/tests/test_stopping_pipelined.py
@@ -1,17 +1,15 @@
 """Tests that planned stops lose no request that waits behind another."""
 
 import asyncio
-import pathlib
 import random
-import tempfile
 import unittest
 
+from kumquatwalk.proofs.tests.platform_case import PlatformCase
 from kumquatwalk.soak.platform_records import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_caller import ConnectionCaller
 from kumquatwalk.standin.connection_use import LIMIT_S
-from kumquatwalk.standin.platform_fleet import PlatformFleet
 
 STOPPED = ("n1", "n2")
 PIPELINED = (
@@ -26,14 +24,10 @@
 HANG_GUARD_S = 60.0
 
 
-class StoppingPipelinedTest(unittest.IsolatedAsyncioTestCase):
+class StoppingPipelinedTest(PlatformCase):
 
     async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory(prefix="kumquatwalk-")
-        self.addCleanup(folder.cleanup)
-        self.fleet = PlatformFleet(pathlib.Path(folder.name))
-        self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start(4)
+        await super().asyncSetUp()
         self.attempts = []
 
     def make_callers(self, habits):
--- a/kumquatwalk/proofs/tests/test_waiting_answer_memory.py
+++ b/kumquatwalk/proofs/tests/test_waiting_answer_memory.py
@@ -3,10 +3,9 @@
 import asyncio
 import pathlib
 import socket
-import tempfile
 import unittest
 
-from kumquatwalk.standin.platform_fleet import PlatformFleet
+from kumquatwalk.proofs.tests.platform_case import PlatformCase
 
 # Settings of the fleet: the platform kills a process above it.
 MEMORY_KB_MAX = 300 * 1024
@@ -16,14 +15,7 @@
 LOAD_S = 7.0
 
 
-class WaitingAnswerMemoryTest(unittest.IsolatedAsyncioTestCase):
-
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory(prefix="kumquatwalk-")
-        self.addCleanup(folder.cleanup)
-        self.fleet = PlatformFleet(pathlib.Path(folder.name))
-        self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start(4)
+class WaitingAnswerMemoryTest(PlatformCase):
 
     async def send(self, name: str, attempt_id: str) -> None:
         """Send a request and read nothing of its answer."""
