UNASKED: ignore an offer to upgrade, and refuse heads that a target may read otherwise

Cause: httptools ends a message after its head when it offers an upgrade, and RequestParser.feed passed it on as it was. Now the head is parsed again without the offer (RFC 9110, section 7.8), so the body and what is pipelined behind it are read as ever. Ruled out: going on with the same parser, which takes all further bytes for another protocol's.

The class is a doubt between two readings of one message.

--- a/kumquatwalk/http1/encoder.py
+++ b/kumquatwalk/http1/encoder.py
@@ -8,7 +8,9 @@
 __all__ = ["encode_request", "encode_response"]
 
 _REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
-_BODILESS_METHODS = frozenset((b"GET", b"HEAD", b"DELETE", b"OPTIONS"))
+_BODILESS_METHODS = frozenset(
+    (b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE")
+)
 
 
 def encode_request(
--- a/kumquatwalk/http1/message.py
+++ b/kumquatwalk/http1/message.py
@@ -1,6 +1,7 @@
 """HTTP requests and responses with their complete bodies."""
 
 import dataclasses
+from collections.abc import Iterable
 
 __all__ = [
     "Header",
@@ -8,6 +9,7 @@
     "HttpResponse",
     "RequestProgress",
     "find_header",
+    "list_values",
 ]
 
 Header = tuple[bytes, bytes]
@@ -95,7 +97,7 @@
         return find_header(self.headers, name)
 
 
-def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the value of the first header with a name, or None.
 
     Args:
@@ -106,3 +108,13 @@
         if key.lower() == name:
             return value
     return None
+
+
+def list_values(headers: Iterable[Header], name: bytes) -> list[bytes]:
+    """Return the values of all headers with a name, in order.
+
+    Args:
+        headers: Header lines.
+        name: Header name in lower case.
+    """
+    return [value for key, value in headers if key.lower() == name]
--- a/kumquatwalk/http1/refusals.py
+++ b/kumquatwalk/http1/refusals.py
@@ -11,6 +11,10 @@
     "body_too_long": 413,
     "header_timeout": 408,
     "body_timeout": 408,
+    "expectation_unsupported": 417,
+    "method_unsupported": 501,
+    "coding_unsupported": 501,
+    "version_unsupported": 505,
     "memory_exhausted": 503,
     "stopping": 503,
 }
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -1,13 +1,13 @@
 """Incremental parser for HTTP/1.1 requests."""
 
-import dataclasses
-
 import httptools
 
 from kumquatwalk.exception import RequestError
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.request_head import check_head
+from kumquatwalk.http1.request_head import encode_without_upgrade
 
 __all__ = ["RequestParser"]
 
@@ -21,7 +21,8 @@
     """Parses the requests on one connection, which may be pipelined.
 
     ``httptools``, strict by default, rejects requests with two lengths, with a
-    length and chunked encoding, or with malformed chunks.
+    length and chunked encoding, or with malformed chunks. An offer to upgrade
+    the connection is ignored; trailers are discarded.
 
     Args:
         header_bytes_max: Maximum size of a request head, in bytes.
@@ -49,6 +50,9 @@
         self._completed: list[HttpRequest] = []
         self._now = 0.0
         self._error: RequestError | None = None
+        # Head that is parsed again without its offer to upgrade.
+        self._plain_head = b""
+        self._plain_started_at = 0.0
         self.peer_host = ""
         self._reset()
 
@@ -87,14 +91,7 @@
             self._has_started = True
             self._started_at = now
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported. The request is handled as a
-            # normal one, and the connection is closed after its response.
-            self._completed[-1:] = [
-                dataclasses.replace(r, is_keep_alive=False)
-                for r in self._completed[-1:]
-            ]
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             raise self._error or RequestError(
                 "request_malformed", str(error)[:200]
@@ -105,6 +102,17 @@
             self._count_unreported_bytes(len(data))
         return self.take_completed()
 
+    def _feed_parser(self, data: bytes) -> None:
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes the bytes behind the head for another
+                # protocol's. They are the body and further requests.
+                data = self._plain_head + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
     def take_completed(self) -> list[HttpRequest]:
         """Return and remove the completed requests not returned so far."""
         completed, self._completed = self._completed, []
@@ -139,7 +147,10 @@
         """Start a new request."""
         self._reset()
         self._has_started = True
-        self._started_at = self._now
+        self._started_at = (
+            self._plain_started_at if self._plain_head else self._now
+        )
+        self._plain_head = b""
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the URL."""
@@ -147,11 +158,13 @@
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header line."""
+        """Add a header line; a trailer only counts in the size."""
+        self._count_head_bytes(len(name) + len(value) + 4)
+        if self._is_head_complete:
+            return
         self._headers.append((name, value))
         if name.lower() == b"content-length" and value.isdigit():
             self._announced_bytes = int(value)
-        self._count_head_bytes(len(name) + len(value) + 4)
         if len(self._headers) > HEADERS_MAX:
             self._fail(
                 "head_too_long",
@@ -161,6 +174,19 @@
     def on_headers_complete(self) -> None:
         """Mark the request head as complete and reserve for the body."""
         self._is_head_complete = True
+        url, headers = b"".join(self._url), tuple(self._headers)
+        try:
+            check_head(
+                self._parser.get_method(),
+                url,
+                self._parser.get_http_version(),
+                headers,
+            )
+        except RequestError as error:
+            self._fail(error.code, error.message)
+        self._url, self._headers = [url], list(headers)
+        if self._parser.should_upgrade():
+            return
         self._check_body_size(self._announced_bytes)
         self._reserve(self._announced_bytes)
 
@@ -173,10 +199,19 @@
 
     def on_message_complete(self) -> None:
         """Store the completed request."""
+        method, url = self._parser.get_method(), self._url[0]
+        headers = tuple(self._headers)
+        if self._parser.should_upgrade():
+            self._plain_head = encode_without_upgrade(
+                method, url, self._parser.get_http_version(), headers
+            )
+            self._plain_started_at = self._started_at
+            self._reset()
+            return
         request = HttpRequest(
-            method=self._parser.get_method(),
-            url=b"".join(self._url),
-            headers=tuple(self._headers),
+            method=method,
+            url=url,
+            headers=headers,
             body=b"".join(self._body_chunks),
             is_keep_alive=self._parser.should_keep_alive(),
             received_at=self._started_at,
