Tell clients that expect 100 Continue to send their bodies

A client that sends Expect: 100-continue and waits for the interim answer got none, so its request ended by the header or body time-out. The interim answer goes out after the answers before it, once, and not if the body has come (RFC 9110, section 10.1.1).

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -36,6 +36,9 @@
 # the server stops: what comes behind them may not be taken in time.
 BACKLOG_BYTES_MAX = 64 * 1024
 
+# Interim answer to a request with ``Expect: 100-continue``.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
@@ -311,8 +314,14 @@
             self._write_response(exchange.request, exchange.response)
         if not self._exchanges:
             self.idle_since = read_now()
+            self._ask_for_body()
         self._update_backpressure()
 
+    def _ask_for_body(self) -> None:
+        """Tell a client to continue that sends no body before."""
+        if not self._is_ending and self._parser.take_expectation():
+            self._transport.write(CONTINUE)
+
     def _write_response(
         self, request: HttpRequest, response: HttpResponse
     ) -> None:
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -6,6 +6,7 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import find_header
 from kumquatwalk.http1.request_head import check_head
 from kumquatwalk.http1.request_head import encode_without_upgrade
 
@@ -118,6 +119,15 @@
         completed, self._completed = self._completed, []
         return completed
 
+    def take_expectation(self) -> bool:
+        """Return whether the client waits for ``100 Continue``, once.
+
+        It does after a head with ``Expect: 100-continue``, until its body comes
+        (RFC 9110, section 10.1.1).
+        """
+        is_expecting, self._is_expecting = self._is_expecting, False
+        return is_expecting and not self._body_bytes
+
     def release(self) -> None:
         """Release what a request that was received only in part reserved."""
         if self._budget is not None:
@@ -135,6 +145,7 @@
         self._has_started = False
         self._started_at = 0.0
         self._is_head_complete = False
+        self._is_expecting = False
 
     def _fail(self, code: str, message: str) -> None:
         if self._error is None:
@@ -185,6 +196,7 @@
         except RequestError as error:
             self._fail(error.code, error.message)
         self._url, self._headers = [url], list(headers)
+        self._is_expecting = find_header(headers, b"expect") is not None
         if self._parser.should_upgrade():
             return
         self._check_body_size(self._announced_bytes)
