Route a request in absolute form by its own authority

It got 404, as its whole URL was compared with the prefixes of routes. The authority replaces the Host header and the target gets the path (RFC 9112, section 3.2.2); an empty authority or one with user information is refused with 400.

--- a/kumquatwalk/http1/request_head.py
+++ b/kumquatwalk/http1/request_head.py
@@ -4,9 +4,10 @@
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import list_values
 
-__all__ = ["check_head", "encode_without_upgrade"]
+__all__ = ["check_head", "encode_without_upgrade", "make_origin_form"]
 
 _VERSIONS = ("1.0", "1.1")
+_SCHEMES = (b"http://", b"https://")
 
 
 def check_head(
@@ -67,6 +68,38 @@
     return b"".join(lines)
 
 
+def make_origin_form(
+    url: bytes, headers: tuple[Header, ...]
+) -> tuple[bytes, tuple[Header, ...]]:
+    """Return a request target in origin form, and the headers with its host.
+
+    The authority of a target in absolute form replaces the ``Host`` header (RFC
+    9112, section 3.2.2).
+
+    Args:
+        url: Request target as received.
+        headers: Header lines of the head.
+
+    Raises:
+        RequestError: The authority is empty or has user information.
+    """
+    scheme = next((s for s in _SCHEMES if url.lower().startswith(s)), None)
+    if scheme is None:
+        return url, headers
+    rest = url[len(scheme) :]
+    end = min(
+        (i for i in (rest.find(b"/"), rest.find(b"?")) if i >= 0),
+        default=len(rest),
+    )
+    authority, path = rest[:end], rest[end:]
+    if not authority or b"@" in authority:
+        raise RequestError("request_malformed", "authority is malformed")
+    if not path.startswith(b"/"):
+        path = b"/" + path
+    others = tuple(h for h in headers if h[0].lower() != b"host")
+    return path, ((b"Host", authority), *others)
+
+
 def _check_codings(codings: list[bytes], version: str) -> None:
     if version == "1.0":
         raise RequestError(
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -9,6 +9,7 @@
 from kumquatwalk.http1.message import find_header
 from kumquatwalk.http1.request_head import check_head
 from kumquatwalk.http1.request_head import encode_without_upgrade
+from kumquatwalk.http1.request_head import make_origin_form
 
 __all__ = ["RequestParser"]
 
@@ -193,6 +194,7 @@
                 self._parser.get_http_version(),
                 headers,
             )
+            url, headers = make_origin_form(url, headers)
         except RequestError as error:
             self._fail(error.code, error.message)
         self._url, self._headers = [url], list(headers)
--- a/kumquatwalk/http1/tests/test_framing.py
+++ b/kumquatwalk/http1/tests/test_framing.py
@@ -82,6 +82,14 @@
         b"GET /p HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n\r\n",
         (b"GET", b"/p", b""),
     ),
+    "absolute form": (
+        b"POST http://x/p HTTP/1.1\r\nHost: y\r\n" + _SIZED,
+        (b"POST", b"/p", b"abcde"),
+    ),
+    "absolute form without a path": (
+        b"GET HTTP://x?q HTTP/1.1\r\nHost: y\r\n\r\n",
+        (b"GET", b"/?q", b""),
+    ),
     "extensions of chunks and trailers": (
         _HEAD
         + b"Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nabcde\r\n0\r\n"
@@ -106,6 +114,11 @@
     "HTTP/0.9": (b"GET /p HTTP/0.9\r\nHost: x\r\n\r\n", 505),
     "fragment": (b"GET /p#f HTTP/1.1\r\nHost: x\r\n\r\n", 400),
     "two hosts": (_HEAD + b"Host: y\r\n" + _SIZED, 400),
+    "user in the authority": (
+        b"GET http://u@x/p HTTP/1.1\r\nHost: x\r\n\r\n",
+        400,
+    ),
+    "no authority": (b"GET http:///p HTTP/1.1\r\nHost: x\r\n\r\n", 400),
     "chunks of HTTP/1.0": (b"POST /p HTTP/1.0\r\nHost: x\r\n" + _CHUNKED, 400),
     "coding before chunked": (
         _HEAD
@@ -146,7 +159,8 @@
     method = draw(st.sampled_from((b"GET", b"POST", b"PUT", b"DELETE")))
     path = draw(st.sampled_from((b"/p", b"/p/q?r=1", b"/%2e", b"/")))
     body = draw(st.binary(max_size=40))
-    lines = [b"Host: x", b"Attempt-Id: 1"]
+    is_absolute = draw(st.booleans())
+    lines = [b"Host: " + (b"other" if is_absolute else b"x"), b"Attempt-Id: 1"]
     lines += draw(
         st.lists(
             st.sampled_from(
@@ -174,7 +188,8 @@
         lines.append(b"Content-Length: %d" % len(body))
         encoded = body
     lines = draw(st.permutations(lines))
-    head = b"\r\n".join((b"%b %b HTTP/1.1" % (method, path), *lines))
+    target = b"http://x" + path if is_absolute else path
+    head = b"\r\n".join((b"%b %b HTTP/1.1" % (method, target), *lines))
     return Sent(head + b"\r\n\r\n" + encoded, method, path, body)
 
 
