--- a/kumquatwalk/http1/tests/test_framing.py
+++ b/kumquatwalk/http1/tests/test_framing.py
@@ -26,7 +26,7 @@
 
 
 def parse(data: bytes, cuts=()):
-    """Return the requests in bytes read in pieces, and the status of an error."""
+    """Return the requests in bytes read in pieces, and an error's status."""
     parser = RequestParser(2000, 2000)
     points = sorted({0, len(data), *(c % len(data) for c in cuts)})
     requests = []
