--- a/kumquatwalk/daemon/node_reply.py
+++ b/kumquatwalk/daemon/node_reply.py
@@ -54,6 +54,9 @@
 def make_unknown_reply(request: PendingRequest, code: str) -> Reply:
     """Return the reply to a request that may have run.
 
+    The log tells the node asked last, and whether its reply was still awaited:
+    then this node has ended the request, else the code is that of the attempt.
+
     Args:
         request: Request with the attempts made so far.
         code: Code of the failure.
@@ -63,6 +66,8 @@
         attempt=request.caller.attempt_id.decode("latin-1"),
         route=request.route.name,
         tried=",".join(request.tried_nodes),
+        asked=request.last_node,
+        in_flight=request.is_in_flight,
         code=code,
     )
     return Reply(Outcome.UNKNOWN, code)
