Half-close a connection that was reset without ending the stop for others

All sessions behind it got no reply. Callers' connections half-close in the same way at a stop. Product processes run on uvloop, which reports such an error to the protocol instead (shown by a script for both loops), so this is not what operators saw; the own tests and other loops are hit.

--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -6,7 +6,7 @@
 import sys
 import termios
 
-__all__ = ["count_untaken_bytes", "set_liveness_options"]
+__all__ = ["count_untaken_bytes", "end_stream", "set_liveness_options"]
 
 # Idle time before the first keep-alive probe and interval between probes, in
 # seconds; the minimum that the socket options accept.
@@ -69,3 +69,21 @@
     except (OSError, ValueError):
         return size
     return size + int.from_bytes(raw, sys.byteorder)
+
+
+def end_stream(transport: asyncio.WriteTransport) -> None:
+    """Half-close a connection; does nothing if it has already been lost.
+
+    A connection that its peer has reset cannot be half-closed, and some event
+    loops raise ``OSError`` then.
+
+    Args:
+        transport: Transport of a TCP connection, open or not.
+    """
+    if transport.is_closing() or not transport.can_write_eof():
+        return
+    try:
+        transport.write_eof()
+    except OSError:
+        # The event loop reports the loss to the protocol.
+        return
