--- a/benchmarks/tests/test_closed_loop.py
+++ b/benchmarks/tests/test_closed_loop.py
@@ -55,8 +55,8 @@
         self.assertGreaterEqual(results[2].outcomes["not_run"], RENEWERS)
         self.assertEqual(results[2].quantiles_ms, {})
 
-    # Guards against a run of CI that fails on a busy machine: callers whose turn
-    # came after the end of the time were left out.
+    # Guards against a run of CI that fails on a busy machine: callers whose
+    # turn came after the end of the time were left out.
     async def test_each_caller_calls_once_when_the_time_is_over(self):
         server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=512)
         host, port = server.sockets[0].getsockname()
