LOST: take no peer for silent while its bytes wait unread

Its own check of links was the first to run after the pause, compared the time with that of its last read, and reset all its links; the peers cancelled their runs.

Ruled out: the peers, which were never paused, and the network. The event loop runs timers before it polls sockets, so what had come was not read yet. The cause is a silence inferred from the time of the last read; the kernel is asked now whether bytes wait (SIOCINQ). A peer that has sent nothing is replaced as before.

test_bytes_that_wait_unread_are_no_silence failed before (link_failed).

--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -6,7 +6,12 @@
 import sys
 import termios
 
-__all__ = ["count_untaken_bytes", "end_stream", "set_liveness_options"]
+__all__ = [
+    "count_unread_bytes",
+    "count_untaken_bytes",
+    "end_stream",
+    "set_liveness_options",
+]
 
 # Idle time before the first keep-alive probe and interval between probes, in
 # seconds; the minimum that the socket options accept.
@@ -61,14 +66,18 @@
         transport: Transport of an open TCP connection.
     """
     size = transport.get_write_buffer_size()
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return size
-    try:
-        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):
-        return size
-    return size + int.from_bytes(raw, sys.byteorder)
+    return size + _ask_kernel(transport, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the number of bytes that have come and are not read yet.
+
+    Asks the kernel (tcp(7), ``SIOCINQ``); 0 where it does not tell.
+
+    Args:
+        transport: Transport of an open TCP connection.
+    """
+    return _ask_kernel(transport, termios.FIONREAD)
 
 
 def end_stream(transport: asyncio.WriteTransport) -> None:
@@ -87,3 +96,14 @@
     except OSError:
         # The event loop reports the loss to the protocol.
         return
+
+
+def _ask_kernel(transport: asyncio.BaseTransport, request: int) -> int:
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    try:
+        raw = fcntl.ioctl(sock.fileno(), request, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(raw, sys.byteorder)
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -6,6 +6,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.exception import FrameError
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.sockets import count_unread_bytes
 from kumquatwalk.http1.sockets import count_untaken_bytes
 from kumquatwalk.http1.sockets import end_stream
 from kumquatwalk.http1.sockets import set_liveness_options
@@ -103,6 +104,15 @@
         untaken += sum(map(len, self._held_frames))
         return self._end - untaken < self._replies_end
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the peer have come that this process has not read.
+
+        They are not there for long unless the process was not scheduled or
+        reads slowly.
+        """
+        return self.is_open and count_unread_bytes(self._transport) > 0
+
     @property
     def is_paused(self) -> bool:
         """Whether it reads large messages only slowly, as memory is short."""
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -168,7 +168,10 @@
         if not self._handshake_done.is_set() or self._link is None:
             return
         silent_s = now - self._link.last_received_at
-        if silent_s > RECEIVE_TIMEOUT_S and not self._link_lost.is_set():
+        if silent_s <= RECEIVE_TIMEOUT_S or self._link_lost.is_set():
+            return
+        # Where bytes wait, it is this process that was not scheduled.
+        if not self._link.has_unread_bytes:
             log_event("link_silent", peer=self.view.node_id, silent_s=silent_s)
             self._link_lost.set()
 
--- /dev/null
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -0,0 +1,129 @@
+"""Tests of when a link counts as silent."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.mesh.callbacks import PeerCallbacks
+from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CallFrame
+from kumquatwalk.mesh.message import Hello
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.mesh.message import ReplyFrame
+from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.partition import Partition
+from kumquatwalk.mesh.peer_link import RECEIVE_TIMEOUT_S
+from kumquatwalk.mesh.peer_link import PeerLink
+from kumquatwalk.address import Address
+from kumquatwalk.outcome import Outcome
+from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.targets.heartbeat import TargetState
+
+HANG_S = 20.0
+DONE = Reply(Outcome.DONE, status=200, body=b"whole")
+
+
+def make_hello(_receiver: str = "") -> Hello:
+    """Return the handshake message of node ``gate-1``."""
+    return Hello("gate-1", 1, "z1", "web", "127.0.0.1", 1, 0.0)
+
+
+def make_call() -> Call:
+    """Return an idempotent call."""
+    return Call(
+        key=0,
+        attempt_id=b"id-1",
+        route="web",
+        service="web",
+        caller_service="web",
+        is_idempotent=True,
+        is_returning=False,
+        rank=0,
+        deadline=read_now() + HANG_S,
+        start_by=read_now() + HANG_S,
+        method=b"GET",
+        url=b"/web/",
+        headers=(),
+        body=b"",
+        depth=0,
+        tokens=0,
+        is_protected=False,
+        crash_marks=b"",
+    )
+
+
+class LinkSilenceTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        # Server ends of the link, in the order in which they were opened.
+        self.ends: list[LinkProtocol] = []
+        self.frames: list[CallFrame] = []
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: LinkProtocol(
+                self.ends.append, self._handle, lambda _: None
+            ),
+            "127.0.0.1",
+            0,
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        view = TargetView(
+            "gate-1", "z1", "web", TargetStatus(TargetState.READY)
+        )
+        ignore = PeerCallbacks(*(lambda *_: None for _ in range(4)))
+        self.link = PeerLink(
+            Address("127.0.0.1", port), view, make_hello, ignore, Partition()
+        )
+        self.link.start()
+        self.addAsyncCleanup(self._close)
+        await self._wait_for(lambda: self.link.is_usable)
+
+    async def _close(self):
+        self.link.close()
+        self.server.close()
+        for end in self.ends:
+            end.abort()
+
+    def _handle(self, link, message):
+        match message:
+            case Hello():
+                link.send(make_hello())
+            case CallFrame():
+                self.frames.append(message)
+
+    async def _wait_for(self, is_done):
+        async with asyncio.timeout(HANG_S):
+            while not is_done():
+                await asyncio.sleep(0.005)
+
+    async def _begin_call(self) -> asyncio.Task:
+        count = len(self.frames)
+        task = asyncio.create_task(self.link.call(make_call()))
+        await self._wait_for(lambda: len(self.frames) > count)
+        return task
+
+    def _answer(self, end: LinkProtocol) -> None:
+        frame = self.frames[-1]
+        end.send(ReplyFrame(frame.call_id, 0, 0, DONE))
+
+    # Guards against LOST: a process that was not scheduled for a while took all
+    # its peers for silent, and ended the calls that ran there.
+    async def test_bytes_that_wait_unread_are_no_silence(self):
+        call = await self._begin_call()
+        self.ends[0].send(TargetStatus(TargetState.READY))
+        # Without a turn of the event loop, which would read them.
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        self._answer(self.ends[0])
+        self.assertEqual(await call, DONE)
+        self.assertEqual(len(self.ends), 1)
+
+    async def test_link_without_bytes_is_replaced(self):
+        call = await self._begin_call()
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        self.assertIs((await call).outcome, Outcome.UNKNOWN)
+        await self._wait_for(lambda: len(self.ends) == 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
