--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -11,6 +11,7 @@
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
+from kumquatwalk.daemon.late_replies import wait_for_late_reply
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.node_reply import make_timeout_reply
 from kumquatwalk.daemon.node_reply import make_unknown_reply
@@ -302,23 +303,39 @@
         return timeout_s < RETRY_TIMEOUT_SHARE * longest_s
 
     async def _make_attempts(self, request: PendingRequest) -> Reply:
+        try:
+            return await self._attempt_until_final(request)
+        finally:
+            for late in request.late_replies:
+                late.cancel()
+
+    async def _attempt_until_final(self, request: PendingRequest) -> Reply:
         self._retry_budgets.record_first_attempt(request.service, read_now())
         while True:
             if self._is_quarantined(request):
-                return self._make_final_reply(request)
+                return await self._finish(request)
             view = await self._choose_target_or_wait(request)
             if view is None:
-                return self._make_final_reply(request)
+                return await self._finish(request)
             reply = await self._send(view, request)
             self._record_attempt(request, view, reply)
             if self._is_final(request, reply, view):
-                return self._make_final_reply(request)
+                return await self._finish(request)
             if not self._can_end(request):
-                return self._make_final_reply(request)
+                return await self._finish(request)
             if request.attempts_at_targets and not await self._prepare_retry(
                 request, reply, view
             ):
-                return self._make_final_reply(request)
+                return await self._finish(request)
+
+    async def _finish(self, request: PendingRequest) -> Reply:
+        """Return the final reply, after replies that may still come."""
+        last_run = request.last_run
+        if last_run is not None and last_run.outcome is Outcome.UNKNOWN:
+            request.last_run = await wait_for_late_reply(
+                request.late_replies, last_run
+            )
+        return self._make_final_reply(request)
 
     def _is_quarantined(self, request: PendingRequest) -> bool:
         """Return whether a request is quarantined; if so, note the refusal."""
@@ -411,6 +428,9 @@
             reply = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
             if link is not None:
                 reply = await link.call(call)
+                late = link.find_late_reply(call)
+                if late is not None:
+                    request.late_replies.append(late)
         request.is_in_flight = False
         return reply
 
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -1,5 +1,6 @@
 """State of a request while it is served."""
 
+import asyncio
 import dataclasses
 
 from kumquatwalk.config.route import Route
@@ -32,6 +33,8 @@
         attempts_at_targets: Number of attempts that have reached a target.
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
+        late_replies: Replies that may still come to attempts whose link has
+            gone silent.
         crash_marks: Marks of target crashes during its attempts.
         content: Content by which its repeats are recognized.
     """
@@ -49,6 +52,9 @@
     attempts_at_targets: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
+    late_replies: list[asyncio.Future[Reply]] = dataclasses.field(
+        default_factory=list
+    )
     crash_marks: bytes = b""
     content: RequestContent = dataclasses.field(init=False)
 
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -1,5 +1,6 @@
 """Tests of attempts and retries with scripted replies of other nodes."""
 
+import asyncio
 import random
 import unittest
 
@@ -42,9 +43,11 @@
 
     Attributes:
         calls: Node identifier and call of each attempt.
+        late: Reply that still comes to the first call; None if none does.
     """
 
-    def __init__(self, script: list[Reply]):
+    def __init__(self, script: list[Reply], late: asyncio.Future | None = None):
+        self.late = late
         self.calls: list[tuple[str, Call]] = []
         self.count = 5
         self._script = script
@@ -95,6 +98,11 @@
         """Return the next reply."""
         return self._peers.reply(self._node_id, call)
 
+    def find_late_reply(self, call: Call) -> asyncio.Future | None:
+        """Return the reply that still comes to the first call, if any."""
+        is_first = call is self._peers.calls[0][1]
+        return self._peers.late if is_first else None
+
 
 class CallerSideTest(unittest.IsolatedAsyncioTestCase):
 
@@ -107,9 +115,10 @@
         script: list[Reply],
         idempotent: bool,
         tokens: int | None = 3,
+        late: asyncio.Future | None = None,
         **route_fields,
     ) -> Reply:
-        self.peers = ScriptedPeers(script)
+        self.peers = ScriptedPeers(script, late)
         self.pool = TokenPool(tokens or 0)
         graph = CallGraph()
         side = CallerSide(
@@ -147,6 +156,32 @@
         self.assertEqual(await self._call([DONE], idempotent=False), DONE)
         self.assertEqual(len(self.peers.calls), 1)
 
+    # Guards against LOST: a run at a peer that was not scheduled for a while was
+    # given up with 502, though its answer came.
+    async def test_late_reply_is_awaited_when_no_retry_is_allowed(self):
+        late = asyncio.get_running_loop().create_future()
+        serving = asyncio.create_task(
+            self._call([LOST], True, late=late, attempts_max=1)
+        )
+        while not self.peers.calls:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(serving.done())
+        late.set_result(DONE)
+        self.assertEqual(await serving, DONE)
+
+    async def test_retry_that_is_answered_cancels_the_late_reply(self):
+        late = asyncio.get_running_loop().create_future()
+        reply = await self._call([LOST, DONE], True, late=late)
+        self.assertEqual(reply, DONE)
+        self.assertTrue(late.cancelled())
+
+    async def test_late_reply_that_cannot_come_leaves_the_outcome_unknown(self):
+        late = asyncio.get_running_loop().create_future()
+        late.set_result(LOST)
+        reply = await self._call([LOST], True, late=late, attempts_max=1)
+        self.assertIs(reply.outcome, Outcome.UNKNOWN)
+
     async def test_refusal_after_a_lost_attempt_is_not_called_not_run(self):
         reply = await self._call([LOST, QUARANTINED, QUARANTINED], True)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -26,6 +26,7 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
+from kumquatwalk.mesh.silent_link import SilentLink
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
@@ -42,6 +43,9 @@
 # Time without received data after which a link is replaced, in seconds: the
 # interval of a peer's status and a delay.
 RECEIVE_TIMEOUT_S = 1.6
+# Time for which a silent connection is kept once the peer has answered on a new
+# one, in seconds.
+SILENT_LINGER_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,7 +63,9 @@
 class PeerLink:
     """Client end of the link to one peer.
 
-    Idempotent calls and owner queries fail when the connection is lost. A call
+    Idempotent calls and owner queries fail when the connection is lost. When it
+    is replaced because the peer is silent, replies to idempotent calls may still
+    come on it, see ``find_late_reply``. A call
     that is not idempotent stays pending: it is sent again on the next
     connection to the same process, which knows whether the call has run.
 
@@ -106,6 +112,9 @@
         self._pending: dict[int, _PendingRequest] = {}
         self._last_call_id = 0
         self._reconnect_pause_s = 0.0
+        self._is_silent = False
+        self._silent_links: list[SilentLink] = []
+        self._linked_at = 0.0
         self._link_lost = asyncio.Event()
         self._handshake_done = asyncio.Event()
         self._task: asyncio.Task | None = None
@@ -127,7 +136,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request waits for a reply."""
-        return not self._pending
+        return not self._pending and not self._silent_links
 
     def start(self) -> None:
         """Start connecting in the background."""
@@ -139,6 +148,7 @@
             self._task.cancel()
         if self._link is not None:
             self._link.abort()
+        self._close_silent_links()
         self._fail_pending(lambda _: True)
         self.view.is_reachable = False
 
@@ -165,6 +175,7 @@
         Args:
             now: Current time, in seconds.
         """
+        self._end_silent_links(now)
         if not self._handshake_done.is_set() or self._link is None:
             return
         silent_s = now - self._link.last_received_at
@@ -173,8 +184,28 @@
         # Where bytes wait, it is this process that was not scheduled.
         if not self._link.has_unread_bytes:
             log_event("link_silent", peer=self.view.node_id, silent_s=silent_s)
+            self._is_silent = True
             self._link_lost.set()
 
+    def find_late_reply(self, call: Call) -> asyncio.Future[Reply] | None:
+        """Return the reply that may still come to a call that has failed.
+
+        Its connection has gone silent, and the peer may only not have been
+        scheduled. Cancelling the future cancels the call at the peer. Its
+        result has code ``LINK_FAILED`` once the reply cannot come any more.
+
+        Args:
+            call: Call to which ``call`` has returned an unknown outcome.
+
+        Returns:
+            The future reply; None if none can come.
+        """
+        for silent in self._silent_links:
+            late = silent.find(call)
+            if late is not None:
+                return late
+        return None
+
     async def call(self, call: Call) -> Reply:
         """Send a call and wait for its reply.
 
@@ -275,6 +306,8 @@
             if await self._connect():
                 delay_s = RECONNECT_DELAY_MIN_S
                 await self._link_lost.wait()
+            else:
+                self._close_silent_links()
             self._disconnect()
             pause_s, self._reconnect_pause_s = self._reconnect_pause_s, 0.0
             jittered_delay_s = delay_s * random.uniform(0.6, 1.0)
@@ -314,10 +347,45 @@
         self._handshake_done.clear()
         self.view.is_reachable = False
         link, self._link = self._link, None
-        if link is not None:
+        is_silent, self._is_silent = self._is_silent, False
+        if link is not None and is_silent:
+            self._set_aside(link)
+        elif link is not None:
             link.abort()
         self._fail_pending(lambda p: p.fails_on_disconnect)
 
+    def _set_aside(self, link: LinkProtocol) -> None:
+        """Keep a silent connection for replies that may still come on it."""
+        silent = SilentLink(link, read_now())
+        for call_id, pending in self._pending.items():
+            if (
+                isinstance(pending.request, Call)
+                and pending.fails_on_disconnect
+            ):
+                if not pending.reply.done():
+                    silent.add(call_id, pending.request)
+        self._silent_links.append(silent)
+
+    def _end_silent_links(self, now: float) -> None:
+        """Close silent connections on which no reply can come any more."""
+        is_answering = (
+            self._handshake_done.is_set()
+            and now - self._linked_at > SILENT_LINGER_S
+        )
+        for silent in tuple(self._silent_links):
+            is_alive = silent.has_spoken or silent.link.has_unread_bytes
+            if not silent.is_needed or (is_answering and not is_alive):
+                self._silent_links.remove(silent)
+                silent.close()
+
+    def _close_silent_links(self) -> None:
+        silent_links, self._silent_links = self._silent_links, []
+        for silent in silent_links:
+            silent.close()
+
+    def _find_silent(self, link: LinkProtocol) -> SilentLink | None:
+        return next((s for s in self._silent_links if s.link is link), None)
+
     def _fail_pending(
         self, should_fail: Callable[[_PendingRequest], bool]
     ) -> None:
@@ -327,11 +395,18 @@
                 pending.reply.set_result(reply)
 
     def _on_link_lost(self, link: LinkProtocol) -> None:
-        if link is self._link or self._link is None:
+        silent = self._find_silent(link)
+        if silent is not None:
+            self._silent_links.remove(silent)
+            silent.close()
+        elif link is self._link or self._link is None:
             self._link_lost.set()
 
     def _handle_message(self, link: LinkProtocol, message: Message) -> None:
-        if link is not self._link and self._link is not None:
+        silent = self._find_silent(link)
+        if silent is not None and isinstance(message, ReplyFrame):
+            silent.resolve(message.call_id, message.reply)
+        if silent or (link is not self._link and self._link is not None):
             return
         match message:
             case Hello() if self._handshake_done.is_set():
@@ -377,7 +452,9 @@
         self.view.availability_zone = hello.availability_zone
         self.view.is_reachable = True
         self.view.updated_at = read_now()
+        self._linked_at = read_now()
         if not is_same_process:
+            self._close_silent_links()
             self._fail_pending(lambda _: True)
         self._handshake_done.set()
         for call_id, pending in tuple(self._pending.items()):
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -3,19 +3,21 @@
 import asyncio
 import unittest
 
+from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
+from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.mesh.peer_link import RECEIVE_TIMEOUT_S
+from kumquatwalk.mesh.peer_link import SILENT_LINGER_S
 from kumquatwalk.mesh.peer_link import PeerLink
-from kumquatwalk.address import Address
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.targets.heartbeat import TargetState
@@ -59,6 +61,7 @@
         # Server ends of the link, in the order in which they were opened.
         self.ends: list[LinkProtocol] = []
         self.frames: list[CallFrame] = []
+        self.cancelled: list[int] = []
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: LinkProtocol(
@@ -91,6 +94,8 @@
                 link.send(make_hello())
             case CallFrame():
                 self.frames.append(message)
+            case Cancel():
+                self.cancelled.append(message.call_id)
 
     async def _wait_for(self, is_done):
         async with asyncio.timeout(HANG_S):
@@ -118,6 +123,56 @@
         self.assertEqual(await call, DONE)
         self.assertEqual(len(self.ends), 1)
 
+    async def _fail_by_silence(self) -> asyncio.Future:
+        """Begin a call, let its link go silent; return its late reply."""
+        call = make_call()
+        calling = asyncio.create_task(self.link.call(call))
+        await self._wait_for(lambda: self.frames)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        self.assertIs((await calling).outcome, Outcome.UNKNOWN)
+        return self.link.find_late_reply(call)
+
+    # Guards against LOST: a peer that was not scheduled for a while was taken
+    # for gone, and its runs were cancelled.
+    async def test_reply_of_a_silent_peer_still_comes(self):
+        late = await self._fail_by_silence()
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        self.link.reset_if_silent(read_now())
+        await self._wait_for(lambda: not self.ends[0].is_open)
+        self.assertTrue(self.link.is_idle)
+
+    async def test_call_is_given_up_when_only_the_new_connection_speaks(self):
+        late = await self._fail_by_silence()
+        await self._wait_for(lambda: self.link.is_usable)
+        self.link.reset_if_silent(read_now() + SILENT_LINGER_S + 0.1)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual((await late).outcome, Outcome.UNKNOWN)
+
+    async def test_call_is_kept_while_the_silent_connection_speaks_again(self):
+        late = await self._fail_by_silence()
+        await self._wait_for(lambda: self.link.is_usable)
+        self.ends[0].send(TargetStatus(TargetState.READY))
+        self.link.reset_if_silent(read_now() + SILENT_LINGER_S + 0.1)
+        self.assertFalse(late.done())
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+
+    async def test_call_is_given_up_when_the_peer_accepts_no_connection(self):
+        self.server.close()
+        late = await self._fail_by_silence()
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual((await late).outcome, Outcome.UNKNOWN)
+
+    async def test_late_reply_that_is_not_wanted_cancels_the_call(self):
+        late = await self._fail_by_silence()
+        late.cancel()
+        await self._wait_for(lambda: self.cancelled)
+        self.assertEqual(self.cancelled, [self.frames[0].call_id])
+
     async def test_link_without_bytes_is_replaced(self):
         call = await self._begin_call()
         self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
