LOST: a stopping node's target gets only calls that end before the node does

Cause: the neighbour took the call after its own SIGTERM because the mean time of the route fitted. A mean says nothing of a target that turns silent, and each stop knew its own end only: other nodes learnt of it after 1.6 s, and not when it is.

Ruled out: the caller's limit (not reached), the own stop of the caller's node (its end was 1 s off and more), calls that ran before the neighbour's SIGTERM: where no deadline is longer than a stop (5.4 s), they end before it does.

Change: the status says when a node ends, at once on SIGTERM. As long as another target of the service takes calls, a call goes to the target of a stopping node, and is taken there, only if its deadline lies before that end; it is asked again when the call leaves the queue. A refusal costs one round trip. Without another target the times of the route decide as before.

Ways weighed: telling others at SIGTERM to choose no call for the target at all (calls of 0.7 to 2.5 s would miss it for 1.6 s for nothing); the bound without an alternative too (callers would be refused in each stop of a service's last target); ending idempotent runs early to move them, alone (no help for unsafe ones).

Its two other tests held before and after: short calls still use the target, and targets that stop together serve. The tests of the deciding parts are new with the parameter.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -110,6 +110,7 @@
         now: float,
         *,
         is_nested: bool = False,
+        has_alternative: bool = False,
     ) -> bool:
         """Return whether a request will end before the drain does.
 
@@ -118,7 +119,8 @@
         none. The age of requests in progress counts too. Until
         ``typical_until``, and for a nested call, the mean time counts instead;
         from ``certain_from`` on, and not for a nested call, only the deadline.
-        Counts the refusals.
+        With an alternative only the deadline counts throughout. Counts the
+        refusals.
 
         Args:
             route: Name of its route.
@@ -128,12 +130,15 @@
             now: Current time, in seconds.
             is_nested: Whether it is a call of a run in progress, which a
                 refusal would fail as surely as the end of the stop.
+            has_alternative: Whether another target accepts it, so that a
+                refusal costs it a round trip only.
         """
         if not self.has_begun:
             return True
         is_admitted = now < self.ends_at and (
             deadline < self.ends_at
-            or now + self._estimate_s(route, objective_s, is_nested, now)
+            or not has_alternative
+            and now + self._estimate_s(route, objective_s, is_nested, now)
             < self.ends_at
         )
         self.refused += not is_admitted
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -186,6 +186,32 @@
             self.assertEqual(answer, is_admitted, (now, deadline))
         self.assertTrue(gate.admits("pay", 17.8, 0.5, 12.8, is_nested=True))
 
+    # Guards against LOST: a target turned silent after its stopping node had
+    # taken a call, and the end of the stop broke the call off, though another
+    # target would have taken it.
+    def test_request_with_an_alternative_is_admitted_by_its_deadline_only(self):
+        gate = StopAdmission(FEW)
+        for _ in range(FEW):
+            gate.finish("pay", gate.begin("pay", 10.0), True, 10.1)
+        gate.set_end(15.4, 12.6)
+        for now, deadline, is_nested, is_admitted in (
+            (10.0, 15.3, False, True),
+            (10.0, 15.4, False, False),
+            (12.7, 15.3, False, True),
+            (12.7, 17.7, False, False),
+            (12.7, 17.7, True, False),
+        ):
+            answer = gate.admits(
+                "pay",
+                deadline,
+                0.5,
+                now,
+                is_nested=is_nested,
+                has_alternative=True,
+            )
+            self.assertEqual(answer, is_admitted, (now, deadline))
+        self.assertTrue(gate.admits("pay", 17.7, 0.5, 12.7))
+
 
 class RecentTimesTest(unittest.TestCase):
 
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -383,6 +383,7 @@
             size_kb=self._sizes.estimate(route.name),
             excluded=frozenset(request.tried_nodes),
             now=now,
+            deadline=request.deadline,
             is_internal=self._graph.is_internal(route.name),
             pinned_by=request.content.fingerprint if is_suspect else b"",
         )
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -252,6 +252,7 @@
             self._interface,
             self.configs,
             self.peers.count_targets,
+            self.peers.has_other_target,
             self._publish_target_change,
             self._traffic,
             metrics,
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -209,6 +210,22 @@
         nodes = self.count_nodes().get(service, 0)
         return estimate_targets(self.list_views(service), nodes)
 
+    def has_other_target(self, service: str) -> bool:
+        """Return whether another node's target takes calls of a service.
+
+        Targets beside stopping nodes do not count.
+
+        Args:
+            service: Name of the service.
+        """
+        return any(
+            view.is_reachable
+            and view.accepts_calls
+            and view.ends_at == math.inf
+            for view in self.list_views(service)
+            if view is not self._own_view
+        )
+
     def count_ready(self) -> int:
         """Return the number of reachable other nodes with a ready target."""
         return sum(
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -139,6 +139,7 @@
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
         )
+        self.core.state_publisher.publish_status()
         log_event("daemon_stopping")
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -62,6 +62,8 @@
         interface: Encodes requests to the target and decodes its answers.
         configs: Fleet configuration in force.
         count_targets: Returns how many targets of a service accept calls.
+        has_other_target: Returns whether another node's target takes calls of
+            a service.
         on_change: Called when the target's state has changed.
         traffic: Counts the runs of each route.
         metrics: Metrics of the daemon.
@@ -84,6 +86,7 @@
         interface: ExternalInterface,
         configs: ConfigHolder,
         count_targets: Callable[[str], int],
+        has_other_target: Callable[[str], bool],
         on_change: Callable[[], None],
         traffic: TrafficMeter,
         metrics: DaemonMetrics,
@@ -94,6 +97,7 @@
         self._interface = interface
         self._configs = configs
         self._count_targets = count_targets
+        self._has_other_target = has_other_target
         self._on_change = on_change
         self._traffic = traffic
         self._metrics = metrics
@@ -174,6 +178,7 @@
             target_start_ms=self.record.incarnation,
             # Identifiers of targets that are not probed are used again.
             is_leaving=self.record.is_probed and self.record.is_leaving,
+            stop_left_s=max(0.0, self.stop_admission.ends_at - now),
         )
 
     def get_load(self) -> tuple[int, int]:
@@ -426,6 +431,7 @@
             objective_s,
             read_now(),
             is_nested=call.depth > 0,
+            has_alternative=self._has_other_target(call.service),
         )
 
     def _classify(self, content: RequestContent) -> CrashStatus:
--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -0,0 +1,102 @@
+"""Tests of calls at a target whose node stops while their caller's does too."""
+
+import asyncio
+import json
+import unittest
+
+from kumquatwalk.daemon.tests.stop_case import StopCase
+from kumquatwalk.standin.scripted_target import Script
+
+# The first target is chosen for its run time, unless its stop excludes it.
+WORK_S = {"web-1": 0.05, "web-2": 0.4}
+SILENT_S = 30.0
+GRACE_S = 4.0
+# Pause between two requests and between the two stops, in seconds.
+PAUSE_S = 0.05
+STOP_GAP_S = 1.0
+# More than the first stop leaves at any time, and less.
+LONG_MS = 5000
+SHORT_MS = 2000
+
+
+class OverlappingStopsTest(StopCase):
+
+    async def asyncSetUp(self):
+        """Start a node of callers and two with targets that have run."""
+        await super().asyncSetUp()
+        await self.fleet.add_node("caller", "other", grace_s=GRACE_S)
+        for name, work_s in WORK_S.items():
+            await self.fleet.add_node(name, "web", grace_s=GRACE_S)
+            self._set_work(name, work_s)
+        await self.fleet.wait_until_ready()
+        await asyncio.gather(
+            *(self._call(f"first-{number}") for number in range(20))
+        )
+
+    def _set_work(self, name: str, work_s: float) -> None:
+        target = self.fleet.nodes[name].target
+        target.choose_script = lambda _: Script(work_s=work_s)
+
+    async def _call(self, attempt_id: str, limit_ms: int = LONG_MS) -> str:
+        """Return status and code of the answer to an unsafe request."""
+        answer = await self.fleet.call(
+            "caller", "/web-pay/", attempt_id, limit_ms, b"POST"
+        )
+        if answer.status == 200:
+            return "200"
+        return f"{answer.status} {json.loads(answer.body)['error']}"
+
+    def _stop(self, name: str) -> asyncio.Task:
+        daemon = self.fleet.nodes[name].daemon
+
+        async def drain_and_close():
+            await daemon.drain()
+            await daemon.close()
+
+        return asyncio.create_task(drain_and_close())
+
+    async def _call_for(self, seconds: float, limit_ms: int) -> dict:
+        """Send requests at a steady rate; return their tasks by identifier."""
+        tasks = {}
+        for number in range(round(seconds / PAUSE_S)):
+            attempt_id = f"{limit_ms}-{number}"
+            coroutine = self._call(attempt_id, limit_ms)
+            tasks[attempt_id] = asyncio.create_task(coroutine)
+            await asyncio.sleep(PAUSE_S)
+        return tasks
+
+    # Guards against LOST: a request of a caller was passed on to a target that
+    # turned silent, and the stop of the node beside it broke it off while the
+    # caller's own node was stopping too.
+    async def test_end_of_a_neighbour_breaks_off_no_request(self):
+        self._set_work("web-1", SILENT_S)
+        neighbour = self._stop("web-1")
+        calls = await self._call_for(STOP_GAP_S, LONG_MS)
+        await asyncio.gather(neighbour, self._stop("caller"))
+        answers = {i: await task for i, task in calls.items()}
+        broken = {i: a for i, a in answers.items() if a != "200"}
+        self.assertEqual(broken, {})
+
+    # Guards against a target that gets no calls as soon as its node stops,
+    # though they end before the node does.
+    async def test_calls_that_end_before_the_stop_still_use_its_target(self):
+        stop = self._stop("web-1")
+        calls = await self._call_for(STOP_GAP_S, SHORT_MS)
+        answers = {await task for task in calls.values()}
+        await stop
+        target = self.fleet.nodes["web-1"].target
+        self.assertEqual(answers, {"200"})
+        self.assertGreater(sum(map(target.count_runs, calls)), 0)
+
+    # Guards against refusals of all requests when the targets of a service
+    # stop together and no other is left.
+    async def test_targets_that_stop_together_serve_what_is_quick(self):
+        stops = self._stop("web-1"), self._stop("web-2")
+        calls = await self._call_for(STOP_GAP_S, LONG_MS)
+        answers = {await task for task in calls.values()}
+        await asyncio.gather(*stops)
+        self.assertEqual(answers, {"200"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -1,5 +1,6 @@
 """Conversion of Cap'n Proto frames to messages."""
 
+import math
 from typing import Any
 
 from kumquatwalk.exception import FrameError
@@ -166,6 +167,7 @@
         target_key=int(reader.targetKey),
         target_start_ms=int(reader.targetStartMs),
         is_leaving=bool(reader.isLeaving),
+        stop_left_s=(reader.stopLeftMs or math.inf) / MS_PER_S,
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -1,6 +1,7 @@
 """Conversion of messages to Cap'n Proto frames."""
 
 import functools
+import math
 from typing import Any
 
 from kumquatwalk.http1.message import Header
@@ -143,6 +144,8 @@
     builder.targetKey = message.target_key
     builder.targetStartMs = message.target_start_ms
     builder.isLeaving = message.is_leaving
+    if message.stop_left_s < math.inf:
+        builder.stopLeftMs = max(1, int(message.stop_left_s * MS_PER_S))
     times = builder.init("routeTimes", len(message.route_times))
     for entry, (route, run_s) in zip(times, message.route_times):
         entry.route = route
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -85,6 +85,8 @@
   targetKey @9 :UInt32;
   targetStartMs @10 :UInt64;
   isLeaving @11 :Bool;
+  # Rest of the sender's stop, over 0; 0 while it does not stop.
+  stopLeftMs @12 :UInt32;
 }
 
 struct ConfigRequest {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from kumquatwalk.http1.message import Header
 from kumquatwalk.outcome import Outcome
@@ -253,6 +254,8 @@
         target_start_ms: Start of the target in Unix milliseconds; 0 when it is
             not known.
         is_leaving: Whether the target has said that it leaves.
+        stop_left_s: Time until all calls must have ended, as the sending node
+            is stopping, in seconds; infinite while it is not.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -267,6 +270,7 @@
     target_key: int = 0
     target_start_ms: int = 0
     is_leaving: bool = False
+    stop_left_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 import random
 from collections.abc import Iterable
 
@@ -74,6 +75,8 @@
         is_reachable: Whether the link to its node is usable.
         backoff_until: Time until which it is avoided after a failure, in
             seconds.
+        ends_at: Time at which calls must have ended there, as its node is
+            stopping, in seconds; infinite while it is not.
     """
 
     node_id: str
@@ -87,6 +90,7 @@
     in_flight_reported: int = 0
     is_reachable: bool = False
     backoff_until: float = 0.0
+    ends_at: float = math.inf
 
     @property
     def is_ready(self) -> bool:
@@ -109,6 +113,7 @@
         self.running = status.running
         self.queued = status.queued
         self.updated_at = now
+        self.ends_at = now + status.stop_left_s
         self.in_flight_reported = self.in_flight
 
 
@@ -124,6 +129,7 @@
         size_kb: Expected size of the call and its reply, in kilobytes.
         excluded: Identifiers of the nodes already tried.
         now: Current time, in seconds.
+        deadline: Time by which the call has ended in any case, in seconds.
         is_internal: Whether the route is called by targets only.
         pinned_by: Key of a request whose repeats must all go to the same
             target, as long as it accepts calls; empty for any other.
@@ -135,6 +141,7 @@
     size_kb: float
     excluded: frozenset[str]
     now: float
+    deadline: float = math.inf
     is_internal: bool = False
     pinned_by: bytes = b""
 
@@ -147,8 +154,9 @@
     The few are drawn at random, up to ``CANDIDATES_NEAR`` of them in the zone
     of the call if there are as many. Targets with a stale status or in backoff,
     and targets whose nodes are stopping, are selected only when there is no
-    other. A call that is pinned goes to the target that all callers which know
-    the same targets select.
+    other; last of all those whose nodes may end before the call. A call that is
+    pinned goes to the target that all callers which know the same targets
+    select.
 
     Args:
         views: Targets of the service.
@@ -163,10 +171,11 @@
         for v in views
         if v.is_reachable and v.node_id not in context.excluded and v.is_ready
     ]
-    # A stopping node still serves until it ends, when it is the only one.
-    usable = [v for v in ready if not v.status.is_stopping] or ready
-    if not usable:
+    if not ready:
         return None
+    # A stopping node still serves until it ends, when it is the only one.
+    best = max(_rate_stop(v, context) for v in ready)
+    usable = [v for v in ready if _rate_stop(v, context) == best]
     if context.pinned_by:
         return max(usable, key=lambda v: _hash_pair(context.pinned_by, v))
     healthy = [v for v in usable if not _is_degraded(v, context.now)]
@@ -179,6 +188,15 @@
     )
 
 
+def _rate_stop(view: TargetView, context: ChoiceContext) -> tuple[bool, bool]:
+    """Return how well a call fits a stop of the target's node.
+
+    The first part is whether the call ends before the node does in any case.
+    A higher rating is better.
+    """
+    return context.deadline < view.ends_at, not view.status.is_stopping
+
+
 def _hash_pair(key: bytes, view: TargetView) -> bytes:
     """Return a rendezvous hash (Thaler and Ravishankar, 1996)."""
     return hashlib.blake2b(
--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -120,6 +120,21 @@
         )
         self.assertEqual(count_choices([stale])["stale"], 200)
 
+    # Guards against LOST: a call went to a target whose node ended before it.
+    def test_call_that_may_outlast_a_stop_goes_to_another_target(self):
+        begun = make_view("begun", stop_left_s=3.0)
+        far = make_view("far", "b", run_s=0.9)
+        for deadline, chosen in ((102.9, "begun"), (103.0, "far")):
+            counts = count_choices([begun, far], deadline=deadline)
+            self.assertEqual(counts, {chosen: 200})
+        ending = make_view("ending", is_stopping=True, stop_left_s=2.0)
+        for deadline, chosen in ((101.9, "begun"), (110.0, "begun")):
+            counts = count_choices([ending, begun], deadline=deadline)
+            self.assertEqual(counts, {chosen: 200})
+        later = make_view("later", is_stopping=True, stop_left_s=4.0)
+        counts = count_choices([begun, later], deadline=103.5)
+        self.assertEqual(counts, {"later": 200})
+
     def test_stopping_node_is_used_only_where_no_other_is_left(self):
         # A rolling restart may stop all nodes of a small service at once.
         stopping = make_view("stopping", is_stopping=True)
