LOST: late in a stop, send a request that may have run again

Cause: before each further attempt a stop asked whether the request can still end before it.

Change: a request whose latest run has an unknown outcome is sent again, within the bounds of retries, whatever is left. The end of the stop ends it if need be. What has not run is refused as before, so that its caller may try elsewhere.

Test: test_caller_side...test_lost_attempt_is_made_again_in_a_stop; before, the outcome was unknown after one attempt. Its counterpart for a refused attempt held before and after.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -273,6 +273,16 @@
             or self._settled.is_internal(route.name, read_now()),
         )
 
+    def _can_go_on(self, request: PendingRequest) -> bool:
+        """Return whether a stop leaves room for another attempt.
+
+        A request that may have run cannot be refused any more: without another
+        attempt it is certain to fail.
+        """
+        run = request.last_run
+        may_have_run = run is not None and run.outcome is Outcome.UNKNOWN
+        return may_have_run or self._can_end(request)
+
     def _refuse_for_stop(self, request: PendingRequest) -> Reply:
         return make_refusal(
             request.caller,
@@ -313,7 +323,7 @@
             self._record_attempt(request, view, reply)
             if self._is_final(request, reply, view):
                 return self._make_final_reply(request)
-            if not self._can_end(request):
+            if not self._can_go_on(request):
                 return self._make_final_reply(request)
             if request.attempts_at_targets and not await self._prepare_retry(
                 request, reply, view
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -42,10 +42,12 @@
 
     Attributes:
         calls: Node identifier and call of each attempt.
+        on_call: Called with each attempt.
     """
 
     def __init__(self, script: list[Reply]):
         self.calls: list[tuple[str, Call]] = []
+        self.on_call = lambda: None
         self.count = 5
         self._script = script
         ready = TargetStatus(TargetState.READY, limit=10)
@@ -81,6 +83,7 @@
     def reply(self, node_id: str, call: Call) -> Reply:
         """Record a call and return the next reply."""
         self.calls.append((node_id, call))
+        self.on_call()
         return self._script[len(self.calls) - 1]
 
 
@@ -107,6 +110,7 @@
         script: list[Reply],
         idempotent: bool,
         tokens: int | None = 3,
+        stops: bool = False,
         **route_fields,
     ) -> Reply:
         self.peers = ScriptedPeers(script)
@@ -134,6 +138,9 @@
             **fields,
         )
         now = read_now()
+        if stops:
+            # The route takes longer than what is left of the stop.
+            self.peers.on_call = lambda: side.set_end(now + 5.0, now, now)
         http = HttpRequest(b"POST", b"/pay", (), b"", True, now)
         caller = CallerRequest(b"id", "", None, ())
         chain = None
@@ -151,6 +158,18 @@
         reply = await self._call([LOST, QUARANTINED, QUARANTINED], True)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
 
+    # Guards against LOST: late in a stop a request that could have been sent
+    # again was given up as soon as the link to its target failed.
+    async def test_lost_attempt_is_made_again_in_a_stop(self):
+        reply = await self._call([LOST, DONE], True, tokens=None, stops=True)
+        self.assertEqual((reply, len(self.peers.calls)), (DONE, 2))
+
+    async def test_refused_attempt_is_not_made_again_in_a_stop(self):
+        refused = Reply(Outcome.NOT_RUN, codes.TARGET_LEAVING)
+        reply = await self._call([refused, DONE], True, stops=True)
+        self.assertIs(reply.outcome, Outcome.NOT_RUN)
+        self.assertEqual(len(self.peers.calls), 1)
+
     async def test_refusal_after_a_refusal_is_not_run(self):
         refused = Reply(Outcome.NOT_RUN, codes.TARGET_LEAVING)
         script = [refused, QUARANTINED, QUARANTINED]
