--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -274,6 +274,16 @@
             or self._settled.is_internal(route.name, read_now()),
         )
 
+    def _can_go_on(self, request: PendingRequest) -> bool:
+        """Return whether a stop leaves room for another attempt.
+
+        A request that may have run cannot be refused any more: without another
+        attempt it is certain to fail.
+        """
+        run = request.last_run
+        may_have_run = run is not None and run.outcome is Outcome.UNKNOWN
+        return may_have_run or self._can_end(request)
+
     def _refuse_for_stop(self, request: PendingRequest) -> Reply:
         return make_refusal(
             request.caller,
@@ -321,7 +331,7 @@
             self._record_attempt(request, view, reply)
             if self._is_final(request, reply, view):
                 return await self._finish(request)
-            if not self._can_end(request):
+            if not self._can_go_on(request):
                 return await self._finish(request)
             if request.attempts_at_targets and not await self._prepare_retry(
                 request, reply, view
@@ -400,6 +410,7 @@
             size_kb=self._sizes.estimate(route.name),
             excluded=frozenset(request.tried_nodes),
             now=now,
+            deadline=request.deadline,
             is_internal=self._graph.is_internal(route.name),
             pinned_by=request.content.fingerprint if is_suspect else b"",
         )
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -139,6 +139,7 @@
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
         )
+        self.core.state_publisher.publish_status()
         log_event("daemon_stopping")
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
@@ -155,6 +156,7 @@
             if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
                 target_side.mark_stopping()
                 self.core.state_publisher.publish_status()
+            target_side.give_back_runs()
             if now > ends_at - QUEUE_MARGIN_S:
                 target_side.refuse_queued_calls()
             if is_accepting and self._can_stop_accepting(elapsed_s):
