Let links between nodes fail in the soak on the platform's interface

The soak there left NODE_CUT out: no link was ever delayed, reset, cut one way or silenced with real processes while a request was passed on through it.

The daemon is that of the deploy file's command but for the address that it listens on; it announces the proxy's. The node that opened a link is known by its first message, so that a fault hits one pair of nodes or all links to one node. What binds in spite of it is checked besides: a request that was read or has run gets some complete answer, by its limit.

Not faithful: the kernel acknowledges what a silent proxy holds, so that TCP_USER_TIMEOUT is not played.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -32,8 +32,19 @@
     type=click.Path(exists=True, file_okay=False),
     help="Folder that keeps the logs and the record (platform only).",
 )
+@click.option(
+    "--links",
+    "has_link_faults",
+    is_flag=True,
+    help="Let links between nodes fail too (platform only).",
+)
 def main(
-    first: int, seeds: int, seconds: float, interface: str, keep: str | None
+    first: int,
+    seeds: int,
+    seconds: float,
+    interface: str,
+    keep: str | None,
+    has_link_faults: bool,
 ) -> None:
     """Run soaks with a seed each; exit with 1 if a promise was broken."""
     broken = 0
@@ -41,7 +52,7 @@
         if interface == "own":
             result = run_soak(seed, seconds)
         else:
-            result = run_platform_soak(seed, seconds, keep)
+            result = run_platform_soak(seed, seconds, keep, has_link_faults)
         broken += bool(result.violations)
         outcomes = " ".join(f"{k}={v}" for k, v in result.outcomes.items())
         click.echo(f"seed={seed} faults={result.actions} {outcomes}")
--- a/kumquatwalk/soak/platform_runner.py
+++ b/kumquatwalk/soak/platform_runner.py
@@ -11,6 +11,10 @@
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.link_plan import LinkAction
+from kumquatwalk.soak.link_plan import make_link_plan
+from kumquatwalk.soak.link_player import LinkPlayer
+from kumquatwalk.soak.link_records import list_unanswered
 from kumquatwalk.soak.plan import Action
 from kumquatwalk.soak.plan import Fault
 from kumquatwalk.soak.platform_plan import RELOAD_RATIO
@@ -57,7 +61,10 @@
 
 
 def run_platform_soak(
-    seed: int, duration_s: float, keep: str | None = None
+    seed: int,
+    duration_s: float,
+    keep: str | None = None,
+    has_link_faults: bool = False,
 ) -> SoakResult:
     """Run one soak with daemon processes on loopback addresses.
 
@@ -68,10 +75,12 @@
         duration_s: Time in which faults begin, in seconds.
         keep: Folder in which the logs and the record are kept; None to keep
             them in a temporary folder, and only after a violation.
+        has_link_faults: Whether links between nodes fail too; the other faults
+            of a seed stay the same.
     """
     prefix = f"soak-platform-{seed}-"
     folder = pathlib.Path(tempfile.mkdtemp(prefix=prefix, dir=keep))
-    result = asyncio.run(_Soak(seed, folder).run(duration_s))
+    result = asyncio.run(_Soak(seed, folder, has_link_faults).run(duration_s))
     if result.violations:
         kept = Violation("logs", str(folder), "logs and record")
         return dataclasses.replace(
@@ -84,11 +93,13 @@
 
 class _Soak:
 
-    def __init__(self, seed: int, folder: pathlib.Path):
+    def __init__(self, seed: int, folder: pathlib.Path, has_link_faults: bool):
         self._seed = seed
         self._rng = random.Random(f"{seed}-soak")
         self._folder = folder
-        self._fleet = PlatformFleet(folder)
+        self._has_link_faults = has_link_faults
+        self._fleet = PlatformFleet(folder, has_proxies=has_link_faults)
+        self._links = LinkPlayer(self._fleet.proxies)
         self._attempts: list[Attempt] = []
         self._works: list[PlannedWork] = []
         self._impairments: list[Impairment] = []
@@ -108,7 +119,11 @@
             supervisor = asyncio.create_task(self._restart_ended())
             nodes = tuple(fleet.nodes)
             plan = make_platform_plan(self._seed, duration_s, nodes)
-            await self._play(plan, make_changes(self._seed, duration_s, plan))
+            links = ()
+            if self._has_link_faults:
+                links = make_link_plan(self._seed, duration_s, nodes, plan)
+            changes = make_changes(self._seed, duration_s, plan)
+            await self._play(plan, changes, links)
             await self._settle()
             for caller in callers:
                 caller.stop()
@@ -121,13 +136,19 @@
             self._attempts,
             self._collect_runs(),
             self._works,
-            self._impairments,
+            [*self._impairments, *self._links.impairments],
             self._departures,
         )
         self._violations += check_record(record)
+        if self._has_link_faults:
+            self._violations += list_unanswered(
+                record.attempts, record.runs, self._impairments
+            )
         write_record(self._folder, record, self._violations)
         return SoakResult(
-            tuple(self._violations), len(plan), self._count_outcomes()
+            tuple(self._violations),
+            len(plan) + len(links),
+            self._count_outcomes(),
         )
 
     def _make_callers(self) -> list[ConnectionCaller]:
@@ -146,11 +167,18 @@
         ]
 
     async def _play(
-        self, plan: tuple[Action, ...], changes: tuple[Change, ...]
+        self,
+        plan: tuple[Action, ...],
+        changes: tuple[Change, ...],
+        links: tuple[LinkAction, ...],
     ) -> None:
         events = [(a.at_s, lambda a=a: self._begin(a)) for a in plan]
         events += [(a.at_s + a.hold_s, lambda a=a: self._lift(a)) for a in plan]
         events += [(c.at_s, lambda c=c: self._change(c)) for c in changes]
+        events += [(a.at_s, lambda a=a: self._links.begin(a)) for a in links]
+        events += [
+            (a.at_s + a.hold_s, lambda a=a: self._links.lift(a)) for a in links
+        ]
         began_at = read_now()
         for at_s, play in sorted(events, key=lambda event: event[0]):
             await asyncio.sleep(max(0.0, began_at + at_s - read_now()))
@@ -160,6 +188,7 @@
         """Lift all faults and wait until all is served again."""
         fleet = self._fleet
         fleet.store.faults = StoreFaults()
+        self._links.lift_all()
         async with asyncio.timeout(HANG_GUARD_S):
             await asyncio.gather(*self._tasks)
             for node in fleet.nodes.values():
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -18,6 +18,7 @@
 from kumquatwalk.standin.daemon_fleet import exchange
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.link_proxy import LinkProxy
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.platform_node import PlatformNode
 from kumquatwalk.standin.scripted_target import ScriptedTarget
@@ -29,7 +30,7 @@
 _HEARTBEAT_S = 1.5
 _REPORT_TIMEOUT_S = 1.0
 _START_TIMEOUT_S = 30.0
-_LISTENERS = ("inbound", "outbound", "ready", "control", "metrics")
+_LISTENERS = ("inbound", "outbound", "ready", "control", "metrics", "proxied")
 
 
 class PlatformFleet:
@@ -41,14 +42,18 @@
 
     Args:
         folder: Folder of settings files and logs, one log for each process.
+        has_proxies: Whether all links between nodes pass through proxies.
 
     Attributes:
         nodes: Nodes by name.
+        proxies: Proxies of links by the node that accepts the links.
         store: Simulated store.
     """
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, has_proxies: bool = False):
         self.nodes: dict[str, PlatformNode] = {}
+        self.proxies: dict[str, LinkProxy] = {}
+        self._has_proxies = has_proxies
         self.store = KvStore()
         self._folder = folder
         self._version = 0
@@ -83,6 +88,8 @@
             if node.process is not None:
                 node.process.wait()
             await node.target.close()
+        for proxy in self.proxies.values():
+            await proxy.close()
         await self.store.close()
 
     def change_config(self) -> None:
@@ -107,13 +114,19 @@
         log = self._folder / f"{node.name}-{node.starts}.log"
         with log.open("wb") as output:
             node.process = subprocess.Popen(
-                [sys.executable, "-m", "kumquatwalk", "daemon"]
-                + ["--settings", str(node.settings)],
+                [sys.executable, "-m", *self._make_command(node)],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
             )
 
+    def _make_command(self, node: PlatformNode) -> list[str]:
+        module = ["kumquatwalk"]
+        if self._has_proxies:
+            listener = str(node.listeners["proxied"])
+            module = ["kumquatwalk.standin.proxied_daemon", listener]
+        return [*module, "daemon", "--settings", str(node.settings)]
+
     def change_settings(self, node: PlatformNode) -> None:
         """Change a bound in the settings file and send SIGHUP.
 
@@ -190,6 +203,12 @@
         target.choose_script = node.choose_script
         node.write_settings(self.store.address)
         self.nodes[name] = node
+        if self._has_proxies:
+            proxy = LinkProxy(
+                node.listeners["inbound"], node.listeners["proxied"]
+            )
+            await proxy.start()
+            self.proxies[name] = proxy
         self.start_daemon(node)
         loop = asyncio.get_running_loop()
         self._beats.append(loop.create_task(self._send_beats(node)))
