Accept what waits in the accept queue before a stop closes the listener

Cause: the kernel resets what waits in the queue of a listener that is closed.

stop_accepting now accepts what is queued first; these requests are refused with 503 as those that come late on open connections. The listening socket is made here, as the event loop's server offers no accept.

The test fails before with ConnectionResetError. The state machine's server is not started and has a mock for its listener, now also for the socket.

--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, targets and health checks."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from kumquatwalk.address import Address
@@ -90,7 +91,9 @@
         self.is_stopping = False
         self.is_accepting = True
         self.connections: set[CallerConnection] = set()
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
+        self._accepting: set[asyncio.Task] = set()
         self._timeout_task: asyncio.Task | None = None
         self._refusals_seen = 0
 
@@ -105,11 +108,17 @@
         Raises:
             OSError: The server cannot listen on the address.
         """
+        host, port = self._address.host, self._address.port
+        self._listener = socket.create_server(
+            (host, port),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=BACKLOG,
+        )
+        self._listener.setblocking(False)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self),
-            self._address.host,
-            self._address.port,
+            sock=self._listener,
             backlog=BACKLOG,
         )
         self._start_checks()
@@ -178,12 +187,14 @@
         A request of which the first byte has been read is handled. One that
         begins later is refused, or left unanswered if it stands behind others
         on its connection. Each connection closes once it is idle or after its
-        last answer. Does nothing the second time.
+        last answer. Connections in the accept queue are accepted before, as the
+        kernel would reset them. Does nothing the second time.
         """
         if not self.is_accepting:
             return
         self.is_stopping = True
         self.is_accepting = False
+        self._accept_queued()
         self._server.close()
         now = read_now()
         for connection in tuple(self.connections):
@@ -199,6 +210,22 @@
         for connection in tuple(self.connections):
             connection.abort(End.PROCESS_END)
 
+    def _accept_queued(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:  # there is none, or there is no descriptor for it
+                return
+            sock.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(
+                    lambda: CallerConnection(self), sock
+                )
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+
     def _start_checks(self) -> None:
         if self._timeout_task is not None:
             self._timeout_task.cancel()
--- a/kumquatwalk/http1/tests/test_connection_machine.py
+++ b/kumquatwalk/http1/tests/test_connection_machine.py
@@ -34,6 +34,10 @@
 _RARELY = st.integers(0, 5)
 
 
+def _raise_blocking_error():
+    raise BlockingIOError
+
+
 class ConnectionMachine(stateful.RuleBasedStateMachine):
     """A client, a handler, the time and the ends of one connection."""
 
@@ -68,7 +72,10 @@
         self.server = HttpServer(
             Address("127.0.0.1", 0), self._serve, _LIMITS, self.budget
         )
-        self.server._server = mock.Mock()  # pylint: disable=protected-access
+        # pylint: disable=protected-access
+        self.server._server = mock.Mock()
+        self.server._listener = mock.Mock(accept=_raise_blocking_error)
+        # pylint: enable=protected-access
         self.server.report_unanswered = self._record_unanswered
         self.connection = CallerConnection(self.server)
         self.transport = ScriptedTransport(self.loop, self.connection)
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -24,6 +24,18 @@
         self.assertEqual(await self.read_all(reader), _REFUSAL)
         self.assertEqual(self.seen, [])
 
+    # Guards against LOST: a request that had waited in the accept queue, as the
+    # process was not scheduled, was reset by the stop.
+    async def test_request_in_the_accept_queue_is_refused(self):
+        # Opened without a turn of the event loop, so that it is not accepted.
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.sendall(make_get("/a"))
+        self.server.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, [])
+
     # Guards against LOST: nobody closed a new connection that stayed silent.
     async def test_silent_new_connection_is_closed(self):
         reader, _ = await self.open()
