Soak: a play of a deployment's shape with real processes

`--tree` runs the daemons of another checkout. Requests without a true answer are counted by side, stage and cause.

The soak on the platform's interface is split in three files; its checks also compare the status of an answer with the target's. Requests have a limit each.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -5,6 +5,7 @@
 
 import click
 
+from kumquatwalk.soak.deployment_runner import run_deployment_soak
 from kumquatwalk.soak.platform_runner import run_platform_soak
 from kumquatwalk.soak.runner import run_soak
 
@@ -22,29 +23,50 @@
 )
 @click.option(
     "--interface",
-    type=click.Choice(["own", "platform"]),
+    type=click.Choice(["own", "platform", "deployment"]),
     default="own",
     show_default=True,
-    help="Interface of the nodes.",
+    help="Interface of the nodes, or the shape of a deployment on it.",
 )
 @click.option(
     "--keep",
     type=click.Path(exists=True, file_okay=False),
-    help="Folder that keeps the logs and the record (platform only).",
+    help="Folder that keeps the logs and the record (not for own).",
+)
+@click.option(
+    "--rate",
+    default=0.1,
+    show_default=True,
+    help="Share of the deployment's rate of requests (deployment only).",
+)
+@click.option(
+    "--tree",
+    type=click.Path(exists=True, file_okay=False),
+    help="Checkout of which the daemons run (deployment only).",
 )
 def main(
-    first: int, seeds: int, seconds: float, interface: str, keep: str | None
+    first: int,
+    seeds: int,
+    seconds: float,
+    interface: str,
+    keep: str | None,
+    rate: float,
+    tree: str | None,
 ) -> None:
     """Run soaks with a seed each; exit with 1 if a promise was broken."""
     broken = 0
     for seed in range(first, first + seeds):
         if interface == "own":
             result = run_soak(seed, seconds)
+        elif interface == "deployment":
+            result = run_deployment_soak(seed, seconds, rate, keep, tree)
         else:
             result = run_platform_soak(seed, seconds, keep)
         broken += bool(result.violations)
         outcomes = " ".join(f"{k}={v}" for k, v in result.outcomes.items())
         click.echo(f"seed={seed} faults={result.actions} {outcomes}")
+        for name, count in result.losses.items():
+            click.echo(f"  {count} {name}")
         rules = collections.Counter(v.rule for v in result.violations)
         if rules:
             click.echo("  " + " ".join(f"{k}={v}" for k, v in rules.items()))
--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -10,7 +10,6 @@
 
 from kumquatwalk.history import Violation
 from kumquatwalk.standin.attempt import Attempt
-from kumquatwalk.standin.connection_use import LIMIT_S
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.scripted_target import Run
 
@@ -20,6 +19,10 @@
     "PlannedWork",
     "PlatformRecord",
     "check_record",
+    "find_excuse",
+    "find_planned_loss",
+    "is_answered",
+    "is_read",
     "write_record",
 ]
 
@@ -93,6 +96,7 @@
         works: Planned work, each SIGTERM only once for each process.
         impairments: Unplanned impairments.
         departures: Acknowledged departures of targets.
+        manifests: Times at which the configuration was changed, in seconds.
     """
 
     attempts: Sequence[Attempt]
@@ -100,6 +104,7 @@
     works: Sequence[PlannedWork]
     impairments: Sequence[Impairment]
     departures: Sequence[Departure] = ()
+    manifests: Sequence[float] = ()
 
 
 def check_record(record: PlatformRecord) -> list[Violation]:
@@ -115,11 +120,11 @@
         runs = record.runs.get(attempt.attempt_id, ())
         for rule in _list_broken(attempt, runs):
             violations.append(_describe(rule, attempt, runs, ""))
-        if _is_answered(attempt) or _is_excused(attempt, runs, record):
+        if is_answered(attempt) or find_excuse(attempt, runs, record):
             continue
         if attempt.error == "limit" and _get_connection(attempt) in abandoned:
             continue
-        cause = _find_planned_loss(attempt, runs, record.works)
+        cause = find_planned_loss(attempt, runs, record.works)
         if cause:
             violations.append(_describe("lost", attempt, runs, cause))
         elif runs and not attempt.status and attempt.habit != "fresh":
@@ -206,12 +211,16 @@
     return {
         _get_connection(attempt)
         for attempt in attempts
-        if attempt.ended_at - attempt.began_at >= LIMIT_S
+        if attempt.ended_at - attempt.began_at >= attempt.limit_s
     }
 
 
-def _is_answered(attempt: Attempt) -> bool:
-    """Return whether the answer is the target's and complete."""
+def is_answered(attempt: Attempt) -> bool:
+    """Return whether the answer is the target's and complete.
+
+    Args:
+        attempt: Request that has ended.
+    """
     return bool(attempt.status) and attempt.has_seal and attempt.has_body
 
 
@@ -219,37 +228,53 @@
     """Return the promises that are broken whatever has happened meanwhile."""
     is_whole = attempt.has_seal and attempt.has_body
     is_success = 200 <= attempt.status < 300
+    statuses = {run.status for _, run in runs}
+    is_changed = bool(runs) and attempt.status not in statuses
     broken = {
         "run_though_refused": attempt.status in NOT_RUN_STATUSES and runs,
         "run_twice": not attempt.is_safe and len(runs) > 1,
-        "not_the_target's": (is_success or attempt.has_seal) and not is_whole,
+        "not_the_target's": (is_success or attempt.has_seal)
+        and (not is_whole or is_changed),
         "not_run_but_answered": is_success and not runs,
         "not_the_last_answer": attempt.is_followed,
     }
     return [rule for rule, is_broken in broken.items() if is_broken]
 
 
-def _is_excused(
+def find_excuse(
     attempt: Attempt, runs: Sequence[tuple[str, Run]], record: PlatformRecord
-) -> bool:
-    """Return whether a limit, the target or an impairment explains a loss."""
-    if attempt.ended_at - attempt.began_at >= LIMIT_S:
-        return True
+) -> str:
+    """Return what other than the nodes explains a loss; "" for nothing.
+
+    Args:
+        attempt: Request without an answer of its target.
+        runs: Its runs.
+        record: What was seen.
+    """
+    if attempt.error == "left":
+        return "left"
+    if attempt.ended_at - attempt.began_at >= attempt.limit_s:
+        return "limit"
     if runs and runs[-1][1].is_broken_off:
-        return True
+        return "target"
     nodes = {attempt.node, *(node for node, _ in runs)}
-    return _is_impaired(
-        nodes, attempt.began_at, attempt.ended_at, record.impairments
-    )
+    times = attempt.began_at, attempt.ended_at
+    return "impaired" if _is_impaired(nodes, *times, record.impairments) else ""
 
 
-def _find_planned_loss(
+def find_planned_loss(
     attempt: Attempt,
     runs: Sequence[tuple[str, Run]],
     works: Sequence[PlannedWork],
 ) -> str:
-    """Return the planned work around which a request was lost; "" for none."""
-    if not runs and not _is_read_and_left(attempt):
+    """Return the planned work around which a request was lost; "" for none.
+
+    Args:
+        attempt: Request without an answer of its target.
+        runs: Its runs.
+        works: Planned work.
+    """
+    if not runs and not is_read(attempt):
         return ""
     for work in sorted(works, key=lambda work: not work.is_stop):
         after_s = attempt.ended_at - work.at
@@ -271,8 +296,12 @@
     return ""
 
 
-def _is_read_and_left(attempt: Attempt) -> bool:
-    """Return whether a request that never ran was read, but not answered."""
+def is_read(attempt: Attempt) -> bool:
+    """Return whether a request that never ran was read, but not answered.
+
+    Args:
+        attempt: Request that has ended.
+    """
     return (
         not attempt.status
         and not attempt.is_behind
--- /dev/null
+++ b/kumquatwalk/soak/platform_soak.py
@@ -0,0 +1,311 @@
+"""Soak on the platform's interface, with the checks at its end."""
+
+import asyncio
+import collections
+import pathlib
+import random
+import signal
+
+from kumquatwalk.clock import read_now
+from kumquatwalk.history import Violation
+from kumquatwalk.soak.losses import count_losses
+from kumquatwalk.soak.plan import Action
+from kumquatwalk.soak.plan import Fault
+from kumquatwalk.soak.platform_plan import RELOAD_RATIO
+from kumquatwalk.soak.platform_plan import Change
+from kumquatwalk.soak.platform_plan import ChangeKind
+from kumquatwalk.soak.platform_records import Departure
+from kumquatwalk.soak.platform_records import Impairment
+from kumquatwalk.soak.platform_records import PlannedWork
+from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.soak.platform_records import write_record
+from kumquatwalk.soak.runner import COPY_AGE_FACTOR
+from kumquatwalk.soak.runner import SoakResult
+from kumquatwalk.soak.target_release import TargetRelease
+from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.platform_fleet import PlatformFleet
+from kumquatwalk.standin.platform_node import PlatformNode
+from kumquatwalk.standin.store_faults import StoreFaults
+
+__all__ = ["PlatformSoak"]
+
+POLL_S = 0.02
+SLOW_FACTOR = 5.0
+# A node beside a target that leaves is ended within this time after the
+# acknowledgement, in seconds.
+END_AFTER_S = (0.0, 1.0)
+# A node that has started is reloaded within this time, in seconds.
+RELOAD_AFTER_START_S = 1.5
+HANG_GUARD_S = 60.0
+
+
+class PlatformSoak:
+    """Plays faults, changes and callers against a fleet of daemon processes.
+
+    Args:
+        seed: Seed of the choices made during the soak.
+        fleet: Fleet, not yet started.
+        node_count: Number of its nodes.
+        folder: Folder that gets the record.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        fleet: PlatformFleet,
+        node_count: int,
+        folder: pathlib.Path,
+    ):
+        self._seed = seed
+        self._rng = random.Random(f"{seed}-soak")
+        self._folder = folder
+        self._fleet = fleet
+        self._node_count = node_count
+        self._attempts: list[Attempt] = []
+        self._works: list[PlannedWork] = []
+        self._impairments: list[Impairment] = []
+        self._departures: list[Departure] = []
+        self._violations: list[Violation] = []
+        self._signalled: set[int] = set()
+        self._ended_at_start = 0
+        self._tasks: list[asyncio.Task] = []
+        self._beside: list[asyncio.Task] = []
+        self._manifests: list[float] = []
+        self._release = TargetRelease(
+            fleet, self._rng, self._departures, self._end_soon, self._start_task
+        )
+
+    def make_callers(self) -> list:
+        """Return the callers, each with ``run`` and ``stop``."""
+        raise NotImplementedError
+
+    def make_plan(
+        self, duration_s: float
+    ) -> tuple[tuple[Action, ...], tuple[Change, ...]]:
+        """Return the faults and changes in order of time.
+
+        Args:
+            duration_s: Time in which they begin, in seconds.
+        """
+        raise NotImplementedError
+
+    async def run(self, duration_s: float) -> SoakResult:
+        """Play all faults and changes, then check all promises.
+
+        Args:
+            duration_s: Time in which they begin, in seconds.
+        """
+        fleet = self._fleet
+        try:
+            await fleet.start(self._node_count)
+            callers = self.make_callers()
+            running = [asyncio.create_task(c.run()) for c in callers]
+            self.run_beside(self._restart_ended())
+            plan, changes = self.make_plan(duration_s)
+            await self._play(plan, changes)
+            await self._settle()
+            for caller in callers:
+                caller.stop()
+            async with asyncio.timeout(HANG_GUARD_S):
+                await asyncio.gather(*running)
+        finally:
+            for task in self._beside:
+                task.cancel()
+            ended_at = read_now()
+            await fleet.close()
+        record = PlatformRecord(
+            # Calls that have not ended then are cut by the end of the soak.
+            [a for a in self._attempts if 0.0 < a.ended_at <= ended_at],
+            self._collect_runs(),
+            self._works,
+            self._impairments,
+            self._departures,
+            self._manifests,
+        )
+        self._violations += check_record(record)
+        write_record(self._folder, record, self._violations)
+        return SoakResult(
+            tuple(self._violations),
+            len(plan),
+            self._count_outcomes(),
+            count_losses(record, self._folder),
+        )
+
+    def run_beside(self, coroutine) -> None:
+        """Run a coroutine until the soak ends, then cancel it.
+
+        Args:
+            coroutine: What to run.
+        """
+        self._beside.append(asyncio.create_task(coroutine))
+
+    async def _play(
+        self, plan: tuple[Action, ...], changes: tuple[Change, ...]
+    ) -> None:
+        events = [(a.at_s, lambda a=a: self._begin(a)) for a in plan]
+        events += [(a.at_s + a.hold_s, lambda a=a: self._lift(a)) for a in plan]
+        events += [(c.at_s, lambda c=c: self._change(c)) for c in changes]
+        began_at = read_now()
+        for at_s, play in sorted(events, key=lambda event: event[0]):
+            await asyncio.sleep(max(0.0, began_at + at_s - read_now()))
+            play()
+
+    async def _settle(self) -> None:
+        """Lift all faults and wait until all is served again."""
+        fleet = self._fleet
+        fleet.store.faults = StoreFaults()
+        async with asyncio.timeout(HANG_GUARD_S):
+            await asyncio.gather(*self._tasks)
+            for node in fleet.nodes.values():
+                node.signal(signal.SIGCONT)
+                node.work_factor, node.silent_until = 1.0, 0.0
+                while not node.is_running or node.pid in self._signalled:
+                    await asyncio.sleep(POLL_S)
+            for name in fleet.nodes:
+                await fleet.wait_until_served(name)
+
+    def _begin(self, action: Action) -> None:
+        node = self._fleet.nodes[action.node_id]
+        now = read_now()
+        match action.fault:
+            case Fault.NODE_STOP:
+                self._stop(node)
+            case Fault.NODE_KILL:
+                self._kill(node)
+            case Fault.NODE_PAUSE:
+                self._impair(node, now + action.hold_s)
+                node.signal(signal.SIGSTOP)
+            case Fault.TARGET_STOP:
+                self._start_task(self._release.replace(node))
+            case Fault.TARGET_KILL:
+                node.target.crash()
+            case Fault.TARGET_PAUSE | Fault.TARGET_SILENT:
+                node.silent_until = now + action.hold_s
+            case Fault.TARGET_SLOW:
+                node.work_factor = SLOW_FACTOR
+            case Fault.STORE_OUTAGE | Fault.STORE_RESTORED:
+                self._set_store_faults(outage=True)
+            case Fault.STORE_SLOW:
+                self._set_store_faults(delay_ms=300)
+            case Fault.STORE_ANSWERS_LOST:
+                self._set_store_faults(lose_answers=5)
+
+    def _lift(self, action: Action) -> None:
+        node = self._fleet.nodes[action.node_id]
+        match action.fault:
+            case Fault.NODE_PAUSE:
+                self._impair(node, read_now())
+                node.signal(signal.SIGCONT)
+            case Fault.TARGET_KILL:
+                self._start_task(self._fleet.restart_target(node))
+            case Fault.TARGET_SLOW:
+                node.work_factor = 1.0
+            case (
+                Fault.STORE_OUTAGE | Fault.STORE_SLOW | Fault.STORE_ANSWERS_LOST
+            ):
+                self._set_store_faults()
+            case Fault.STORE_RESTORED:
+                age_s = COPY_AGE_FACTOR * action.hold_s
+                self._fleet.store.restore_oldest_within(age_s)
+                self._set_store_faults()
+
+    def _change(self, change: Change) -> None:
+        if change.kind is ChangeKind.CONFIG:
+            self._manifests.append(read_now())
+            self._fleet.change_config()
+        else:
+            self._reload(self._fleet.nodes[change.node_id])
+
+    def _reload(self, node: PlatformNode) -> None:
+        self._works.append(PlannedWork(node.name, node.pid, read_now(), False))
+        self._fleet.change_settings(node)
+
+    def _stop(self, node: PlatformNode) -> None:
+        if not node.is_running:
+            return
+        if node.pid in self._signalled:
+            node.signal(signal.SIGTERM)
+            return
+        self._signalled.add(node.pid)
+        self._works.append(PlannedWork(node.name, node.pid, read_now(), True))
+        self._start_task(self._fleet.stop_daemon(node))
+
+    def _kill(self, node: PlatformNode) -> None:
+        self._impair(node, read_now())
+        self._signalled.add(node.pid)
+        node.signal(signal.SIGKILL)
+
+    async def _end_soon(self, node: PlatformNode) -> None:
+        await asyncio.sleep(self._rng.uniform(*END_AFTER_S))
+        if self._seed % 2:
+            self._stop(node)
+        else:
+            self._kill(node)
+
+    async def _restart_ended(self) -> None:
+        """Start what has ended; note a process that ended by itself."""
+        while True:
+            for node in self._fleet.nodes.values():
+                if node.is_running:
+                    continue
+                if node.pid not in self._signalled:
+                    self._note_end(node)
+                else:
+                    self._impair_if_killed(node)
+                self._fleet.start_daemon(node)
+                if self._rng.random() < RELOAD_RATIO:
+                    self._start_task(self._reload_soon(node))
+            await asyncio.sleep(POLL_S)
+
+    def _note_end(self, node: PlatformNode) -> None:
+        """Note that a process ended though nobody stopped or killed it.
+
+        One that a SIGHUP ended before it had a caller owed nothing, and no
+        program catches signals before its interpreter runs: it is counted.
+        """
+        status = node.process.returncode
+        is_used = any(a.pid == node.pid for a in self._attempts)
+        if status == -signal.SIGHUP and not is_used:
+            self._ended_at_start += 1
+            return
+        after_s = read_now() - node.started_at
+        detail = f"status {status}, {after_s:.2f} s after its start"
+        self._violations.append(Violation("ended_by_itself", node.name, detail))
+
+    async def _reload_soon(self, node: PlatformNode) -> None:
+        pid = node.pid
+        await asyncio.sleep(self._rng.uniform(0.0, RELOAD_AFTER_START_S))
+        if node.pid == pid:
+            self._reload(node)
+
+    def _impair_if_killed(self, node: PlatformNode) -> None:
+        """Count the start after a kill as a part of the impairment."""
+        if all(work.pid != node.pid for work in self._works if work.is_stop):
+            self._impair(node, read_now())
+
+    def _impair(self, node: PlatformNode, until: float) -> None:
+        now = read_now()
+        self._impairments.append(Impairment(node.name, now, max(now, until)))
+
+    def _set_store_faults(self, **faults) -> None:
+        self._fleet.store.faults = StoreFaults(**faults)
+
+    def _start_task(self, coroutine) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    def _collect_runs(self) -> dict[str, list]:
+        runs = [
+            (node.name, run)
+            for node in self._fleet.nodes.values()
+            for run in node.target.runs
+        ]
+        found = collections.defaultdict(list)
+        for name, run in sorted(runs, key=lambda entry: entry[1].at):
+            found[run.attempt_id].append((name, run))
+        return dict(found)
+
+    def _count_outcomes(self) -> dict[str, int]:
+        ends = (str(a.status or a.error) for a in self._attempts)
+        counts = dict(collections.Counter(ends))
+        return counts | {"ended_at_start": self._ended_at_start}
--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -46,11 +46,14 @@
         violations: Broken promises.
         actions: Number of faults.
         outcomes: Number of sendings by outcome.
+        losses: Number of requests without a true answer, by side, stage and
+            cause.
     """
 
     violations: tuple[Violation, ...]
     actions: int
     outcomes: dict[str, int]
+    losses: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def run_soak(seed: int, duration_s: float) -> SoakResult:
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -168,6 +168,15 @@
         whole = change(CUT, status=200, has_seal=True, has_body=True)
         self.assertEqual(self.check(whole), ["not_run_but_answered"])
 
+    def test_status_is_the_one_that_the_target_gave(self):
+        fields = {"has_seal": True, "has_body": True}
+        failed = change(RUN, status=500)
+        for status, run in ((200, failed), (504, failed), (500, RUN)):
+            changed = change(CUT, status=status, **fields)
+            self.assertEqual(self.check(changed, run), ["not_the_target's"])
+        whole = change(CUT, status=500, **fields)
+        self.assertEqual(self.check(whole, failed), [])
+
     def test_nothing_follows_the_last_answer(self):
         followed = change(
             CUT, status=200, has_seal=True, has_body=True, is_followed=True
--- a/kumquatwalk/standin/attempt.py
+++ b/kumquatwalk/standin/attempt.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-__all__ = ["HABITS", "Attempt", "Habit"]
+__all__ = ["HABITS", "LIMIT_S", "Attempt", "Habit"]
+
+# Time limit of a request if no other is given, in seconds.
+LIMIT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +23,7 @@
             to send it at once.
         sizes: Range of the size of an answer, in bytes.
         read_pause_s: Longest pause between two reads, in seconds.
+        reconnect_s: Range of the pause before a connection, in seconds.
         is_safe: Whether the requests are idempotent.
     """
 
@@ -31,6 +35,7 @@
     piece_pause_s: float = 0.0
     sizes: tuple[int, int] = (1, 2000)
     read_pause_s: float = 0.0
+    reconnect_s: tuple[float, float] = (0.0, 0.05)
     is_safe: bool = True
 
 
@@ -70,6 +75,8 @@
             the connection asked for, or after the last one.
         received: Bytes received of the answer.
         error: Why there is no complete answer.
+        limit_s: Time after which the answer is no longer owed, in seconds: the
+            caller's limit or, if that is shorter, the timeout of the route.
     """
 
     attempt_id: str
@@ -92,3 +99,4 @@
     is_followed: bool = False
     received: int = 0
     error: str = ""
+    limit_s: float = LIMIT_S
--- a/kumquatwalk/standin/connection_caller.py
+++ b/kumquatwalk/standin/connection_caller.py
@@ -8,9 +8,9 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.standin.attempt import LIMIT_S
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.attempt import Habit
-from kumquatwalk.standin.connection_use import LIMIT_S
 from kumquatwalk.standin.connection_use import SLOW_READ_BYTES
 from kumquatwalk.standin.connection_use import ConnectionUse
 from kumquatwalk.standin.daemon_fleet import HOST
--- a/kumquatwalk/standin/connection_use.py
+++ b/kumquatwalk/standin/connection_use.py
@@ -11,10 +11,8 @@
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.platform_node import make_body
 
-__all__ = ["LIMIT_S", "SLOW_READ_BYTES", "ConnectionUse"]
+__all__ = ["SLOW_READ_BYTES", "ConnectionUse"]
 
-# Time limit of each request, in seconds.
-LIMIT_S = 5.0
 # Time that a caller waits beyond the limit, and for the end of a connection
 # after its last answer, in seconds.
 PATIENCE_S = 1.0
@@ -34,6 +32,7 @@
         writer: Writer of the connection.
         make_attempt: Returns a new attempt and its bytes, given its position
             on the connection and whether a request before it has no answer.
+        patience_s: Time to wait beyond the limit of a request, in seconds.
     """
 
     def __init__(
@@ -43,12 +42,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         make_attempt: Callable[[int, bool], tuple[Attempt, bytes]],
+        patience_s: float = PATIENCE_S,
     ):
         self._habit = habit
         self._rng = rng
         self._reader = reader
         self._writer = writer
         self._make_attempt = make_attempt
+        self._patience_s = patience_s
         self._is_stopped = False
         self._waiting: collections.deque[Attempt] = collections.deque()
         self._answered: Attempt | None = None
@@ -88,14 +89,17 @@
         """Give up when the time is over; close when all is done."""
         while True:
             await asyncio.sleep(_WATCH_S)
-            until = read_now() - LIMIT_S - PATIENCE_S
-            if self._waiting and self._waiting[0].began_at < until:
+            if self._waiting and self._is_over(self._waiting[0]):
                 self._error = "limit"
             elif self._waiting or not sender.done():
                 continue
             self._writer.transport.abort()
             self._reader.feed_eof()
 
+    def _is_over(self, attempt: Attempt) -> bool:
+        waited_s = read_now() - attempt.began_at
+        return waited_s > attempt.limit_s + self._patience_s
+
     def _can_send(self) -> bool:
         habit = self._habit
         return not (
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -18,6 +18,7 @@
 from kumquatwalk.standin.daemon_fleet import exchange
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.kv_store import KvStore
+from kumquatwalk.standin.node_place import NodePlace
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.platform_node import PlatformNode
 from kumquatwalk.standin.scripted_target import ScriptedTarget
@@ -41,16 +42,21 @@
 
     Args:
         folder: Folder of settings files and logs, one log for each process.
+        tree: Checkout of which the daemons run; None for the present one.
 
     Attributes:
         nodes: Nodes by name.
         store: Simulated store.
     """
 
-    def __init__(self, folder: pathlib.Path):
+    # Paths of requests that show that a node serves.
+    probes = (b"/look/0/1", b"/pay-pay/0/1")
+
+    def __init__(self, folder: pathlib.Path, tree: str | None = None):
         self.nodes: dict[str, PlatformNode] = {}
         self.store = KvStore()
         self._folder = folder
+        self._tree = tree
         self._version = 0
         self._beats: list[asyncio.Task] = []
         # Apart from other fleets, and from the ports of outgoing connections.
@@ -88,13 +94,20 @@
     def change_config(self) -> None:
         """Write the next version of the fleet configuration to the store."""
         self._version += 1
-        config = make_config(
+        self.store.put("op/config", self._make_config(self._version))
+
+    def _make_config(self, version: int) -> bytes:
+        return make_config(
             SERVICES,
-            self._version,
+            version,
             timeoutS=ROUTE_TIMEOUT_S,
-            targetLatencyS=1.5 + self._version % 2,
+            targetLatencyS=1.5 + version % 2,
+        )
+
+    def _get_place(self, number: int) -> NodePlace:
+        return NodePlace(
+            f"n{number + 1}", SERVICES[number % 2], f"z{number // 2 % 3 + 1}"
         )
-        self.store.put("op/config", config)
 
     def start_daemon(self, node: PlatformNode) -> None:
         """Start the daemon of a node; do not wait until it is ready.
@@ -112,6 +125,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                cwd=self._tree,
             )
 
     def change_settings(self, node: PlatformNode) -> None:
@@ -160,7 +174,7 @@
             name: Name of the node.
         """
         listener = self.nodes[name].listeners["outbound"]
-        for path in (b"/look/0/1", b"/pay-pay/0/1"):
+        for path in self.probes:
             status = 0
             while status != 200:
                 await asyncio.sleep(0.05)
@@ -173,19 +187,21 @@
                         )
                     ).status
 
-    async def _add_node(self, number: int) -> None:
-        name = f"n{number + 1}"
+    async def _add_node(self, number: int) -> PlatformNode:
+        place = self._get_place(number)
+        name = place.name
         host = f"127.{self._subnet}.{number // 250}.{number % 250 + 1}"
         target = ScriptedTarget(f"i-{name}", host=host)
         await target.start()
         node = PlatformNode(
             name,
-            SERVICES[number % 2],
-            f"z{number // 2 % 3 + 1}",
+            place.service,
+            place.zone,
             target,
             dict(zip(_LISTENERS, _reserve(host, len(_LISTENERS)))),
             self._folder / f"{name}.toml",
             target.address,
+            slots=place.slots,
         )
         target.choose_script = node.choose_script
         node.write_settings(self.store.address)
@@ -193,6 +209,7 @@
         self.start_daemon(node)
         loop = asyncio.get_running_loop()
         self._beats.append(loop.create_task(self._send_beats(node)))
+        return node
 
     async def _send_beats(self, node: PlatformNode) -> None:
         while True:
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -47,6 +47,7 @@
         starts: Number of starts of the daemon.
         started_at: Time of the last one, in seconds.
         reloads: Number of changes of the settings.
+        slots: Number of requests that the target runs at once.
     """
 
     name: str
@@ -65,6 +66,7 @@
     starts: int = 0
     started_at: float = 0.0
     reloads: int = 0
+    slots: int = 64
 
     @property
     def pid(self) -> int:
@@ -103,7 +105,7 @@
             "address": str(self.target_address),
             "zone": self.zone,
             "version": "v1",
-            "slots": 64,
+            "slots": self.slots,
             "state": self.state,
             "coldLeftS": 0,
             "sequence": self.sequence,
--- a/kumquatwalk/standin/scripted_target.py
+++ b/kumquatwalk/standin/scripted_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from kumquatwalk.address import Address
@@ -41,6 +42,8 @@
             answer, until the connection is lost; empty for an answer.
         crashes: Whether the target crashes at the end of the run, instead of
             answering.
+        perform: Coroutine function that does further work and returns the
+            behaviour from there on; None for none.
     """
 
     work_s: float = 0.0
@@ -56,6 +59,7 @@
     extra_headers: tuple[bytes, ...] = ()
     endless: bytes = b""
     crashes: bool = False
+    perform: Callable[[], Awaitable["Script"]] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +76,7 @@
         is_broken_off: Whether the target broke the connection off during the
             run, or so soon after it that the answer may be lost.
         target_id: Identifier of the target at its start.
+        status: Status of its answer.
     """
 
     attempt_id: str
@@ -81,6 +86,7 @@
     ended_at: float | None = None
     is_broken_off: bool = False
     target_id: str = ""
+    status: int = 200
 
 
 class ScriptedTarget:
@@ -97,6 +103,8 @@
         is_healthy: Whether health checks are answered with status 200; if
             not, with 503.
         crash_count: Number of crashes so far.
+        load: Running requests, waiting requests and slots, as health checks
+            are answered.
     """
 
     def __init__(
@@ -111,6 +119,7 @@
         self.connections_accepted = 0
         self.is_healthy = True
         self.crash_count = 0
+        self.load = (0, 0, 8)
         self._host = host
         self._port = 0
         self._server: asyncio.Server | None = None
@@ -249,6 +258,8 @@
             target.runs.append(self._run)
         if script.work_s:
             await asyncio.sleep(script.work_s)
+        if script.perform is not None:
+            script = await script.perform()
         if script.crashes:
             target.crash()
             return
@@ -265,6 +276,7 @@
         self._transport.write(script.prefix + answer + script.suffix)
         if not script.was_not_run:
             self._run.ended_at = read_now()
+            self._run.status = script.status
         if not script.has_length:
             self._transport.close()
 
@@ -279,6 +291,6 @@
         status = 200 if self._target.is_healthy else 503
         self._transport.write(
             b"HTTP/1.1 %d Status\r\nInstance-Id: %b\r\n"
-            b"Instance-Load: 0,0,8\r\nContent-Length: 0\r\n\r\n"
-            % (status, self._target.target_id.encode())
+            b"Instance-Load: %d,%d,%d\r\nContent-Length: 0\r\n\r\n"
+            % (status, self._target.target_id.encode(), *self._target.load)
         )
