--- a/kumquatwalk/soak/losses.py
+++ b/kumquatwalk/soak/losses.py
@@ -30,7 +30,8 @@
 
     The keys are ``SIDE STAGE CAUSE``. Side ``caller`` has the requests of
     callers, ``call`` the calls of targets, ``target`` the runs that were broken
-    off before their callers had left, and ``log`` what daemons logged.
+    off before their callers had left, and ``log`` what daemons logged. Key
+    ``machine long_waits`` has the waits of processes for a processor.
 
     Args:
         record: Record after all callers and runs have ended.
@@ -51,13 +52,14 @@
                 end = "answered" if is_answered(attempt) else "not_answered"
                 cause = _find_cause(attempt, runs, record)
                 counts[f"target {end} {cause}"] += 1
+    counts["machine long_waits"] = len(record.waits)
     for path in folder.glob("*.log"):
         text = path.read_text(encoding="utf-8", errors="replace")
         for stage, end in _UNANSWERED.findall(text):
             counts[f"log {stage} {end}"] += 1
         for code in _UNKNOWN.findall(text):
             counts[f"log outcome_unknown {code}"] += 1
-    return dict(sorted(counts.items()))
+    return {name: count for name, count in sorted(counts.items()) if count}
 
 
 def _find_stage(attempt: Attempt, runs: Sequence[tuple[str, Run]]) -> str:
--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.scheduling import ProcessWait
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.scripted_target import Run
@@ -97,6 +98,7 @@
         impairments: Unplanned impairments.
         departures: Acknowledged departures of targets.
         manifests: Times at which the configuration was changed, in seconds.
+        waits: Long waits of processes for a processor.
     """
 
     attempts: Sequence[Attempt]
@@ -105,6 +107,7 @@
     impairments: Sequence[Impairment]
     departures: Sequence[Departure] = ()
     manifests: Sequence[float] = ()
+    waits: Sequence[ProcessWait] = ()
 
 
 def check_record(record: PlatformRecord) -> list[Violation]:
@@ -154,6 +157,7 @@
         *record.works,
         *record.impairments,
         *record.departures,
+        *record.waits,
         *record.attempts,
     )
     documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import random
 import signal
@@ -22,6 +23,7 @@
 from kumquatwalk.soak.platform_records import write_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
+from kumquatwalk.soak.scheduling import SchedulingWatch
 from kumquatwalk.soak.target_release import TargetRelease
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.platform_fleet import PlatformFleet
@@ -72,6 +74,7 @@
         self._tasks: list[asyncio.Task] = []
         self._beside: list[asyncio.Task] = []
         self._manifests: list[float] = []
+        self._watch = SchedulingWatch(self._list_processes)
         self._release = TargetRelease(
             fleet, self._rng, self._departures, self._end_soon, self._start_task
         )
@@ -102,6 +105,7 @@
             callers = self.make_callers()
             running = [asyncio.create_task(c.run()) for c in callers]
             self.run_beside(self._restart_ended())
+            self.run_beside(self._watch.run())
             plan, changes = self.make_plan(duration_s)
             await self._play(plan, changes)
             await self._settle()
@@ -122,6 +126,7 @@
             self._impairments,
             self._departures,
             self._manifests,
+            self._watch.waits,
         )
         self._violations += check_record(record)
         write_record(self._folder, record, self._violations)
@@ -305,6 +310,11 @@
             found[run.attempt_id].append((name, run))
         return dict(found)
 
+    def _list_processes(self) -> list[tuple[str, int]]:
+        nodes = self._fleet.nodes.values()
+        own = ("driver", os.getpid())
+        return [own] + [(n.name, n.pid) for n in nodes if n.is_running]
+
     def _count_outcomes(self) -> dict[str, int]:
         ends = (str(a.status or a.error) for a in self._attempts)
         counts = dict(collections.Counter(ends))
