--- a/kumquatwalk/standin/deployment_fleet.py
+++ b/kumquatwalk/standin/deployment_fleet.py
@@ -41,6 +41,7 @@
         tree: Checkout of which the daemons run; None for the present one.
     """
 
+    start_timeout_s = 90.0
     probes = tuple(b"/%b/0/1" % name.encode() for name in CLASSES)
 
     def __init__(
