Soak: judge requests cut beside a new configuration

The third kind of planned work in rule LOST, a manifest, was not judged: a node may not cut requests over three times as often beside one as at other times.

--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -10,6 +10,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.history import Violation
 from kumquatwalk.soak.losses import count_losses
+from kumquatwalk.soak.manifest_cuts import check_manifest_cuts
 from kumquatwalk.soak.plan import Action
 from kumquatwalk.soak.plan import Fault
 from kumquatwalk.soak.platform_plan import RELOAD_RATIO
@@ -128,7 +129,7 @@
             self._manifests,
             self._watch.waits,
         )
-        self._violations += check_record(record)
+        self._violations += check_record(record) + check_manifest_cuts(record)
         write_record(self._folder, record, self._violations)
         return SoakResult(
             tuple(self._violations),
