--- a/kumquatwalk/proofs/tests/test_stopping_pipelined.py
+++ b/kumquatwalk/proofs/tests/test_stopping_pipelined.py
@@ -5,7 +5,7 @@
 import unittest
 
 from kumquatwalk.proofs.tests.platform_case import PlatformCase
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_caller import ConnectionCaller
--- a/kumquatwalk/soak/losses.py
+++ b/kumquatwalk/soak/losses.py
@@ -5,8 +5,8 @@
 import re
 from collections.abc import Sequence
 
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import find_excuse
 from kumquatwalk.soak.platform_records import find_planned_loss
 from kumquatwalk.soak.platform_records import is_answered
--- a/kumquatwalk/soak/manifest_cuts.py
+++ b/kumquatwalk/soak/manifest_cuts.py
@@ -4,7 +4,7 @@
 
 from kumquatwalk.history import Violation
 from kumquatwalk.soak.platform_records import CONFIG_APPLY_S
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import find_excuse
 from kumquatwalk.soak.platform_records import is_read
 from kumquatwalk.standin.attempt import Attempt
--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -1,30 +1,23 @@
 """Promises to the callers of the platform's interface, checked on a record."""
 
 import collections
-import dataclasses
-import json
 import math
-import pathlib
-from collections.abc import Mapping
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
-from kumquatwalk.soak.scheduling import ProcessWait
+from kumquatwalk.soak.platform_record import Impairment
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.scripted_target import Run
 
 __all__ = [
-    "Departure",
-    "Impairment",
-    "PlannedWork",
-    "PlatformRecord",
     "check_record",
     "find_excuse",
     "find_planned_loss",
     "is_answered",
     "is_read",
-    "write_record",
 ]
 
 # Statuses that promise that the request has not run and never will.
@@ -40,76 +33,6 @@
 UNANSWERED_MAX = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannedWork:
-    """SIGTERM or SIGHUP of a daemon.
-
-    Attributes:
-        node: Node of the daemon.
-        pid: Its process.
-        at: Time of the signal, in seconds.
-        is_stop: Whether it was SIGTERM.
-    """
-
-    node: str
-    pid: int
-    at: float
-    is_stop: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Impairment:
-    """Unplanned impairment of a node.
-
-    Attributes:
-        node: Node.
-        began_at: Its begin, in seconds.
-        ended_at: Its end, in seconds.
-    """
-
-    node: str
-    began_at: float
-    ended_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
-    """Planned departure of a target.
-
-    Attributes:
-        node: Node beside the target.
-        target_id: Identifier of the target.
-        acked_at: Time at which a daemon acknowledged it, in seconds.
-    """
-
-    node: str
-    target_id: str
-    acked_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformRecord:
-    """What callers and targets saw, and what was done to the daemons.
-
-    Attributes:
-        attempts: Requests of the callers, ended.
-        runs: Node beside the target and run, in order of the runs, by attempt.
-        works: Planned work, each SIGTERM only once for each process.
-        impairments: Unplanned impairments.
-        departures: Acknowledged departures of targets.
-        manifests: Times at which the configuration was changed, in seconds.
-        waits: Long waits of processes for a processor.
-    """
-
-    attempts: Sequence[Attempt]
-    runs: Mapping[str, Sequence[tuple[str, Run]]]
-    works: Sequence[PlannedWork]
-    impairments: Sequence[Impairment]
-    departures: Sequence[Departure] = ()
-    manifests: Sequence[float] = ()
-    waits: Sequence[ProcessWait] = ()
-
-
 def check_record(record: PlatformRecord) -> list[Violation]:
     """Check rules LOST and DRAIN and what answers promise.
 
@@ -139,36 +62,6 @@
     return violations + _list_late_runs(record)
 
 
-def write_record(
-    folder: pathlib.Path,
-    record: PlatformRecord,
-    violations: Sequence[Violation],
-) -> None:
-    """Write ``record.jsonl``, a document a line, and ``violations.txt``.
-
-    Args:
-        folder: Folder of both files.
-        record: What was seen.
-        violations: Broken promises.
-    """
-    text = "".join(f"{violation}\n" for violation in violations)
-    (folder / "violations.txt").write_text(text, encoding="utf-8")
-    entries = (
-        *record.works,
-        *record.impairments,
-        *record.departures,
-        *record.waits,
-        *record.attempts,
-    )
-    documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
-    for attempt_id, runs in record.runs.items():
-        for name, run in runs:
-            times = (run.at, run.ended_at, run.is_broken_off)
-            documents.append({"Run": [attempt_id, name, *times]})
-    lines = "".join(json.dumps(document) + "\n" for document in documents)
-    (folder / "record.jsonl").write_text(lines, encoding="utf-8")
-
-
 def _list_late_runs(record: PlatformRecord) -> list[Violation]:
     """Return the runs at targets that had left, sent by sound nodes."""
     callers = {a.attempt_id: a.node for a in record.attempts}
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -16,12 +16,12 @@
 from kumquatwalk.soak.platform_plan import RELOAD_RATIO
 from kumquatwalk.soak.platform_plan import Change
 from kumquatwalk.soak.platform_plan import ChangeKind
-from kumquatwalk.soak.platform_records import Departure
-from kumquatwalk.soak.platform_records import Impairment
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import Departure
+from kumquatwalk.soak.platform_record import Impairment
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
-from kumquatwalk.soak.platform_records import write_record
+from kumquatwalk.soak.platform_record import write_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
 from kumquatwalk.soak.scheduling import SchedulingWatch
--- a/kumquatwalk/soak/target_release.py
+++ b/kumquatwalk/soak/target_release.py
@@ -7,7 +7,7 @@
 from collections.abc import Coroutine
 
 from kumquatwalk.clock import read_now
-from kumquatwalk.soak.platform_records import Departure
+from kumquatwalk.soak.platform_record import Departure
 from kumquatwalk.standin.platform_fleet import PlatformFleet
 from kumquatwalk.standin.platform_node import PlatformNode
 
--- a/kumquatwalk/soak/tests/test_losses.py
+++ b/kumquatwalk/soak/tests/test_losses.py
@@ -6,8 +6,8 @@
 import unittest
 
 from kumquatwalk.soak.losses import count_losses
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.scripted_target import Run
 
--- a/kumquatwalk/soak/tests/test_manifest_cuts.py
+++ b/kumquatwalk/soak/tests/test_manifest_cuts.py
@@ -4,8 +4,8 @@
 import unittest
 
 from kumquatwalk.soak.manifest_cuts import check_manifest_cuts
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.scripted_target import Run
 
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -3,10 +3,10 @@
 import dataclasses
 import unittest
 
-from kumquatwalk.soak.platform_records import Departure
-from kumquatwalk.soak.platform_records import Impairment
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import Departure
+from kumquatwalk.soak.platform_record import Impairment
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.scripted_target import Run
