--- a/kumquatwalk/proofs/tests/test_stopping_pipelined.py
+++ b/kumquatwalk/proofs/tests/test_stopping_pipelined.py
@@ -7,9 +7,9 @@
 from kumquatwalk.proofs.tests.platform_case import PlatformCase
 from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.standin.attempt import LIMIT_S
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_caller import ConnectionCaller
-from kumquatwalk.standin.attempt import LIMIT_S
 
 STOPPED = ("n1", "n2")
 PIPELINED = (
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import signal
+from collections.abc import Awaitable
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.history import Violation
@@ -109,11 +110,10 @@
             self.run_beside(self._watch.run())
             plan, changes = self.make_plan(duration_s)
             await self._play(plan, changes)
-            await self._settle()
+            await self._guard("not_served_again", self._settle())
             for caller in callers:
                 caller.stop()
-            async with asyncio.timeout(HANG_GUARD_S):
-                await asyncio.gather(*running)
+            await self._guard("callers_hang", asyncio.gather(*running))
         finally:
             for task in self._beside:
                 task.cancel()
@@ -161,15 +161,23 @@
         """Lift all faults and wait until all is served again."""
         fleet = self._fleet
         fleet.store.faults = StoreFaults()
-        async with asyncio.timeout(HANG_GUARD_S):
-            await asyncio.gather(*self._tasks)
-            for node in fleet.nodes.values():
-                node.signal(signal.SIGCONT)
-                node.work_factor, node.silent_until = 1.0, 0.0
-                while not node.is_running or node.pid in self._signalled:
-                    await asyncio.sleep(POLL_S)
-            for name in fleet.nodes:
-                await fleet.wait_until_served(name)
+        await asyncio.gather(*self._tasks)
+        for node in fleet.nodes.values():
+            node.signal(signal.SIGCONT)
+            node.work_factor, node.silent_until = 1.0, 0.0
+            while not node.is_running or node.pid in self._signalled:
+                await asyncio.sleep(POLL_S)
+        for name in fleet.nodes:
+            await fleet.wait_until_served(name)
+
+    async def _guard(self, rule: str, work: Awaitable) -> None:
+        """Wait for the end of a soak's part; it is a violation if it hangs."""
+        try:
+            async with asyncio.timeout(HANG_GUARD_S):
+                await work
+        except TimeoutError:
+            detail = f"within {HANG_GUARD_S:.0f} s"
+            self._violations.append(Violation(rule, "soak", detail))
 
     def _begin(self, action: Action) -> None:
         node = self._fleet.nodes[action.node_id]
