Soak: a limit counts as reached within a timer's resolution

Traced: request_timed_out at the node, whose event loop has timers of a millisecond. The check allows that millisecond and no more: 2 ms before the limit is still lost.

--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -28,6 +28,8 @@
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
 SENT_EARLY_S = 3.0
+# Resolution of the timers of an event loop, in seconds.
+TIMER_RESOLUTION_S = 0.001
 LAST_PART_S = GRACE_S / 6
 # Requests that a machine may leave without an answer at any time.
 UNANSWERED_MAX = 3
@@ -150,7 +152,8 @@
     """
     if attempt.error == "left":
         return "left"
-    if attempt.ended_at - attempt.began_at >= attempt.limit_s:
+    elapsed_s = attempt.ended_at - attempt.began_at
+    if elapsed_s >= attempt.limit_s - TIMER_RESOLUTION_S:
         return "limit"
     if runs and runs[-1][1].is_broken_off:
         return "target"
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -67,6 +67,11 @@
     def test_limit_of_the_caller_excuses(self):
         self.assertEqual(self.check(change(CUT, ended_at=104.0), RUN), [])
         self.assertEqual(self.check(change(CUT, ended_at=103.9), RUN), ["lost"])
+        route = change(CUT, limit_s=0.8, status=504)
+        for elapsed_s, found in ((0.7995, []), (0.798, ["lost"])):
+            late = change(route, ended_at=route.began_at + elapsed_s)
+            stop = change(STOP, at=99.0)
+            self.assertEqual(self.check(late, RUN, works=(stop,)), found)
 
     def test_caller_that_closes_at_a_limit_excuses_what_stands_behind(self):
         first = change(CUT, attempt_id="n1-1-1", began_at=95.0, error="limit")
