--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -115,6 +115,8 @@
     for attempt_id, runs in record.runs.items():
         for name, run in runs:
             times = (run.at, run.ended_at, run.is_broken_off)
-            documents.append({"Run": [attempt_id, name, *times]})
+            limit_ms = run.request.find_header(b"deadline-ms") or b""
+            fields = (attempt_id, name, *times, limit_ms.decode("latin-1"))
+            documents.append({"Run": fields})
     lines = "".join(json.dumps(document) + "\n" for document in documents)
     (folder / "record.jsonl").write_text(lines, encoding="utf-8")
