--- a/kumquatwalk/soak/link_player.py
+++ b/kumquatwalk/soak/link_player.py
@@ -3,7 +3,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.soak.link_plan import LinkAction
 from kumquatwalk.soak.link_plan import LinkFault
-from kumquatwalk.soak.platform_records import Impairment
+from kumquatwalk.soak.platform_record import Impairment
 from kumquatwalk.standin.link_faults import LinkFaults
 from kumquatwalk.standin.link_proxy import LinkProxy
 
--- a/kumquatwalk/soak/link_records.py
+++ b/kumquatwalk/soak/link_records.py
@@ -6,9 +6,9 @@
 from kumquatwalk.history import Violation
 from kumquatwalk.soak.platform_records import LOSS_SLACK_S
 from kumquatwalk.soak.platform_records import STABLE_S
-from kumquatwalk.soak.platform_records import Impairment
+from kumquatwalk.soak.platform_record import Impairment
 from kumquatwalk.standin.attempt import Attempt
-from kumquatwalk.standin.connection_use import LIMIT_S
+from kumquatwalk.standin.attempt import LIMIT_S
 
 __all__ = ["list_unanswered"]
 
--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -1,26 +1,23 @@
 """Promises to the callers of the platform's interface, checked on a record."""
 
 import collections
-import dataclasses
-import json
 import math
-import pathlib
-from collections.abc import Mapping
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.platform_record import Impairment
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.standin.attempt import Attempt
-from kumquatwalk.standin.connection_use import LIMIT_S
 from kumquatwalk.standin.platform_node import GRACE_S
 from kumquatwalk.standin.scripted_target import Run
 
 __all__ = [
-    "Departure",
-    "Impairment",
-    "PlannedWork",
-    "PlatformRecord",
     "check_record",
-    "write_record",
+    "find_excuse",
+    "find_planned_loss",
+    "is_answered",
+    "is_read",
 ]
 
 # Statuses that promise that the request has not run and never will.
@@ -31,77 +28,13 @@
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
 SENT_EARLY_S = 3.0
+# Resolution of the timers of an event loop, in seconds.
+TIMER_RESOLUTION_S = 0.001
 LAST_PART_S = GRACE_S / 6
 # Requests that a machine may leave without an answer at any time.
 UNANSWERED_MAX = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannedWork:
-    """SIGTERM or SIGHUP of a daemon.
-
-    Attributes:
-        node: Node of the daemon.
-        pid: Its process.
-        at: Time of the signal, in seconds.
-        is_stop: Whether it was SIGTERM.
-    """
-
-    node: str
-    pid: int
-    at: float
-    is_stop: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Impairment:
-    """Unplanned impairment of a node.
-
-    Attributes:
-        node: Node.
-        began_at: Its begin, in seconds.
-        ended_at: Its end, in seconds.
-    """
-
-    node: str
-    began_at: float
-    ended_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
-    """Planned departure of a target.
-
-    Attributes:
-        node: Node beside the target.
-        target_id: Identifier of the target.
-        acked_at: Time at which a daemon acknowledged it, in seconds.
-    """
-
-    node: str
-    target_id: str
-    acked_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformRecord:
-    """What callers and targets saw, and what was done to the daemons.
-
-    Attributes:
-        attempts: Requests of the callers, ended.
-        runs: Node beside the target and run, in order of the runs, by attempt.
-        works: Planned work, each SIGTERM only once for each process.
-        impairments: Unplanned impairments.
-        departures: Acknowledged departures of targets.
-    """
-
-    attempts: Sequence[Attempt]
-    runs: Mapping[str, Sequence[tuple[str, Run]]]
-    works: Sequence[PlannedWork]
-    impairments: Sequence[Impairment]
-    departures: Sequence[Departure] = ()
-
-
 def check_record(record: PlatformRecord) -> list[Violation]:
     """Check rules LOST and DRAIN and what answers promise.
 
@@ -115,11 +48,11 @@
         runs = record.runs.get(attempt.attempt_id, ())
         for rule in _list_broken(attempt, runs):
             violations.append(_describe(rule, attempt, runs, ""))
-        if _is_answered(attempt) or _is_excused(attempt, runs, record):
+        if is_answered(attempt) or find_excuse(attempt, runs, record):
             continue
         if attempt.error == "limit" and _get_connection(attempt) in abandoned:
             continue
-        cause = _find_planned_loss(attempt, runs, record.works)
+        cause = find_planned_loss(attempt, runs, record.works)
         if cause:
             violations.append(_describe("lost", attempt, runs, cause))
         elif runs and not attempt.status and attempt.habit != "fresh":
@@ -131,35 +64,6 @@
     return violations + _list_late_runs(record)
 
 
-def write_record(
-    folder: pathlib.Path,
-    record: PlatformRecord,
-    violations: Sequence[Violation],
-) -> None:
-    """Write ``record.jsonl``, a document a line, and ``violations.txt``.
-
-    Args:
-        folder: Folder of both files.
-        record: What was seen.
-        violations: Broken promises.
-    """
-    text = "".join(f"{violation}\n" for violation in violations)
-    (folder / "violations.txt").write_text(text, encoding="utf-8")
-    entries = (
-        *record.works,
-        *record.impairments,
-        *record.departures,
-        *record.attempts,
-    )
-    documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
-    for attempt_id, runs in record.runs.items():
-        for name, run in runs:
-            times = (run.at, run.ended_at, run.is_broken_off)
-            documents.append({"Run": [attempt_id, name, *times]})
-    lines = "".join(json.dumps(document) + "\n" for document in documents)
-    (folder / "record.jsonl").write_text(lines, encoding="utf-8")
-
-
 def _list_late_runs(record: PlatformRecord) -> list[Violation]:
     """Return the runs at targets that had left, sent by sound nodes."""
     callers = {a.attempt_id: a.node for a in record.attempts}
@@ -206,12 +110,16 @@
     return {
         _get_connection(attempt)
         for attempt in attempts
-        if attempt.ended_at - attempt.began_at >= LIMIT_S
+        if attempt.ended_at - attempt.began_at >= attempt.limit_s
     }
 
 
-def _is_answered(attempt: Attempt) -> bool:
-    """Return whether the answer is the target's and complete."""
+def is_answered(attempt: Attempt) -> bool:
+    """Return whether the answer is the target's and complete.
+
+    Args:
+        attempt: Request that has ended.
+    """
     return bool(attempt.status) and attempt.has_seal and attempt.has_body
 
 
@@ -219,37 +127,54 @@
     """Return the promises that are broken whatever has happened meanwhile."""
     is_whole = attempt.has_seal and attempt.has_body
     is_success = 200 <= attempt.status < 300
+    statuses = {run.status for _, run in runs}
+    is_changed = bool(runs) and attempt.status not in statuses
     broken = {
         "run_though_refused": attempt.status in NOT_RUN_STATUSES and runs,
         "run_twice": not attempt.is_safe and len(runs) > 1,
-        "not_the_target's": (is_success or attempt.has_seal) and not is_whole,
+        "not_the_target's": (is_success or attempt.has_seal)
+        and (not is_whole or is_changed),
         "not_run_but_answered": is_success and not runs,
         "not_the_last_answer": attempt.is_followed,
     }
     return [rule for rule, is_broken in broken.items() if is_broken]
 
 
-def _is_excused(
+def find_excuse(
     attempt: Attempt, runs: Sequence[tuple[str, Run]], record: PlatformRecord
-) -> bool:
-    """Return whether a limit, the target or an impairment explains a loss."""
-    if attempt.ended_at - attempt.began_at >= LIMIT_S:
-        return True
+) -> str:
+    """Return what other than the nodes explains a loss; "" for nothing.
+
+    Args:
+        attempt: Request without an answer of its target.
+        runs: Its runs.
+        record: What was seen.
+    """
+    if attempt.error == "left":
+        return "left"
+    elapsed_s = attempt.ended_at - attempt.began_at
+    if elapsed_s >= attempt.limit_s - TIMER_RESOLUTION_S:
+        return "limit"
     if runs and runs[-1][1].is_broken_off:
-        return True
+        return "target"
     nodes = {attempt.node, *(node for node, _ in runs)}
-    return _is_impaired(
-        nodes, attempt.began_at, attempt.ended_at, record.impairments
-    )
+    times = attempt.began_at, attempt.ended_at
+    return "impaired" if _is_impaired(nodes, *times, record.impairments) else ""
 
 
-def _find_planned_loss(
+def find_planned_loss(
     attempt: Attempt,
     runs: Sequence[tuple[str, Run]],
     works: Sequence[PlannedWork],
 ) -> str:
-    """Return the planned work around which a request was lost; "" for none."""
-    if not runs and not _is_read_and_left(attempt):
+    """Return the planned work around which a request was lost; "" for none.
+
+    Args:
+        attempt: Request without an answer of its target.
+        runs: Its runs.
+        works: Planned work.
+    """
+    if not runs and not is_read(attempt):
         return ""
     for work in sorted(works, key=lambda work: not work.is_stop):
         after_s = attempt.ended_at - work.at
@@ -271,8 +196,12 @@
     return ""
 
 
-def _is_read_and_left(attempt: Attempt) -> bool:
-    """Return whether a request that never ran was read, but not answered."""
+def is_read(attempt: Attempt) -> bool:
+    """Return whether a request that never ran was read, but not answered.
+
+    Args:
+        attempt: Request that has ended.
+    """
     return (
         not attempt.status
         and not attempt.is_behind
--- a/kumquatwalk/soak/tests/test_link_plan.py
+++ b/kumquatwalk/soak/tests/test_link_plan.py
@@ -6,7 +6,7 @@
 from kumquatwalk.soak.link_plan import make_link_plan
 from kumquatwalk.soak.link_records import list_unanswered
 from kumquatwalk.soak.platform_plan import make_platform_plan
-from kumquatwalk.soak.platform_records import Impairment
+from kumquatwalk.soak.platform_record import Impairment
 from kumquatwalk.standin.attempt import Attempt
 
 NODES = tuple(f"n{number}" for number in range(1, 7))
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -3,10 +3,10 @@
 import dataclasses
 import unittest
 
-from kumquatwalk.soak.platform_records import Departure
-from kumquatwalk.soak.platform_records import Impairment
-from kumquatwalk.soak.platform_records import PlannedWork
-from kumquatwalk.soak.platform_records import PlatformRecord
+from kumquatwalk.soak.platform_record import Departure
+from kumquatwalk.soak.platform_record import Impairment
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.scripted_target import Run
@@ -67,6 +67,11 @@
     def test_limit_of_the_caller_excuses(self):
         self.assertEqual(self.check(change(CUT, ended_at=104.0), RUN), [])
         self.assertEqual(self.check(change(CUT, ended_at=103.9), RUN), ["lost"])
+        route = change(CUT, limit_s=0.8, status=504)
+        for elapsed_s, found in ((0.7995, []), (0.798, ["lost"])):
+            late = change(route, ended_at=route.began_at + elapsed_s)
+            stop = change(STOP, at=99.0)
+            self.assertEqual(self.check(late, RUN, works=(stop,)), found)
 
     def test_caller_that_closes_at_a_limit_excuses_what_stands_behind(self):
         first = change(CUT, attempt_id="n1-1-1", began_at=95.0, error="limit")
@@ -168,6 +173,15 @@
         whole = change(CUT, status=200, has_seal=True, has_body=True)
         self.assertEqual(self.check(whole), ["not_run_but_answered"])
 
+    def test_status_is_the_one_that_the_target_gave(self):
+        fields = {"has_seal": True, "has_body": True}
+        failed = change(RUN, status=500)
+        for status, run in ((200, failed), (504, failed), (500, RUN)):
+            changed = change(CUT, status=status, **fields)
+            self.assertEqual(self.check(changed, run), ["not_the_target's"])
+        whole = change(CUT, status=500, **fields)
+        self.assertEqual(self.check(whole, failed), [])
+
     def test_nothing_follows_the_last_answer(self):
         followed = change(
             CUT, status=200, has_seal=True, has_body=True, is_followed=True
