--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -1,14 +1,17 @@
 """Record of what callers and targets saw on the platform's interface."""
 
+import collections
 import dataclasses
 import json
 import pathlib
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
 from kumquatwalk.soak.scheduling import ProcessWait
 from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.platform_node import PlatformNode
 from kumquatwalk.standin.scripted_target import Run
 
 __all__ = [
@@ -16,6 +19,7 @@
     "Impairment",
     "PlannedWork",
     "PlatformRecord",
+    "collect_runs",
     "write_record",
 ]
 
@@ -90,6 +94,21 @@
     waits: Sequence[ProcessWait] = ()
 
 
+def collect_runs(
+    nodes: Iterable[PlatformNode],
+) -> dict[str, list[tuple[str, Run]]]:
+    """Return node and run of each run, in order of the runs, by attempt.
+
+    Args:
+        nodes: Nodes of the targets.
+    """
+    runs = [(node.name, run) for node in nodes for run in node.target.runs]
+    found = collections.defaultdict(list)
+    for name, run in sorted(runs, key=lambda entry: entry[1].at):
+        found[run.attempt_id].append((name, run))
+    return dict(found)
+
+
 def write_record(
     folder: pathlib.Path,
     record: PlatformRecord,
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -22,6 +22,7 @@
 from kumquatwalk.soak.platform_record import PlannedWork
 from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.soak.platform_record import collect_runs
 from kumquatwalk.soak.platform_record import write_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
@@ -122,7 +123,7 @@
         record = PlatformRecord(
             # Calls that have not ended then are cut by the end of the soak.
             [a for a in self._attempts if 0.0 < a.ended_at <= ended_at],
-            self._collect_runs(),
+            collect_runs(self._fleet.nodes.values()),
             self._works,
             self._impairments,
             self._departures,
@@ -308,17 +309,6 @@
     def _start_task(self, coroutine) -> None:
         self._tasks.append(asyncio.create_task(coroutine))
 
-    def _collect_runs(self) -> dict[str, list]:
-        runs = [
-            (node.name, run)
-            for node in self._fleet.nodes.values()
-            for run in node.target.runs
-        ]
-        found = collections.defaultdict(list)
-        for name, run in sorted(runs, key=lambda entry: entry[1].at):
-            found[run.attempt_id].append((name, run))
-        return dict(found)
-
     def _list_processes(self) -> list[tuple[str, int]]:
         nodes = self._fleet.nodes.values()
         own = ("driver", os.getpid())
