LOST: estimate a peer's clock from all its messages, not from the first only

Cause: the offset between two nodes' clocks was taken once, from the first message of a link, when it was read. What that message had waited, while twelve processes start or one is not scheduled, counted as an offset for as long as the link lived. Ruled out: stalls near the request (scheduling times of both processes), the target, the route's limit.

Each status bears its sender's clock now, and the largest bound counts; it is never too large, so no deadline is translated too late. A second status follows the handshake after 0.1 s. In that tenth of a second a link may still be short.

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -194,6 +194,7 @@
             # Identifiers of targets that are not probed are used again.
             is_leaving=self.record.is_probed and self.record.is_leaving,
             stop_left_s=max(0.0, self.stop_admission.ends_at - now),
+            clock_s=now,
         )
 
     def get_load(self) -> tuple[int, int]:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -163,8 +163,8 @@
         self.assertEqual(await self._call([DONE], idempotent=False), DONE)
         self.assertEqual(len(self.peers.calls), 1)
 
-    # Guards against LOST: a run at a peer that was not scheduled for a while was
-    # given up with 502, though its answer came.
+    # Guards against LOST: a run at a peer that was not scheduled for a while
+    # was given up with 502, though its answer came.
     async def test_late_reply_is_awaited_when_no_retry_is_allowed(self):
         late = asyncio.get_running_loop().create_future()
         serving = asyncio.create_task(
--- a/kumquatwalk/daemon/tests/test_late_handshake.py
+++ b/kumquatwalk/daemon/tests/test_late_handshake.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.mesh.link_server import SECOND_STATUS_S
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
@@ -36,6 +37,8 @@
             self.pay = await self.fleet.add_node("pay-1", "pay")
         self.pay.target.choose_script = lambda _: Script(work_s=WORK_S)
         await self.fleet.wait_until_ready()
+        # The second status comes soon after the first message.
+        await asyncio.sleep(4 * SECOND_STATUS_S)
 
     # Guards against LOST: a run was broken off before the limit of its request
     # because the link's first message had been read late.
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -168,6 +168,7 @@
         target_start_ms=int(reader.targetStartMs),
         is_leaving=bool(reader.isLeaving),
         stop_left_s=(reader.stopLeftMs or math.inf) / MS_PER_S,
+        clock_s=reader.clockUs / US_PER_S,
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -144,6 +144,7 @@
     builder.targetKey = message.target_key
     builder.targetStartMs = message.target_start_ms
     builder.isLeaving = message.is_leaving
+    builder.clockUs = int(message.clock_s * US_PER_S)
     if message.stop_left_s < math.inf:
         builder.stopLeftMs = max(1, int(message.stop_left_s * MS_PER_S))
     times = builder.init("routeTimes", len(message.route_times))
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -41,6 +41,8 @@
 # round trips between zones.
 LINGER_MAX_S = 1.0
 _POLL_S = 0.01
+# Time from the handshake to the second status, in seconds.
+SECOND_STATUS_S = 0.1
 # Maximum number of calls of a link whose keys are remembered after their
 # replies: a peer of an earlier release does not say that it has taken them.
 KEYS_MAX = 10_000
@@ -208,6 +210,11 @@
                 if message.availability_zone != hello.availability_zone:
                     link.enable_compression()
                 link.send(self._get_status())
+                # Shows the clock again, as the first message may be read late.
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    SECOND_STATUS_S, lambda: link.send(self._get_status())
+                )
                 for notice in self._list_notices():
                     link.send(notice)
                 self._on_hello(message)
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -87,6 +87,7 @@
   isLeaving @11 :Bool;
   # Rest of the sender's stop, over 0; 0 while it does not stop.
   stopLeftMs @12 :UInt32;
+  clockUs @13 :UInt64;
 }
 
 struct ConfigRequest {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -256,6 +256,7 @@
         is_leaving: Whether the target has said that it leaves.
         stop_left_s: Time until all calls must have ended, as the sending node
             is stopping, in seconds; infinite while it is not.
+        clock_s: Sender's clock, in seconds; 0 when it does not tell.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -271,6 +272,7 @@
     target_start_ms: int = 0
     is_leaving: bool = False
     stop_left_s: float = math.inf
+    clock_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -11,6 +11,7 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
+from kumquatwalk.mesh.clock_offset import ClockOffset
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
@@ -64,8 +65,8 @@
     """Client end of the link to one peer.
 
     Idempotent calls and owner queries fail when the connection is lost. When it
-    is replaced because the peer is silent, replies to idempotent calls may still
-    come on it, see ``find_late_reply``. A call
+    is replaced because the peer is silent, replies to such calls may still come
+    on it, see ``find_late_reply``. A call
     that is not idempotent stays pending: it is sent again on the next
     connection to the same process, which knows whether the call has run.
 
@@ -107,7 +108,7 @@
         self._budget = budget
         self._is_memory_short = is_memory_short
         self._link: LinkProtocol | None = None
-        self._clock_offset_s = 0.0
+        self._clock_offset = ClockOffset()
         self._own_zone = ""
         self._pending: dict[int, _PendingRequest] = {}
         self._last_call_id = 0
@@ -291,12 +292,12 @@
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
     ) -> None:
         if isinstance(request, OwnerQuery):
-            deadline = request.deadline + self._clock_offset_s
+            deadline = request.deadline + self._clock_offset.seconds
             remote_request = dataclasses.replace(request, deadline=deadline)
             self._link.send(OwnerQueryFrame(call_id, remote_request))
             return
         self._link.send(
-            CallFrame(call_id, is_resent, request, self._clock_offset_s)
+            CallFrame(call_id, is_resent, request, self._clock_offset.seconds)
         )
 
     async def _run(self) -> None:
@@ -429,8 +430,7 @@
             case ReplyFrame():
                 self._handle_reply(message)
             case TargetStatus():
-                self.view.update_status(message, read_now())
-                self._callbacks.on_status(self.view, message)
+                self._handle_status(message, read_now())
             case ConfigDocument():
                 self._callbacks.on_config(message)
             case TrafficReport():
@@ -441,18 +441,24 @@
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
 
+    def _handle_status(self, status: TargetStatus, now: float) -> None:
+        if status.clock_s:
+            self._clock_offset.observe(status.clock_s, now)
+        self.view.update_status(status, now)
+        self._callbacks.on_status(self.view, status)
+
     def _complete_handshake(self, hello: Hello) -> None:
         is_same_process = hello.incarnation == self.incarnation
         self.incarnation = hello.incarnation
-        # The peer read its clock before the message was in transit. The
-        # estimated offset is therefore never too large, and translated
-        # deadlines are never too late.
-        self._clock_offset_s = hello.clock_s - read_now()
+        if not is_same_process:
+            self._clock_offset.reset()
+        now = read_now()
+        self._clock_offset.observe(hello.clock_s, now)
         self.view.service = hello.service
         self.view.availability_zone = hello.availability_zone
         self.view.is_reachable = True
-        self.view.updated_at = read_now()
-        self._linked_at = read_now()
+        self.view.updated_at = now
+        self._linked_at = now
         if not is_same_process:
             self._close_silent_links()
             self._fail_pending(lambda _: True)
