LOST: a stop gives runs back while another target can still run them

Cause: all three nodes of the service were stopping when the call came, 0.8 to 1.0 s after the last one's SIGTERM, so that no target could take it by a bound. The first two were back 0.5 and 1.5 s later, but the run stayed where it was until the end. With 0.3 s left to the deadline, every other target refused.

Change: a stop ends an idempotent run that may outlast it once the run has lasted longer than its route does in the mean, time for one such run is left, and another target takes calls. The caller's side then has it run there, within the bounds of retries. The call says whether its caller's side has an attempt left; others go on.

What remains: a run of an unsafe request at the last target of a service is not moved, and the retry budget may refuse a run that was given back.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -144,6 +144,35 @@
         self.refused += not is_admitted
         return is_admitted
 
+    def should_give_back(
+        self,
+        route: str,
+        deadline: float,
+        began_at: float,
+        objective_s: float,
+        now: float,
+    ) -> bool:
+        """Return whether a run in progress should be moved to another target.
+
+        It should when it may outlast the drain, has lasted longer than its
+        route does in the mean, and time for just one such run is left: its
+        caller can then still have it run elsewhere.
+
+        Args:
+            route: Name of its route.
+            deadline: Time by which it has ended in any case, in seconds.
+            began_at: Time at which it began, in seconds.
+            objective_s: Mean time assumed where no request of the route is
+                known, in seconds.
+            now: Current time, in seconds.
+        """
+        expected_s = self._estimate_mean_s(route, objective_s, now)
+        return (
+            deadline >= self.ends_at
+            and now - began_at > expected_s
+            and now + expected_s >= self.ends_at
+        )
+
     def has_ended(self, now: float) -> bool:
         """Return whether the end of the drain has come.
 
@@ -166,8 +195,7 @@
         if now >= self._certain_from and not is_nested:
             return math.inf
         if is_nested or now < self._typical_until:
-            mean_s = self._recent.find_mean(route, now)
-            return objective_s if mean_s is None else _stretch(mean_s)
+            return self._estimate_mean_s(route, objective_s, now)
         if self._recent.count(route, now) < self._requests_min:
             return math.inf
         longest_s = self._recent.find_longest(route, now)
@@ -175,6 +203,12 @@
         oldest_s = now - next(iter(started.values())) if started else 0.0
         return _stretch(max(longest_s, oldest_s))
 
+    def _estimate_mean_s(
+        self, route: str, objective_s: float, now: float
+    ) -> float:
+        mean_s = self._recent.find_mean(route, now)
+        return objective_s if mean_s is None else _stretch(mean_s)
+
 
 def _stretch(time_s: float) -> float:
     return TIME_FACTOR * time_s + TIME_MARGIN_S
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -447,6 +447,21 @@
             tokens=0 if chain is None else chain.tokens.send(),
             is_protected=chain is not None and chain.is_protected,
             crash_marks=request.crash_marks,
+            is_movable=self._has_spare_attempt(request),
+        )
+
+    def _has_spare_attempt(self, request: PendingRequest) -> bool:
+        """Return whether an attempt may follow the one that is now made.
+
+        The retry budget is not asked: it may change meanwhile.
+        """
+        route = request.route
+        tokens = None if request.chain is None else request.chain.tokens
+        return (
+            route.is_idempotent
+            and request.attempts_at_targets + 1 < route.attempts_max
+            and len(request.tried_nodes) + 1 < NODES_PER_REQUEST_MAX
+            and (tokens is None or tokens.available)
         )
 
     def _compute_start_by(self, request: PendingRequest) -> float:
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -17,7 +17,9 @@
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.daemon.metrics import DaemonMetrics
+from kumquatwalk.daemon.open_runs import OpenRuns
 from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.daemon.target_exchange import ExchangeResult
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
@@ -109,6 +111,7 @@
         self._client = TargetClient(settings.target, self._read_limiter)
         self.service = settings.service
         self.runs = RunTable()
+        self._open_runs = OpenRuns()
         self._unique_calls = UniqueCalls(self._check_and_admit, budget)
         self._failure_share = 0.0
         self.is_stopping = False
@@ -160,6 +163,18 @@
         """Refuse all calls that wait for the target; admitted ones continue."""
         self._waiter.close(codes.TARGET_LEAVING)
 
+    def give_back_runs(self) -> None:
+        """End runs that another target can still run in time.
+
+        Nothing is done while no other target takes calls. See
+        ``StopAdmission.should_give_back``.
+        """
+        config = self._configs.config
+        if config is not None and self._has_other_target(self.service):
+            self._open_runs.give_back(
+                self.stop_admission, config.routes_by_name, read_now()
+            )
+
     def get_status(self) -> TargetStatus:
         """Return the status of the target that is published to other nodes."""
         limiter = self.limiter
@@ -492,9 +507,7 @@
         is_sound = False
         try:
             target_id = self.record.target_id
-            result = await run_call(
-                self._client, self._interface, target_id, run.run_id, call
-            )
+            result = await self._exchange(target_id, run)
             reply, finding = result.reply, result.finding
             if result.check is not None and target_id == self.record.target_id:
                 self._observe_response(result.check)
@@ -514,6 +527,22 @@
             return reply
         return dataclasses.replace(reply, tokens=run.tokens.left)
 
+    async def _exchange(self, target_id: str, run: Run) -> ExchangeResult:
+        call = run.call
+        timeout = self._open_runs.open(call, read_now())
+        try:
+            async with timeout:
+                return await run_call(
+                    self._client, self._interface, target_id, run.run_id, call
+                )
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
+            return ExchangeResult(reply, Finding.LATE)
+        finally:
+            self._open_runs.close(timeout)
+
     async def _detect_crash(self, run: Run, reply: Reply) -> Reply:
         """Report a crash if the target stopped listening in an exchange."""
         if await self._client.is_listening():
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -215,6 +215,24 @@
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
         self.assertEqual(len(self.peers.calls), 1)
 
+    # Guards against LOST: a stop ended runs whose calls had no attempt left.
+    async def test_only_calls_with_an_attempt_left_are_movable(self):
+        for idempotent, attempts_max, movable in (
+            (True, 2, [True, False]),
+            (True, 1, [False]),
+            (False, 2, [False]),
+        ):
+            await self._call(
+                [LOST] * 3,
+                idempotent,
+                tokens=None,
+                attempts_max=attempts_max,
+            )
+            calls = [call.is_movable for _, call in self.peers.calls]
+            self.assertEqual(calls, movable)
+        await self._call([LOST], True, tokens=0)
+        self.assertFalse(self.peers.calls[0][1].is_movable)
+
     async def test_crash_mark_is_sent_with_the_next_attempt(self):
         crashed = Reply(
             Outcome.UNKNOWN, codes.TARGET_CRASHED, crash_mark=b"mark"
--- a/kumquatwalk/daemon/tests/test_overlapping_stops.py
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -5,6 +5,7 @@
 import unittest
 
 from kumquatwalk.daemon.tests.stop_case import StopCase
+from kumquatwalk.standin.daemon_fleet import make_config
 from kumquatwalk.standin.scripted_target import Script
 
 # The first target is chosen for its run time, unless its stop excludes it.
@@ -17,6 +18,9 @@
 # More than the first stop leaves at any time, and less.
 LONG_MS = 5000
 SHORT_MS = 2000
+# A little more than it leaves some time after its begin.
+SENT_AFTER_S = 0.3
+LEAST_MS = 3500
 
 
 class OverlappingStopsTest(StopCase):
@@ -24,6 +28,9 @@
     async def asyncSetUp(self):
         """Start a node of callers and two with targets that have run."""
         await super().asyncSetUp()
+        routes = {"timeoutS": 8.0, "targetLatencyS": 1.0, "maxAttempts": 2}
+        config = make_config(("web", "other"), version=2, **routes)
+        self.fleet.store.put("op/config", config)
         await self.fleet.add_node("caller", "other", grace_s=GRACE_S)
         for name, work_s in WORK_S.items():
             await self.fleet.add_node(name, "web", grace_s=GRACE_S)
@@ -77,6 +84,24 @@
         broken = {i: a for i, a in answers.items() if a != "200"}
         self.assertEqual(broken, {})
 
+    # Guards against LOST: the same where no other target takes calls at first.
+    # The run ended with the stop, when no time was left to run it elsewhere.
+    async def test_run_at_the_last_target_moves_to_one_that_returns(self):
+        self._set_work("web-1", SILENT_S)
+        await self.fleet.nodes["web-2"].daemon.close()
+        neighbour = self._stop("web-1")
+        await asyncio.sleep(SENT_AFTER_S)
+        call = asyncio.create_task(
+            self.fleet.call("caller", "/web/", "moved", LEAST_MS)
+        )
+        await asyncio.sleep(STOP_GAP_S)
+        caller = self._stop("caller")
+        await self.fleet.restart_daemon("web-2")
+        await self.fleet.send_heartbeat("web-2")
+        answer = await call
+        await asyncio.gather(neighbour, caller)
+        self.assertEqual(answer.status, 200)
+
     # Guards against a target that gets no calls as soon as its node stops,
     # though they end before the node does.
     async def test_calls_that_end_before_the_stop_still_use_its_target(self):
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -103,6 +103,7 @@
         tokens=int(reader.tokens),
         is_protected=bool(reader.isProtected),
         crash_marks=bytes(reader.crashMarks),
+        is_movable=bool(reader.isMovable),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -87,6 +87,7 @@
     builder.tokens = min(message.tokens, _U16_MAX)
     builder.isProtected = message.is_protected
     builder.crashMarks = message.crash_marks
+    builder.isMovable = message.is_movable
 
 
 @write_frame.register
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -34,6 +34,7 @@
   tokens @17 :UInt16;
   isProtected @18 :Bool;
   crashMarks @19 :Data;
+  isMovable @20 :Bool;
 }
 
 struct OwnerQuery {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -92,6 +92,8 @@
             most once.
         crash_marks: Marks of the targets that crashed while running the call,
             concatenated.
+        is_movable: Whether the sender can have it run at another target when
+            this run has no answer.
     """
 
     key: int
@@ -112,6 +114,7 @@
     tokens: int = 0
     is_protected: bool = False
     crash_marks: bytes = b""
+    is_movable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -57,6 +57,7 @@
             3,
             True,
             b"mark",
+            True,
         ),
     ),
     ReplyFrame(
