--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -164,7 +164,7 @@
         self._waiter.close(codes.TARGET_LEAVING)
 
     def give_back_runs(self) -> None:
-        """End idempotent runs that another target can still run in time.
+        """End runs that another target can still run in time.
 
         Nothing is done while no other target takes calls. See
         ``StopAdmission.should_give_back``.
