Count a stop from its signal, also when the process handles it late

Cause: all times of a stop count from the moment at which the process handles the signal, those of the platform from its sending. A process that is not scheduled meanwhile takes requests beyond its kill.

The check of links runs each 0.25 s; its delay bounds how late the signal may be. A delay of under 0.25 s stays hidden; the margins before SIGKILL cover it.

test_stop_that_begins_late_ends_in_time fails without the change in drain.

--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon.loop_delay import LoopDelay
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
@@ -57,6 +58,9 @@
         budget: Bytes of bodies that the process may hold; None not to count
             those on links.
         is_memory_short: Returns whether links read large replies only slowly.
+
+    Attributes:
+        loop_delay: Delay of the event loop, measured by the check of links.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         self._links: dict[str, PeerLink] = {}
         self._unselected_since: dict[str, float] = {}
         self._checker: asyncio.Task | None = None
+        self.loop_delay = LoopDelay(CHECK_INTERVAL_S)
 
     @property
     def count(self) -> int:
@@ -302,6 +307,7 @@
         for count in itertools.count():
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = read_now()
+            self.loop_delay.record(now)
             for link in self._links.values():
                 link.reset_if_silent(now)
             if not count % CHECKS_PER_REFRESH:
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -128,8 +128,13 @@
         Callers are still accepted for a while, until they are sent elsewhere,
         and requests of theirs that can end in time. Requests that cannot end
         before SIGKILL is due have got an answer that says so.
+
+        All times count from the signal, which may have come while the process
+        was not scheduled.
         """
-        began_at = read_now()
+        now = read_now()
+        late_s = self.core.peers.loop_delay.estimate(now)
+        began_at = now - late_s
         grace_s = self.core.settings.bounds.grace_s
         ends_at = began_at + grace_s - ANSWER_MARGIN_S
         self._closes_by = began_at + grace_s - CLOSE_MARGIN_S
@@ -139,7 +144,7 @@
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
         )
-        log_event("daemon_stopping")
+        log_event("daemon_stopping", late_s=late_s)
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
         self._log_end(began_at)
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -10,6 +10,7 @@
 from kumquatwalk.daemon import process
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
+from kumquatwalk.daemon.peers import CHECK_INTERVAL_S
 from kumquatwalk.daemon.platform_interface import PlatformInterface
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.daemon.route_handler import RouteHandler
@@ -201,6 +202,20 @@
         del fields["seconds"]
         self.assertEqual(fields, {"owed": 0, "refused": 1, "capped": 1})
 
+    async def test_stop_that_begins_late_ends_in_time(self):
+        # Guards against LOST: a process that was not scheduled when its signal
+        # came counted its stop from later on, and was killed within it.
+        node = await self._add_node("web-1", "web", 0.0, grace_s=4.0)
+        now = read_now()
+        for at in (now - 3.0, now):
+            node.daemon.core.peers.loop_delay.record(at)
+        drain = asyncio.create_task(node.daemon.drain())
+        await asyncio.sleep(0)
+        # pylint: disable-next=protected-access
+        closes_by = node.daemon._closes_by
+        self.assertLess(closes_by, now - 3.0 + CHECK_INTERVAL_S + 4.0)
+        await drain
+
     async def test_nothing_is_passed_on_while_the_daemon_closes(self):
         # Guards against LOST: a request was passed on after the drain, while
         # other components closed, and cut off.
