Answer a request whose handler is cancelled or fails on another connection

What callers would see: a kept connection that is closed without an answer, or one on which nothing comes any more, though the request was passed on.

Cause: CallerConnection took any ConnectionAbortedError from the handler as the wish to close without an answer, and a CancelledError that does not come from the connection ended the handler's task with the exchange left in the queue, so that neither it nor what stood behind it was ever answered.

Ruled out: that the code of now raises either of them while it handles a request; reading found no place (connection errors become ExchangeError, shared tasks are shielded and cancelled by nobody else). So this is a gap, not shown to be what the operators saw.

Change: only AnswerWithheldError, which the simulated store raises, closes the connection without an answer. A handler that is cancelled while its exchange is not over has failed: 500, logged.

--- a/kumquatwalk/exception.py
+++ b/kumquatwalk/exception.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "AnswerWithheldError",
     "CatalogueError",
     "CompareFailedError",
     "EditConflictError",
@@ -110,6 +111,13 @@
         self.sent = sent
 
 
+class AnswerWithheldError(KumquatwalkError):
+    """Closes a caller's connection without an answer; simulated faults only.
+
+    All requests in progress on the connection end without an answer.
+    """
+
+
 class ExchangeError(KumquatwalkError):
     """An HTTP exchange ended without a complete response.
 
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.exception import AnswerWithheldError
 from kumquatwalk.exception import RequestError
 from kumquatwalk.http1.answer_writer import AnswerWriter
 from kumquatwalk.http1.exchange_queue import Exchange
@@ -285,19 +286,15 @@
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
             response = await self._server.handler(exchange.request)
-        except ConnectionAbortedError:
-            # The handler asks to close the connection without a response.
+        except AnswerWithheldError:
             self.abort(End.HANDLER)
             return
+        except asyncio.CancelledError as error:
+            if exchange.is_over:
+                raise
+            response = _make_failure_response(error)
         except Exception as error:  # pylint: disable=broad-exception-caught
-            # An internal error must not leave the caller without a response.
-            # Whether the request has run is unknown.
-            log_event(
-                "request_handler_failed",
-                Level.ERROR,
-                error=f"{type(error).__name__}: {error}",
-            )
-            response = HttpResponse(500)
+            response = _make_failure_response(error)
         self._exchanges.set_response(exchange, response)
         if response.closes_connection:
             self._end_requests()
@@ -404,3 +401,17 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
+
+
+def _make_failure_response(error: BaseException) -> HttpResponse:
+    """Return the response to a request whose handler has failed.
+
+    An internal error must not leave the caller without a response. Whether the
+    request has run is unknown.
+    """
+    log_event(
+        "request_handler_failed",
+        Level.ERROR,
+        error=f"{type(error).__name__}: {error}",
+    )
+    return HttpResponse(500)
--- a/kumquatwalk/standin/kv_store.py
+++ b/kumquatwalk/standin/kv_store.py
@@ -11,6 +11,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import CallerLimits
+from kumquatwalk.exception import AnswerWithheldError
 from kumquatwalk.exception import SettingError
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
@@ -250,13 +251,13 @@
     def _abort_if_cut_off(self, request: HttpRequest) -> None:
         faults = self.faults
         if faults.outage or request.peer_host.startswith(faults.cut_hosts):
-            raise ConnectionAbortedError
+            raise AnswerWithheldError("store_cut_off", "simulated outage")
 
     def _abort_if_answer_lost(self) -> None:
         if self.faults.lose_answers:
             left = self.faults.lose_answers - 1
             self.faults = dataclasses.replace(self.faults, lose_answers=left)
-            raise ConnectionAbortedError
+            raise AnswerWithheldError("answer_lost", "simulated loss")
 
     def _get(self, query: Mapping[str, str]) -> HttpResponse:
         item = self._items.get(query["key"])
@@ -287,7 +288,7 @@
             self._abort_if_cut_off(request)
             is_current = era == self.era
             if not is_current and self._is_watch_cut:
-                raise ConnectionAbortedError
+                raise AnswerWithheldError("watch_cut", "simulated restore")
             if is_current and not self._has_history(after):
                 return HttpResponse(410)
             events = [
