Count the end of a stop from the signal, not from its beginning

What callers saw (trial with real processes, two nodes, grace 6 s, six requests of 9 s, the process stopped by SIGSTOP when SIGTERM comes and continued 1.5 s later): six connections closed without an answer at 6.01 s, the process killed (code -9).

Cause: SIGKILL is due a grace period after the platform has sent SIGTERM, and the drain counted from when the process acted on it. A process that is paused or gets no processor for more than 0.3 s meanwhile still waits for runs, or has their answers to send, when SIGKILL comes.

Ruled out: that the system tells when a signal came (siginfo has no time), and to begin the whole stop earlier: callers are sent elsewhere only from now on.

Change: the process records its time each 0.1 s. A signal that is handled within 0.25 s of a pause may have come at the beginning of the pause, at most 2 s ago. What must be over before SIGKILL counts from there; the rest, such as the time in which callers still come, from the beginning of the stop. daemon_stopping logs late_s.

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -1,9 +1,7 @@
 """Runs a daemon in the foreground, from its start to its graceful stop."""
 
-import asyncio
 import gc
 import os
-import signal
 import sys
 from collections.abc import Callable
 
@@ -11,7 +9,7 @@
 import uvloop
 
 from kumquatwalk.cli.exit_codes import ExitCode
-from kumquatwalk.cli.held_signals import has_come
+from kumquatwalk.cli.stop_request import StopRequest
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
 
@@ -50,18 +48,13 @@
 async def _run(
     make_daemon: Callable[[], Daemon], on_start: Callable[[Daemon], None]
 ) -> None:
-    stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
-        if has_come(number):
-            stop_requested.set()
-    if not stop_requested.is_set():
+    stop = StopRequest()
+    if not stop.is_made:
         daemon = make_daemon()
         await daemon.start()
         on_start(daemon)
-        await stop_requested.wait()
-        await daemon.drain()
+        await stop.wait()
+        await daemon.drain(stop.came_at)
         await daemon.close()
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
--- /dev/null
+++ b/kumquatwalk/cli/stop_request.py
@@ -0,0 +1,57 @@
+"""Signals that ask the process to stop, with the time of the first."""
+
+import asyncio
+import signal
+
+from kumquatwalk.cli.held_signals import has_come
+from kumquatwalk.cli.pause_log import PauseLog
+from kumquatwalk.clock import read_now
+
+__all__ = ["StopRequest"]
+
+# Interval between two records of the process's time, in seconds; well below the
+# shortest pause.
+_RECORD_INTERVAL_S = 0.1
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class StopRequest:
+    """Waits for SIGTERM or SIGINT on the running event loop.
+
+    Signals that came before count too, see ``hold_signals``.
+
+    Attributes:
+        came_at: Earliest time at which the first signal may have come, in
+            seconds; 0 before it.
+    """
+
+    def __init__(self):
+        self._pauses = PauseLog(read_now())
+        self._event = asyncio.Event()
+        self.came_at = 0.0
+        loop = asyncio.get_running_loop()
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, self._handle_signal)
+            if has_come(number):
+                self._handle_signal()
+        self._record()
+
+    @property
+    def is_made(self) -> bool:
+        """Whether a signal has come."""
+        return self._event.is_set()
+
+    async def wait(self) -> None:
+        """Wait until a signal has come."""
+        await self._event.wait()
+
+    def _handle_signal(self) -> None:
+        if not self.is_made:
+            self.came_at = self._pauses.find_earliest(read_now())
+            self._event.set()
+
+    def _record(self) -> None:
+        if not self.is_made:
+            self._pauses.record(read_now())
+            loop = asyncio.get_running_loop()
+            loop.call_later(_RECORD_INTERVAL_S, self._record)
--- a/kumquatwalk/cli/tests/test_daemon_signals.py
+++ b/kumquatwalk/cli/tests/test_daemon_signals.py
@@ -13,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 TIMEOUT_S = 60.0
 POLL_S = 0.01
+PAUSE_S = 0.6
 SETTINGS = """\
 node = "sidecar-a-1"
 machineClass = "sidecar"
@@ -87,13 +88,14 @@
         finally:
             os.close(descriptor)
 
-    def _wait_for(self, event: str) -> None:
+    def _wait_for(self, event: str) -> str:
+        """Return the line of an event once the process has logged it."""
         lines = []
         for line in self.process.stdout:
             lines.append(line)
             if f"event={event} " in line + " ":
-                return
-        self.fail("".join(lines))
+                return line
+        return self.fail("".join(lines))
 
     def test_settings_change_during_the_start_does_not_end_the_process(self):
         # Guards against LOST: SIGHUP ended a process that had just started.
@@ -127,6 +129,22 @@
         self.process.communicate(timeout=TIMEOUT_S)
         self.assertEqual(self.process.returncode, 0)
 
+    def test_stop_of_a_paused_process_counts_from_the_signal(self):
+        # Guards against LOST: SIGKILL came before the end of a stop that had
+        # begun late.
+        self._write_settings(self._open_settings())
+        self._wait_for("daemon_started")
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(PAUSE_S)
+        self.process.send_signal(signal.SIGCONT)
+        line = self._wait_for("daemon_stopping")
+        late_s = float(line.rpartition("late_s=")[2].split()[0])
+        self.assertGreaterEqual(late_s, PAUSE_S)
+        self.process.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(self.process.returncode, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -122,26 +122,31 @@
             links=settings.link_listener,
         )
 
-    async def drain(self) -> None:
+    async def drain(self, signalled_at: float = math.inf) -> None:
         """Stop gracefully: finish requests in progress, then return.
 
         Callers are still accepted for a while, until they are sent elsewhere,
         and requests of theirs that can end in time. Requests that cannot end
         before SIGKILL is due have got an answer that says so.
+
+        Args:
+            signalled_at: Time of the signal, from which SIGKILL is due, in
+                seconds; the current time if that is earlier.
         """
         began_at = read_now()
-        grace_s = self.core.settings.bounds.grace_s
-        ends_at = began_at + grace_s - ANSWER_MARGIN_S
-        self._closes_by = began_at + grace_s - CLOSE_MARGIN_S
+        killed_at = min(signalled_at, began_at)
+        killed_at += self.core.settings.bounds.grace_s
+        ends_at = killed_at - ANSWER_MARGIN_S
+        self._closes_by = killed_at - CLOSE_MARGIN_S
         self.is_stopping = True
         self._caller_server.is_stopping = True
         # Callers that come before this time are not sent elsewhere yet.
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
         )
-        log_event("daemon_stopping")
+        log_event("daemon_stopping", late_s=max(0.0, began_at - signalled_at))
         await self._wait_until_quiet(began_at, ends_at)
-        await self._end_requests(began_at + grace_s - SETTLE_MARGIN_S)
+        await self._end_requests(killed_at - SETTLE_MARGIN_S)
         self._log_end(began_at)
 
     async def _wait_until_quiet(self, began_at: float, ends_at: float) -> None:
