Connection machine: handlers that fail by themselves, shorter limits

Steps that were missing from the machine of a caller's connection: a handler that is cancelled by something else than its caller, one that raises ConnectionAbortedError, and a configuration with shorter time-outs while requests are in progress. A client that has always taken its answers must not be cut.

--- a/kumquatwalk/http1/tests/test_connection_machine.py
+++ b/kumquatwalk/http1/tests/test_connection_machine.py
@@ -1,6 +1,7 @@
 """State machine of a caller's connection over a scripted transport."""
 
 import asyncio
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -27,11 +28,21 @@
     header_timeout_s=2.0,
     idle_timeout_s=5.0,
 )
+# Limits of a later configuration.
+_SHORTER_LIMITS = dataclasses.replace(
+    _LIMITS, header_timeout_s=0.5, idle_timeout_s=1.0
+)
 BUDGET_BYTES = 120
 # Iterations of the event loop in which the tasks of a step come to rest.
 SETTLE_TURNS = 8
 # Steps after which little can happen are skipped unless 0 is drawn.
 _RARELY = st.integers(0, 5)
+# Errors that a handler may raise by itself.
+_FAILURES = {
+    "error": ValueError("handler failed"),
+    "aborted": ConnectionAbortedError("of another connection"),
+    "cancelled": asyncio.CancelledError("not by its caller"),
+}
 
 
 class ConnectionMachine(stateful.RuleBasedStateMachine):
@@ -59,6 +70,8 @@
         self.reported: list[int] = []
         self.foreign_bytes = 0
         self.has_left = False
+        # Whether the client has ever stopped to take bytes.
+        self.has_blocked = False
         # Number of the first request that may not be handled: it begins after
         # the stop, or after an answer that closes the connection was made.
         self.first_refused: int | None = None
@@ -151,6 +164,7 @@
     @stateful.rule()
     def stop_taking(self):
         """Let the client take no further bytes."""
+        self.has_blocked = True
         self.transport.is_blocked = True
 
     @stateful.rule()
@@ -175,7 +189,9 @@
     @stateful.rule(
         data=st.data(),
         size=st.integers(0, 60),
-        kind=st.sampled_from(("plain", "plain", "plain", "closing", "error")),
+        kind=st.sampled_from(
+            ("plain",) * 4 + ("closing", "error", "aborted", "cancelled")
+        ),
     )
     def answer(self, data, size, kind):
         """Let the handler answer any request or fail."""
@@ -184,9 +200,9 @@
 
     def _resolve(self, number: int, size: int, kind: str) -> None:
         future = self.waiting[number]
-        if kind == "error":
+        if kind in _FAILURES:
             self.results[number] = None
-            future.set_exception(ValueError("handler failed"))
+            future.set_exception(_FAILURES[kind])
             return
         body = b"%d:" % number + b"a" * size
         self.results[number] = HttpResponse(200, (), body, kind == "closing")
@@ -219,6 +235,12 @@
         if self.answers_before_stop is None:
             self.answers_before_stop = self.transport.written_answers
 
+    @stateful.rule(is_rare=_RARELY)
+    def shorten_limits(self, is_rare):
+        """Let a configuration with shorter time-outs come into force."""
+        if not is_rare:
+            self.server.limits = _SHORTER_LIMITS
+
     @stateful.rule(seconds=st.sampled_from((0.01, 0.1, 0.3, 0.6, 1.1, 5.5)))
     def pass_time(self, seconds):
         """Let time pass and check the timeouts."""
@@ -319,6 +341,7 @@
         reported = [n for n in self.seen if n in self.reported]
         assert sorted(answered + reported) == self.seen, (answered, reported)
         assert len(self.reported) == len(set(self.reported))
+        assert self.has_blocked or not self.transport.was_cut
         if self.transport.was_cut or self.has_left:
             return
         assert answered == self.seen
