--- a/kumquatwalk/soak/runner.py
+++ b/kumquatwalk/soak/runner.py
@@ -265,18 +265,16 @@
         """Start what has ended; note a process that ended by itself."""
         fleet = self._chain.fleet
         for node_id in NODES:
-            for children, start in (
-                (fleet.nodes, self._chain.start_node),
-                (fleet.targets, self._chain.start_target),
+            for kind, children, start in (
+                ("node", fleet.nodes, self._chain.start_node),
+                ("target", fleet.targets, self._chain.start_target),
             ):
                 child = children[node_id]
                 if child.is_running():
                     continue
                 self._logs[child.pid] = child.read_log()[-LOG_TAIL_BYTES:]
                 if child.pid not in self._signalled:
-                    detail = (
-                        f"process {child.pid}, status {child.exit_status}: "
-                    )
+                    detail = f"{kind} {child.pid}, status {child.exit_status}: "
                     self._violations.append(
                         Violation(
                             "ended_by_itself",
