--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -1,4 +1,4 @@
-"""TCP sockets: detection of an unresponsive peer, bytes not acknowledged."""
+"""TCP sockets: unresponsive peers, untaken bytes, end of the stream."""
 
 import asyncio
 import fcntl
