Pass on no more at a stop than the client can take in time

All had run by 3.8 s; the third answer was reset at 6.03 s with 196,700 bytes received, after the process had ended.

Cause: requests that come together were all passed on before any answer was there; only the answers written were asked for, and only when a request came. The class: an end is bounded by what is written and not by what is passed on. The kernel goes on delivering after the process has ended, but the client's next request then meets a closed socket, which resets the connection.

Ruled out: a client that stopped to read (0.83 MB/s to the end), a late run (all answers were made 1.9 s before the end), the mean size of the route as a bound (routes serve 1 byte to 2 MB).

Change: during a stop a request behind answers that may be large is held back. Sizes are bounded by the connection's largest answer, else by the route's; more than 64 KiB before it count as large. Once the answers before it are made, what is not taken and the client's reading rate, measured while it is behind, decide: if at half the rate the client can take all before the process ends, it is passed on, else refused with 503, and what stands behind it stays unanswered. The time that the client needs counts with the time of the run in StopAdmission, also for a first request of a client whose rate is known. A request that was held back is judged from its arrival.

test_nothing_is_passed_on_behind_a_large_answer_at_a_stop failed before, in its first form with server.is_stopping = True: "Lists differ: ['/a', '/b', '/c'] != ['/a']".

Not bounded: the first large answer on a connection whose client was not measured yet, and large answers behind small ones on one connection.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -110,6 +110,8 @@
         now: float,
         *,
         is_nested: bool = False,
+        taking_s: float = 0.0,
+        judged_from: float | None = None,
     ) -> bool:
         """Return whether a request will end before the drain does.
 
@@ -128,13 +130,24 @@
             now: Current time, in seconds.
             is_nested: Whether it is a call of a run in progress, which a
                 refusal would fail as surely as the end of the stop.
+            taking_s: Time that its client needs to take the answer, in seconds.
+            judged_from: Time that is compared with ``typical_until`` and
+                ``certain_from``, in seconds; None for ``now``.
         """
         if not self.has_begun:
             return True
-        is_admitted = now < self.ends_at and (
-            deadline < self.ends_at
-            or now + self._estimate_s(route, objective_s, is_nested, now)
-            < self.ends_at
+        ends_at = self.ends_at - taking_s
+        if judged_from is None:
+            judged_from = now
+        is_typical = is_nested or judged_from < self._typical_until
+        is_certain = not is_nested and judged_from >= self._certain_from
+        is_admitted = now < ends_at and (
+            deadline < ends_at
+            or (
+                not is_certain
+                and now + self._estimate_s(route, objective_s, is_typical, now)
+                < ends_at
+            )
         )
         self.refused += not is_admitted
         return is_admitted
@@ -156,11 +169,9 @@
         return min(RETRY_DELAY_MAX_S, self.ends_at - now + RESTART_S)
 
     def _estimate_s(
-        self, route: str, objective_s: float, is_nested: bool, now: float
+        self, route: str, objective_s: float, is_typical: bool, now: float
     ) -> float:
-        if now >= self._certain_from and not is_nested:
-            return math.inf
-        if is_nested or now < self._typical_until:
+        if is_typical:
             mean_s = self._recent.find_mean(route, now)
             return objective_s if mean_s is None else _stretch(mean_s)
         if self._recent.count(route, now) < self._requests_min:
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -133,6 +133,32 @@
         gate.set_end(6.0, typical_until=5.6)
         self.assertFalse(gate.admits("pay", 60.0, 1.0, 3.0))
 
+    # Guards against LOST: a client could not take an answer that was made just
+    # before the end.
+    def test_time_to_take_the_answer_counts(self):
+        gate = StopAdmission()
+        gate.set_end(5.0, typical_until=4.5)
+        for deadline, objective_s in ((4.0, 9.0), (60.0, 1.0)):
+            for taking_s, is_admitted in ((0.9, True), (1.1, False)):
+                self.assertIs(
+                    gate.admits(
+                        "pay", deadline, objective_s, 3.0, taking_s=taking_s
+                    ),
+                    is_admitted,
+                    (deadline, taking_s),
+                )
+        self.assertEqual(gate.refused, 2)
+
+    # Guards against refusals: a request that came while callers are served, but
+    # was held back, was judged as one that comes late.
+    def test_request_that_was_held_back_is_judged_from_its_arrival(self):
+        gate = StopAdmission()
+        gate.set_end(6.0, typical_until=2.6, certain_from=2.8)
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 3.0))
+        self.assertTrue(gate.admits("pay", 60.0, 1.0, 3.0, judged_from=2.5))
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 3.0, judged_from=2.9))
+        self.assertFalse(gate.admits("pay", 60.0, 1.0, 5.1, judged_from=2.5))
+
     def test_route_without_requests_takes_its_objective(self):
         gate = StopAdmission()
         gate.set_end(5.0, typical_until=4.5)
--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -59,6 +59,7 @@
         budget=core.body_budget,
         answer_budget=core.answer_budget,
         refuse=callers.refuse,
+        estimate_answer=callers.estimate_answer,
         identify=find_attempt_id,
         on_unanswered=core.metrics.record_unanswered,
     )
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -155,6 +155,17 @@
         self.stop_admission.set_end(ends_at, typical_until, certain_from)
         self._request_timeouts.set_end(ends_at)
 
+    def estimate_answer(self, route: Route) -> float:
+        """Return the largest size expected of an answer, in bytes.
+
+        Args:
+            route: Route of the request.
+
+        Returns:
+            The size; infinite if no request of the route is known.
+        """
+        return self._sizes.find_largest(route.name)
+
     def clear_backoffs(self) -> None:
         """End the backoff of every target."""
         for view in self._peers.list_all_views():
@@ -223,7 +234,7 @@
             self._is_caller_retry(route, caller.timeout_s),
             chain,
         )
-        if not self._can_end(request):
+        if not self._can_end(request, http.progress.deferred_at):
             return self._refuse_for_stop(request)
         size_kb = self._sizes.estimate(route.name)
         if not self._memory.try_reserve(size_kb):
@@ -259,7 +270,9 @@
         finally:
             self._request_timeouts.close(timeout)
 
-    def _can_end(self, request: PendingRequest) -> bool:
+    def _can_end(
+        self, request: PendingRequest, judged_from: float | None = None
+    ) -> bool:
         """Return whether a request will end before a stop does."""
         if not self.stop_admission.has_begun:
             return True
@@ -271,6 +284,8 @@
             read_now(),
             is_nested=request.is_nested
             or self._settled.is_internal(route.name, read_now()),
+            taking_s=request.http.progress.taking_s,
+            judged_from=judged_from,
         )
 
     def _refuse_for_stop(self, request: PendingRequest) -> Reply:
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -134,7 +134,7 @@
         ends_at = began_at + grace_s - ANSWER_MARGIN_S
         self._closes_by = began_at + grace_s - CLOSE_MARGIN_S
         self.is_stopping = True
-        self._caller_server.is_stopping = True
+        self._caller_server.begin_stop(began_at + grace_s - SETTLE_MARGIN_S)
         # Callers that come before this time are not sent elsewhere yet.
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, began_at + CERTAIN_AFTER_S
--- a/kumquatwalk/daemon/route_handler.py
+++ b/kumquatwalk/daemon/route_handler.py
@@ -1,5 +1,6 @@
 """HTTP handler that routes requests of callers by host and path."""
 
+import math
 import random
 
 from kumquatwalk import codes
@@ -59,6 +60,24 @@
         )
         return encode_reply(reply, caller.attempt_id)
 
+    def estimate_answer(self, request: HttpRequest) -> float:
+        """Return the largest size expected of an answer, in bytes.
+
+        Args:
+            request: Request of a caller.
+
+        Returns:
+            The size; infinite if it is not known.
+        """
+        config = self._configs.config
+        if config is None:
+            return math.inf
+        caller = decode_caller_request(request)
+        route = config.find_route(caller.host, request.url.decode("latin-1"))
+        if route is None:
+            return 0.0
+        return self._caller_side.estimate_answer(route)
+
     async def _serve(
         self, request: HttpRequest, caller: CallerRequest
     ) -> Reply:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -1,5 +1,6 @@
 """Tests of attempts and retries with scripted replies of other nodes."""
 
+import math
 import random
 import unittest
 
@@ -107,6 +108,8 @@
         script: list[Reply],
         idempotent: bool,
         tokens: int | None = 3,
+        taking_s: float = 0.0,
+        ends_in_s: float = math.inf,
         **route_fields,
     ) -> Reply:
         self.peers = ScriptedPeers(script)
@@ -134,7 +137,10 @@
             **fields,
         )
         now = read_now()
+        if ends_in_s < math.inf:
+            side.set_end(now + ends_in_s, now, now)
         http = HttpRequest(b"POST", b"/pay", (), b"", True, now)
+        http.progress.taking_s = taking_s
         caller = CallerRequest(b"id", "", None, ())
         chain = None
         if tokens is not None:
@@ -203,6 +209,17 @@
         await self._call([crashed, DONE], idempotent=True)
         self.assertEqual(self.peers.calls[1][1].crash_marks, b"mark")
 
+    # Guards against LOST: an answer was made in time, but not taken before the
+    # end of a stop.
+    async def test_request_that_is_answered_but_not_taken_in_time_is_refused(
+        self,
+    ):
+        reply = await self._call([DONE], False, taking_s=20.0, ends_in_s=90.0)
+        self.assertEqual(reply, DONE)
+        reply = await self._call([DONE], False, taking_s=50.0, ends_in_s=90.0)
+        self.assertIs(reply.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.peers.calls, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -11,6 +11,8 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.reading_rate import ReadingRate
 from kumquatwalk.http1.sockets import count_untaken_bytes
+from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
+from kumquatwalk.http1.throughput import Throughput
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 
@@ -56,6 +58,7 @@
         self._written_bytes = 0
         self._taken_bytes = 0
         self._rate = ReadingRate()
+        self._throughput = Throughput()
         # For each untaken answer the number of bytes written up to its end, and
         # its request without the body.
         self._untaken: collections.deque[tuple[int, HttpRequest]] = (
@@ -83,6 +86,17 @@
         """
         return self._held_bytes if self._untaken and self._rate.is_slow else 0
 
+    def estimate_taking_s(self, size: float) -> float | None:
+        """Return the time in which the client takes bytes, in seconds.
+
+        Args:
+            size: Number of bytes, at least 0.
+
+        Returns:
+            The time, as of the last update; None if it is not known.
+        """
+        return self._throughput.estimate_s(size)
+
     def write(
         self,
         request: HttpRequest,
@@ -98,14 +112,17 @@
             closes_connection: Whether to announce that the connection closes.
             now: Current time, in seconds.
         """
-        if len(self._untaken) >= UNTAKEN_MAX:
+        data = encode_response(
+            response, request.method == b"HEAD", closes_connection
+        )
+        is_behind = self.untaken_bytes + len(data) > BACKLOG_BYTES_MAX
+        if is_behind or len(self._untaken) >= UNTAKEN_MAX:
             self.update(now)
         if not self._untaken:
             self.progress_at = now
             self._rate.restart(self._taken_bytes, now)
-        data = encode_response(
-            response, request.method == b"HEAD", closes_connection
-        )
+        if is_behind:
+            self._throughput.begin(self._taken_bytes, now)
         self.has_written = True
         self._written_bytes += len(data)
         if request.body:
@@ -115,6 +132,8 @@
         self._transport.write(data)
         if not self._transport.get_write_buffer_size():
             self.release()
+        if is_behind:
+            self.update(now)
 
     def end(self, end: End, now: float) -> None:
         """Report the requests whose answers the client has not taken.
@@ -158,5 +177,7 @@
             self._taken_bytes = taken_bytes
             self.progress_at = now
         self._rate.update(self._taken_bytes, now)
+        untaken_bytes = self._written_bytes - self._taken_bytes
+        self._throughput.update(self._taken_bytes, untaken_bytes, now)
         while self._untaken and self._untaken[0][0] <= taken_bytes:
             self._untaken.popleft()
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -1,6 +1,7 @@
 """Server side of a caller's connection, with support for pipelining."""
 
 import asyncio
+import math
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
+from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
@@ -32,10 +34,6 @@
 # the timeout does not race with the close.
 IDLE_MARGIN_S = 1.0
 
-# Bytes of answers not taken at which a connection gets no further request while
-# the server stops: what comes behind them may not be taken in time.
-BACKLOG_BYTES_MAX = 64 * 1024
-
 # Time for which a new connection is expected to send a request, in seconds.
 FIRST_REQUEST_WAIT_S = 0.5
 
@@ -157,11 +155,15 @@
         server accepts no requests, an idle connection is closed at once. A
         half-closed one is closed ``LINGER_S`` after its last answer was taken.
 
+        Also passes on or refuses the requests that a stop holds back.
+
         Args:
             now: Current time, in seconds.
         """
         limits = self._server.limits
         self._writer.update(now)
+        if self._server.is_stopping:
+            self._pass_on_deferred(now)
         unused_s = now - max(self.idle_since, self._writer.progress_at)
         if self._writer.untaken:
             if now - self._writer.progress_at > limits.idle_timeout_s:
@@ -252,6 +254,8 @@
         """Write the responses that are ready, and resume reading."""
         self._writer.resume()
         self._send_ready_responses()
+        if self._server.is_stopping:
+            self._pass_on_deferred(read_now())
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
@@ -263,24 +267,62 @@
 
     def _start_exchange(self, request: HttpRequest) -> None:
         exchange = Exchange(request)
-        if self._is_late or self._has_backlog(read_now()):
+        can_take = not self._is_late
+        if can_take and self._server.is_stopping:
+            can_take = (
+                self._exchanges.first_deferred is None
+                and self._can_take(exchange, read_now())
+            )
+            exchange.is_deferred = (
+                not can_take and self._exchanges.is_waiting_before(exchange)
+            )
+        if exchange.is_deferred:
+            request.progress.deferred_at = read_now()
+        if not can_take and not exchange.is_deferred:
             self._end_requests()
             if self._exchanges:
                 self._exchanges.leave_behind(request)
                 return
             exchange.response = self._server.refuse(request)
-        elif self._server.has_memory_for(request):
-            exchange.response = None
-        else:
-            exchange.response = make_error_response("memory_exhausted")
         if not request.is_keep_alive:
             self._end_requests()
         self._expects_rest = False
         self._exchanges.add(exchange)
-        if exchange.response is None:
-            exchange.task = asyncio.get_running_loop().create_task(
-                self._run_handler(exchange)
-            )
+        if exchange.response is None and not exchange.is_deferred:
+            self._pass_on(exchange)
+
+    def _pass_on(self, exchange: Exchange) -> None:
+        exchange.is_deferred = False
+        if not self._server.has_memory_for(exchange.request):
+            response = make_error_response("memory_exhausted")
+            self._exchanges.set_response(exchange, response)
+            return
+        exchange.task = asyncio.get_running_loop().create_task(
+            self._run_handler(exchange)
+        )
+
+    def _pass_on_deferred(self, now: float) -> None:
+        """Pass on what the client can take; refuse it once it surely cannot.
+
+        What stands behind a request that is refused stays unanswered.
+        """
+        while (exchange := self._exchanges.first_deferred) is not None:
+            if self._can_take(exchange, now):
+                self._pass_on(exchange)
+                continue
+            if self._has_rate and not self._exchanges.is_waiting_before(
+                exchange
+            ):
+                self._refuse_deferred(exchange)
+            return
+
+    def _refuse_deferred(self, exchange: Exchange) -> None:
+        exchange.is_deferred = False
+        self._end_requests()
+        self._exchanges.leave_all_behind(exchange)
+        response = self._server.refuse(exchange.request)
+        self._exchanges.set_response(exchange, response)
+        self._send_ready_responses()
 
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
@@ -302,6 +344,8 @@
         if response.closes_connection:
             self._end_requests()
         self._send_ready_responses()
+        if self._server.is_stopping:
+            self._pass_on_deferred(read_now())
 
     def _send_ready_responses(self) -> None:
         while self._writer.can_write and not self._is_closing:
@@ -352,12 +396,36 @@
         """Whether the next request to be completed has begun after the stop."""
         return not self._server.is_accepting and not self._expects_rest
 
-    def _has_backlog(self, now: float) -> bool:
-        """Return whether a stop could come before the answers are taken."""
-        if not self._server.is_stopping:
-            return False
+    def _can_take(self, exchange: Exchange, now: float) -> bool:
+        """Return whether the client can take an answer before the stop ends.
+
+        If it is not known how fast it reads, it can unless many bytes are to be
+        taken before. Also notes how long it needs for the answer itself.
+        """
         self._writer.update(now)
-        return self._writer.untaken_bytes > BACKLOG_BYTES_MAX
+        size = self._writer.untaken_bytes
+        size += self._exchanges.count_answer_bytes(
+            exchange, self._estimate_answer
+        )
+        if not self._has_rate or self._server.answers_by == math.inf:
+            return size <= BACKLOG_BYTES_MAX
+        own_size = self._estimate_answer(exchange.request)
+        taking_s = self._writer.estimate_taking_s(own_size)
+        exchange.request.progress.taking_s = taking_s
+        taking_s = self._writer.estimate_taking_s(size + own_size)
+        return now + taking_s <= self._server.answers_by
+
+    @property
+    def _has_rate(self) -> bool:
+        """Whether it is known how fast the client reads."""
+        return self._writer.estimate_taking_s(0) is not None
+
+    def _estimate_answer(self, request: HttpRequest) -> float:
+        """Return the largest size expected of an answer, in bytes."""
+        largest_bytes = self._exchanges.largest_bytes
+        if largest_bytes is None:
+            return self._server.estimate_answer(request)
+        return largest_bytes
 
     def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Exchange", "ExchangeQueue", "Report"]
 
+# Status from which an answer tells nothing of the size of others.
+ERROR_STATUS_MIN = 400
+
 # Reports a request that ended without a complete answer.
 Report = Callable[[HttpRequest, Stage, End], None]
 
@@ -26,12 +29,14 @@
         request: The request.
         response: Its answer; None until it is made.
         task: Task of the handler; None if the server answers by itself.
+        is_deferred: Whether it waits for the answers before it to be handled.
         is_over: Whether the exchange has ended, so that an answer is not sent.
     """
 
     request: HttpRequest
     response: HttpResponse | None = None
     task: asyncio.Task | None = None
+    is_deferred: bool = False
     is_over: bool = False
 
 
@@ -43,6 +48,10 @@
             bound.
         answer_budget: The same for the bodies of answers.
         report: Reports a request that ended without an answer.
+
+    Attributes:
+        largest_bytes: Size of the largest answer so far that is no error; None
+            before the first.
     """
 
     def __init__(
@@ -54,12 +63,51 @@
         self._budget = budget
         self._answer_budget = answer_budget
         self._report = report
+        self.largest_bytes: int | None = None
         self._exchanges: collections.deque[Exchange] = collections.deque()
 
     def __len__(self) -> int:
         """Return the number of exchanges."""
         return len(self._exchanges)
 
+    def is_waiting_before(self, end: Exchange) -> bool:
+        """Return whether an exchange before another has no answer yet.
+
+        Args:
+            end: The other exchange; all are before it if it is not added.
+        """
+        for exchange in self._exchanges:
+            if exchange is end:
+                return False
+            if exchange.response is None:
+                return True
+        return False
+
+    @property
+    def first_deferred(self) -> Exchange | None:
+        """First deferred exchange, or None; no handler has one behind it."""
+        return next((e for e in self._exchanges if e.is_deferred), None)
+
+    def count_answer_bytes(
+        self, end: Exchange, estimate: Callable[[HttpRequest], float]
+    ) -> float:
+        """Return the bytes of the answers that are sent before another.
+
+        Args:
+            end: Exchange of the other answer; counts all if it is not added.
+            estimate: Returns the bytes expected of an answer not made yet.
+        """
+        size = 0
+        for exchange in self._exchanges:
+            if exchange is end:
+                break
+            response = exchange.response
+            if response is None:
+                size += estimate(exchange.request)
+            else:
+                size += len(response.body)
+        return size
+
     def add(self, exchange: Exchange) -> None:
         """Add an exchange; the bytes of its request's body are reserved."""
         self._exchanges.append(exchange)
@@ -78,6 +126,9 @@
             return
         exchange.response = response
         self._hold(response)
+        if response.status < ERROR_STATUS_MIN:
+            size = len(response.body)
+            self.largest_bytes = max(self.largest_bytes or 0, size)
 
     def take_ready(self) -> Exchange | None:
         """Remove and return the first exchange if it has its answer.
@@ -116,6 +167,19 @@
         self.release_request(request)
         self._report(request, Stage.READ, End.CLOSING_ANSWER)
 
+    def leave_all_behind(self, last: Exchange) -> None:
+        """End all exchanges behind another; none of them is handled.
+
+        Args:
+            last: Exchange of the last answer; it must be in the queue.
+        """
+        while self._exchanges[-1] is not last:
+            exchange = self._exchanges.pop()
+            exchange.is_over = True
+            self.leave_behind(exchange.request)
+            if exchange.response is not None:
+                self._release_answer(exchange.response)
+
     def release_request(self, request: HttpRequest) -> None:
         """Release the bytes of a request's body."""
         if self._budget is not None:
--- a/kumquatwalk/http1/message.py
+++ b/kumquatwalk/http1/message.py
@@ -20,10 +20,16 @@
     Attributes:
         is_passed_on: Whether it has been passed on to a target.
         request_id: Identifier with which it was passed on; empty until then.
+        taking_s: Time that the client is expected to need for the answer once
+            it is made, in seconds; 0 if not known.
+        deferred_at: Time at which it was received, in seconds, if it was then
+            held back for the answers before it; None otherwise.
     """
 
     is_passed_on: bool = False
     request_id: str = ""
+    taking_s: float = 0.0
+    deferred_at: float | None = None
 
     def mark_passed_on(self, request_id: bytes) -> None:
         """Note that the request is being passed on to a target.
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, targets and health checks."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from kumquatwalk.address import Address
@@ -31,7 +32,7 @@
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 # The same while memory for answers is short.
 MEMORY_CHECK_INTERVAL_S = 0.25
-# The same once no requests are accepted, when connections are to end soon.
+# The same during a stop, when connections are to end soon.
 STOP_CHECK_INTERVAL_S = 0.05
 
 
@@ -50,6 +51,8 @@
             limit, all requests are refused.
         refuse: Returns the answer, which promises that the request is not run,
             to a request that begins after ``stop_accepting``.
+        estimate_answer: Returns the largest size expected of the answer to a
+            request, in bytes; infinite if it is not known.
         identify: Returns the identifier of a request, for the log; empty if it
             has none.
         on_unanswered: Called with the stage of each request that ended without
@@ -62,6 +65,9 @@
         budget: Bytes of requests' bodies that the process may hold.
         answer_budget: Bytes of answers not sent that it may hold.
         refuse: Returns the answer to a request that begins after the stop.
+        estimate_answer: Returns the largest size expected of an answer.
+        answers_by: Time by which clients must have taken their answers, in
+            seconds; infinite until a stop begins.
         is_stopping: Whether connections are closed once all requests read from
             them are answered.
         is_accepting: Whether requests are passed to the handler.
@@ -76,6 +82,7 @@
         budget: ByteBudget | None = None,
         answer_budget: ByteBudget | None = None,
         refuse: Callable[[HttpRequest], HttpResponse] = make_stopping_response,
+        estimate_answer: Callable[[HttpRequest], float] = lambda _: math.inf,
         identify: Callable[[HttpRequest], str] = lambda _: "",
         on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
     ):
@@ -85,6 +92,8 @@
         self.budget = budget
         self.answer_budget = budget if answer_budget is None else answer_budget
         self.refuse = refuse
+        self.estimate_answer = estimate_answer
+        self.answers_by = math.inf
         self._identify = identify
         self._on_unanswered = on_unanswered
         self.is_stopping = False
@@ -172,6 +181,21 @@
         )
         self._on_unanswered(stage, end)
 
+    def begin_stop(self, answers_by: float) -> None:
+        """Close connections once they are answered, and bound what they owe.
+
+        Requests are passed to the handler as before, but behind others on their
+        connection only if the client can take the answers in time.
+
+        Args:
+            answers_by: Time by which clients must have taken their answers, in
+                seconds.
+        """
+        self.is_stopping = True
+        self.answers_by = answers_by
+        if self._timeout_task is not None:
+            self._start_checks()
+
     def stop_accepting(self) -> None:
         """Stop listening and pass no further requests to the handler.
 
@@ -215,7 +239,7 @@
             self._end_slow_clients(now)
 
     def _choose_check_interval(self) -> float:
-        if not self.is_accepting:
+        if self.is_stopping:
             return STOP_CHECK_INTERVAL_S
         if self._count_excess_bytes() > 0:
             return MEMORY_CHECK_INTERVAL_S
--- a/kumquatwalk/http1/tests/scripted_transport.py
+++ b/kumquatwalk/http1/tests/scripted_transport.py
@@ -85,6 +85,16 @@
         if self._is_closing and not self.buffer:
             self._lose(None)
 
+    def take(self, size: int) -> None:
+        """Take the first bytes of the buffer while the client is blocked.
+
+        Args:
+            size: Number of bytes, fewer than the buffer holds.
+        """
+        assert self.is_blocked and size < len(self.buffer)
+        self.taken += self.buffer[:size]
+        del self.buffer[:size]
+
     def half_close(self) -> None:
         """Let the client end its side."""
         if self._is_closing:
--- a/kumquatwalk/http1/tests/test_connection_machine.py
+++ b/kumquatwalk/http1/tests/test_connection_machine.py
@@ -45,6 +45,10 @@
             mock.patch.object(module, "read_now", lambda: self.now)
             for module in (caller_connection, server_module)
         ]
+        # A few answers are a backlog.
+        self.patchers.append(
+            mock.patch.object(caller_connection, "BACKLOG_BYTES_MAX", 60)
+        )
         # The check of timeouts is a step of the machine.
         self.patchers.append(mock.patch.object(server_module, "keep_running"))
         for patcher in self.patchers:
--- /dev/null
+++ b/kumquatwalk/http1/tests/test_stop_backlog.py
@@ -0,0 +1,216 @@
+"""Tests of what is passed on during a stop, over a scripted transport."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from kumquatwalk.address import Address
+from kumquatwalk.http1 import caller_connection
+from kumquatwalk.http1 import server as server_module
+from kumquatwalk.http1.caller_connection import CallerConnection
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.http1.tests.connection_case import make_get
+from kumquatwalk.http1.tests.scripted_transport import ScriptedTransport
+from kumquatwalk.http1.tests.scripted_transport import parse_answers
+from kumquatwalk.http1.unanswered import End
+from kumquatwalk.http1.unanswered import Stage
+
+LARGE_BYTES = 200_000
+# Interval between two checks of the timeouts, in seconds.
+STEP_S = 0.05
+# Iterations of the event loop in which the tasks of a step come to rest.
+SETTLE_TURNS = 8
+
+
+class StopBacklogTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self):
+        self.now = 100.0
+        for module in (caller_connection, server_module):
+            patcher = mock.patch.object(module, "read_now", lambda: self.now)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.seen: list[str] = []
+        self.waiting: dict[str, asyncio.Future] = {}
+        self.unanswered = []
+        self.expected_bytes = LARGE_BYTES
+        self.server = HttpServer(
+            Address("127.0.0.1", 0),
+            self.serve,
+            estimate_answer=lambda _: self.expected_bytes,
+            on_unanswered=lambda *args: self.unanswered.append(args),
+        )
+        self.connection = CallerConnection(self.server)
+        self.transport = ScriptedTransport(
+            asyncio.get_running_loop(), self.connection
+        )
+        self.connection.connection_made(self.transport)
+        self.addCleanup(self.transport.reset)
+
+    async def serve(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request when the test says so."""
+        path = request.url.decode()
+        self.seen.append(path)
+        self.waiting[path] = asyncio.get_running_loop().create_future()
+        return await self.waiting[path]
+
+    async def settle(self) -> None:
+        """Run the event loop until nothing is left to do."""
+        for _ in range(SETTLE_TURNS):
+            await asyncio.sleep(0)
+
+    async def send(self, *paths: str) -> None:
+        """Let requests arrive together."""
+        self.transport.deliver(b"".join(map(make_get, paths)))
+        await self.settle()
+
+    async def answer(self, path: str, size: int) -> None:
+        """Let the handler answer a request with a number of bytes."""
+        self.waiting[path].set_result(HttpResponse(200, body=bytes(size)))
+        await self.settle()
+
+    async def read_slowly(self, bytes_per_s: int) -> None:
+        """Let the client take a large answer at a rate, up to 5 kB."""
+        self.transport.is_blocked = True
+        await self.send("/first")
+        await self.answer("/first", LARGE_BYTES)
+        left = len(self.transport.buffer) - 5000
+        await self.pass_time(left / bytes_per_s, bytes_per_s)
+        self.transport.unblock()
+        await self.settle()
+
+    async def pass_time(self, seconds: float, bytes_per_s: int) -> None:
+        """Let the client take bytes at a rate, and check the timeouts."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self.transport.take(int(bytes_per_s * STEP_S))
+            self.connection.check_timeouts(self.now)
+            await self.settle()
+
+    def list_answers(self) -> list[tuple[int, bool, int]]:
+        """Return status, announced close and size of each answer taken."""
+        answers = parse_answers(bytes(self.transport.taken))
+        return [(status, last, len(body)) for status, last, body in answers]
+
+    # Guards against LOST: requests sent together at a stop were all passed on,
+    # and the process ended before a slow client had taken their large answers.
+    async def test_nothing_is_passed_on_behind_a_large_answer_at_a_stop(self):
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b", "/c")
+        self.transport.is_blocked = True
+        await self.answer("/a", LARGE_BYTES)
+        await self.pass_time(0.6, 25_000)
+        self.transport.unblock()
+        await self.settle()
+        self.assertEqual(self.seen, ["/a"])
+        answers = [answer[:2] for answer in self.list_answers()]
+        self.assertEqual(answers, [(200, False), (503, True)])
+
+    # Guards against lost throughput: requests with small answers must be
+    # handled together during a stop, as before it.
+    async def test_requests_with_small_answers_are_passed_on_together(self):
+        self.expected_bytes = 1000
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b", "/c")
+        self.assertEqual(self.seen, ["/a", "/b", "/c"])
+
+    # Guards against refusals of small requests on a route that has had a large
+    # answer: the first answer shows what the connection asks for.
+    async def test_what_waits_is_passed_on_behind_a_small_answer(self):
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b")
+        await self.send("/c", "/d")
+        self.assertEqual(self.seen, ["/a"])
+        await self.answer("/a", 100)
+        self.assertEqual(self.seen, ["/a", "/b", "/c", "/d"])
+        for path in ("/d", "/c", "/b"):
+            await self.answer(path, 100)
+        statuses = [answer[:2] for answer in self.list_answers()]
+        self.assertEqual(statuses, [(200, False)] * 3 + [(200, True)])
+
+    # Guards against requests refused for no reason: a client that turns out to
+    # read quickly gets what waited behind its large answer.
+    async def test_what_waits_is_passed_on_when_the_client_reads_quickly(self):
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b")
+        self.transport.is_blocked = True
+        await self.answer("/a", LARGE_BYTES)
+        self.assertEqual(self.seen, ["/a"])
+        self.now += STEP_S
+        self.transport.unblock()
+        self.connection.check_timeouts(self.now)
+        await self.settle()
+        self.assertEqual(self.seen, ["/a", "/b"])
+        await self.answer("/b", LARGE_BYTES)
+        self.assertEqual(self.list_answers()[1], (200, True, LARGE_BYTES))
+
+    # Guards against refusals: the handler took a request that was held back
+    # for one that came late.
+    async def test_handler_is_told_when_a_deferred_request_came(self):
+        requests = []
+        self.server.handler = lambda request: self.note(requests, request)
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b")
+        came_at = self.now
+        self.now += 1.0
+        await self.answer("/a", 100)
+        times = [request.progress.deferred_at for request in requests]
+        self.assertEqual(times, [None, came_at])
+
+    # Guards against LOST: a request without others before it was passed on
+    # though its client had been seen to read too slowly.
+    async def test_slow_client_is_refused_what_it_cannot_take(self):
+        await self.read_slowly(20_000)
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a")
+        self.assertEqual(self.seen, ["/first"])
+        self.assertEqual(self.list_answers()[1][:2], (503, True))
+
+    # Guards against LOST: the time that a client needs for an answer was not
+    # counted with the time of its run.
+    async def test_handler_is_told_how_long_the_client_reads(self):
+        requests = []
+        self.server.handler = lambda request: self.note(requests, request)
+        await self.read_slowly(100_000)
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a")
+        self.assertEqual(len(requests), 2)
+        self.assertIsNone(requests[1].progress.deferred_at)
+        self.assertEqual(requests[0].progress.taking_s, 0.0)
+        taking_s = requests[1].progress.taking_s
+        self.assertGreaterEqual(taking_s, LARGE_BYTES / 100_000)
+        self.assertLess(taking_s, 5.0)
+
+    async def note(self, requests, request) -> HttpResponse:
+        """Store a request, then serve it."""
+        requests.append(request)
+        return await self.serve(request)
+
+    # Guards against requests left unanswered for no reason: a client that is
+    # quick takes several large answers.
+    async def test_quick_client_gets_large_answers_together(self):
+        await self.send("/first")
+        await self.answer("/first", LARGE_BYTES)
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b", "/c")
+        self.assertEqual(self.seen, ["/first", "/a", "/b", "/c"])
+
+    # Guards against LOST: what waits behind an answer was kept when the
+    # connection ended, and reported by nobody.
+    async def test_what_waits_is_reported_when_it_is_left(self):
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b", "/c")
+        self.transport.is_blocked = True
+        await self.answer("/a", LARGE_BYTES)
+        await self.pass_time(0.6, 25_000)
+        left = (Stage.READ, End.CLOSING_ANSWER)
+        self.assertEqual(self.unanswered, [left])
+        self.transport.unblock()
+        await self.settle()
+        self.assertEqual(self.server.owed_requests, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/kumquatwalk/http1/throughput.py
@@ -0,0 +1,78 @@
+"""Rate at which a client takes bytes that wait for it."""
+
+__all__ = ["BACKLOG_BYTES_MAX", "Throughput"]
+
+# Bytes not taken up to which a client is not behind: the buffers of both ends
+# hold as many.
+BACKLOG_BYTES_MAX = 64 * 1024
+# Time for which a client must be behind to be measured, in seconds.
+WINDOW_S = 0.5
+# Share of the measured rate that is relied on: a client's buffer takes the
+# first bytes at once, and its later reads may be slower.
+RATE_SHARE = 0.5
+# Shortest time that is told apart from none, in seconds.
+RESOLUTION_S = 0.001
+
+
+class Throughput:
+    """Measures a client only while it is behind.
+
+    A client that is not behind takes what it gets, which tells nothing.
+    """
+
+    def __init__(self):
+        self._bytes_per_s: float | None = None
+        # Start of the present window; None while the client is not behind.
+        self._began_at: float | None = None
+        self._taken_bytes = 0
+
+    def begin(self, taken_bytes: int, now: float) -> None:
+        """Note that the client is behind from now on, unless it was before.
+
+        Args:
+            taken_bytes: Number of bytes that the client has taken so far.
+            now: Current time, in seconds.
+        """
+        if self._began_at is None:
+            self._restart(taken_bytes, now)
+
+    def update(self, taken_bytes: int, untaken_bytes: int, now: float) -> None:
+        """Note what the client has taken.
+
+        Args:
+            taken_bytes: Number of bytes that the client has taken so far.
+            untaken_bytes: Number of bytes that wait for it.
+            now: Current time, in seconds.
+        """
+        if self._began_at is None:
+            return
+        elapsed_s = max(now - self._began_at, RESOLUTION_S)
+        rate = (taken_bytes - self._taken_bytes) / elapsed_s
+        if untaken_bytes > BACKLOG_BYTES_MAX:
+            if elapsed_s >= WINDOW_S:
+                self._bytes_per_s = rate
+                self._restart(taken_bytes, now)
+            return
+        # It may have caught up at any time before, so this is a lower bound.
+        self._began_at = None
+        if self._bytes_per_s is not None:
+            self._bytes_per_s = max(self._bytes_per_s, rate)
+        elif elapsed_s < WINDOW_S:
+            self._bytes_per_s = rate
+
+    def estimate_s(self, size: float) -> float | None:
+        """Return the time in which the client takes bytes, in seconds.
+
+        Args:
+            size: Number of bytes, at least 0.
+
+        Returns:
+            The time; None if the client was not measured yet.
+        """
+        if self._bytes_per_s is None:
+            return None
+        return size / max(1.0, RATE_SHARE * self._bytes_per_s)
+
+    def _restart(self, taken_bytes: int, now: float) -> None:
+        self._began_at = now
+        self._taken_bytes = taken_bytes
--- a/kumquatwalk/routing/route_sizes.py
+++ b/kumquatwalk/routing/route_sizes.py
@@ -1,4 +1,6 @@
-"""Mean transfer size of calls with their replies, by route."""
+"""Mean and largest size of calls with their replies, by route."""
+
+import math
 
 __all__ = ["RouteSizes"]
 
@@ -15,10 +17,11 @@
 
 
 class RouteSizes:
-    """Exponentially weighted moving average of transfer sizes by route."""
+    """Exponentially weighted mean and largest transfer size by route."""
 
     def __init__(self):
         self._means: dict[str, float] = {}
+        self._largest_bytes: dict[str, int] = {}
 
     def record(self, route: str, body_bytes: int) -> None:
         """Record a reply, evicting the oldest route when the table is full.
@@ -31,10 +34,14 @@
         mean = self._means.get(route)
         if mean is None:
             if len(self._means) >= ROUTES_MAX:
-                del self._means[next(iter(self._means))]
+                oldest = next(iter(self._means))
+                del self._means[oldest]
+                del self._largest_bytes[oldest]
             self._means[route] = size_kb
         else:
             self._means[route] = mean + SMOOTHING_FACTOR * (size_kb - mean)
+        largest = self._largest_bytes.get(route, 0)
+        self._largest_bytes[route] = max(largest, body_bytes)
 
     def estimate(self, route: str) -> float:
         """Return the mean transfer size of a call in kilobytes.
@@ -43,3 +50,14 @@
             route: Name of the route.
         """
         return self._means.get(route, DEFAULT_KB)
+
+    def find_largest(self, route: str) -> float:
+        """Return the largest size of both bodies of a call, in bytes.
+
+        Args:
+            route: Name of the route.
+
+        Returns:
+            The size; infinite for a route without replies.
+        """
+        return self._largest_bytes.get(route, math.inf)
