--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -34,6 +34,9 @@
 MEMORY_CHECK_INTERVAL_S = 0.25
 # The same during a stop, when connections are to end soon.
 STOP_CHECK_INTERVAL_S = 0.05
+# Iterations of the event loop before the listening socket is closed, so that
+# connections that wait to be accepted are accepted: the close resets the others.
+CLOSE_TURNS = 3
 
 
 class HttpServer:
@@ -199,7 +202,8 @@
     def stop_accepting(self) -> None:
         """Stop listening and pass no further requests to the handler.
 
-        A request of which the first byte has been read is handled. One that
+        Connections that clients have opened before are still accepted. A
+        request of which the first byte has been read is handled. One that
         begins later is refused, or left unanswered if it stands behind others
         on its connection. Each connection closes once it is idle or after its
         last answer. Does nothing the second time.
@@ -208,7 +212,7 @@
             return
         self.is_stopping = True
         self.is_accepting = False
-        self._server.close()
+        self._close_listener(CLOSE_TURNS)
         now = read_now()
         for connection in tuple(self.connections):
             connection.stop_accepting(now)
@@ -223,6 +227,13 @@
         for connection in tuple(self.connections):
             connection.abort(End.PROCESS_END)
 
+    def _close_listener(self, turns: int) -> None:
+        if turns:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._close_listener, turns - 1)
+        else:
+            self._server.close()
+
     def _start_checks(self) -> None:
         if self._timeout_task is not None:
             self._timeout_task.cancel()
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -24,6 +24,18 @@
         self.assertEqual(await self.read_all(reader), _REFUSAL)
         self.assertEqual(self.seen, [])
 
+    # Guards against LOST: connections that clients had opened, and on which they
+    # had sent requests, were reset as the process had not accepted them yet.
+    async def test_request_on_a_connection_not_accepted_yet_is_refused(self):
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.sendall(make_get("/a"))
+        # Nothing was awaited, so that the server has not seen the connection.
+        self.server.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, [])
+
     # Guards against LOST: nobody closed a new connection that stayed silent.
     async def test_silent_new_connection_is_closed(self):
         reader, _ = await self.open()
