--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -34,8 +34,8 @@
 MEMORY_CHECK_INTERVAL_S = 0.25
 # The same during a stop, when connections are to end soon.
 STOP_CHECK_INTERVAL_S = 0.05
-# Iterations of the event loop before the listening socket is closed, so that
-# connections that wait to be accepted are accepted: the close resets the others.
+# Iterations of the event loop before the listening socket is closed, in which
+# connections that wait are accepted; the close resets them.
 CLOSE_TURNS = 3
 
 
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -24,8 +24,8 @@
         self.assertEqual(await self.read_all(reader), _REFUSAL)
         self.assertEqual(self.seen, [])
 
-    # Guards against LOST: connections that clients had opened, and on which they
-    # had sent requests, were reset as the process had not accepted them yet.
+    # Guards against LOST: connections that clients had opened, and on which
+    # they had sent requests, were reset as they were not accepted yet.
     async def test_request_on_a_connection_not_accepted_yet_is_refused(self):
         sock = socket.create_connection(("127.0.0.1", self.server.port))
         sock.sendall(make_get("/a"))
