--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -1,6 +1,7 @@
 """Tests of attempts and retries with scripted replies of other nodes."""
 
 import asyncio
+import math
 import random
 import unittest
 
@@ -113,19 +114,9 @@
         self.peers = ScriptedPeers([])
         self.pool = TokenPool(0)
 
-    async def _call(
-        self,
-        script: list[Reply],
-        idempotent: bool,
-        tokens: int | None = 3,
-        late: asyncio.Future | None = None,
-        stops: bool = False,
-        **route_fields,
-    ) -> Reply:
-        self.peers = ScriptedPeers(script, late)
-        self.pool = TokenPool(tokens or 0)
+    def _make_side(self) -> CallerSide:
         graph = CallGraph()
-        side = CallerSide(
+        return CallerSide(
             make_settings(),
             None,
             TargetView("here", "z1", "web"),
@@ -138,6 +129,21 @@
             CrashTracker(CrashTable(), lambda report: None),
             MemoryAdmission(ByteBudget(1 << 20)),
         )
+
+    async def _call(
+        self,
+        script: list[Reply],
+        idempotent: bool,
+        tokens: int | None = 3,
+        late: asyncio.Future | None = None,
+        stops: bool = False,
+        taking_s: float = 0.0,
+        ends_in_s: float = math.inf,
+        **route_fields,
+    ) -> Reply:
+        self.peers = ScriptedPeers(script, late)
+        self.pool = TokenPool(tokens or 0)
+        side = self._make_side()
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
         route = make_route(
             "payments",
@@ -150,7 +156,10 @@
         if stops:
             # The route takes longer than what is left of the stop.
             self.peers.on_call = lambda: side.set_end(now + 5.0, now, now)
+        if ends_in_s < math.inf:
+            side.set_end(now + ends_in_s, now, now)
         http = HttpRequest(b"POST", b"/pay", (), b"", True, now)
+        http.progress.taking_s = taking_s
         caller = CallerRequest(b"id", "", None, ())
         chain = None
         if tokens is not None:
@@ -275,6 +284,17 @@
         await self._call([crashed, DONE], idempotent=True)
         self.assertEqual(self.peers.calls[1][1].crash_marks, b"mark")
 
+    # Guards against LOST: an answer was made in time, but not taken before the
+    # end of a stop.
+    async def test_request_that_is_answered_but_not_taken_in_time_is_refused(
+        self,
+    ):
+        reply = await self._call([DONE], False, taking_s=20.0, ends_in_s=90.0)
+        self.assertEqual(reply, DONE)
+        reply = await self._call([DONE], False, taking_s=50.0, ends_in_s=90.0)
+        self.assertIs(reply.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.peers.calls, [])
+
 
 if __name__ == "__main__":
     unittest.main()
