Refuse a call that was lost with its link, instead of leaving it unknown

They took 0.6 to 2.9 s; a caller cannot send them again, and other targets were there.

Cause: a link is replaced after 1.6 s of silence and the calls that must not run twice are sent again. A process that did not know such a call answered that its outcome is unknown, as it might have run and been forgotten. Calls are forgotten 5 s after their deadlines, though, so one that is not known before its deadline was lost on its way, unless the table was full.

It is refused as not run now, so that its caller's node asks another target, and the refusal is kept apart from the ended calls until the deadline has passed, so that the first copy is refused too if it still arrives on the old connection.

Two tests held the old answer and hold the new one now, with the first copy that comes late and the second copy besides; that a copy of a call that may have been forgotten is unknown and not run has tests of its own.

--- a/kumquatwalk/daemon/retained_calls.py
+++ b/kumquatwalk/daemon/retained_calls.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 
 from kumquatwalk import codes
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -42,12 +43,15 @@
     target's answer to it is kept until the peer has taken it. The kept answers
     count in the budget and are bounded together: the oldest are dropped first.
     A copy of a call whose answer is no longer kept gets the reply that the
-    outcome is unknown, and so does a call that was sent before and is not known
-    here: it may have run. Neither is run.
+    outcome is unknown. A call that was sent before and is not known here was
+    lost on its way: it is refused as not run, and so is its first copy if that
+    still arrives. Where calls may have been forgotten too early to tell, the
+    outcome is unknown. None of these is run.
 
     Args:
         budget: Bytes of bodies that the process may hold.
-        ended_calls_max: Maximum number of ended calls that are known.
+        ended_calls_max: Maximum number of ended calls that are known, and of
+            those that were lost on their way.
 
     Attributes:
         bytes_kept: Bytes of the replies kept at present.
@@ -60,6 +64,9 @@
         self._ended_calls_max = ended_calls_max
         self._entries: dict[int, _Entry] = {}
         self._ended: list[tuple[float, int]] = []
+        self._lost: list[tuple[float, int]] = []
+        # Time until which a call that is not known may have been forgotten.
+        self._gap_until = -math.inf
         self._kept: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
@@ -97,6 +104,11 @@
         if not is_resent:
             return None
         # The first copy may still arrive, on the connection before.
+        if self._was_lost(deadline, now):
+            entry = self._entries[key]
+            entry.reply = _LOST
+            heapq.heappush(self._lost, (entry.forget_at, key))
+            return _LOST
         self.end(key, _UNKNOWN, now)
         return _UNKNOWN
 
@@ -168,8 +180,26 @@
             _, key = heapq.heappop(self._ended)
             if key in self._kept:
                 self._drop_reply(key)
+            entry = self._entries.pop(key)
+            self._gap_until = max(
+                self._gap_until, entry.forget_at, entry.deadline + MARGIN_S
+            )
+        while self._lost and self._lost[0][0] < now:
+            _, key = heapq.heappop(self._lost)
             del self._entries[key]
 
+    def _was_lost(self, deadline: float, now: float) -> bool:
+        """Return whether a call that is not known has surely not begun.
+
+        Calls are known until their deadlines; a peer that was not scheduled may
+        send one again later. This one, too, must be known until then, so that
+        its first copy is not run.
+        """
+        if len(self._lost) >= self._ended_calls_max:
+            return False
+        last = now + RETENTION_MAX_S - MARGIN_S
+        return self._gap_until < now <= deadline <= last
+
     def _drop_reply(self, key: int) -> None:
         entry = self._entries[key]
         del self._kept[key]
@@ -183,4 +213,5 @@
     return _UNKNOWN if measure_reply(reply) else reply
 
 
+_LOST = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
 _UNKNOWN = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
--- a/kumquatwalk/daemon/tests/test_broken_links.py
+++ b/kumquatwalk/daemon/tests/test_broken_links.py
@@ -84,6 +84,20 @@
         self.assertEqual((await task).status, 200)
         self.assertEqual(self.pay.target.count_runs("id-1"), 1)
 
+    # Guards against LOST: a payment that was lost with its link was answered as
+    # if it might have run.
+    async def test_payment_that_was_lost_with_its_link_is_refused(self):
+        link = self.web.daemon.core.peers.find("pay-1")
+        connected_since = link.unusable_since
+        self._set_partition(True)
+        task = self._pay("id-1")
+        async with asyncio.timeout(10):
+            while link.unusable_since == connected_since:
+                await asyncio.sleep(0.05)
+        self._set_partition(False)
+        self.assertEqual((await task).status, 503)
+        self.assertEqual(self.pay.target.count_runs("id-1"), 0)
+
     async def test_payment_is_not_sent_over_a_link_that_is_silent(self):
         self._set_partition(True)
         link = self.web.daemon.core.peers.find("pay-1")
--- a/kumquatwalk/daemon/tests/test_kept_replies.py
+++ b/kumquatwalk/daemon/tests/test_kept_replies.py
@@ -168,12 +168,13 @@
         self.assertEqual(last.status, 200)
         self.assertEqual(len(self.pay.target.runs), 11)
 
-    # Guards against TWICE: a call whose first copy may have run and been
-    # forgotten is run again when it is sent again.
-    async def test_call_sent_again_and_not_known_is_unknown_and_not_run(self):
+    # Guards against TWICE and REFUSED: a call that was lost with its link is
+    # run when it is sent again, or when its first copy arrives after all.
+    async def test_call_sent_again_and_not_known_is_refused_and_not_run(self):
         peer = await self._open_peer()
-        reply = await peer.call(self._make_call(9), 1, True)
-        self.assertEqual(reply.outcome, Outcome.UNKNOWN)
+        for call_id, is_resent in ((1, True), (2, False), (3, True)):
+            reply = await peer.call(self._make_call(9), call_id, is_resent)
+            self.assertEqual(reply.outcome, Outcome.NOT_RUN)
         self.assertEqual(self.pay.target.runs, [])
 
     # Guards against TWICE and REFUSED: a copy of a call that runs is refused as
--- a/kumquatwalk/daemon/tests/test_retained_calls.py
+++ b/kumquatwalk/daemon/tests/test_retained_calls.py
@@ -18,6 +18,7 @@
 from kumquatwalk.outcome import Outcome
 
 UNKNOWN = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
+LOST = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
 REFUSED = Reply(Outcome.NOT_RUN, codes.QUEUE_FULL)
 
 
@@ -88,10 +89,37 @@
         self.table.forget_old(RETENTION_MAX_S + 1.0)
         self.assertEqual((len(self.table), self.budget.used), (0, 0))
 
+    # Guards against LOST: a call that was lost with its link was answered as
+    # if it might have run; and against TWICE and REFUSED: its late first copy
+    # is run.
+    def test_copy_of_a_lost_call_is_refused_and_so_is_the_late_first_one(self):
+        self.assertEqual(self._ask(1), LOST)
+        for key in range(2, 9):
+            self._run(key, REFUSED)
+        self.assertEqual(self.table.begin(1, 5.0, False, 2.0), LOST)
+        self.assertEqual(self._ask(1, 5.0 + MARGIN_S), LOST)
+        self.table.forget_old(5.1 + MARGIN_S)
+        self.assertEqual(len(self.table), 0)
+
     # Guards against TWICE: a copy of a forgotten call is run.
-    def test_copy_of_an_unknown_call_is_not_run_nor_the_late_first_one(self):
-        self.assertEqual(self._ask(1), UNKNOWN)
-        self.assertEqual(self.table.begin(1, 5.0, False, 2.0), UNKNOWN)
+    def test_copy_of_a_call_that_may_be_forgotten_is_unknown(self):
+        table = RetainedCalls(self.budget, ended_calls_max=1)
+        for key in (1, 2):
+            table.begin(key, 5.0, False, 1.0)
+            table.end(key, _answer(10), 1.0)
+        self.assertEqual(table.begin(1, 5.0, True, 5.0), UNKNOWN)
+        self.assertEqual(table.begin(3, 5.0, True, 5.0), UNKNOWN)
+        self.assertEqual(table.begin(4, 20.0, True, 5.1 + MARGIN_S), LOST)
+        self.assertEqual(table.begin(5, 20.0, True, 20.1), UNKNOWN)
+
+    # Guards against REFUSED: the late first copy of a call that was refused as
+    # not run is run once the refusal is forgotten.
+    def test_lost_call_that_cannot_be_remembered_is_unknown(self):
+        self.assertEqual(self.table.begin(1, 1e9, True, 1.0), UNKNOWN)
+        table = RetainedCalls(self.budget, ended_calls_max=1)
+        self.assertEqual(table.begin(1, 5.0, True, 1.0), LOST)
+        self.assertEqual(table.begin(2, 5.0, True, 1.0), UNKNOWN)
+        self.assertEqual(table.begin(1, 5.0, False, 1.0), LOST)
 
     def test_number_of_ended_calls_is_bounded(self):
         table = RetainedCalls(self.budget, ended_calls_max=3)
--- a/kumquatwalk/daemon/unique_calls.py
+++ b/kumquatwalk/daemon/unique_calls.py
@@ -79,8 +79,9 @@
                 that has failed since.
 
         Returns:
-            The reply to the run; NOT_RUN without memory for the call's body;
-            UNKNOWN if the reply to an earlier copy is not kept.
+            The reply to the run; NOT_RUN without memory for the call's body, or
+            if the earlier copy was lost on its way; UNKNOWN if the reply to an
+            earlier copy is not kept.
         """
         running = self._in_progress.get(call.key)
         if running is not None:
