--- a/kumquatwalk/http1/tests/test_connection_machine.py
+++ b/kumquatwalk/http1/tests/test_connection_machine.py
@@ -45,10 +45,6 @@
 }
 
 
-def _raise_blocking_error():
-    raise BlockingIOError
-
-
 class ConnectionMachine(stateful.RuleBasedStateMachine):
     """A client, a handler, the time and the ends of one connection."""
 
@@ -89,10 +85,8 @@
         self.server = HttpServer(
             Address("127.0.0.1", 0), self._serve, _LIMITS, self.budget
         )
-        # pylint: disable=protected-access
-        self.server._server = mock.Mock()
-        self.server._listener = mock.Mock(accept=_raise_blocking_error)
-        # pylint: enable=protected-access
+        # pylint: disable-next=protected-access
+        self.server._server = mock.Mock(sockets=())
         self.server.report_unanswered = self._record_unanswered
         self.connection = CallerConnection(self.server)
         self.transport = ScriptedTransport(self.loop, self.connection)
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -111,7 +111,11 @@
         They are not there for long unless the process was not scheduled or
         reads slowly.
         """
-        return self.is_open and count_unread_bytes(self._transport) > 0
+        return (
+            self.is_open
+            and not self._is_partitioned
+            and count_unread_bytes(self._transport) > 0
+        )
 
     @property
     def is_paused(self) -> bool:
