--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -365,7 +365,10 @@
             ):
                 if not pending.reply.done():
                     silent.add(call_id, pending.request)
-        self._silent_links.append(silent)
+        if silent.is_needed:
+            self._silent_links.append(silent)
+        else:
+            silent.close()
 
     def _end_silent_links(self, now: float) -> None:
         """Close silent connections on which no reply can come any more."""
