--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -296,10 +296,10 @@
     accepted = []
     for listener in listeners:
         # The event loop's own sockets offer no accept.
-        with socket.socket(fileno=os.dup(listener.fileno())) as sock:
-            sock.setblocking(False)
-            # Ends when none waits, or when there is no descriptor for it.
-            with contextlib.suppress(OSError):
+        # Ends when none waits, or when there is no descriptor for it.
+        with contextlib.suppress(OSError):
+            with socket.socket(fileno=os.dup(listener.fileno())) as sock:
+                sock.setblocking(False)
                 while True:
                     accepted.append(sock.accept()[0])
     for sock in accepted:
