--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -443,7 +443,7 @@
         view.updated_at = read_now()
 
     async def _send(self, view: TargetView, request: PendingRequest) -> Reply:
-        call = self._make_call(request)
+        call = self._make_call(request, view)
         request.http.progress.mark_passed_on(request.caller.attempt_id)
         request.last_node = view.node_id
         request.is_in_flight = True
@@ -460,7 +460,7 @@
         request.is_in_flight = False
         return reply
 
-    def _make_call(self, request: PendingRequest) -> Call:
+    def _make_call(self, request: PendingRequest, view: TargetView) -> Call:
         route = request.route
         chain = request.chain
         return Call(
@@ -482,13 +482,16 @@
             tokens=0 if chain is None else chain.tokens.send(),
             is_protected=chain is not None and chain.is_protected,
             crash_marks=request.crash_marks,
-            is_movable=self._has_spare_attempt(request),
+            is_movable=self._has_spare_attempt(request, view),
         )
 
-    def _has_spare_attempt(self, request: PendingRequest) -> bool:
+    def _has_spare_attempt(
+        self, request: PendingRequest, view: TargetView
+    ) -> bool:
         """Return whether an attempt may follow the one that is now made.
 
-        The retry budget is not asked: it may change meanwhile.
+        It needs a target that has not been tried, whether it takes calls now or
+        later. The retry budget is not asked: it may change meanwhile.
         """
         route = request.route
         tokens = None if request.chain is None else request.chain.tokens
@@ -496,7 +499,11 @@
             route.is_idempotent
             and request.attempts_at_targets + 1 < route.attempts_max
             and len(request.tried_nodes) + 1 < NODES_PER_REQUEST_MAX
-            and (tokens is None or tokens.available)
+            and (tokens is None or tokens.available > 0)
+            and any(
+                other is not view and other.node_id not in request.tried_nodes
+                for other in self._peers.list_views(request.service)
+            )
         )
 
     def _compute_start_by(self, request: PendingRequest) -> float:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -48,7 +48,12 @@
         on_call: Called with each attempt.
     """
 
-    def __init__(self, script: list[Reply], late: asyncio.Future | None = None):
+    def __init__(
+        self,
+        script: list[Reply],
+        late: asyncio.Future | None = None,
+        targets: int = 4,
+    ):
         self.late = late
         self.calls: list[tuple[str, Call]] = []
         self.on_call = lambda: None
@@ -64,7 +69,7 @@
                 updated_at=read_now() + 60.0,
                 is_reachable=True,
             )
-            for n in range(4)
+            for n in range(targets)
         ]
 
     def list_views(self, service: str) -> list[TargetView]:
@@ -139,9 +144,10 @@
         stops: bool = False,
         taking_s: float = 0.0,
         ends_in_s: float = math.inf,
+        targets: int = 4,
         **route_fields,
     ) -> Reply:
-        self.peers = ScriptedPeers(script, late)
+        self.peers = ScriptedPeers(script, late, targets)
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
@@ -172,6 +178,13 @@
         self.assertEqual(await self._call([DONE], idempotent=False), DONE)
         self.assertEqual(len(self.peers.calls), 1)
 
+    # Guards against LOST: a stop gave back runs that no untried target could
+    # take, and their callers got 502.
+    async def test_call_without_an_untried_target_is_not_movable(self):
+        await self._call([LOST] * 2, True, tokens=None, targets=2)
+        calls = [call.is_movable for _, call in self.peers.calls]
+        self.assertEqual(calls, [True, False])
+
     # Guards against LOST: a run at a peer that was not scheduled for a while
     # was given up with 502, though its answer came.
     async def test_late_reply_is_awaited_when_no_retry_is_allowed(self):
