LOST: count a stop from a pause only if its signal came in the pause

Signals that came in a pause are handled in the first turns after it; what comes later counts from its handling. A process that still runs was signalled within the grace period.

--- a/kumquatwalk/cli/pause_log.py
+++ b/kumquatwalk/cli/pause_log.py
@@ -16,7 +16,8 @@
     """Latest pause of the process, as told by a regular record of its time.
 
     A process that is stopped or gets no processor acts on a signal only when it
-    runs again. Pauses that follow each other at once count as one.
+    runs again, in its first turns. Pauses that follow each other at once count
+    as one.
 
     Args:
         now: Current time, in seconds.
@@ -28,6 +29,11 @@
         self._last_began_at = -math.inf
         self._ended_at = -math.inf
 
+    @property
+    def has_pause(self) -> bool:
+        """Whether signals of a pause may still be handled."""
+        return self._ended_at > -math.inf
+
     def record(self, now: float) -> None:
         """Note that the process runs.
 
@@ -42,6 +48,10 @@
             self._ended_at = now
         self._seen_at = now
 
+    def end_pause(self) -> None:
+        """Note that all signals that came in the pause have been handled."""
+        self._ended_at = -math.inf
+
     def find_earliest(self, now: float) -> float:
         """Return the earliest time at which a signal handled now may have come.
 
--- a/kumquatwalk/cli/stop_request.py
+++ b/kumquatwalk/cli/stop_request.py
@@ -12,6 +12,8 @@
 # Interval between two records of the process's time, in seconds; well below the
 # shortest pause.
 _RECORD_INTERVAL_S = 0.1
+# Turns of the event loop in which signals that came in a pause are handled.
+_TURNS = 3
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -53,5 +55,15 @@
     def _record(self) -> None:
         if not self.is_made:
             self._pauses.record(read_now())
+            if self._pauses.has_pause:
+                self._end_pause(_TURNS)
             loop = asyncio.get_running_loop()
             loop.call_later(_RECORD_INTERVAL_S, self._record)
+
+    def _end_pause(self, turns: int) -> None:
+        """End the pause after some turns of the event loop."""
+        if turns:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._end_pause, turns - 1)
+        else:
+            self._pauses.end_pause()
--- a/kumquatwalk/cli/tests/test_pause_log.py
+++ b/kumquatwalk/cli/tests/test_pause_log.py
@@ -41,6 +41,14 @@
         self.record(10.5, 11.0, 11.5, 12.0, 12.5, 13.0)
         self.assertEqual(self.log.find_earliest(13.5), 13.5 - SERIES_MAX_S)
 
+    # Guards against LOST: a stop whose signal came after a pause ended early.
+    def test_signal_after_the_first_turns_came_when_it_is_handled(self):
+        self.record(10.1, 11.6)
+        self.log.end_pause()
+        self.assertEqual(self.log.find_earliest(11.65), 11.65)
+        self.record(11.7, 13.0)
+        self.assertEqual(self.log.find_earliest(13.05), 11.7)
+
     # Guards against LOST: a stop after a pause of more than the bound of a
     # series ended after SIGKILL.
     def test_one_long_pause_counts_whole(self):
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -134,8 +134,10 @@
                 seconds; the current time if that is earlier.
         """
         began_at = read_now()
-        signalled_at = min(signalled_at, began_at)
-        killed_at = signalled_at + self.core.settings.bounds.grace_s
+        grace_s = self.core.settings.bounds.grace_s
+        # A process that still runs was signalled within the grace period.
+        signalled_at = max(began_at - grace_s, min(signalled_at, began_at))
+        killed_at = signalled_at + grace_s
         ends_at = killed_at - ANSWER_MARGIN_S
         self._closes_by = killed_at - CLOSE_MARGIN_S
         self.is_stopping = True
