LOST: keep a silent link while a new connection is only not answered

A connection that is refused ends the wait, one that is not answered does not; a silent connection is known until it is lost.

test_call_is_kept_while_the_new_connection_is_not_answered and test_end_of_the_old_connection_leaves_the_new_one failed before.

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -114,6 +114,7 @@
         self._last_call_id = 0
         self._reconnect_pause_s = 0.0
         self._is_silent = False
+        # Those that are closed stay until their connections are lost.
         self._silent_links: list[SilentLink] = []
         self._linked_at = 0.0
         self._link_lost = asyncio.Event()
@@ -137,7 +138,9 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request waits for a reply."""
-        return not self._pending and not self._silent_links
+        return not self._pending and not any(
+            silent.is_needed for silent in self._silent_links
+        )
 
     def start(self) -> None:
         """Start connecting in the background."""
@@ -307,8 +310,6 @@
             if await self._connect():
                 delay_s = RECONNECT_DELAY_MIN_S
                 await self._link_lost.wait()
-            else:
-                self._close_silent_links()
             self._disconnect()
             pause_s, self._reconnect_pause_s = self._reconnect_pause_s, 0.0
             jittered_delay_s = delay_s * random.uniform(0.6, 1.0)
@@ -338,8 +339,12 @@
                 self._own_zone = hello.availability_zone
                 link.send(hello)
                 await self._handshake_done.wait()
-        except (OSError, TimeoutError):
-            return False  # _run retries; the view stays unreachable
+        except TimeoutError:
+            # The peer may only not be scheduled. _run retries.
+            return False
+        except OSError:
+            self._close_silent_links()
+            return False
         return True
 
     def _disconnect(self) -> None:
@@ -376,15 +381,13 @@
             self._handshake_done.is_set()
             and now - self._linked_at > SILENT_LINGER_S
         )
-        for silent in tuple(self._silent_links):
+        for silent in self._silent_links:
             is_alive = silent.has_spoken or silent.link.has_unread_bytes
             if not silent.is_needed or (is_answering and not is_alive):
-                self._silent_links.remove(silent)
                 silent.close()
 
     def _close_silent_links(self) -> None:
-        silent_links, self._silent_links = self._silent_links, []
-        for silent in silent_links:
+        for silent in self._silent_links:
             silent.close()
 
     def _find_silent(self, link: LinkProtocol) -> SilentLink | None:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
@@ -15,6 +16,7 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
+from kumquatwalk.mesh.peer_link import CONNECT_TIMEOUT_S
 from kumquatwalk.mesh.peer_link import RECEIVE_TIMEOUT_S
 from kumquatwalk.mesh.peer_link import SILENT_LINGER_S
 from kumquatwalk.mesh.peer_link import PeerLink
@@ -62,6 +64,7 @@
         self.ends: list[LinkProtocol] = []
         self.frames: list[CallFrame] = []
         self.cancelled: list[int] = []
+        self.is_stalled = False
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: LinkProtocol(
@@ -91,7 +94,8 @@
     def _handle(self, link, message):
         match message:
             case Hello():
-                link.send(make_hello())
+                if not self.is_stalled:
+                    link.send(make_hello())
             case CallFrame():
                 self.frames.append(message)
             case Cancel():
@@ -167,6 +171,37 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual((await late).outcome, Outcome.UNKNOWN)
 
+    # Guards against LOST: a peer that was not scheduled for longer was given up
+    # because a new connection was not answered in time.
+    async def test_call_is_kept_while_the_new_connection_is_not_answered(self):
+        self.is_stalled = True
+        late = await self._fail_by_silence()
+        await asyncio.sleep(CONNECT_TIMEOUT_S + 0.2)
+        self.is_stalled = False
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+
+    # Guards against LOST: the end of a silent connection ended the new one,
+    # with the calls on it.
+    async def test_end_of_the_old_connection_leaves_the_new_one(self):
+        loop = asyncio.get_running_loop()
+        create = loop.create_connection
+
+        async def create_slowly(*args):
+            await asyncio.sleep(0.3)
+            return await create(*args)
+
+        with mock.patch.object(loop, "create_connection", create_slowly):
+            late = await self._fail_by_silence()
+            await asyncio.sleep(0.2)
+            late.cancel()
+            await asyncio.sleep(0)
+            self.link.reset_if_silent(read_now())
+            await self._wait_for(lambda: len(self.ends) == 2)
+            await asyncio.sleep(0.1)
+        self.assertTrue(self.ends[1].is_open)
+
     async def test_late_reply_that_is_not_wanted_cancels_the_call(self):
         late = await self._fail_by_silence()
         late.cancel()
