--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -314,6 +314,8 @@
         while (exchange := self._exchanges.first_deferred) is not None:
             if self._can_take(exchange, now):
                 self._pass_on(exchange)
+                if exchange.response is not None:
+                    self._send_ready_responses()
                 continue
             if self._has_rate and not self._exchanges.is_waiting_before(
                 exchange
--- a/kumquatwalk/http1/tests/test_stop_backlog.py
+++ b/kumquatwalk/http1/tests/test_stop_backlog.py
@@ -211,6 +211,24 @@
         await self.settle()
         self.assertEqual(self.server.owed_requests, 0)
 
+    # Guards against LOST: the refusal of a request that was held back, for want
+    # of memory, was not sent.
+    async def test_refusal_for_memory_is_sent(self):
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b")
+        self.assertEqual(self.seen, ["/a"])
+        self.server.has_memory_for = lambda _: False
+        self.transport.is_blocked = True
+        await self.answer("/a", LARGE_BYTES)
+        self.now += STEP_S
+        self.transport.unblock()
+        await self.settle()
+        for _ in range(20):
+            self.now += STEP_S
+            self.connection.check_timeouts(self.now)
+            await self.settle()
+        self.assertEqual([a[0] for a in self.list_answers()], [200, 503])
+
 
 if __name__ == "__main__":
     unittest.main()
