--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import errno
 import math
 import os
 import socket
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
@@ -28,6 +30,17 @@
 # Connections that may wait to be accepted; more than a burst opens between two
 # iterations of the event loop.
 BACKLOG = 1024
+# Errors of one connection, not of the listener (accept(2)).
+_CONNECTION_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EPROTO,
+    )
+)
 # Multiple of the memory for answers not sent at which all requests are refused.
 # Those with large answers are refused by their handler before.
 ANSWER_OVERRUN_MAX = 2
@@ -291,17 +304,26 @@
             connection.abort(End.TIMEOUT)
 
 
+def _accept_from(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yield the connections that wait, until none does or none can be had."""
+    for _ in range(BACKLOG):
+        try:
+            yield listener.accept()[0]
+        except OSError as error:
+            # An error of one connection leaves the others waiting.
+            if error.errno not in _CONNECTION_ERRORS:
+                return
+
+
 def _accept_all(listeners: Iterable[socket.socket]) -> list[socket.socket]:
     """Return the connections that wait in the accept queues of listeners."""
     accepted = []
     for listener in listeners:
         # The event loop's own sockets offer no accept.
-        # Ends when none waits, or when there is no descriptor for it.
         with contextlib.suppress(OSError):
             with socket.socket(fileno=os.dup(listener.fileno())) as sock:
                 sock.setblocking(False)
-                while True:
-                    accepted.append(sock.accept()[0])
+                accepted += _accept_from(sock)
     for sock in accepted:
         sock.setblocking(False)
     return accepted
