--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -118,6 +118,7 @@
     def setUp(self):
         self.peers = ScriptedPeers([])
         self.pool = TokenPool(0)
+        self.targets = 4
 
     def _make_side(self) -> CallerSide:
         graph = CallGraph()
@@ -144,10 +145,9 @@
         stops: bool = False,
         taking_s: float = 0.0,
         ends_in_s: float = math.inf,
-        targets: int = 4,
         **route_fields,
     ) -> Reply:
-        self.peers = ScriptedPeers(script, late, targets)
+        self.peers = ScriptedPeers(script, late, self.targets)
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
@@ -181,7 +181,9 @@
     # Guards against LOST: a stop gave back runs that no untried target could
     # take, and their callers got 502.
     async def test_call_without_an_untried_target_is_not_movable(self):
-        await self._call([LOST] * 2, True, tokens=None, targets=2)
+        self.targets = 2
+        failed = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
+        await self._call([failed] * 2, True, tokens=None)
         calls = [call.is_movable for _, call in self.peers.calls]
         self.assertEqual(calls, [True, False])
 
