--- /dev/null
+++ b/kumquatwalk/daemon/tests/test_late_replies.py
@@ -0,0 +1,38 @@
+"""Tests of waiting for replies on links that have gone silent."""
+
+import asyncio
+import unittest
+
+from kumquatwalk.daemon.late_replies import wait_for_late_reply
+from kumquatwalk.mesh.message import Reply
+from kumquatwalk.outcome import Outcome
+
+UNKNOWN = Reply(Outcome.UNKNOWN, "link_failed")
+REFUSED = Reply(Outcome.NOT_RUN, "queue_full")
+DONE = Reply(Outcome.DONE, status=200)
+
+
+class LateRepliesTest(unittest.IsolatedAsyncioTestCase):
+
+    async def wait_for(self, *replies: Reply) -> Reply:
+        """Return what is made of replies that have come."""
+        futures = []
+        for reply in replies:
+            futures.append(asyncio.get_running_loop().create_future())
+            futures[-1].set_result(reply)
+        return await wait_for_late_reply(futures, UNKNOWN)
+
+    async def test_result_of_a_run_counts(self):
+        self.assertEqual(await self.wait_for(UNKNOWN, DONE), DONE)
+
+    async def test_without_a_result_the_outcome_stays_unknown(self):
+        self.assertEqual(await self.wait_for(UNKNOWN), UNKNOWN)
+
+    # Guards against 502 for a request that has not run: its only attempt was
+    # refused, and the refusal came late.
+    async def test_late_refusal_of_the_only_attempt_is_a_refusal(self):
+        self.assertEqual(await self.wait_for(REFUSED), REFUSED)
+
+
+if __name__ == "__main__":
+    unittest.main()
