--- a/kumquatwalk/proofs/tests/test_paused_peer.py
+++ b/kumquatwalk/proofs/tests/test_paused_peer.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import collections
-import os
 import signal
 import unittest
 
 from kumquatwalk.proofs.tests.platform_case import PlatformCase
-from kumquatwalk.standin.daemon_fleet import exchange
 
 REQUESTS = 12
 WORK_MS = 2500
+LIMIT_MS = 5000
 # Longer than links may be silent, shorter than the runs.
 PAUSE_S = 1.8
 HANG_GUARD_S = 20.0
@@ -18,16 +17,6 @@
 
 class PausedPeerTest(PlatformCase):
 
-    async def call(self, node):
-        """Return the status of a request for a target of another node."""
-        headers = (
-            (b"Attempt-Id", os.urandom(8).hex().encode()),
-            (b"Deadline-Ms", b"5000"),
-        )
-        path = b"/look/%d/10" % WORK_MS
-        listener = node.listeners["outbound"]
-        return (await exchange(listener, b"GET", path, headers, b"")).status
-
     async def check_pause(self, choose_paused):
         """Pause a node while the one that took requests stops."""
         taking = self.fleet.nodes["n2"]
@@ -39,7 +28,8 @@
 
         async with asyncio.timeout(HANG_GUARD_S):
             calls = [
-                asyncio.create_task(self.call(taking)) for _ in range(REQUESTS)
+                asyncio.create_task(self.get_status(taking, WORK_MS, LIMIT_MS))
+                for _ in range(REQUESTS)
             ]
             while sum(map(count_runs, others)) < REQUESTS:
                 await asyncio.sleep(0.01)
--- a/kumquatwalk/proofs/tests/test_signal_after_pause.py
+++ b/kumquatwalk/proofs/tests/test_signal_after_pause.py
@@ -2,30 +2,19 @@
 
 import asyncio
 import collections
-import os
 import signal
 import unittest
 
 from kumquatwalk.proofs.tests.platform_case import PlatformCase
-from kumquatwalk.standin.daemon_fleet import exchange
 
 REQUESTS = 12
 WORK_MS = 4600
+LIMIT_MS = 5900
 PAUSE_S = 1.5
 
 
 class SignalAfterPauseTest(PlatformCase):
 
-    async def call(self, node):
-        """Return the status of a safe request whose run is long."""
-        headers = (
-            (b"Attempt-Id", os.urandom(8).hex().encode()),
-            (b"Deadline-Ms", b"5900"),
-        )
-        path = b"/look/%d/10" % WORK_MS
-        listener = node.listeners["outbound"]
-        return (await exchange(listener, b"GET", path, headers, b"")).status
-
     # Guards against LOST: a stop counted from the beginning of a pause that was
     # over before its signal came, and broke off runs that would have ended.
     async def test_runs_are_answered_when_the_signal_comes_after_the_pause(
@@ -38,7 +27,10 @@
         await asyncio.sleep(0.05)
         others = [n for n in self.fleet.nodes.values() if n is not node]
         before = sum(len(n.target.runs) for n in others)
-        calls = [asyncio.create_task(self.call(node)) for _ in range(REQUESTS)]
+        calls = [
+            asyncio.create_task(self.get_status(node, WORK_MS, LIMIT_MS))
+            for _ in range(REQUESTS)
+        ]
         async with asyncio.timeout(5.0):
             while sum(len(n.target.runs) for n in others) < before + REQUESTS:
                 await asyncio.sleep(0.01)
