Proof of slow callers: wait until the node has ended one of them

Cause: the test's fixed wait. A node ends slow clients one window (1 s) and one check (up to 1 s, 0.25 s once memory is short) after their answers were written. Traced with requests from 0.2 s on: refused from 0.36 to 0.61 s on, served from 1.53 to 1.82 s on, on an idle machine; with 14 busy processes refused from 0.74 to 0.87 s on, served from 1.80 to 2.23 s on. Ruled out: a refusal after the clients were ended; in none of the plays was one seen.

Change: the test waits until the node's metric shows that it has ended a slow client, then asks the same of the same 20 requests. It is as strict: a node that ends none fails it (shown with the check taken out: FAILED after 30 s), and how soon a client counts as slow is proved by http1.tests.test_reading_rate with given times. Held 4 of 4 on a quiet machine, 3 of 3 beside 16 busy processes.

--- a/kumquatwalk/proofs/tests/test_slow_callers.py
+++ b/kumquatwalk/proofs/tests/test_slow_callers.py
@@ -13,16 +13,20 @@
 # Each slow caller reads this many bytes, then pauses for a time in seconds.
 PIECE_BYTES = 2000
 READ_PAUSE_S = 0.5
-# Time until the answers have come, in seconds.
-WAIT_S = 2.0
 REQUESTS = 20
+# Time in which a test that fails is ended, in seconds.
+HANG_S = 30.0
+POLL_S = 0.05
+METRICS_PATH = b"/kumquatwalk/metrics"
+ENDED_CLIENTS = b'requests_unanswered_total{end="timeout",stage="answered"}'
 
 
 class SlowCallersTest(PlatformCase):
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.listener = self.fleet.nodes["n2"].listeners["outbound"]
+        self.listeners = self.fleet.nodes["n2"].listeners
+        self.listener = self.listeners["outbound"]
 
     async def read_slowly(self, attempt_id: str) -> None:
         """Ask for a large answer and read it in small pieces."""
@@ -41,6 +45,17 @@
             while await loop.sock_recv(sock, PIECE_BYTES):
                 await asyncio.sleep(READ_PAUSE_S)
 
+    async def wait_until_client_is_ended(self) -> None:
+        """Wait until the node has ended a client that reads slowly."""
+        metrics = b""
+        async with asyncio.timeout(HANG_S):
+            while ENDED_CLIENTS not in metrics:
+                await asyncio.sleep(POLL_S)
+                answer = await exchange(
+                    self.listeners["metrics"], b"GET", METRICS_PATH, (), b""
+                )
+                metrics = answer.body
+
     # Guards against refusals of all requests of a node for as long as a few
     # callers read large answers slowly.
     async def test_small_requests_are_served_beside_slow_callers(self):
@@ -48,7 +63,7 @@
             asyncio.create_task(self.read_slowly(f"slow-{n}"))
             for n in range(SLOW_CALLERS)
         ]
-        await asyncio.sleep(WAIT_S)
+        await self.wait_until_client_is_ended()
         statuses = []
         for number in range(REQUESTS):
             attempt = (b"Attempt-Id", b"small-%d" % number)
