Connecting: an own pause is no time-out

Seen by callers: after a pause of the node's own process (not scheduled, or its event loop blocked) a request whose connection had broken got a crash mark though its target listened, and a connection to the target ended as connect_failed, after which queued calls are refused (both effects by reading).

The event loop runs a timer that is due before the task that waits for the connection, so the time-out cancelled a connection that the kernel had already made.

Ruled out: the target. It accepted within the pause in both tests, and with asyncio's loop the future of the connection was done when it was cancelled. Counting the lateness of the timer instead of turns: a pause that ends just before the timer would still count.

--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -6,6 +6,7 @@
 import httptools
 
 from kumquatwalk.address import Address
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.read_limiter import READ_BYTES_MAX
@@ -33,7 +34,7 @@
 
     Args:
         address: Address of the server.
-        timeout_s: Timeout for connecting, in seconds.
+        timeout_s: Timeout for connecting, in seconds; see ``limit_time``.
         body_bytes_max: Maximum size of a response body, in bytes.
         source_host: Local IP address to connect from; if empty, the operating
             system selects it.
@@ -48,7 +49,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with limit_time(timeout_s):
             _, connection = await loop.create_connection(
                 lambda: ClientConnection(body_bytes_max, limiter),
                 address.host,
