Late refusals: passed on if no attempt may have run

Seen by callers: 502 with an unknown outcome for a request that had not run: the link to its target had gone silent, and the target's refusal came late.

Cause: wait_for_late_reply took only results of runs, and the reply to the lost attempt stayed "unknown" whatever came later.

Ruled out: that a late refusal may be passed on by itself. Another attempt may have run whose reply cannot come any more (its link broke without being silent, or its run failed); the answer then stays unknown.

Change: a refusal is the result when all late replies are refusals. The caller side passes it on if each attempt that may have run has a late reply, which it tells by a count of such attempts; an ordinary call adds one to it, nothing else.

Evidence: daemon.test_late_replies failed before (UNKNOWN, link_failed), and so did the new test of the caller side with one attempt; both pass. The new test of two attempts fails when the count is left out (NOT_RUN is not UNKNOWN).

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -357,9 +357,13 @@
         """Return the final reply, after replies that may still come."""
         last_run = request.last_run
         if last_run is not None and last_run.outcome is Outcome.UNKNOWN:
-            request.last_run = await wait_for_late_reply(
-                request.late_replies, last_run
-            )
+            reply = await wait_for_late_reply(request.late_replies, last_run)
+            if reply.outcome is not Outcome.NOT_RUN:
+                request.last_run = reply
+            elif request.runs_possible == len(request.late_replies):
+                # All attempts are known not to have run.
+                request.last_run = None
+                request.last_refusal = reply
         return self._make_final_reply(request)
 
     def _is_quarantined(self, request: PendingRequest) -> bool:
@@ -393,6 +397,7 @@
                 tokens.record_not_run()
             return
         request.attempts_at_targets += 1
+        request.runs_possible += 1
         # The latest run determines the answer, whether it succeeded or not.
         request.last_run = reply
         if tokens is not None:
--- a/kumquatwalk/daemon/late_replies.py
+++ b/kumquatwalk/daemon/late_replies.py
@@ -16,14 +16,24 @@
 
     Args:
         late_replies: Replies that may still come.
-        unknown: Reply to return when none of them does.
+        unknown: Reply to return when none of them tells the outcome.
+
+    Returns:
+        A result; or a refusal when all attempts with late replies were refused,
+        which says nothing of other attempts; else ``unknown``.
     """
     waiting = set(late_replies)
+    refusal: Reply | None = None
+    has_unknown = False
     while waiting:
         done, waiting = await asyncio.wait(
             waiting, return_when=asyncio.FIRST_COMPLETED
         )
         for late in done:
-            if not late.cancelled() and late.result().outcome is Outcome.DONE:
+            if late.cancelled() or late.result().outcome is Outcome.UNKNOWN:
+                has_unknown = True
+            elif late.result().outcome is Outcome.DONE:
                 return late.result()
-    return unknown
+            else:
+                refusal = late.result()
+    return unknown if has_unknown or refusal is None else refusal
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -31,6 +31,8 @@
         last_node: Identifier of the node of the last attempt; empty before it.
         is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
+        runs_possible: Number of attempts that ran or may have run, late replies
+            aside.
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
         late_replies: Replies that may still come to attempts whose link has
@@ -50,6 +52,7 @@
     last_node: str = ""
     is_in_flight: bool = False
     attempts_at_targets: int = 0
+    runs_possible: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
     late_replies: list[asyncio.Future[Reply]] = dataclasses.field(
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -44,7 +44,8 @@
 
     Attributes:
         calls: Node identifier and call of each attempt.
-        late: Reply that still comes to the first call; None if none does.
+        late: Reply that still comes to one call; None if none does.
+        late_index: Index of that call.
         on_call: Called with each attempt.
     """
 
@@ -55,6 +56,7 @@
         targets: int = 4,
     ):
         self.late = late
+        self.late_index = 0
         self.calls: list[tuple[str, Call]] = []
         self.on_call = lambda: None
         self.count = 5
@@ -108,9 +110,9 @@
         return self._peers.reply(self._node_id, call)
 
     def find_late_reply(self, call: Call) -> asyncio.Future | None:
-        """Return the reply that still comes to the first call, if any."""
-        is_first = call is self._peers.calls[0][1]
-        return self._peers.late if is_first else None
+        """Return the reply that still comes to a call, if any."""
+        index = [sent is call for _, sent in self._peers.calls].index(True)
+        return self._peers.late if index == self._peers.late_index else None
 
 
 class CallerSideTest(unittest.IsolatedAsyncioTestCase):
@@ -119,6 +121,7 @@
         self.peers = ScriptedPeers([])
         self.pool = TokenPool(0)
         self.targets = 4
+        self.late_index = 0
 
     def _make_side(self) -> CallerSide:
         graph = CallGraph()
@@ -148,6 +151,7 @@
         **route_fields,
     ) -> Reply:
         self.peers = ScriptedPeers(script, late, self.targets)
+        self.peers.late_index = self.late_index
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
         fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
@@ -213,6 +217,40 @@
         reply = await self._call([LOST], True, late=late, attempts_max=1)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
 
+    # Guards against 502 for a request that has not run: its attempts were
+    # refused, one of them late.
+    async def test_late_refusal_is_passed_on_if_no_attempt_may_have_run(self):
+        refused = Reply(Outcome.NOT_RUN, codes.QUEUE_FULL)
+        for script, attempts_max in (([LOST], 1), ([LOST, QUARANTINED], 2)):
+            late = asyncio.get_running_loop().create_future()
+            late.set_result(refused)
+            reply = await self._call(
+                script, True, late=late, attempts_max=attempts_max
+            )
+            self.assertEqual(len(self.peers.calls), len(script))
+            self.assertIs(reply.outcome, Outcome.NOT_RUN)
+            self.assertEqual(reply.code, codes.QUEUE_FULL)
+
+    # Guards against "not run" for a request that another attempt may have run.
+    async def test_late_refusal_of_one_attempt_says_nothing_of_others(self):
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        for script, self.late_index in (
+            ([LOST, LOST], 0),
+            ([LOST, LOST], 1),
+            ([failed, LOST], 1),
+        ):
+            late = asyncio.get_running_loop().create_future()
+            late.set_result(Reply(Outcome.NOT_RUN, codes.QUEUE_FULL))
+            reply = await self._call(
+                script,
+                True,
+                late=late,
+                attempts_max=2,
+                repeats_failures=True,
+            )
+            self.assertEqual(len(self.peers.calls), 2)
+            self.assertIs(reply.outcome, Outcome.UNKNOWN)
+
     async def test_refusal_after_a_lost_attempt_is_not_called_not_run(self):
         reply = await self._call([LOST, QUARANTINED, QUARANTINED], True)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
--- a/kumquatwalk/daemon/tests/test_late_replies.py
+++ b/kumquatwalk/daemon/tests/test_late_replies.py
@@ -33,6 +33,19 @@
     async def test_late_refusal_of_the_only_attempt_is_a_refusal(self):
         self.assertEqual(await self.wait_for(REFUSED), REFUSED)
 
+    async def test_refusal_does_not_hide_a_result_or_an_unknown_outcome(self):
+        for other in (DONE, UNKNOWN):
+            self.assertEqual(await self.wait_for(REFUSED, other), other)
+            self.assertEqual(await self.wait_for(other, REFUSED), other)
+
+    async def test_refusal_leaves_a_cancelled_reply_unknown(self):
+        loop = asyncio.get_running_loop()
+        refused, cancelled = loop.create_future(), loop.create_future()
+        refused.set_result(REFUSED)
+        cancelled.cancel()
+        reply = await wait_for_late_reply([refused, cancelled], UNKNOWN)
+        self.assertEqual(reply, UNKNOWN)
+
 
 if __name__ == "__main__":
     unittest.main()
