Targets: a stop of the node hides no crash

Seen by callers: nothing yet. A node that was stopped (SIGSTOP, or a frozen group of processes) while it checked whether its target still listens took a target that had ended meanwhile for one that listens: no crash mark, so the request goes on to other targets (both effects by reading).

A signal that ends a poll whose timeout has passed leaves what has come unread; the timers run next, and the check looked at a connection whose end it had not read.

Ruled out, by reading: an event loop that is only blocked. It polls before it runs its timers, so asyncio reads the end in time.

Change: the check lets the event loop handle what the kernel holds before it looks. Only after a connection broke; an ordinary call does not pass here.

--- a/kumquatwalk/event_loop.py
+++ b/kumquatwalk/event_loop.py
@@ -8,7 +8,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-__all__ = ["limit_time"]
+__all__ = ["handle_pending_events", "limit_time"]
 
 # Turns of the event loop in which it handles what the kernel holds. Each turn
 # polls the sockets; an operation takes several from its event to its end.
@@ -44,3 +44,9 @@
             yield
         finally:
             handle.cancel()
+
+
+async def handle_pending_events() -> None:
+    """Let the event loop handle what the kernel holds for it now."""
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -4,6 +4,7 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.client_connection import ClientConnection
 from kumquatwalk.http1.client_connection import open_connection
@@ -112,6 +113,7 @@
     async def _check_listening(self) -> bool:
         if any(c.is_open for c in self._connections):
             await asyncio.sleep(SETTLING_S)
+            await handle_pending_events()
             if any(c.is_open for c in self._connections):
                 return True
         try:
@@ -121,6 +123,7 @@
         except ExchangeError:
             return False  # an expected result of the check
         await asyncio.sleep(LISTENING_WATCH_S)
+        await handle_pending_events()
         is_open = connection.is_open
         connection.abort()
         return is_open
