Probes: an answer that came in an own pause counts

Seen by callers: nothing yet. After a pause of the node's own process a health probe that had been answered was logged as failed, and the target stayed closed to calls until the next one, 0.7 s later (by reading).

Cause: as at the connection to the target, the time-out of the probe ran before the answer was read.

Ruled out, by reading: that the late answer tells of an older target. The record compares the time at which the probe was sent with that of the heartbeat.

Change: the time-out of a probe is limit_time.

--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -6,6 +6,7 @@
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.encoder import encode_request
@@ -87,7 +88,7 @@
         )
         asked_at = read_now()
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
+            async with limit_time(PROBE_TIMEOUT_S):
                 connection = await open_connection(
                     self._settings.target, PROBE_TIMEOUT_S, _ANSWER_BYTES_MAX
                 )
