LOST: count the end of a peer's stop from when its status was sent

A node that had not been scheduled for a second took a stop of a peer to end a second later than it does, and gave it calls that outlast that stop while other targets took calls; those are broken off at its end. By reading; no loss of a caller was traced to it.

Cause: the end was the time at which the status was read and `stop_left_s`, so what the status had waited to be read was added. Ruled out: the sender, which reads its clock and computes the rest of its stop at one moment.

The status bears its sender's clock; the offset of the link gives the time of sending. The offset is never too large, and this status is one of its bounds, so that the end is neither before the peer's nor after the one that was taken before. Without a clock (an older release) the time of reading counts as before. Only the reading of a status changes, not the path of a call.

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -448,9 +448,11 @@
                 log_event("link_message_unexpected", kind=kind)
 
     def _handle_status(self, status: TargetStatus, now: float) -> None:
+        sent_at = None
         if status.clock_s:
             self._clock_offset.observe(status.clock_s, now)
-        self.view.update_status(status, now)
+            sent_at = status.clock_s - self._clock_offset.seconds
+        self.view.update_status(status, now, sent_at)
         self._callbacks.on_status(self.view, status)
 
     def _complete_handshake(self, hello: Hello) -> None:
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -102,18 +102,23 @@
         """Whether the target is ready and its node is not stopping."""
         return self.is_ready and not self.status.is_stopping
 
-    def update_status(self, status: TargetStatus, now: float) -> None:
+    def update_status(
+        self, status: TargetStatus, now: float, sent_at: float | None = None
+    ) -> None:
         """Replace the status and the load with newly reported ones.
 
         Args:
             status: Status reported by the target's node.
             now: Current time, in seconds.
+            sent_at: Time at which the node sent it, in seconds; None if it is
+                not known, and ``now`` counts instead.
         """
         self.status = status
         self.running = status.running
         self.queued = status.queued
         self.updated_at = now
-        self.ends_at = now + status.stop_left_s
+        sent_at = now if sent_at is None else sent_at
+        self.ends_at = sent_at + status.stop_left_s
         self.in_flight_reported = self.in_flight
 
 
