LOST: keep a link that its peer answers while the own process pauses

A node that was not scheduled for a second while a link was opened closed the new connection although the peer had answered. A call that waited for the link had been sent on it by then: it reached the peer and ended as unknown (link_failed), which for a forwarded request means an answer that its outcome is unknown; that step is by reading. Other calls found the link closed for one more attempt.

Cause: connecting and the peer's first message shared one timeout, and the event loop runs a timer that is due before the task that waits. On both event loops the handshake completed and was then undone by the timeout of the same turn. Ruled out: the peer, which answers within the pause in the tests, and the server end, which has no timeout of its own.

limit_time lets the event loop read first what the kernel holds. Each of the two steps has a timeout of a second, as after a pause in the first nothing can have come of the second; a peer that connects slowly and then is silent is given up after up to 2 s. Only the opening of a link changes, not the path of a call.

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -8,6 +8,7 @@
 from kumquatwalk import codes
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
@@ -35,7 +36,7 @@
 
 __all__ = ["PeerLink"]
 
-# Timeout for connecting and for the peer's first message, in seconds.
+# Timeout for connecting, and then for the peer's first message, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 # Bounds of the exponential backoff between connection attempts, in seconds.
 # The upper bound is also about how long a recovered node stays unused.
@@ -321,7 +322,9 @@
         self._link_lost.clear()
         self._handshake_done.clear()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            # A timeout for each: the answer is awaited too if an own pause has
+            # used up the time for connecting.
+            async with limit_time(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
                     lambda: LinkProtocol(
                         _ignore,
@@ -333,11 +336,12 @@
                     self.address.host,
                     self.address.port,
                 )
-                link.attach_partition(self._partition, self.address.host)
-                self._link = link
-                hello = self._make_hello(self.view.node_id)
-                self._own_zone = hello.availability_zone
-                link.send(hello)
+            link.attach_partition(self._partition, self.address.host)
+            self._link = link
+            hello = self._make_hello(self.view.node_id)
+            self._own_zone = hello.availability_zone
+            link.send(hello)
+            async with limit_time(CONNECT_TIMEOUT_S):
                 await self._handshake_done.wait()
         except TimeoutError:
             # The peer may only not be scheduled. _run retries.
