LOST: wait for a link until what has come for it is read

A call that found no linked target, or a repeat or a forwarded request that waited for the link to one node, was refused or ended although the peer had answered, if its node was not scheduled for the 0.4 s that such waits take (the answers of callers by reading; the waits as measured below).

Cause: both waits compared the time before what the kernel held was read; and a link that had been opening for 0.6 s counted as not opening. Ruled out: the timeouts of the handshake itself, which no longer expire in these tests.

The waits use limit_time and look once more at its end, and a link with unread bytes is still opening. Without a link in between, nothing changes; a link that is open is returned without a timer, as a wait for it is on the path of forwarded requests.

--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
@@ -174,15 +175,15 @@
             Whether one is reachable; False at once when no known target of
             the service accepts calls.
         """
-        deadline = read_now() + timeout_s
-        while read_now() < deadline:
-            views = [v for v in self.list_views(service) if v.accepts_calls]
-            if any(v.is_reachable for v in views):
-                return True
-            if not views and not self._is_opening(service):
-                return False
-            await asyncio.sleep(RELINK_POLL_S)
-        return False
+        try:
+            async with limit_time(timeout_s):
+                while not self._is_linked(service):
+                    if not self._may_be_linked(service):
+                        return False
+                    await asyncio.sleep(RELINK_POLL_S)
+        except TimeoutError:
+            pass  # It may have been linked since the last poll.
+        return self._is_linked(service)
 
     def list_links(self) -> list[PeerLink]:
         """Return the links to other nodes."""
@@ -331,13 +332,25 @@
             n for n in self._entries if n not in links or links[n].is_usable
         ]
 
+    def _is_linked(self, service: str) -> bool:
+        views = self.list_views(service)
+        return any(v.is_reachable and v.accepts_calls for v in views)
+
+    def _may_be_linked(self, service: str) -> bool:
+        views = self.list_views(service)
+        is_known = any(v.accepts_calls for v in views)
+        return is_known or self._is_opening(service)
+
     def _is_opening(self, service: str) -> bool:
         """Return whether a link to a target of a service is being opened."""
         now = read_now()
         return any(
             link.view.service == service
             and not link.incarnation
-            and now - link.unusable_since < UNFIT_DELAY_S
+            and (
+                now - link.unusable_since < UNFIT_DELAY_S
+                or link.has_unread_bytes
+            )
             for link in self._links.values()
         )
 
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -143,6 +143,11 @@
             silent.is_needed for silent in self._silent_links
         )
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the peer has sent what this process has not read yet."""
+        return self._link is not None and self._link.has_unread_bytes
+
     def start(self) -> None:
         """Start connecting in the background."""
         self._task = keep_running(self._run, "peer_link")
@@ -242,11 +247,12 @@
         Returns:
             Whether the link is usable now.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._handshake_done.wait()
-        except TimeoutError:
-            return False
+        if not self._handshake_done.is_set():
+            try:
+                async with limit_time(timeout_s):
+                    await self._handshake_done.wait()
+            except TimeoutError:
+                return False
         return self.is_usable
 
     async def query_owner(self, query: OwnerQuery) -> Reply:
--- a/kumquatwalk/mesh/tests/test_own_pause.py
+++ b/kumquatwalk/mesh/tests/test_own_pause.py
@@ -20,6 +20,7 @@
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
+from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.mesh.peer_link import CONNECT_TIMEOUT_S
 from kumquatwalk.mesh.peer_link import PeerLink
@@ -27,8 +28,11 @@
 from kumquatwalk.mesh.tests.test_link_silence import make_call
 from kumquatwalk.mesh.tests.test_link_silence import make_hello
 from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.targets.heartbeat import TargetState
 
 HANG_S = 20.0
+# Shorter than the pause.
+WAIT_S = CONNECT_TIMEOUT_S
 PAUSE_S = CONNECT_TIMEOUT_S + 0.05
 LOOP_FACTORIES = (asyncio.new_event_loop, uvloop.new_event_loop)
 
@@ -79,7 +83,9 @@
         match message:
             case Hello():
                 self._before_hello()
-                connection.sendall(make_frame(encode(make_hello())))
+                hello = make_frame(encode(make_hello()))
+                status = make_frame(encode(TargetStatus(TargetState.READY)))
+                connection.sendall(hello + status)
             case CallFrame():
                 reply = ReplyFrame(message.call_id, 0, 0, DONE)
                 connection.sendall(make_frame(encode(reply)))
@@ -144,6 +150,16 @@
     return len(peer.connections), reply
 
 
+async def wait_in_pause() -> bool:
+    """Return whether the link is usable to one who waits within a pause."""
+    peer = Peer(make_pause())
+    link = open_link(peer)
+    is_usable = await link.wait_until_usable(WAIT_S)
+    link.close()
+    peer.close()
+    return is_usable
+
+
 class OwnPauseTest(unittest.TestCase):
 
     def check_on_each(
@@ -163,6 +179,11 @@
     def test_connection_that_is_made_in_a_pause_is_kept(self):
         self.check_on_each((1, DONE), pause_while_connecting)
 
+    # Guards against requests that are refused, or end as unknown, although the
+    # link for which they wait is open.
+    def test_link_that_is_answered_in_a_pause_is_usable(self):
+        self.check_on_each(True, wait_in_pause)
+
 
 if __name__ == "__main__":
     unittest.main()
