LOST: read what has come before a request times out or a stop ends it

Cause: a process that was not scheduled for a while finds the replies unread and the timers due in one iteration of its event loop. The reply is read first and sets the result of the call, but the timeout cancels the request in the same iteration, before its task has gone on. The reply is dropped, and the request is answered 502 at the end of a stop, or 504 at its deadline.

Ruled out: returning the reply where the cancellation arrives (PeerLink), as a refusal would then be tried again without any timeout, and as the local target's answer passes through more tasks.

Change: when its time has come, a timeout waits for some iterations of the event loop, in which the loop reads what had come and the reply passes its tasks.

--- a/kumquatwalk/daemon/request_timeouts.py
+++ b/kumquatwalk/daemon/request_timeouts.py
@@ -7,10 +7,18 @@
 
 __all__ = ["RequestTimeouts"]
 
+# Iterations of the event loop from the time of a timeout until it ends a
+# request. In the first ones the loop reads what came before, if the process was
+# not scheduled for a while; the reply then passes through a task for each part
+# of its way.
+TURNS = 8
+
 
 class RequestTimeouts:
     """Timeouts at the deadlines of requests, or at the end of a stop if sooner.
 
+    A reply that has come before is still read and ends its request.
+
     Attributes:
         ends_at: Time at which all requests time out, in seconds; infinite
             until a stop begins.
@@ -18,7 +26,9 @@
 
     def __init__(self):
         self.ends_at = math.inf
-        self._open: set[asyncio.Timeout] = set()
+        # What happens next to each timeout; those whose time has come wait for
+        # an iteration of the event loop.
+        self._open: dict[asyncio.Timeout, asyncio.Handle] = {}
 
     def open(self, deadline: float) -> asyncio.Timeout:
         """Return a timeout, to be used as context manager and then closed.
@@ -26,8 +36,10 @@
         Args:
             deadline: Deadline of the request, in seconds.
         """
-        timeout = asyncio.timeout(min(deadline, self.ends_at) - read_now())
-        self._open.add(timeout)
+        timeout = asyncio.timeout_at(None)
+        loop = asyncio.get_running_loop()
+        when = loop.time() + min(deadline, self.ends_at) - read_now()
+        self._open[timeout] = loop.call_at(when, self._expire, timeout, TURNS)
         return timeout
 
     def close(self, timeout: asyncio.Timeout) -> None:
@@ -36,7 +48,7 @@
         Args:
             timeout: Timeout that ``open`` returned.
         """
-        self._open.discard(timeout)
+        self._open.pop(timeout).cancel()
 
     def set_end(self, ends_at: float) -> None:
         """Let no request last longer than until a time.
@@ -45,7 +57,20 @@
             ends_at: The time, in seconds.
         """
         self.ends_at = min(self.ends_at, ends_at)
-        when = asyncio.get_running_loop().time() + self.ends_at - read_now()
-        for timeout in self._open:
-            if not timeout.expired() and timeout.when() > when:
-                timeout.reschedule(when)
+        loop = asyncio.get_running_loop()
+        when = loop.time() + self.ends_at - read_now()
+        for timeout, handle in self._open.items():
+            if isinstance(handle, asyncio.TimerHandle) and handle.when() > when:
+                handle.cancel()
+                self._open[timeout] = loop.call_at(
+                    when, self._expire, timeout, TURNS
+                )
+
+    def _expire(self, timeout: asyncio.Timeout, turns: int) -> None:
+        loop = asyncio.get_running_loop()
+        if turns:
+            self._open[timeout] = loop.call_soon(
+                self._expire, timeout, turns - 1
+            )
+        else:
+            timeout.reschedule(loop.time())
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -19,6 +20,7 @@
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.standin.daemon_fleet import HOST
 from kumquatwalk.standin.scripted_target import Script
 
@@ -181,6 +183,30 @@
         self.assertEqual([c for c in late if c[2] and c[1] != "200"], [])
         self.assertIn("503 node_stopping", [c[1] for c in late])
 
+    # Guards against LOST: the reply of a neighbour came while the process was
+    # not scheduled, and the end of the stop was answered before it was read.
+    async def test_reply_that_came_before_the_end_is_passed_on(self):
+        await self._add_node("web-1", "web", 0.5)
+        node = await self._add_node("other-1", "other", 0.0, grace_s=3.0)
+        await self.fleet.wait_until_ready()
+        stop_admission = node.daemon.core.caller_side.stop_admission
+        send = LinkProtocol.send_reply
+
+        def send_and_pause(link, message):
+            send(link, message)
+            if stop_admission.has_begun:
+                time.sleep(max(0.0, stop_admission.ends_at - read_now()) + 0.1)
+
+        with mock.patch.object(LinkProtocol, "send_reply", send_and_pause):
+            call = asyncio.create_task(
+                self._call("other-1", "/web-pay/", "late", 5000)
+            )
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(self._stop("other-1"))
+            answer = await call
+            await stop
+        self.assertEqual(answer, "200")
+
     async def test_end_of_the_drain_is_logged(self):
         # Guards against LOST: no log line told what a stop refused or ended.
         await self._add_node("web-1", "web", 6.0, grace_s=2.0)
