LOST: take the reply to an unsafe call from a link that was silent

Cause: a connection that goes silent is kept for the replies to idempotent calls only. An unsafe call stayed pending for the next connection, and the old one was closed, or its reply there ignored. Where the peer works again, but a new connection is not answered yet (it times out after 1 s, and the next one follows after up to 0.8 s), a reply that was made is not taken, and a stop may end before. The process that asked was not told either that the call was given up.

Ruled out: a reply of the first copy that contradicts the one to the copy on the new connection. The peer knows both by their key, a copy that was sent again never begins a run, and one that it has refused as lost refuses the first copy too.

Change: the replies to unsafe calls are awaited on the silent connection as well, and whichever comes first counts. The calls do not end with it. Once the call has its reply or is given up, the peer is told there.

test_unsafe_call_takes_its_reply_from_the_silent_connection and test_unsafe_call_that_is_given_up_is_cancelled_at_the_peer failed before ("TimeoutError", two of two runs), and so did test_payment_held_by_a_silent_link_runs_once ("503 != 200", two of two).

A test that is replaced: test_payment_that_was_lost_with_its_link_is_refused let a link go silent under a partition and relied on the end of the old connection to lose what waited there. That no longer ends when the partition does, and the payment runs once and is answered: this is now test_payment_held_by_a_silent_link_runs_once. The test of the refusal resets the connection instead, and asks for the same 503 and no run; it passes on the code before, too.

--- a/kumquatwalk/daemon/tests/test_broken_links.py
+++ b/kumquatwalk/daemon/tests/test_broken_links.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.mesh.peer_link import RECEIVE_TIMEOUT_S
 from kumquatwalk.standin.daemon_fleet import DaemonFleet
 from kumquatwalk.standin.daemon_fleet import make_config
@@ -105,6 +106,9 @@
         connected_since = link.unusable_since
         self._set_partition(True)
         task = self._pay("id-1")
+        await asyncio.sleep(0.1)
+        # What waits to be sent is lost with the connection.
+        link.reconnect()
         async with asyncio.timeout(10):
             while link.unusable_since == connected_since:
                 await asyncio.sleep(0.05)
@@ -112,6 +116,20 @@
         self.assertEqual((await task).status, 503)
         self.assertEqual(self.pay.target.count_runs("id-1"), 0)
 
+    # Guards against LOST: a payment that waited while the link was silent was
+    # lost with the old connection, though that one worked again.
+    async def test_payment_held_by_a_silent_link_runs_once(self):
+        link = self.web.daemon.core.peers.find("pay-1")
+        connected_since = link.unusable_since
+        self._set_partition(True)
+        task = self._pay("id-1")
+        async with asyncio.timeout(10):
+            while link.unusable_since == connected_since:
+                await asyncio.sleep(0.05)
+        self._set_partition(False)
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(self.pay.target.count_runs("id-1"), 1)
+
     async def test_payment_is_not_sent_over_a_link_that_is_silent(self):
         self._set_partition(True)
         link = self.web.daemon.core.peers.find("pay-1")
@@ -138,6 +156,10 @@
         for _ in range(12):
             await asyncio.sleep(rng.uniform(0.02, 0.15))
             self._break_link()
+        await self._check_payments(tasks)
+
+    async def _check_payments(self, tasks: list[asyncio.Task]) -> None:
+        """Check that each ran at most once, and as its answer says."""
         statuses = [(await task).status for task in tasks]
         for index, status in enumerate(statuses):
             runs = self.pay.target.count_runs(f"id-{index}")
@@ -147,6 +169,22 @@
             if status == 503:
                 self.assertEqual(runs, 0)
 
+    # Guards against runs of both copies of a payment, where the connection of
+    # the first one is kept for its reply.
+    async def test_no_payment_runs_twice_while_links_go_silent(self):
+        rng = random.Random(12)
+        link = self.web.daemon.core.peers.find("pay-1")
+        tasks = []
+        for index in range(24):
+            tasks.append(self._pay(f"id-{index}"))
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+            if index % 2:
+                self._set_partition(index % 4 == 1)
+            if rng.random() < 0.5:
+                link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        self._set_partition(False)
+        await self._check_payments(tasks)
+
 
 class RosterTest(unittest.IsolatedAsyncioTestCase):
 
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -66,9 +66,9 @@
 
     Idempotent calls and owner queries fail when the connection is lost. When it
     is replaced because the peer is silent, replies to such calls may still come
-    on it, see ``find_late_reply``. A call
-    that is not idempotent stays pending: it is sent again on the next
-    connection to the same process, which knows whether the call has run.
+    on it, see ``find_late_reply``. A call that is not idempotent stays pending:
+    it is sent again on the next connection to the same process, which knows
+    whether the call has run. Its reply may come on either connection.
 
     Args:
         address: Address at which the peer accepts links.
@@ -364,12 +364,12 @@
         """Keep a silent connection for replies that may still come on it."""
         silent = SilentLink(link, read_now())
         for call_id, pending in self._pending.items():
-            if (
-                isinstance(pending.request, Call)
-                and pending.fails_on_disconnect
-            ):
-                if not pending.reply.done():
-                    silent.add(call_id, pending.request)
+            if pending.reply.done() or not isinstance(pending.request, Call):
+                continue
+            if pending.fails_on_disconnect:
+                silent.add(call_id, pending.request)
+            else:
+                silent.add_resent(call_id, pending.reply)
         if silent.is_needed:
             self._silent_links.append(silent)
         else:
--- a/kumquatwalk/mesh/silent_link.py
+++ b/kumquatwalk/mesh/silent_link.py
@@ -28,6 +28,7 @@
         self.link = link
         self._silent_from = now
         self._late: dict[int, tuple[Call, asyncio.Future[Reply]]] = {}
+        self._resent: dict[int, asyncio.Future[Reply]] = {}
 
     @property
     def has_spoken(self) -> bool:
@@ -37,7 +38,7 @@
     @property
     def is_needed(self) -> bool:
         """Whether a reply may still come."""
-        return bool(self._late)
+        return bool(self._late or self._resent)
 
     def add(self, call_id: int, call: Call) -> None:
         """Expect the reply to a call.
@@ -50,6 +51,19 @@
         self._late[call_id] = (call, future)
         future.add_done_callback(lambda done: self._end(call_id, done))
 
+    def add_resent(self, call_id: int, reply: asyncio.Future[Reply]) -> None:
+        """Expect the reply to a call that will be sent again elsewhere.
+
+        The call does not end with this connection. The peer is told when its
+        reply is not wanted here any more.
+
+        Args:
+            call_id: Identifier of the call on the connection.
+            reply: Gets the reply if it comes here first.
+        """
+        self._resent[call_id] = reply
+        reply.add_done_callback(lambda _: self._end_resent(call_id))
+
     def find(self, call: Call) -> asyncio.Future[Reply] | None:
         """Return the future reply to a call; None if none is expected.
 
@@ -70,12 +84,18 @@
             call_id: Identifier of the call on the connection.
             reply: Its reply.
         """
-        entry = self._late.get(call_id)
-        if entry is not None and not entry[1].done():
-            entry[1].set_result(reply)
+        if call_id in self._late:
+            _, future = self._late[call_id]
+        else:
+            future = self._resent.get(call_id)
+        if future is not None and not future.done():
+            future.set_result(reply)
 
     def close(self) -> None:
-        """Close the connection; the outcome of its calls is unknown."""
+        """Close the connection.
+
+        The outcome of its calls is unknown, but for those sent again.
+        """
         for call_id in tuple(self._late):
             self.resolve(call_id, Reply(Outcome.UNKNOWN, codes.LINK_FAILED))
         self.link.abort()
@@ -84,3 +104,7 @@
         if future.cancelled():
             self.link.send(Cancel(call_id))
         self._late.pop(call_id, None)
+
+    def _end_resent(self, call_id: int) -> None:
+        self._resent.pop(call_id, None)
+        self.link.send(Cancel(call_id))
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -33,15 +33,15 @@
     return Hello("gate-1", 1, "z1", "web", "127.0.0.1", 1, 0.0)
 
 
-def make_call() -> Call:
-    """Return an idempotent call."""
+def make_call(is_idempotent: bool = True) -> Call:
+    """Return a call."""
     return Call(
-        key=0,
+        key=0 if is_idempotent else 7,
         attempt_id=b"id-1",
         route="web",
         service="web",
         caller_service="web",
-        is_idempotent=True,
+        is_idempotent=is_idempotent,
         is_returning=False,
         rank=0,
         deadline=read_now() + HANG_S,
@@ -64,6 +64,7 @@
         self.ends: list[LinkProtocol] = []
         self.frames: list[CallFrame] = []
         self.cancelled: list[int] = []
+        self.cancelled_on: list[LinkProtocol] = []
         self.is_stalled = False
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
@@ -100,15 +101,16 @@
                 self.frames.append(message)
             case Cancel():
                 self.cancelled.append(message.call_id)
+                self.cancelled_on.append(link)
 
     async def _wait_for(self, is_done):
         async with asyncio.timeout(HANG_S):
             while not is_done():
                 await asyncio.sleep(0.005)
 
-    async def _begin_call(self) -> asyncio.Task:
+    async def _begin_call(self, is_idempotent: bool = True) -> asyncio.Task:
         count = len(self.frames)
-        task = asyncio.create_task(self.link.call(make_call()))
+        task = asyncio.create_task(self.link.call(make_call(is_idempotent)))
         await self._wait_for(lambda: len(self.frames) > count)
         return task
 
@@ -182,6 +184,48 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual(await late, DONE)
 
+    # Guards against LOST: the reply to an unsafe call was dropped, as its
+    # connection had been silent and a new one was not answered yet.
+    async def test_unsafe_call_takes_its_reply_from_the_silent_connection(self):
+        self.is_stalled = True
+        call = await self._begin_call(is_idempotent=False)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await call, DONE)
+        # The peer need not keep it any longer.
+        await self._wait_for(lambda: self.cancelled)
+        self.assertEqual(self.cancelled, [self.frames[0].call_id])
+        self.link.reset_if_silent(read_now())
+        await self._wait_for(lambda: not self.ends[0].is_open)
+        self.assertTrue(self.link.is_idle)
+
+    async def test_unsafe_call_is_sent_again_on_the_new_connection(self):
+        call = await self._begin_call(is_idempotent=False)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.frames) == 2)
+        self.assertEqual([f.is_resent for f in self.frames], [False, True])
+        # The end of the silent connection does not end the call.
+        self.link.reset_if_silent(read_now() + SILENT_LINGER_S + 0.1)
+        await self._wait_for(lambda: not self.ends[0].is_open)
+        self.assertFalse(call.done())
+        self._answer(self.ends[1])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await call, DONE)
+
+    # Guards against runs that nobody wants: the caller left while the link was
+    # silent, and the peer was not told.
+    async def test_unsafe_call_that_is_given_up_is_cancelled_at_the_peer(self):
+        self.is_stalled = True
+        call = await self._begin_call(is_idempotent=False)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        call.cancel()
+        await self._wait_for(lambda: self.ends[0] in self.cancelled_on)
+        self.link.reset_if_silent(read_now())
+        await self._wait_for(lambda: not self.ends[0].is_open)
+
     # Guards against LOST: the end of a silent connection ended the new one,
     # with the calls on it.
     async def test_end_of_the_old_connection_leaves_the_new_one(self):
