LOST: pass on nothing behind a large answer that a slow client may get late

Cause, two parts. The rate of the client was measured in the 10 to 50 ms in which its buffers, its kernel's and its library's, took the first answer: 4 to 18 MB/s where it reads 1 MB/s. And what stands behind an answer that is not made yet was counted as if that answer were made at once.

Ruled out: a process that was not scheduled (no long wait on record).

Change: a client that catches up is measured only once it has taken more than its buffers may hold, 256 KiB; until then what stands behind more than 64 KiB waits. Behind an answer that is not made yet, the time to take all counts from the time by which a stop has all answers made.

Not bounded: a first large answer, and large answers behind small ones.

--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -141,7 +141,7 @@
         ends_at = killed_at - ANSWER_MARGIN_S
         self._closes_by = killed_at - CLOSE_MARGIN_S
         self.is_stopping = True
-        self._caller_server.begin_stop(killed_at - SETTLE_MARGIN_S)
+        self._caller_server.begin_stop(killed_at - SETTLE_MARGIN_S, ends_at)
         # Callers that come before this time are not sent elsewhere yet.
         self.core.set_end(
             ends_at, began_at + CALLER_DRAIN_S, signalled_at + CERTAIN_AFTER_S
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -422,6 +422,9 @@
         taking_s = self._writer.estimate_taking_s(own_size)
         exchange.request.progress.taking_s = taking_s
         taking_s = self._writer.estimate_taking_s(size + own_size)
+        if self._exchanges.is_waiting_before(exchange):
+            # The answers before it may be made as late as that.
+            now = max(now, self._server.made_by)
         return now + taking_s <= self._server.answers_by
 
     @property
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -85,6 +85,7 @@
         estimate_answer: Returns the largest size expected of an answer.
         answers_by: Time by which clients must have taken their answers, in
             seconds; infinite until a stop begins.
+        made_by: Time by which a stop has all answers made, in seconds.
         is_stopping: Whether connections are closed once all requests read from
             them are answered.
         is_accepting: Whether requests are passed to the handler.
@@ -111,6 +112,7 @@
         self.refuse = refuse
         self.estimate_answer = estimate_answer
         self.answers_by = math.inf
+        self.made_by = -math.inf
         self._identify = identify
         self._on_unanswered = on_unanswered
         self.is_stopping = False
@@ -199,7 +201,7 @@
         )
         self._on_unanswered(stage, end)
 
-    def begin_stop(self, answers_by: float) -> None:
+    def begin_stop(self, answers_by: float, made_by: float = -math.inf) -> None:
         """Close connections once they are answered, and bound what they owe.
 
         Requests are passed to the handler as before, but behind others on their
@@ -208,9 +210,12 @@
         Args:
             answers_by: Time by which clients must have taken their answers, in
                 seconds.
+            made_by: Time by which answers in progress are made, in seconds; in
+                the past if it is not to be counted.
         """
         self.is_stopping = True
         self.answers_by = answers_by
+        self.made_by = made_by
         if self._timeout_task is not None:
             self._start_checks()
 
--- a/kumquatwalk/http1/tests/test_throughput.py
+++ b/kumquatwalk/http1/tests/test_throughput.py
@@ -42,6 +42,12 @@
         self.throughput.update(3 * LARGE, 0, 41.0)
         self.check_rate(LARGE / 0.1)
 
+    # Guards against LOST: a slow client's buffers took an answer at once, and
+    # it was taken for quick.
+    def test_what_buffers_take_is_no_rate(self):
+        self.throughput.update(180_000, 0, 10.01)
+        self.assertIsNone(self.throughput.estimate_s(1))
+
     def test_client_that_takes_nothing_needs_long(self):
         self.throughput.update(0, LARGE, 10.0 + WINDOW_S)
         self.assertEqual(self.throughput.estimate_s(LARGE), LARGE)
--- a/kumquatwalk/http1/throughput.py
+++ b/kumquatwalk/http1/throughput.py
@@ -5,6 +5,9 @@
 # Bytes not taken up to which a client is not behind: the buffers of both ends
 # hold as many.
 BACKLOG_BYTES_MAX = 64 * 1024
+# Bytes that the buffers of a client and its kernel may take at once: until it
+# has taken more, a client that catches up is not measured.
+BUFFERS_BYTES_MAX = 256 * 1024
 # Time for which a client must be behind to be measured, in seconds.
 WINDOW_S = 0.5
 # Share of the measured rate that is relied on: a client's buffer takes the
@@ -47,7 +50,8 @@
         if self._began_at is None:
             return
         elapsed_s = max(now - self._began_at, RESOLUTION_S)
-        rate = (taken_bytes - self._taken_bytes) / elapsed_s
+        size = taken_bytes - self._taken_bytes
+        rate = size / elapsed_s
         if untaken_bytes > BACKLOG_BYTES_MAX:
             if elapsed_s >= WINDOW_S:
                 self._bytes_per_s = rate
@@ -55,6 +59,8 @@
             return
         # It may have caught up at any time before, so this is a lower bound.
         self._began_at = None
+        if size <= BUFFERS_BYTES_MAX:
+            return
         if self._bytes_per_s is not None:
             self._bytes_per_s = max(self._bytes_per_s, rate)
         elif elapsed_s < WINDOW_S:
