LOST: pass on what has come before a stop breaks calls off

Cause: where a stopping process is not scheduled until after the time at which callers must have their answers, it finds the target's answer unread and its own poll due in one iteration of its event loop. The drain returns at once, and the end of the links replies that the outcome is unknown before the answer has passed the tasks on its way to the peer.

Ruled out: the same at the end of the drain before (a poll of 50 ms follows it).

Change: the drain lets the event loop turn a few times before it returns, as timeouts of requests do.

test_answer_that_came_before_the_last_moment_is_passed_on failed before: "'502 node_stopping' != '200'", three of three runs; three of three pass.

--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -7,6 +7,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.request_timeouts import READ_TURNS
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
@@ -190,7 +191,10 @@
                 not self._count_owed(now) and now > ended_at + REFUSAL_S
             )
             if is_settled or now > settles_at:
-                return
+                break
+        # What came while the process was not scheduled is still passed on.
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
 
     def _log_end(self, began_at: float) -> None:
         caller_side = self.core.caller_side
--- a/kumquatwalk/daemon/request_timeouts.py
+++ b/kumquatwalk/daemon/request_timeouts.py
@@ -5,13 +5,13 @@
 
 from kumquatwalk.clock import read_now
 
-__all__ = ["RequestTimeouts"]
+__all__ = ["READ_TURNS", "RequestTimeouts"]
 
-# Iterations of the event loop from the time of a timeout until it ends a
-# request. In the first ones the loop reads what came before, if the process was
-# not scheduled for a while; the reply then passes through a task for each part
-# of its way.
-TURNS = 8
+# Iterations of the event loop from the end of a time until what it bounds ends.
+# In the first ones the loop reads what came before, if the process was not
+# scheduled for a while; a reply then passes through a task for each part of its
+# way.
+READ_TURNS = 8
 
 
 class RequestTimeouts:
@@ -39,7 +39,9 @@
         timeout = asyncio.timeout_at(None)
         loop = asyncio.get_running_loop()
         when = loop.time() + min(deadline, self.ends_at) - read_now()
-        self._open[timeout] = loop.call_at(when, self._expire, timeout, TURNS)
+        self._open[timeout] = loop.call_at(
+            when, self._expire, timeout, READ_TURNS
+        )
         return timeout
 
     def close(self, timeout: asyncio.Timeout) -> None:
@@ -63,7 +65,7 @@
             if isinstance(handle, asyncio.TimerHandle) and handle.when() > when:
                 handle.cancel()
                 self._open[timeout] = loop.call_at(
-                    when, self._expire, timeout, TURNS
+                    when, self._expire, timeout, READ_TURNS
                 )
 
     def _expire(self, timeout: asyncio.Timeout, turns: int) -> None:
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import time
 import unittest
 from unittest import mock
@@ -21,6 +22,7 @@
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.standin import scripted_target
 from kumquatwalk.standin.daemon_fleet import HOST
 from kumquatwalk.standin.scripted_target import Script
 
@@ -207,6 +209,29 @@
             await stop
         self.assertEqual(answer, "200")
 
+    # Guards against LOST: the target's answer to a neighbour's call came while
+    # the process was not scheduled, and its stop broke the call off.
+    async def test_answer_that_came_before_the_last_moment_is_passed_on(self):
+        node = await self._add_node("web-1", "web", 2.6, grace_s=3.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        settles_at = math.inf
+
+        def pause_after_run():
+            runs = node.target.runs
+            if runs and runs[-1].ended_at is None and settles_at < math.inf:
+                time.sleep(max(0.0, settles_at - read_now()) + 0.05)
+            return read_now()
+
+        call = asyncio.create_task(
+            self._call("other-1", "/web-pay/", "late", 5000)
+        )
+        await asyncio.sleep(0.1)
+        settles_at = read_now() + 3.0 - process.SETTLE_MARGIN_S
+        with mock.patch.object(scripted_target, "read_now", pause_after_run):
+            await self._stop("web-1")
+            self.assertEqual(await call, "200")
+
     async def test_end_of_the_drain_is_logged(self):
         # Guards against LOST: no log line told what a stop refused or ended.
         await self._add_node("web-1", "web", 6.0, grace_s=2.0)
