Log the link of a reply that the end of a stop still awaits

`reply_awaited` says whether the link to the node asked is usable, and for how long nothing has come on it. It is written only when a stop ends a request in flight.

The record of a soak has for each run whether its connection was lost, as `ended_at` alone does not tell the end of a run from its being broken off.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -312,10 +312,28 @@
     def _end_for_stop(self, request: PendingRequest) -> Reply:
         """Return the reply to a request that lasts longer than the stop."""
         self.capped += 1
+        if request.is_in_flight:
+            self._log_awaited_reply(request)
         if request.is_in_flight or request.last_run is not None:
             return make_unknown_reply(request, codes.NODE_STOPPING)
         return self._refuse_for_stop(request)
 
+    def _log_awaited_reply(self, request: PendingRequest) -> None:
+        """Log the link on which the end of a stop still awaited a reply.
+
+        It tells a run that has not ended from a reply that does not get here.
+        """
+        link = self._peers.find(request.last_node)
+        if link is None:
+            return
+        log_event(
+            "reply_awaited",
+            attempt=request.caller.attempt_id.decode("latin-1"),
+            asked=request.last_node,
+            usable=link.is_usable,
+            silent_s=link.measure_silence(read_now()),
+        )
+
     def _is_caller_retry(self, route: Route, timeout_s: float | None) -> bool:
         """Return whether a request is taken for a caller's retry.
 
--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon import caller_side
 from kumquatwalk.daemon import process
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
@@ -252,6 +253,25 @@
         del fields["seconds"]
         self.assertEqual(fields, {"owed": 0, "refused": 1, "capped": 1})
 
+    # Guards against LOST that logs cannot place: nothing told whether the reply
+    # of a neighbour was not made or did not get here.
+    async def test_link_of_an_awaited_reply_is_logged(self):
+        await self._add_node("web-1", "web", 6.0)
+        await self._add_node("other-1", "other", 0.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("other-1", "/web-pay/", "running")
+        )
+        await asyncio.sleep(0.2)
+        with mock.patch.object(caller_side, "log_event") as log:
+            await self._stop("other-1")
+        self.assertEqual(await running, "502 node_stopping")
+        (call,) = [c for c in log.mock_calls if c.args[0] == "reply_awaited"]
+        fields = dict(call.kwargs)
+        self.assertLess(fields.pop("silent_s"), math.inf)
+        wanted = {"attempt": "running", "asked": "web-1", "usable": True}
+        self.assertEqual(fields, wanted)
+
     async def test_nothing_is_passed_on_while_the_daemon_closes(self):
         # Guards against LOST: a request was passed on after the drain, while
         # other components closed, and cut off.
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -142,6 +143,19 @@
             silent.is_needed for silent in self._silent_links
         )
 
+    def measure_silence(self, now: float) -> float:
+        """Return for how long nothing has come on the connection, in seconds.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            The time; infinite without a connection.
+        """
+        if self._link is None:
+            return math.inf
+        return now - self._link.last_received_at
+
     def start(self) -> None:
         """Start connecting in the background."""
         self._task = keep_running(self._run, "peer_link")
--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -135,7 +135,8 @@
         for name, run in runs:
             times = (run.at, run.ended_at, run.is_broken_off)
             limit_ms = run.request.find_header(b"deadline-ms") or b""
-            fields = (attempt_id, name, *times, limit_ms.decode("latin-1"))
+            limit = limit_ms.decode("latin-1")
+            fields = (attempt_id, name, *times, limit, run.is_aborted)
             documents.append({"Run": fields})
     lines = "".join(json.dumps(document) + "\n" for document in documents)
     (folder / "record.jsonl").write_text(lines, encoding="utf-8")
