--- a/kumquatwalk/daemon/tests/test_stop_end.py
+++ b/kumquatwalk/daemon/tests/test_stop_end.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import json
+import math
+import time
 import unittest
 from unittest import mock
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon import caller_side
 from kumquatwalk.daemon import process
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
@@ -19,6 +22,8 @@
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.server import HttpServer
+from kumquatwalk.mesh.link_protocol import LinkProtocol
+from kumquatwalk.standin import scripted_target
 from kumquatwalk.standin.daemon_fleet import HOST
 from kumquatwalk.standin.scripted_target import Script
 
@@ -181,6 +186,53 @@
         self.assertEqual([c for c in late if c[2] and c[1] != "200"], [])
         self.assertIn("503 node_stopping", [c[1] for c in late])
 
+    # Guards against LOST: the reply of a neighbour came while the process was
+    # not scheduled, and the end of the stop was answered before it was read.
+    async def test_reply_that_came_before_the_end_is_passed_on(self):
+        await self._add_node("web-1", "web", 0.5)
+        node = await self._add_node("other-1", "other", 0.0, grace_s=3.0)
+        await self.fleet.wait_until_ready()
+        stop_admission = node.daemon.core.caller_side.stop_admission
+        send = LinkProtocol.send_reply
+
+        def send_and_pause(link, message):
+            send(link, message)
+            if stop_admission.has_begun:
+                time.sleep(max(0.0, stop_admission.ends_at - read_now()) + 0.1)
+
+        with mock.patch.object(LinkProtocol, "send_reply", send_and_pause):
+            call = asyncio.create_task(
+                self._call("other-1", "/web-pay/", "late", 5000)
+            )
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(self._stop("other-1"))
+            answer = await call
+            await stop
+        self.assertEqual(answer, "200")
+
+    # Guards against LOST: the target's answer to a neighbour's call came while
+    # the process was not scheduled, and its stop broke the call off.
+    async def test_answer_that_came_before_the_last_moment_is_passed_on(self):
+        node = await self._add_node("web-1", "web", 2.6, grace_s=3.0)
+        await self._add_node("other-1", "other", 0.0)
+        await self.fleet.wait_until_ready()
+        settles_at = math.inf
+
+        def pause_after_run():
+            runs = node.target.runs
+            if runs and runs[-1].ended_at is None and settles_at < math.inf:
+                time.sleep(max(0.0, settles_at - read_now()) + 0.05)
+            return read_now()
+
+        call = asyncio.create_task(
+            self._call("other-1", "/web-pay/", "late", 5000)
+        )
+        await asyncio.sleep(0.1)
+        settles_at = read_now() + 3.0 - process.SETTLE_MARGIN_S
+        with mock.patch.object(scripted_target, "read_now", pause_after_run):
+            await self._stop("web-1")
+            self.assertEqual(await call, "200")
+
     async def test_end_of_the_drain_is_logged(self):
         # Guards against LOST: no log line told what a stop refused or ended.
         await self._add_node("web-1", "web", 6.0, grace_s=2.0)
@@ -201,6 +253,25 @@
         del fields["seconds"]
         self.assertEqual(fields, {"owed": 0, "refused": 1, "capped": 1})
 
+    # Guards against LOST that logs cannot place: nothing told whether the reply
+    # of a neighbour was not made or did not get here.
+    async def test_link_of_an_awaited_reply_is_logged(self):
+        await self._add_node("web-1", "web", 6.0)
+        await self._add_node("other-1", "other", 0.0, grace_s=2.0)
+        await self.fleet.wait_until_ready()
+        running = asyncio.create_task(
+            self._call("other-1", "/web-pay/", "running")
+        )
+        await asyncio.sleep(0.2)
+        with mock.patch.object(caller_side, "log_event") as log:
+            await self._stop("other-1")
+        self.assertEqual(await running, "502 node_stopping")
+        (call,) = [c for c in log.mock_calls if c.args[0] == "reply_awaited"]
+        fields = dict(call.kwargs)
+        self.assertLess(fields.pop("silent_s"), math.inf)
+        wanted = {"attempt": "running", "asked": "web-1", "usable": True}
+        self.assertEqual(fields, wanted)
+
     async def test_nothing_is_passed_on_while_the_daemon_closes(self):
         # Guards against LOST: a request was passed on after the drain, while
         # other components closed, and cut off.
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -67,9 +68,9 @@
 
     Idempotent calls and owner queries fail when the connection is lost. When it
     is replaced because the peer is silent, replies to such calls may still come
-    on it, see ``find_late_reply``. A call
-    that is not idempotent stays pending: it is sent again on the next
-    connection to the same process, which knows whether the call has run.
+    on it, see ``find_late_reply``. A call that is not idempotent stays pending:
+    it is sent again on the next connection to the same process, which knows
+    whether the call has run. Its reply may come on either connection.
 
     Args:
         address: Address at which the peer accepts links.
@@ -148,6 +149,19 @@
         """Whether the peer has sent what this process has not read yet."""
         return self._link is not None and self._link.has_unread_bytes
 
+    def measure_silence(self, now: float) -> float:
+        """Return for how long nothing has come on the connection, in seconds.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            The time; infinite without a connection.
+        """
+        if self._link is None:
+            return math.inf
+        return now - self._link.last_received_at
+
     def start(self) -> None:
         """Start connecting in the background."""
         self._task = keep_running(self._run, "peer_link")
@@ -374,12 +388,12 @@
         """Keep a silent connection for replies that may still come on it."""
         silent = SilentLink(link, read_now())
         for call_id, pending in self._pending.items():
-            if (
-                isinstance(pending.request, Call)
-                and pending.fails_on_disconnect
-            ):
-                if not pending.reply.done():
-                    silent.add(call_id, pending.request)
+            if pending.reply.done() or not isinstance(pending.request, Call):
+                continue
+            if pending.fails_on_disconnect:
+                silent.add(call_id, pending.request)
+            else:
+                silent.add_resent(call_id, pending.reply)
         if silent.is_needed:
             self._silent_links.append(silent)
         else:
