Runs: one timeout for the deadline and for a run that is given back

Each run had two timeouts, one at its deadline and one that expires when a stop gives the run back.

Change: a run that is given back lets the timeout of its deadline expire at once. A timeout that has expired already is left alone.

--- a/kumquatwalk/daemon/open_runs.py
+++ b/kumquatwalk/daemon/open_runs.py
@@ -12,29 +12,28 @@
 
 
 class OpenRuns:
-    """Runs in progress of movable calls, each with a timeout that ends it."""
+    """Runs in progress of movable calls, each with the timeout that ends it."""
 
     def __init__(self):
         self._runs: dict[asyncio.Timeout, tuple[Call, float]] = {}
 
-    def open(self, call: Call, now: float) -> asyncio.Timeout:
-        """Return a timeout, to be used as context manager and then closed.
+    def add(self, call: Call, timeout: asyncio.Timeout, now: float) -> None:
+        """Note that a run begins, unless its call is not movable.
 
         Args:
-            call: Call that is run. The timeout of one that is not movable never
-                expires.
+            call: Call that is run.
+            timeout: Timeout of the run. It expires at once when the run is
+                given back.
             now: Current time, in seconds.
         """
-        timeout = asyncio.timeout(None)
         if call.is_movable:
             self._runs[timeout] = call, now
-        return timeout
 
-    def close(self, timeout: asyncio.Timeout) -> None:
-        """Forget a timeout.
+    def remove(self, timeout: asyncio.Timeout) -> None:
+        """Forget a run.
 
         Args:
-            timeout: Timeout that ``open`` returned.
+            timeout: Timeout of the run.
         """
         self._runs.pop(timeout, None)
 
@@ -54,6 +53,8 @@
         """
         for timeout, (call, began_at) in tuple(self._runs.items()):
             route = routes.get(call.route)
+            if timeout.expired():
+                continue
             if route is not None and stop_admission.should_give_back(
                 route.name, call.deadline, began_at, route.objective_s, now
             ):
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -20,7 +20,13 @@
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
-__all__ = ["ExchangeResult", "Finding", "make_content", "run_call"]
+__all__ = [
+    "ExchangeResult",
+    "Finding",
+    "make_content",
+    "make_timeout",
+    "run_call",
+]
 
 # Time to wait beyond the deadline for the target's own answer that its run has
 # ended, in seconds: the target needs one iteration of its event loop to send
@@ -56,12 +62,23 @@
     UNREACHABLE = "unreachable"
 
 
+def make_timeout(call: Call, now: float) -> asyncio.Timeout:
+    """Return a timeout that expires shortly after the deadline of a call.
+
+    Args:
+        call: The call, with its deadline on this node's clock.
+        now: Current time, in seconds.
+    """
+    return asyncio.timeout(call.deadline - now + DEADLINE_GRACE_S)
+
+
 async def run_call(
     client: TargetClient,
     interface: ExternalInterface,
     target_id: str,
     run_id: str,
     call: Call,
+    timeout: asyncio.Timeout,
 ) -> ExchangeResult:
     """Send a call to the target and wait for its answer.
 
@@ -72,6 +89,8 @@
             must refuse the call.
         run_id: Identifier of the run, by which nested calls are attributed.
         call: Call to send, with its deadline on this node's clock.
+        timeout: Timeout from ``make_timeout``. If it expires before the
+            deadline, the run is given back for a stop.
 
     Returns:
         The result, whether the exchange succeeded or not.
@@ -89,7 +108,7 @@
 
     data = encode_request(call.method, call.url, headers, call.body)
     try:
-        async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
+        async with timeout:
             response = await client.exchange(
                 data,
                 call.method == b"HEAD",
@@ -97,8 +116,9 @@
                 accepts,
             )
     except TimeoutError:
-        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
-        return ExchangeResult(reply, Finding.LATE)
+        is_over = read_now() >= call.deadline
+        code = codes.DEADLINE_EXCEEDED if is_over else codes.NODE_STOPPING
+        return ExchangeResult(Reply(Outcome.UNKNOWN, code), Finding.LATE)
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -22,6 +22,7 @@
 from kumquatwalk.daemon.target_exchange import ExchangeResult
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
+from kumquatwalk.daemon.target_exchange import make_timeout
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.daemon.unique_calls import CallInProgress
@@ -530,19 +531,20 @@
 
     async def _exchange(self, target_id: str, run: Run) -> ExchangeResult:
         call = run.call
-        timeout = self._open_runs.open(call, read_now())
+        now = read_now()
+        timeout = make_timeout(call, now)
+        self._open_runs.add(call, timeout, now)
         try:
-            async with timeout:
-                return await run_call(
-                    self._client, self._interface, target_id, run.run_id, call
-                )
-        except TimeoutError:
-            if not timeout.expired():
-                raise
-            reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
-            return ExchangeResult(reply, Finding.LATE)
+            return await run_call(
+                self._client,
+                self._interface,
+                target_id,
+                run.run_id,
+                call,
+                timeout,
+            )
         finally:
-            self._open_runs.close(timeout)
+            self._open_runs.remove(timeout)
 
     async def _detect_crash(self, run: Run, reply: Reply) -> Reply:
         """Report a crash if the target stopped listening in an exchange."""
