Heads: look at each header line once

The head of a request was searched four times, that of a response six times, and each search put all names into lower case.

Change: the parser of requests picks out the lines that are checked as it reads them; the decoder of responses makes one index. Targets of requests in origin form are not compared with schemes.

Ruled out: a change of what is accepted; the tests of framing, with their table of heads, and of the parser pass unchanged.

--- a/kumquatwalk/http1/request_head.py
+++ b/kumquatwalk/http1/request_head.py
@@ -1,17 +1,29 @@
 """Checks and normal form of a request head (RFC 9110 and RFC 9112)."""
 
+from collections.abc import Sequence
+
 from kumquatwalk.exception import RequestError
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import list_values
 
-__all__ = ["check_head", "encode_without_upgrade", "make_origin_form"]
+__all__ = [
+    "CHECKED_HEADERS",
+    "check_head",
+    "encode_without_upgrade",
+    "make_origin_form",
+]
+
+# Names of the headers that ``check_head`` looks at, in lower case.
+CHECKED_HEADERS = frozenset(
+    (b"content-length", b"expect", b"host", b"transfer-encoding")
+)
 
 _VERSIONS = ("1.0", "1.1")
 _SCHEMES = (b"http://", b"https://")
 
 
 def check_head(
-    method: bytes, url: bytes, version: str, headers: tuple[Header, ...]
+    method: bytes, url: bytes, version: str, headers: Sequence[Header]
 ) -> None:
     """Refuse a request that a target could understand in another way.
 
@@ -19,7 +31,7 @@
         method: HTTP method.
         url: Request target as received.
         version: Version of HTTP, such as ``1.1``.
-        headers: Header lines of the head.
+        headers: Header lines of the head; ``CHECKED_HEADERS`` suffice.
 
     Raises:
         RequestError: The version, method, transfer coding or expectation is not
@@ -83,6 +95,8 @@
     Raises:
         RequestError: The authority is empty or has user information.
     """
+    if url.startswith(b"/"):
+        return url, headers
     scheme = next((s for s in _SCHEMES if url.lower().startswith(s)), None)
     if scheme is None:
         return url, headers
@@ -110,5 +124,5 @@
         raise RequestError("coding_unsupported", "transfer coding")
 
 
-def _announces_body(headers: tuple[Header, ...]) -> bool:
+def _announces_body(headers: Sequence[Header]) -> bool:
     return any(v.strip(b"0") for v in list_values(headers, b"content-length"))
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -7,6 +7,7 @@
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import find_header
+from kumquatwalk.http1.request_head import CHECKED_HEADERS
 from kumquatwalk.http1.request_head import check_head
 from kumquatwalk.http1.request_head import encode_without_upgrade
 from kumquatwalk.http1.request_head import make_origin_form
@@ -138,6 +139,7 @@
     def _reset(self) -> None:
         self._url: list[bytes] = []
         self._headers: list[Header] = []
+        self._checked_headers: list[Header] = []
         self._body_chunks: list[bytes] = []
         self._head_bytes = 0
         self._unreported_bytes = 0
@@ -175,7 +177,10 @@
         if self._is_head_complete:
             return
         self._headers.append((name, value))
-        if name.lower() == b"content-length" and value.isdigit():
+        key = name.lower()
+        if key in CHECKED_HEADERS:
+            self._checked_headers.append((key, value))
+        if key == b"content-length" and value.isdigit():
             self._announced_bytes = int(value)
         if len(self._headers) > HEADERS_MAX:
             self._fail(
@@ -192,13 +197,14 @@
                 self._parser.get_method(),
                 url,
                 self._parser.get_http_version(),
-                headers,
+                self._checked_headers,
             )
             url, headers = make_origin_form(url, headers)
         except RequestError as error:
             self._fail(error.code, error.message)
         self._url, self._headers = [url], list(headers)
-        self._is_expecting = find_header(headers, b"expect") is not None
+        expectation = find_header(self._checked_headers, b"expect")
+        self._is_expecting = expectation is not None
         if self._parser.should_upgrade():
             return
         self._check_body_size(self._announced_bytes)
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -39,11 +39,11 @@
         the request was not run, comes from another target, and what the target
         says of itself.
     """
+    values = _index_headers(response.headers)
     was_not_run = (
-        response.status in _NOT_RUN_STATUSES
-        and response.find_header(names.HEADER_NOT_RUN) is not None
+        response.status in _NOT_RUN_STATUSES and names.HEADER_NOT_RUN in values
     )
-    echoed = response.find_header(names.HEADER_ATTEMPT_ID)
+    echoed = values.get(names.HEADER_ATTEMPT_ID)
     is_success = 200 <= response.status < 300
     belongs_to_request = (
         echoed == attempt_id if echoed is not None else not is_success
@@ -51,16 +51,15 @@
     # A success that lacks the signature or has a content encoding was altered
     # on its way.
     is_complete = not is_success or (
-        response.find_header(names.HEADER_SIGNATURE) is not None
-        and response.find_header(b"content-encoding") is None
+        names.HEADER_SIGNATURE in values and b"content-encoding" not in values
     )
     return ResponseCheck(
         belongs_to_request=belongs_to_request,
         is_complete=is_complete,
         was_not_run=was_not_run,
         is_replaced=was_not_run and response.status == 421,
-        is_leaving=response.find_header(names.HEADER_LEAVING) is not None,
-        rate_limit=_read_rate_limit(response),
+        is_leaving=names.HEADER_LEAVING in values,
+        rate_limit=_read_rate_limit(values.get(names.HEADER_RATE_LIMIT)),
     )
 
 
@@ -98,8 +97,15 @@
     return int(parts[2])
 
 
-def _read_rate_limit(response: HttpResponse) -> RateLimit:
-    value = response.find_header(names.HEADER_RATE_LIMIT)
+def _index_headers(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
+    """Return the first value of each header by its name in lower case."""
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        values.setdefault(name.lower(), value)
+    return values
+
+
+def _read_rate_limit(value: bytes | None) -> RateLimit:
     if value is None:
         return NO_RATE_LIMIT
     if not _RATE_PATTERN.fullmatch(value):
