Choice of targets: no second look at each link for each call

For each call the links of all targets of its service were checked twice: to choose, and to tell whether the run may be moved, for which reachability does not count.

Change: whether there is a target beside those tried is answered without a check of links, and ends at the first one. A check of a link reads the clock once for all links. Ratings of stops are compared only while a node is stopping.

The fake peers of test_caller_side answer the new question from the same views.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -500,9 +500,8 @@
             and request.attempts_at_targets + 1 < route.attempts_max
             and len(request.tried_nodes) + 1 < NODES_PER_REQUEST_MAX
             and (tokens is None or tokens.available > 0)
-            and any(
-                other is not view and other.node_id not in request.tried_nodes
-                for other in self._peers.list_views(request.service)
+            and self._peers.has_target_beside(
+                request.service, {view.node_id, *request.tried_nodes}
             )
         )
 
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Set
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -137,15 +138,30 @@
             ``is_reachable`` is refreshed by this call.
         """
         views = []
+        now = read_now()
         for link in self._links.values():
             view = link.view
             if view.service == service:
-                view.is_reachable = link.is_usable
+                view.is_reachable = link.can_send(now)
                 views.append(view)
         if self._own_view.service == service:
             views.append(self._own_view)
         return views
 
+    def has_target_beside(self, service: str, node_ids: Set[str]) -> bool:
+        """Return whether a target of a service is linked, reachable or not.
+
+        Args:
+            service: Name of the service.
+            node_ids: Identifiers of nodes whose targets do not count.
+        """
+        for link in self._links.values():
+            view = link.view
+            if view.service == service and view.node_id not in node_ids:
+                return True
+        own_view = self._own_view
+        return own_view.service == service and own_view.node_id not in node_ids
+
     def list_all_views(self) -> list[TargetView]:
         """Return the known state of all linked targets and the own one."""
         views = []
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -4,6 +4,7 @@
 import math
 import random
 import unittest
+from collections.abc import Set
 
 from kumquatwalk import codes
 from kumquatwalk.admission.memory import MemoryAdmission
@@ -77,6 +78,11 @@
         del service
         return self._views
 
+    def has_target_beside(self, service: str, node_ids: Set[str]) -> bool:
+        """Return whether there is a target at another node."""
+        del service
+        return any(view.node_id not in node_ids for view in self._views)
+
     def list_weighted_views(self) -> list:
         """Return no views, so that ingress admission knows of no load."""
         return []
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -125,10 +125,11 @@
     @property
     def is_congested(self) -> bool:
         """Whether the connection is closed or its write buffer is too full."""
-        if not self.is_open:
-            return True
+        transport = self._transport
         return (
-            self._transport.get_write_buffer_size() > CONGESTION_THRESHOLD_BYTES
+            transport is None
+            or transport.is_closing()
+            or transport.get_write_buffer_size() > CONGESTION_THRESHOLD_BYTES
         )
 
     def enable_compression(self) -> None:
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -128,12 +128,7 @@
         The time since the last received data is checked here too, so that a
         process resumed after a freeze does not send calls over stale links.
         """
-        return (
-            self._handshake_done.is_set()
-            and self._link is not None
-            and not self._link.is_congested
-            and read_now() - self._link.last_received_at < RECEIVE_TIMEOUT_S
-        )
+        return self.can_send(read_now())
 
     @property
     def is_idle(self) -> bool:
@@ -142,6 +137,20 @@
             silent.is_needed for silent in self._silent_links
         )
 
+    def can_send(self, now: float) -> bool:
+        """Return whether a call can be sent; see ``is_usable``.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        link = self._link
+        return (
+            link is not None
+            and self._handshake_done.is_set()
+            and now - link.last_received_at < RECEIVE_TIMEOUT_S
+            and not link.is_congested
+        )
+
     def start(self) -> None:
         """Start connecting in the background."""
         self._task = keep_running(self._run, "peer_link")
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -173,9 +173,7 @@
     ]
     if not ready:
         return None
-    # A stopping node still serves until it ends, when it is the only one.
-    best = max(_rate_stop(v, context) for v in ready)
-    usable = [v for v in ready if _rate_stop(v, context) == best]
+    usable = _list_lasting(ready, context)
     if context.pinned_by:
         return max(usable, key=lambda v: _hash_pair(context.pinned_by, v))
     healthy = [v for v in usable if not _is_degraded(v, context.now)]
@@ -188,6 +186,17 @@
     )
 
 
+def _list_lasting(
+    views: list[TargetView], context: ChoiceContext
+) -> list[TargetView]:
+    """Return the targets whose nodes' stops fit a call best."""
+    if not any(v.status.is_stopping or v.ends_at < math.inf for v in views):
+        return views
+    # A stopping node still serves until it ends, when it is the only one.
+    best = max(_rate_stop(v, context) for v in views)
+    return [v for v in views if _rate_stop(v, context) == best]
+
+
 def _rate_stop(view: TargetView, context: ChoiceContext) -> tuple[bool, bool]:
     """Return how well a call fits a stop of the target's node.
 
