--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -116,9 +116,7 @@
                 accepts,
             )
     except TimeoutError:
-        is_over = read_now() >= call.deadline
-        code = codes.DEADLINE_EXCEEDED if is_over else codes.NODE_STOPPING
-        return ExchangeResult(Reply(Outcome.UNKNOWN, code), Finding.LATE)
+        return _classify_timeout(call, read_now())
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
@@ -135,6 +133,12 @@
     return RequestContent(call.route, call.method, call.url, call.body)
 
 
+def _classify_timeout(call: Call, now: float) -> ExchangeResult:
+    is_over = now >= call.deadline
+    code = codes.DEADLINE_EXCEEDED if is_over else codes.NODE_STOPPING
+    return ExchangeResult(Reply(Outcome.UNKNOWN, code), Finding.LATE)
+
+
 def _classify_error(call: Call, error: ExchangeError) -> ExchangeResult:
     log_event(
         "target_exchange_failed",
