LOST: read a target's answer that came before its run times out

Shown by the test.

Cause: the class of the own pause. A process that was not scheduled from before a deadline until 0.03 s after it finds the target's answer unread and two timers due: that of the request, which waits for what has come, and that of the run, which did not. The run ended as "deadline exceeded", outcome unknown, before its answer was read, so the wait of the request had no effect for runs at the own target, and a peer's call got an unknown outcome. The target counted as late.

Ruled out: the target, which answered within the pause.

Change: the run times out only once the event loop has handled what the kernel holds (limit_time).

Before: test_answer_that_came_in_a_pause_is_read failed on the event loops of CPython and of uvloop, "<Finding.LATE: 'late'> is not <Finding.SOUND: 'sound'>". After: three of three passed. daemon.tests.test_late_stop and daemon.tests.test_crashing_requests passed.

--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -1,12 +1,12 @@
 """One request to the target and the classification of its result."""
 
-import asyncio
 import dataclasses
 import enum
 
 from kumquatwalk import codes
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.external_interface import ExternalInterface
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import Header
@@ -89,7 +89,7 @@
 
     data = encode_request(call.method, call.url, headers, call.body)
     try:
-        async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
+        async with limit_time(remaining_s + DEADLINE_GRACE_S):
             response = await client.exchange(
                 data,
                 call.method == b"HEAD",
