LOST: refuse a request that waits unread when a stop closes its connection

Shown by the tests.

Cause: the class of the own pause. When a stop ends the acceptance of requests, connections that are idle are closed. A process that was not scheduled just before has not read what came on them; the request was read after the half-close and discarded, without an answer and without request_unanswered.

Ruled out: a request that crosses the close on its way. No byte of it has come; that case stays.

Change: a connection with unread bytes does not count as idle when a stop closes it. The request is read in the next turns of the event loop and refused with 503, as others that begin late.

Before: test_unread_request_on_a_kept_connection_is_refused and test_unread_request_outlasts_a_check, "Lists differ: [] != [(503, True, b'stopping\n')]".

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -15,6 +15,7 @@
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
+from kumquatwalk.http1.sockets import count_unread_bytes
 from kumquatwalk.http1.sockets import end_stream
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
 from kumquatwalk.http1.unanswered import End
@@ -147,8 +148,7 @@
             now: Current time, in seconds.
         """
         self._expects_rest = self._is_in_request
-        if self.is_idle(now):
-            self._close_gracefully()
+        self._close_if_idle(now)
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if its header or idle timeout has expired.
@@ -188,8 +188,8 @@
             return
         elif unused_s > limits.idle_timeout_s + IDLE_MARGIN_S:
             self._close_gracefully()
-        elif not self._server.is_accepting and self.is_idle(now):
-            self._close_gracefully()
+        elif not self._server.is_accepting:
+            self._close_if_idle(now)
 
     def _check_closing(self, now: float) -> None:
         closed_s = now - max(self._closed_at, self._writer.progress_at)
@@ -473,6 +473,11 @@
         self._exchanges.add(Exchange(self._make_placeholder(), response))
         self._send_ready_responses()
 
+    def _close_if_idle(self, now: float) -> None:
+        # A request that waits unread is refused once it is read.
+        if self.is_idle(now) and not count_unread_bytes(self._transport):
+            self._close_gracefully()
+
     def _close_gracefully(self) -> None:
         """Half-close, then close when the caller does or after ``LINGER_S``."""
         if self._is_closing:
--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -5,6 +5,7 @@
 import struct
 import unittest
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.tests.connection_case import HANG_S
 from kumquatwalk.http1.tests.connection_case import ConnectionCase
@@ -37,6 +38,39 @@
         self.assertEqual(await self.read_all(reader), _REFUSAL)
         self.assertEqual(self.seen, [])
 
+    # Guards against LOST: a request that waited unread on a kept connection, as
+    # the process was not scheduled, was discarded by the stop.
+    async def test_unread_request_on_a_kept_connection_is_refused(self):
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.sendall(make_get("/idle"))
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, sock.recv, 1000)
+        await self.wait_for(lambda: not self.server.owed_requests)
+        # Without a turn of the event loop, which would read it.
+        sock.sendall(make_get("/a"))
+        self.server.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, ["/idle"])
+
+    # Guards against LOST: the same where the connection became idle only after
+    # the stop began.
+    async def test_unread_request_outlasts_a_check(self):
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.sendall(make_get("/idle"))
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, sock.recv, 1000)
+        await self.wait_for(lambda: not self.server.owed_requests)
+        sock.sendall(make_get("/a"))
+        self.server.is_accepting = False
+        for connection in tuple(self.server.connections):
+            connection.check_timeouts(read_now())
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self.read_all(reader), _REFUSAL)
+        self.assertEqual(self.seen, ["/idle"])
+
     # Guards against LOST: nobody closed a new connection that stayed silent.
     async def test_silent_new_connection_is_closed(self):
         reader, _ = await self.open()
