KNOWN-RED: a client that took a break is refused at a stop

A client that is behind for 0.5 s and takes nothing has a rate of 0. A client whose answers are smaller (but above 64 KiB) is taken for slow as long as its connection lasts, and at a stop each request of it is refused with 503, alone on its connection or not. No request is lost by that.

--- a/kumquatwalk/http1/tests/test_stop_backlog.py
+++ b/kumquatwalk/http1/tests/test_stop_backlog.py
@@ -14,6 +14,7 @@
 from kumquatwalk.http1.tests.connection_case import make_get
 from kumquatwalk.http1.tests.scripted_transport import ScriptedTransport
 from kumquatwalk.http1.tests.scripted_transport import parse_answers
+from kumquatwalk.http1.throughput import WINDOW_S
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 
@@ -169,6 +170,28 @@
         answers = [answer[:2] for answer in self.list_answers()]
         self.assertEqual(answers[1:], [(200, False), (503, True)])
 
+    # Guards against requests refused for no reason: a client that once took
+    # nothing for a moment was taken for slow as long as its connection lasted.
+    async def test_client_that_took_a_break_is_not_refused(self):
+        self.transport.is_blocked = True
+        await self.send("/first")
+        await self.answer("/first", LARGE_BYTES)
+        await self.pass_time(WINDOW_S + STEP_S, 0)
+        self.transport.unblock()
+        self.connection.check_timeouts(self.now)
+        await self.settle()
+        for number in range(20):
+            path = f"/{number}"
+            await self.send(path)
+            self.transport.is_blocked = True
+            await self.answer(path, LARGE_BYTES)
+            self.now += 0.001
+            self.transport.unblock()
+            await self.settle()
+        self.server.begin_stop(self.now + 5.0, self.now + 4.7)
+        await self.send("/last")
+        self.assertEqual(self.seen[-1], "/last")
+
     # Guards against requests refused for no reason: a client that turns out to
     # read quickly gets what waited behind its large answer.
     async def test_what_waits_is_passed_on_when_the_client_reads_quickly(self):
