--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -1,12 +1,12 @@
 """One request to the target and the classification of its result."""
 
+import asyncio
 import dataclasses
 import enum
 
 from kumquatwalk import codes
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.external_interface import ExternalInterface
-from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import Header
@@ -22,11 +22,6 @@
 
 __all__ = ["ExchangeResult", "Finding", "make_content", "run_call"]
 
-# Time to wait beyond the deadline for the target's own answer that its run has
-# ended, in seconds: the target needs one iteration of its event loop to send
-# it.
-DEADLINE_GRACE_S = 0.03
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExchangeResult:
@@ -62,6 +57,7 @@
     target_id: str,
     run_id: str,
     call: Call,
+    timeout: asyncio.Timeout,
 ) -> ExchangeResult:
     """Send a call to the target and wait for its answer.
 
@@ -72,6 +68,8 @@
             must refuse the call.
         run_id: Identifier of the run, by which nested calls are attributed.
         call: Call to send, with its deadline on this node's clock.
+        timeout: Timeout of the run. If it expires before the deadline, the run
+            is given back for a stop.
 
     Returns:
         The result, whether the exchange succeeded or not.
@@ -89,7 +87,7 @@
 
     data = encode_request(call.method, call.url, headers, call.body)
     try:
-        async with limit_time(remaining_s + DEADLINE_GRACE_S):
+        async with timeout:
             response = await client.exchange(
                 data,
                 call.method == b"HEAD",
@@ -97,8 +95,7 @@
                 accepts,
             )
     except TimeoutError:
-        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
-        return ExchangeResult(reply, Finding.LATE)
+        return _classify_timeout(call, read_now())
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
@@ -115,6 +112,12 @@
     return RequestContent(call.route, call.method, call.url, call.body)
 
 
+def _classify_timeout(call: Call, now: float) -> ExchangeResult:
+    is_over = now >= call.deadline
+    code = codes.DEADLINE_EXCEEDED if is_over else codes.NODE_STOPPING
+    return ExchangeResult(Reply(Outcome.UNKNOWN, code), Finding.LATE)
+
+
 def _classify_error(call: Call, error: ExchangeError) -> ExchangeResult:
     log_event(
         "target_exchange_failed",
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -532,15 +532,14 @@
         call = run.call
         timeout = self._open_runs.open(call, read_now())
         try:
-            async with timeout:
-                return await run_call(
-                    self._client, self._interface, target_id, run.run_id, call
-                )
-        except TimeoutError:
-            if not timeout.expired():
-                raise
-            reply = Reply(Outcome.UNKNOWN, codes.NODE_STOPPING)
-            return ExchangeResult(reply, Finding.LATE)
+            return await run_call(
+                self._client,
+                self._interface,
+                target_id,
+                run.run_id,
+                call,
+                timeout,
+            )
         finally:
             self._open_runs.close(timeout)
 
--- a/kumquatwalk/daemon/tests/test_target_exchange.py
+++ b/kumquatwalk/daemon/tests/test_target_exchange.py
@@ -9,8 +9,9 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.daemon.open_runs import DEADLINE_GRACE_S
+from kumquatwalk.daemon.open_runs import OpenRuns
 from kumquatwalk.daemon.platform_interface import PlatformInterface
-from kumquatwalk.daemon.target_exchange import DEADLINE_GRACE_S
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.mesh.tests.test_link_silence import make_call
@@ -45,7 +46,14 @@
     client = TargetClient(Address(*listener.getsockname()))
     call = dataclasses.replace(make_call(), deadline=read_now() + LEFT_S)
     run = asyncio.create_task(
-        run_call(client, PlatformInterface(), "web-1", "run-1", call)
+        run_call(
+            client,
+            PlatformInterface(),
+            "web-1",
+            "run-1",
+            call,
+            OpenRuns().open(call, read_now()),
+        )
     )
     async with asyncio.timeout(HANG_S):
         while not has_request.is_set():
