A new start of a target is not judged by the run times of the one before

What callers saw: a target that was slow, left and was started again under its identifier got no request for as long as another target of its service was faster than the old start had been. The test LeavingTargetTest.test_another_start_of_the_target_is_used timed out in some of its runs for this reason.

Cause: the run times that a node publishes belong to its target's limiter and were kept over a start of the target. Callers compare them, with a variation of a tenth, and only runs of the target change them. Trace of the test (choices of shop-1): the only run at web-1 before it left, the one with new connections, took 3 ms; 0.06 s later web-1 is ready again, reachable, with its new start and no load, and is published with 3 ms against 2 ms of web-2; web-2 is chosen, gets faster (1 ms) with each run, and is chosen 1526 times in 10 s. Where web-1 had been the faster one, or web-2 had no run yet, the test passed.

Ruled out, by the same traces: a heartbeat that is ignored (the record of web-1 is ready with start 2000 in each of 6 traced failures), a link that is not usable, a backoff, a cold start, and the caller's memory of the departure.

Change: a node forgets the run times when its target is surely of another start than before. Callers then assume the typical run time, as for a target that has just joined. The failure share is kept: a target that crashes again and again would be chosen like a sound one after each start.

The test that was flaky is unchanged.

--- a/kumquatwalk/admission/run_times.py
+++ b/kumquatwalk/admission/run_times.py
@@ -37,6 +37,11 @@
         self._means[route] = mean + weight * (run_s - mean)
         self._counts[route] = min(RUN_COUNT_MAX, count + 1)
 
+    def clear(self) -> None:
+        """Forget all runs, as another target takes the place of the last."""
+        self._means.clear()
+        self._counts.clear()
+
     def estimate(self, route: str) -> float:
         """Return the mean run time of a route, in seconds.
 
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -343,6 +343,9 @@
     def _set_record(self, record: TargetRecord) -> None:
         record = self._apply_departures(record)
         before, self.record = self.record, record
+        if record.is_of_other_start(before):
+            # Callers would avoid it for the run times of the start before.
+            self.limiter.run_times.clear()
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
         if record.state is TargetState.READY:
--- a/kumquatwalk/daemon/tests/test_leaving_targets.py
+++ b/kumquatwalk/daemon/tests/test_leaving_targets.py
@@ -75,6 +75,26 @@
             while not self.leaving.target.runs:
                 await self.fleet.call("shop-1", "/web/b", "id")
 
+    # Guards against another start of a slow target getting nothing: it was
+    # judged by the run times of the start before, which only its runs change.
+    async def test_another_start_is_not_judged_by_earlier_run_times(self):
+        slow = Script(work_s=0.2, extra_headers=LEAVING.extra_headers)
+        await self._call_until_told(slow)
+        await self.fleet.call("shop-1", "/web/fast", "fast")
+        async with asyncio.timeout(10):
+            while not self._list_run_times("shop-1", "web-2"):
+                await asyncio.sleep(0.01)
+        self.leaving.target.choose_script = lambda _: Script()
+        await self.fleet.send_heartbeat("web-1", born=2000, sequence=1)
+        async with asyncio.timeout(10):
+            while not self.leaving.target.runs:
+                await self.fleet.call("shop-1", "/web/b", "id")
+
+    def _list_run_times(self, caller: str, name: str) -> tuple:
+        """Return the run times that a caller knows of a node's target."""
+        peers = self.fleet.nodes[caller].daemon.core.peers
+        return peers.find(name).view.status.route_times
+
     def _sees_state(self, caller: str, name: str) -> bool:
         """Return whether a caller knows what a restarted node says.
 
--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -58,6 +58,25 @@
         """Whether the target has said that it leaves."""
         return self.state in (TargetState.DRAINING, TargetState.GONE)
 
+    def is_of_other_start(self, before: "TargetRecord") -> bool:
+        """Return whether the target has been started since an earlier record.
+
+        Args:
+            before: Earlier record of the same node.
+
+        Returns:
+            Whether it surely has. An earlier record without a target, or a
+            start that is not known, does not tell.
+        """
+        if not before.target_id:
+            return False
+        if self.target_id != before.target_id:
+            return True
+        if self.incarnation and before.incarnation:
+            if self.incarnation != before.incarnation:
+                return True
+        return before.is_leaving and self.state is TargetState.READY
+
     def handle_heartbeat(
         self, heartbeat: Heartbeat, now: float
     ) -> "TargetRecord":
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -124,6 +124,33 @@
         record = record.handle_heartbeat(started, 9.3).apply_departure(1000)
         self.assertIs(record.state, TargetState.READY)
 
+    def test_other_start_is_told_from_another_report_of_the_same(self):
+        probed = TargetRecord().handle_probe("i-1", 8, 9.0, 9.1)
+        ready = probed.handle_heartbeat(make_heartbeat(), 9.2)
+        left = ready.mark_leaving()
+        again = make_heartbeat(incarnation=2000)
+        replaced = ready.mark_replaced()
+        for before, record, expected in (
+            (TargetRecord(), probed, False),
+            (probed, ready, False),
+            (ready, left, False),
+            (ready, replaced, False),
+            (replaced, replaced.handle_probe("i-1", 8, 9.3, 9.4), False),
+            (replaced, replaced.handle_probe("i-2", 8, 9.3, 9.4), True),
+            (left, left.handle_heartbeat(again, 9.3), True),
+            (ready, ready.handle_heartbeat(again, 9.3), True),
+        ):
+            with self.subTest(before=before, record=record):
+                self.assertIs(record.is_of_other_start(before), expected)
+
+    def test_target_of_unknown_start_that_is_ready_again_is_another_one(self):
+        left = TargetRecord(is_probed=True).handle_departure("i-1")
+        waiting = left.handle_heartbeat(make_heartbeat(incarnation=0), 9.0)
+        self.assertFalse(waiting.is_of_other_start(left))
+        ready = waiting.handle_probe("i-1", 8, 9.1, 9.2)
+        self.assertIs(ready.state, TargetState.READY)
+        self.assertTrue(ready.is_of_other_start(waiting))
+
     def test_unplaced_heartbeat_does_not_replace_the_target(self):
         record = TargetRecord(is_probed=True)
         record = record.handle_probe("i-1", 8, 9.0, 9.1)
