Keep the start that a heartbeat tells while a probe is in progress

What callers saw (by the record, not seen in a fleet): a target whose first heartbeat came between a health check and its answer, that left and was started again under its identifier before another heartbeat, stayed out for good.

Cause: the answered health check made the target ready without its start and dropped the heartbeat that waited to be confirmed. The departure was then of an unknown start, the first heartbeat of the next start could not be told from it, and its start was recorded as the one that had left. Found by reading while the time-out of test_another_start_of_the_target_is_used was traced, whose set-up sends one heartbeat within 0.03 s of the first health check. Ruled out as the cause of the traced failures: there the heartbeat came after the answer.

Change: where the answer makes the target ready anyway, the waiting heartbeat of the same target is accepted with it. A target that has left is not confirmed by a health check sent before the heartbeat, as before.

Evidence: test_heartbeat_that_comes_during_a_probe_tells_the_start failed before (start 0, sequence -1) and passes.

--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -111,8 +111,8 @@
 
         A target in state ``UNKNOWN`` becomes ready, and an unconfirmed
         heartbeat of the target that answered is accepted if it came before the
-        health check was sent. Otherwise heartbeats take precedence over health
-        checks.
+        health check was sent, or if the target becomes ready anyway. Otherwise
+        heartbeats take precedence over health checks.
 
         Args:
             target_id: Identifier in the response; when it is empty, the health
@@ -130,6 +130,9 @@
             record = dataclasses.replace(self, unconfirmed=None)
         if self.state is not TargetState.UNKNOWN or target_id in self.departed:
             return record
+        if unconfirmed is not None and unconfirmed.target_id == target_id:
+            # The target is ready in any case; the heartbeat tells its start.
+            return self._accept(unconfirmed, now, is_confirmed=True)
         if target_id != self.target_id:
             # Nothing is known of this target's start yet.
             record = TargetRecord(
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -114,6 +114,24 @@
         record = record.handle_probe("i-1", 8, 9.9, 10.1)
         self.assertIs(record.state, TargetState.GONE)
 
+    # Guards against a target that is started again under its identifier staying
+    # out: the start before was dropped with a heartbeat that came during a
+    # probe, so that the departure seemed to be of the new one.
+    def test_heartbeat_that_comes_during_a_probe_tells_the_start(self):
+        record = TargetRecord(is_probed=True)
+        record = record.handle_heartbeat(make_heartbeat(sequence=7), 9.05)
+        record = record.handle_probe("i-1", 8, 9.0, 9.1)
+        self.assertIs(record.state, TargetState.READY)
+        self.assertEqual((record.incarnation, record.sequence), (1000, 7))
+        left = record.mark_leaving()
+        for incarnation, state in (
+            (1000, TargetState.DRAINING),
+            (2000, TargetState.READY),
+        ):
+            heartbeat = make_heartbeat(incarnation=incarnation, sequence=8)
+            record = left.handle_heartbeat(heartbeat, 9.2)
+            self.assertIs(record.state, state)
+
     def test_departure_that_others_remember_ends_with_another_start(self):
         record = TargetRecord(is_probed=True)
         record = record.handle_probe("i-1", 8, 9.0, 9.1).apply_departure(1000)
