--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -7,8 +7,8 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import FleetConfig
 from kumquatwalk.daemon.core import DaemonCore
-from kumquatwalk.daemon.request_timeouts import READ_TURNS
 from kumquatwalk.daemon.settings import DaemonSettings
+from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
@@ -193,8 +193,7 @@
             if is_settled or now > settles_at:
                 break
         # What came while the process was not scheduled is still passed on.
-        for _ in range(READ_TURNS):
-            await asyncio.sleep(0)
+        await handle_pending_events()
 
     def _log_end(self, began_at: float) -> None:
         caller_side = self.core.caller_side
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -20,18 +20,7 @@
 from kumquatwalk.targets.response import ResponseCheck
 from kumquatwalk.targets.client import TargetClient
 
-__all__ = [
-    "ExchangeResult",
-    "Finding",
-    "make_content",
-    "make_timeout",
-    "run_call",
-]
-
-# Time to wait beyond the deadline for the target's own answer that its run has
-# ended, in seconds: the target needs one iteration of its event loop to send
-# it.
-DEADLINE_GRACE_S = 0.03
+__all__ = ["ExchangeResult", "Finding", "make_content", "run_call"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,16 +51,6 @@
     UNREACHABLE = "unreachable"
 
 
-def make_timeout(call: Call, now: float) -> asyncio.Timeout:
-    """Return a timeout that expires shortly after the deadline of a call.
-
-    Args:
-        call: The call, with its deadline on this node's clock.
-        now: Current time, in seconds.
-    """
-    return asyncio.timeout(call.deadline - now + DEADLINE_GRACE_S)
-
-
 async def run_call(
     client: TargetClient,
     interface: ExternalInterface,
@@ -89,8 +68,8 @@
             must refuse the call.
         run_id: Identifier of the run, by which nested calls are attributed.
         call: Call to send, with its deadline on this node's clock.
-        timeout: Timeout from ``make_timeout``. If it expires before the
-            deadline, the run is given back for a stop.
+        timeout: Timeout of the run. If it expires before the deadline, the run
+            is given back for a stop.
 
     Returns:
         The result, whether the exchange succeeded or not.
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -22,7 +22,6 @@
 from kumquatwalk.daemon.target_exchange import ExchangeResult
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
-from kumquatwalk.daemon.target_exchange import make_timeout
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.daemon.unique_calls import CallInProgress
@@ -344,6 +343,9 @@
     def _set_record(self, record: TargetRecord) -> None:
         record = self._apply_departures(record)
         before, self.record = self.record, record
+        if record.is_of_other_start(before):
+            # Callers would avoid it for the run times of the start before.
+            self.limiter.run_times.clear()
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
         if record.state is TargetState.READY:
@@ -531,9 +533,7 @@
 
     async def _exchange(self, target_id: str, run: Run) -> ExchangeResult:
         call = run.call
-        now = read_now()
-        timeout = make_timeout(call, now)
-        self._open_runs.add(call, timeout, now)
+        timeout = self._open_runs.open(call, read_now())
         try:
             return await run_call(
                 self._client,
@@ -544,7 +544,7 @@
                 timeout,
             )
         finally:
-            self._open_runs.remove(timeout)
+            self._open_runs.close(timeout)
 
     async def _detect_crash(self, run: Run, reply: Reply) -> Reply:
         """Report a crash if the target stopped listening in an exchange."""
--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -58,6 +58,25 @@
         """Whether the target has said that it leaves."""
         return self.state in (TargetState.DRAINING, TargetState.GONE)
 
+    def is_of_other_start(self, before: "TargetRecord") -> bool:
+        """Return whether the target has been started since an earlier record.
+
+        Args:
+            before: Earlier record of the same node.
+
+        Returns:
+            Whether it surely has. An earlier record without a target, or a
+            start that is not known, does not tell.
+        """
+        if not before.target_id:
+            return False
+        if self.target_id != before.target_id:
+            return True
+        if self.incarnation and before.incarnation:
+            if self.incarnation != before.incarnation:
+                return True
+        return before.is_leaving and self.state is TargetState.READY
+
     def handle_heartbeat(
         self, heartbeat: Heartbeat, now: float
     ) -> "TargetRecord":
@@ -92,8 +111,8 @@
 
         A target in state ``UNKNOWN`` becomes ready, and an unconfirmed
         heartbeat of the target that answered is accepted if it came before the
-        health check was sent. Otherwise heartbeats take precedence over health
-        checks.
+        health check was sent, or if the target becomes ready anyway. Otherwise
+        heartbeats take precedence over health checks.
 
         Args:
             target_id: Identifier in the response; when it is empty, the health
@@ -111,6 +130,9 @@
             record = dataclasses.replace(self, unconfirmed=None)
         if self.state is not TargetState.UNKNOWN or target_id in self.departed:
             return record
+        if unconfirmed is not None and unconfirmed.target_id == target_id:
+            # The target is ready in any case; the heartbeat tells its start.
+            return self._accept(unconfirmed, now, is_confirmed=True)
         if target_id != self.target_id:
             # Nothing is known of this target's start yet.
             record = TargetRecord(
