Stand-in callers: one base for those that use a connection at a time

DeploymentCaller and ConnectionCaller had the same state, stop and encoding of a request. SerialCaller has them now; their loops differ and stay.

--- a/kumquatwalk/standin/connection_caller.py
+++ b/kumquatwalk/standin/connection_caller.py
@@ -13,7 +13,7 @@
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_use import SLOW_READ_BYTES
 from kumquatwalk.standin.connection_use import ConnectionUse
-from kumquatwalk.standin.daemon_fleet import HOST
+from kumquatwalk.standin.serial_caller import SerialCaller
 
 __all__ = ["ConnectionCaller"]
 
@@ -24,7 +24,7 @@
 _LONG_WORK_MS = 2000
 
 
-class ConnectionCaller:
+class ConnectionCaller(SerialCaller):
     """Sends requests of one habit to one node, on plain sockets.
 
     Args:
@@ -47,23 +47,10 @@
         rng: random.Random,
         attempts: list[Attempt],
     ):
-        self._name = name
-        self._habit = habit
+        super().__init__(name, habit, rng, attempts)
         self._node = node
         self._address = address
         self._get_pid = get_pid
-        self._rng = rng
-        self._attempts = attempts
-        self._connections = 0
-        self._count = 0
-        self._is_stopped = False
-        self._use: ConnectionUse | None = None
-
-    def stop(self) -> None:
-        """Send no further request; ``run`` returns after the last answer."""
-        self._is_stopped = True
-        if self._use is not None:
-            self._use.stop()
 
     async def run(self) -> None:
         """Open one connection after the other, until stopped."""
@@ -108,10 +95,9 @@
     def _make_attempt(
         self, pid: int, position: int, is_behind: bool
     ) -> tuple[Attempt, bytes]:
-        self._count += 1
         habit, rng = self._habit, self._rng
         attempt = Attempt(
-            f"{self._name}-{self._count}",
+            self._make_attempt_id(),
             habit.name,
             habit.is_safe,
             self._node,
@@ -125,11 +111,5 @@
         longest_ms = _LONG_WORK_MS if rng.random() < 0.1 else _WORK_MS
         route, method = ("look", "GET") if habit.is_safe else ("pay-pay", "PUT")
         body = b"" if habit.is_safe else b"x" * rng.randint(1, 3000)
-        head = (
-            f"{method} /{route}/{rng.randint(10, longest_ms)}/{attempt.size}"
-            f" HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt.attempt_id}\r\n"
-            f"Deadline-Ms: {LIMIT_S * 1000:.0f}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        self._attempts.append(attempt)
-        return attempt, head.encode() + body
+        path = f"/{route}/{rng.randint(10, longest_ms)}/{attempt.size}"
+        return self._send(attempt, method, path, LIMIT_S, body)
--- a/kumquatwalk/standin/deployment_caller.py
+++ b/kumquatwalk/standin/deployment_caller.py
@@ -9,9 +9,9 @@
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_use import ConnectionUse
-from kumquatwalk.standin.daemon_fleet import HOST
 from kumquatwalk.standin.platform_node import PlatformNode
 from kumquatwalk.standin.request_class import RequestClass
+from kumquatwalk.standin.serial_caller import SerialCaller
 
 __all__ = ["DeploymentCaller"]
 
@@ -19,7 +19,7 @@
 _BODY_BYTES_MAX = 1800
 
 
-class DeploymentCaller:
+class DeploymentCaller(SerialCaller):
     """Sends requests of one class, one connection after the other.
 
     Args:
@@ -40,22 +40,9 @@
         rng: random.Random,
         attempts: list[Attempt],
     ):
-        self._name = name
-        self._habit = habit
+        super().__init__(name, habit, rng, attempts)
         self._entry = entry
         self._choose_node = choose_node
-        self._rng = rng
-        self._attempts = attempts
-        self._connections = 0
-        self._count = 0
-        self._is_stopped = False
-        self._use: ConnectionUse | None = None
-
-    def stop(self) -> None:
-        """Send no further request; ``run`` returns after the last answer."""
-        self._is_stopped = True
-        if self._use is not None:
-            self._use.stop()
 
     async def run(self) -> None:
         """Open one connection after the other, until stopped."""
@@ -90,11 +77,10 @@
     def _make_attempt(
         self, node: str, pid: int, position: int, is_behind: bool
     ) -> tuple[Attempt, bytes]:
-        self._count += 1
         entry, rng = self._entry, self._rng
         path, size = entry.draw_path(rng)
         attempt = Attempt(
-            f"{self._name}-{self._count}",
+            self._make_attempt_id(),
             self._habit.name,
             entry.is_safe,
             node,
@@ -108,11 +94,4 @@
         )
         method = "GET" if entry.is_safe else "POST"
         body = b"" if entry.is_safe else b"x" * rng.randint(1, _BODY_BYTES_MAX)
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"Attempt-Id: {attempt.attempt_id}\r\n"
-            f"Deadline-Ms: {entry.limit_s * 1000:.0f}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        self._attempts.append(attempt)
-        return attempt, head.encode() + body
+        return self._send(attempt, method, path, entry.limit_s, body)
