limit_time uses Timeouts instead of a copy of its last turns

Both counted the turns of the event loop after their timer by themselves. Tests of test_event_loop, on both event loops, and of the modules that use it pass unchanged.

--- a/kumquatwalk/event_loop.py
+++ b/kumquatwalk/event_loop.py
@@ -29,21 +29,13 @@
     Raises:
         TimeoutError: The timeout has expired.
     """
-    loop = asyncio.get_running_loop()
-
-    def expire(turns: int) -> None:
-        nonlocal handle
-        if turns:
-            handle = loop.call_soon(expire, turns - 1)
-        else:
-            timeout.reschedule(loop.time())
-
-    async with asyncio.timeout(None) as timeout:
-        handle: asyncio.Handle = loop.call_later(timeout_s, expire, TURNS)
-        try:
+    timeouts = Timeouts()
+    timeout = timeouts.open(timeout_s)
+    try:
+        async with timeout:
             yield
-        finally:
-            handle.cancel()
+    finally:
+        timeouts.close(timeout)
 
 
 async def handle_pending_events() -> None:
