Headers: one index by name; a complete head is kept as it is

The decoder of responses built the same index as that of requests: both call index_headers now. The parser put the headers of a complete head from a tuple into a list and back for each request; it keeps the tuple. What is accepted does not change: the tests of http1 (108) and platform (36) pass unchanged.

--- a/kumquatwalk/http1/message.py
+++ b/kumquatwalk/http1/message.py
@@ -9,6 +9,7 @@
     "HttpResponse",
     "RequestProgress",
     "find_header",
+    "index_headers",
     "list_values",
 ]
 
@@ -116,6 +117,18 @@
     return None
 
 
+def index_headers(headers: Iterable[Header]) -> dict[bytes, bytes]:
+    """Return the first value of each header by its name in lower case.
+
+    Args:
+        headers: Header lines.
+    """
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        values.setdefault(name.lower(), value)
+    return values
+
+
 def list_values(headers: Iterable[Header], name: bytes) -> list[bytes]:
     """Return the values of all headers with a name, in order.
 
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -139,6 +139,8 @@
     def _reset(self) -> None:
         self._url: list[bytes] = []
         self._headers: list[Header] = []
+        # Request target and headers of a complete head, in origin form.
+        self._head: tuple[bytes, tuple[Header, ...]] = (b"", ())
         self._checked_headers: list[Header] = []
         self._body_chunks: list[bytes] = []
         self._head_bytes = 0
@@ -202,7 +204,7 @@
             url, headers = make_origin_form(url, headers)
         except RequestError as error:
             self._fail(error.code, error.message)
-        self._url, self._headers = [url], list(headers)
+        self._head = url, headers
         expectation = find_header(self._checked_headers, b"expect")
         self._is_expecting = expectation is not None
         if self._parser.should_upgrade():
@@ -219,8 +221,7 @@
 
     def on_message_complete(self) -> None:
         """Store the completed request."""
-        method, url = self._parser.get_method(), self._url[0]
-        headers = tuple(self._headers)
+        method, (url, headers) = self._parser.get_method(), self._head
         if self._parser.should_upgrade():
             self._plain_head = encode_without_upgrade(
                 method, url, self._parser.get_http_version(), headers
--- a/kumquatwalk/platform/request_headers.py
+++ b/kumquatwalk/platform/request_headers.py
@@ -4,6 +4,7 @@
 from kumquatwalk.http1.headers import remove_hop_by_hop
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.message import index_headers
 from kumquatwalk.platform import names
 
 __all__ = [
@@ -38,9 +39,7 @@
         Attempt identifier (empty if missing), host without its port, timeout
         in seconds (None if missing or malformed) and the headers to forward.
     """
-    values: dict[bytes, bytes] = {}
-    for name, value in request.headers:
-        values.setdefault(name.lower(), value)
+    values = index_headers(request.headers)
     host = values.get(b"host", b"").decode("latin-1")
     return CallerRequest(
         attempt_id=values.get(names.HEADER_ATTEMPT_ID, b""),
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -5,6 +5,7 @@
 from kumquatwalk.http1.headers import remove_hop_by_hop
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.message import index_headers
 from kumquatwalk.platform import names
 from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
 from kumquatwalk.targets.rate_limit import RateLimit
@@ -39,7 +40,7 @@
         the request was not run, comes from another target, and what the target
         says of itself.
     """
-    values = _index_headers(response.headers)
+    values = index_headers(response.headers)
     was_not_run = (
         response.status in _NOT_RUN_STATUSES and names.HEADER_NOT_RUN in values
     )
@@ -97,14 +98,6 @@
     return int(parts[2])
 
 
-def _index_headers(headers: tuple[Header, ...]) -> dict[bytes, bytes]:
-    """Return the first value of each header by its name in lower case."""
-    values: dict[bytes, bytes] = {}
-    for name, value in headers:
-        values.setdefault(name.lower(), value)
-    return values
-
-
 def _read_rate_limit(value: bytes | None) -> RateLimit:
     if value is None:
         return NO_RATE_LIMIT
