--- a/kumquatwalk/http1/tests/test_stop_accepting.py
+++ b/kumquatwalk/http1/tests/test_stop_accepting.py
@@ -38,9 +38,8 @@
         self.assertEqual(await self.read_all(reader), _REFUSAL)
         self.assertEqual(self.seen, [])
 
-    # Guards against LOST: a request that waited unread on a kept connection, as
-    # the process was not scheduled, was discarded by the stop.
-    async def test_unread_request_on_a_kept_connection_is_refused(self):
+    async def leave_unread(self) -> socket.socket:
+        """Return a kept connection on which a request waits unread."""
         sock = socket.create_connection(("127.0.0.1", self.server.port))
         sock.sendall(make_get("/idle"))
         loop = asyncio.get_running_loop()
@@ -48,6 +47,12 @@
         await self.wait_for(lambda: not self.server.owed_requests)
         # Without a turn of the event loop, which would read it.
         sock.sendall(make_get("/a"))
+        return sock
+
+    # Guards against LOST: a request that waited unread on a kept connection, as
+    # the process was not scheduled, was discarded by the stop.
+    async def test_unread_request_on_a_kept_connection_is_refused(self):
+        sock = await self.leave_unread()
         self.server.stop_accepting()
         reader, writer = await asyncio.open_connection(sock=sock)
         self.addCleanup(writer.close)
@@ -57,12 +62,7 @@
     # Guards against LOST: the same where the connection became idle only after
     # the stop began.
     async def test_unread_request_outlasts_a_check(self):
-        sock = socket.create_connection(("127.0.0.1", self.server.port))
-        sock.sendall(make_get("/idle"))
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(None, sock.recv, 1000)
-        await self.wait_for(lambda: not self.server.owed_requests)
-        sock.sendall(make_get("/a"))
+        sock = await self.leave_unread()
         self.server.is_accepting = False
         for connection in tuple(self.server.connections):
             connection.check_timeouts(read_now())
