Log: an unknown outcome names the last refusal of the request

Hypothesis 2 of the incident could not be told from a run that a target ended: request_outcome_unknown named the code of the run that was broken off, not that the request had then been refused elsewhere. The refusal's code tells it.

--- a/kumquatwalk/daemon/node_reply.py
+++ b/kumquatwalk/daemon/node_reply.py
@@ -56,11 +56,13 @@
 
     The log tells the node asked last, and whether its reply was still awaited:
     then this node has ended the request, else the code is that of the attempt.
+    The last refusal tells that no other target has taken the request.
 
     Args:
         request: Request with the attempts made so far.
         code: Code of the failure.
     """
+    refusal = request.last_refusal
     log_event(
         "request_outcome_unknown",
         attempt=request.caller.attempt_id.decode("latin-1"),
@@ -69,6 +71,7 @@
         asked=request.last_node,
         in_flight=request.is_in_flight,
         code=code,
+        refusal=refusal.code if refusal is not None else "",
     )
     return Reply(Outcome.UNKNOWN, code)
 
