Tests: runs that a stop ends for another target, failing, listed red

What callers saw: 502 or 504 in place of a safe request's run that would have ended in time. The node of the run had ended it so that its caller could have it run elsewhere; the other target refused it, or its node stopped too.

--- a/kumquatwalk/daemon/tests/test_overlapping_stops.py
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -18,6 +18,8 @@
 # More than the first stop leaves at any time, and less.
 LONG_MS = 5000
 SHORT_MS = 2000
+# A run that ends within a stop, by which time one more would not.
+LONG_RUN_S = 3.0
 # A little more than it leaves some time after its begin.
 SENT_AFTER_S = 0.3
 LEAST_MS = 3500
@@ -102,6 +104,49 @@
         await asyncio.gather(neighbour, caller)
         self.assertEqual(answer.status, 200)
 
+    async def _ask_for_long_run(self) -> tuple[asyncio.Task, str, str]:
+        """Send a safe request that lasts for most of a stop.
+
+        Returns:
+            Its task, the node at whose target it runs, and the other node.
+        """
+        for name in WORK_S:
+            self._set_work(name, LONG_RUN_S)
+        call = asyncio.create_task(
+            self.fleet.call("caller", "/web/", "long", LONG_MS)
+        )
+        running = []
+        while not running and not call.done():
+            await asyncio.sleep(PAUSE_S)
+            running = [n for n in WORK_S if self._count_long_runs(n)]
+        (other,) = set(WORK_S) - set(running)
+        return call, running[0], other
+
+    def _count_long_runs(self, name: str) -> int:
+        return self.fleet.nodes[name].target.count_runs("long")
+
+    # Guards against LOST: a run was ended for another target, which refused it.
+    async def test_run_goes_on_when_no_other_target_takes_it(self):
+        call, name, other = await self._ask_for_long_run()
+        refusing = self.fleet.nodes[other].target
+        refusing.choose_script = lambda _: Script(status=503, was_not_run=True)
+        stop = self._stop(name)
+        answer = await call
+        await stop
+        self.assertEqual(answer.status, 200)
+
+    # Guards against LOST: the same where the node of the other target has
+    # begun to stop when the run arrives there.
+    async def test_run_goes_on_when_all_nodes_of_its_service_stop(self):
+        call, name, other = await self._ask_for_long_run()
+        stops = [self._stop(name)]
+        while not (self._count_long_runs(other) or call.done()):
+            await asyncio.sleep(0)
+        stops.append(self._stop(other))
+        answer = await call
+        await asyncio.gather(*stops)
+        self.assertEqual(answer.status, 200)
+
     # Guards against a target that gets no calls as soon as its node stops,
     # though they end before the node does.
     async def test_calls_that_end_before_the_stop_still_use_its_target(self):
