A late reply counts while another attempt is in flight

Change: with late replies expected, an attempt and these replies are awaited together; the first good answer ends the others. An error of a target does not end an attempt that may still succeed, and a late answer says nothing about whether the target of the attempt leaves.

Test: daemon.test_caller_side...test_late_reply_ends_an_attempt_that_is_in_flight timed out before (TimeoutError after 20 s); daemon.test_late_replies.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -1,5 +1,6 @@
 """Caller side of a node: chooses targets, retries and enforces deadlines."""
 
+import asyncio
 import random
 import secrets
 
@@ -11,6 +12,7 @@
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
+from kumquatwalk.daemon.late_replies import take_first_result
 from kumquatwalk.daemon.late_replies import wait_for_late_reply
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.node_reply import make_timeout_reply
@@ -470,19 +472,35 @@
         request.http.progress.mark_passed_on(request.caller.attempt_id)
         request.last_node = view.node_id
         request.is_in_flight = True
-        if view is self._own_view:
-            reply = await self._target_side.serve(call)
+        if request.late_replies:
+            reply = await take_first_result(
+                self._exchange(view, call), request.late_replies
+            )
         else:
-            link = self._peers.find(view.node_id)
-            reply = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
-            if link is not None:
-                reply = await link.call(call)
-                late = link.find_late_reply(call)
-                if late is not None:
-                    request.late_replies.append(late)
+            reply = await self._exchange(view, call)
+        if reply.outcome is Outcome.UNKNOWN:
+            late = self._find_late_reply(view, call)
+            if late is not None:
+                request.late_replies.append(late)
         request.is_in_flight = False
         return reply
 
+    async def _exchange(self, view: TargetView, call: Call) -> Reply:
+        if view is self._own_view:
+            return await self._target_side.serve(call)
+        link = self._peers.find(view.node_id)
+        if link is None:
+            return Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
+        return await link.call(call)
+
+    def _find_late_reply(
+        self, view: TargetView, call: Call
+    ) -> asyncio.Future[Reply] | None:
+        if view is self._own_view:
+            return None
+        link = self._peers.find(view.node_id)
+        return None if link is None else link.find_late_reply(call)
+
     def _make_call(self, request: PendingRequest, view: TargetView) -> Call:
         route = request.route
         chain = request.chain
--- a/kumquatwalk/daemon/late_replies.py
+++ b/kumquatwalk/daemon/late_replies.py
@@ -1,12 +1,17 @@
-"""Replies to attempts whose link has gone silent."""
+"""Replies to attempts that go on while their request is tried elsewhere."""
 
 import asyncio
+import dataclasses
+from collections.abc import Coroutine
 from collections.abc import Sequence
 
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 
-__all__ = ["wait_for_late_reply"]
+__all__ = ["take_first_result", "wait_for_late_reply"]
+
+# Status from which the answer of an attempt is no reason to end another.
+ERROR_STATUS_MIN = 500
 
 
 async def wait_for_late_reply(
@@ -37,3 +42,36 @@
             else:
                 refusal = late.result()
     return unknown if has_unknown or refusal is None else refusal
+
+
+async def take_first_result(
+    attempt: Coroutine[None, None, Reply],
+    late_replies: Sequence[asyncio.Future[Reply]],
+) -> Reply:
+    """Make an attempt while replies to attempts before it may still come.
+
+    Args:
+        attempt: Makes the attempt; it is cancelled if another has a result.
+        late_replies: Replies that may still come.
+
+    Returns:
+        The first good answer of a run, or else the reply to the attempt. An
+        answer that has come late says nothing about the target of the attempt.
+    """
+    task = asyncio.get_running_loop().create_task(attempt)
+    waiting = {task, *late_replies}
+    try:
+        while not task.done():
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            for late in done - {task}:
+                if not late.cancelled() and _is_good(late.result()):
+                    return dataclasses.replace(late.result(), is_leaving=False)
+        return task.result()
+    finally:
+        task.cancel()
+
+
+def _is_good(reply: Reply) -> bool:
+    return reply.outcome is Outcome.DONE and reply.status < ERROR_STATUS_MIN
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -38,6 +38,8 @@
 LOST = Reply(Outcome.UNKNOWN, codes.LINK_FAILED)
 UNSENT = Reply(Outcome.NOT_RUN, codes.LINK_FAILED)
 QUARANTINED = Reply(Outcome.NOT_RUN, codes.QUARANTINED)
+# Guard against a test that hangs, in seconds.
+HANG_S = 20.0
 
 
 class ScriptedPeers:
@@ -52,7 +54,7 @@
 
     def __init__(
         self,
-        script: list[Reply],
+        script: list[Reply | None],
         late: asyncio.Future | None = None,
         targets: int = 4,
     ):
@@ -112,8 +114,11 @@
         self._node_id = node_id
 
     async def call(self, call: Call) -> Reply:
-        """Return the next reply."""
-        return self._peers.reply(self._node_id, call)
+        """Return the next reply; wait for ever if it is None."""
+        reply = self._peers.reply(self._node_id, call)
+        if reply is None:
+            await asyncio.get_running_loop().create_future()
+        return reply
 
     def find_late_reply(self, call: Call) -> asyncio.Future | None:
         """Return the reply that still comes to a call, if any."""
@@ -211,6 +216,17 @@
         late.set_result(DONE)
         self.assertEqual(await serving, DONE)
 
+    # Guards against 504 for a request whose answer has come: it was not used
+    # while another attempt was in flight.
+    async def test_late_reply_ends_an_attempt_that_is_in_flight(self):
+        late = asyncio.get_running_loop().create_future()
+        serving = asyncio.create_task(self._call([LOST, None], True, late=late))
+        while len(self.peers.calls) < 2:
+            await asyncio.sleep(0)
+        late.set_result(DONE)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, DONE)
+
     async def test_retry_that_is_answered_cancels_the_late_reply(self):
         late = asyncio.get_running_loop().create_future()
         reply = await self._call([LOST, DONE], True, late=late)
--- a/kumquatwalk/daemon/tests/test_late_replies.py
+++ b/kumquatwalk/daemon/tests/test_late_replies.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from kumquatwalk.daemon.late_replies import take_first_result
 from kumquatwalk.daemon.late_replies import wait_for_late_reply
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
@@ -46,6 +47,28 @@
         reply = await wait_for_late_reply([refused, cancelled], UNKNOWN)
         self.assertEqual(reply, UNKNOWN)
 
+    async def take_first(self, attempt: Reply, late: Reply) -> Reply:
+        """Return what is made of a late reply and of an attempt after it."""
+        future = asyncio.get_running_loop().create_future()
+        future.set_result(late)
+
+        async def make_attempt():
+            await asyncio.sleep(0.01)
+            return attempt
+
+        return await take_first_result(make_attempt(), [future])
+
+    async def test_only_a_good_late_answer_ends_an_attempt(self):
+        failed = Reply(Outcome.DONE, status=500)
+        self.assertEqual(await self.take_first(REFUSED, DONE), DONE)
+        for late in (UNKNOWN, REFUSED, failed):
+            self.assertEqual(await self.take_first(DONE, late), DONE)
+
+    async def test_late_answer_says_nothing_of_the_target_of_the_attempt(self):
+        late = Reply(Outcome.DONE, status=200, is_leaving=True)
+        reply = await self.take_first(REFUSED, late)
+        self.assertFalse(reply.is_leaving)
+
 
 if __name__ == "__main__":
     unittest.main()
