A stop hedges runs that may outlast it instead of ending them

That target then refused the call, or its node stopped too, and the run was lost.

Ruled out: a stricter condition on the view (it is as old as the last status, and a target may refuse for any reason); giving up hedging (a run at a silent target of a stopping node is then lost).

Change: the run goes on. Its node asks the caller's side to have it run at another target too (HedgeRequest on links, OwnCalls for its own calls), which spends from the bounds of retries as before. The first good answer counts and cancels the other attempt; a refusal or a lost link elsewhere costs nothing. Calls that an older node sends are not hedged, and an older node is sent no such request. Also runs of the node's own callers, which were ended the same way.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -157,7 +157,7 @@
         self.refused += not is_admitted
         return is_admitted
 
-    def should_give_back(
+    def should_hedge(
         self,
         route: str,
         deadline: float,
@@ -165,11 +165,10 @@
         objective_s: float,
         now: float,
     ) -> bool:
-        """Return whether a run in progress should be moved to another target.
+        """Return whether a run in progress should be hedged at another target.
 
         It should when it may outlast the drain, has lasted longer than its
-        route does in the mean, and time for just one such run is left: its
-        caller can then still have it run elsewhere.
+        route does in the mean, and time for just one such run is left.
 
         Args:
             route: Name of its route.
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -240,7 +240,7 @@
 
     # Guards against LOST: a run at a silent target was ended with the stop,
     # when no time was left to run it elsewhere.
-    def test_run_is_given_back_while_another_fits(self):
+    def test_run_is_hedged_while_another_fits(self):
         gate = StopAdmission()
         gate.finish("pay", gate.begin("pay", 10.0), True, 10.4)
         gate.set_end(15.4)
@@ -250,10 +250,10 @@
             (14.0, 16.0, 14.7, False),
             (11.0, 15.3, 14.7, False),
         ):
-            answer = gate.should_give_back("pay", deadline, began_at, 1.0, now)
+            answer = gate.should_hedge("pay", deadline, began_at, 1.0, now)
             self.assertEqual(answer, is_due, (began_at, deadline, now))
-        self.assertTrue(gate.should_give_back("new", 16.0, 11.0, 1.0, 14.5))
-        self.assertFalse(gate.should_give_back("new", 16.0, 11.0, 1.0, 14.3))
+        self.assertTrue(gate.should_hedge("new", 16.0, 11.0, 1.0, 14.5))
+        self.assertFalse(gate.should_hedge("new", 16.0, 11.0, 1.0, 14.3))
 
 
 class RecentTimesTest(unittest.TestCase):
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -497,7 +497,7 @@
         self, view: TargetView, call: Call
     ) -> asyncio.Future[Reply] | None:
         if view is self._own_view:
-            return None
+            return self._target_side.find_late_reply(call)
         link = self._peers.find(view.node_id)
         return None if link is None else link.find_late_reply(call)
 
@@ -523,7 +523,7 @@
             tokens=0 if chain is None else chain.tokens.send(),
             is_protected=chain is not None and chain.is_protected,
             crash_marks=request.crash_marks,
-            is_movable=self._has_spare_attempt(request, view),
+            is_hedgeable=self._has_spare_attempt(request, view),
         )
 
     def _has_spare_attempt(
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -28,6 +28,7 @@
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
 from kumquatwalk.mesh.link_server import LinkServer
+from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQuery
@@ -232,6 +233,9 @@
             left_target_start_ms=left_start_ms,
         )
 
+    def _hedge_call(self, call: Call) -> None:
+        self.link_server.hedge(call)
+
     def _make_call_sides(self) -> None:
         metrics = self.metrics
         self.peers = Peers(
@@ -254,6 +258,7 @@
             self.peers.count_targets,
             self.peers.has_other_target,
             self._publish_target_change,
+            self._hedge_call,
             self._traffic,
             metrics,
             self.body_budget,
--- a/kumquatwalk/daemon/open_runs.py
+++ b/kumquatwalk/daemon/open_runs.py
@@ -1,4 +1,4 @@
-"""Runs in progress that a stop may move to other targets."""
+"""Runs in progress, of which a stop may have some hedged at other targets."""
 
 import asyncio
 from collections.abc import Mapping
@@ -25,21 +25,20 @@
 
     def __init__(self):
         self._timeouts = Timeouts()
-        self._movable: dict[asyncio.Timeout, tuple[Call, float]] = {}
+        self._hedgeable: dict[asyncio.Timeout, tuple[Call, float]] = {}
 
     def open(self, call: Call, now: float) -> asyncio.Timeout:
         """Return a timeout, to be used as context manager and then closed.
 
-        It expires shortly after the deadline of the call, or at once when the
-        run is given back.
+        It expires shortly after the deadline of the call.
 
         Args:
             call: Call that is run, with its deadline on this node's clock.
             now: Current time, in seconds.
         """
         timeout = self._timeouts.open(call.deadline - now + DEADLINE_GRACE_S)
-        if call.is_movable:
-            self._movable[timeout] = call, now
+        if call.is_hedgeable:
+            self._hedgeable[timeout] = call, now
         return timeout
 
     def close(self, timeout: asyncio.Timeout) -> None:
@@ -49,32 +48,34 @@
             timeout: Timeout that ``open`` returned.
         """
         self._timeouts.close(timeout)
-        self._movable.pop(timeout, None)
+        self._hedgeable.pop(timeout, None)
 
-    def give_back(
+    def take_due(
         self,
         stop_admission: StopAdmission,
         routes: Mapping[str, Route],
         now: float,
-    ) -> None:
-        """Let the timeouts of runs expire that have to be moved.
+    ) -> list[Call]:
+        """Return the calls that are to be hedged now, each of them once.
 
         Args:
-            stop_admission: Decides which runs.
-            routes: Routes by name. Runs of a route that is not among them go
-                on.
+            stop_admission: Decides which calls.
+            routes: Routes by name. Calls of a route that is not among them are
+                left alone.
             now: Current time, in seconds.
         """
-        for timeout, (call, began_at) in tuple(self._movable.items()):
+        due = []
+        for timeout, (call, began_at) in tuple(self._hedgeable.items()):
             route = routes.get(call.route)
-            if route is not None and stop_admission.should_give_back(
+            if route is not None and stop_admission.should_hedge(
                 route.name, call.deadline, began_at, route.objective_s, now
             ):
-                del self._movable[timeout]
-                self._timeouts.expire(timeout)
+                del self._hedgeable[timeout]
+                due.append(call)
                 log_event(
-                    "run_given_back",
+                    "run_hedged",
                     attempt=call.attempt_id.decode("latin-1"),
                     route=call.route,
                     elapsed_s=now - began_at,
                 )
+        return due
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -36,7 +36,7 @@
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
         late_replies: Replies that may still come to attempts whose link has
-            gone silent.
+            gone silent or that are hedged.
         crash_marks: Marks of target crashes during its attempts.
         content: Content by which its repeats are recognized.
     """
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -164,7 +164,7 @@
             if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
                 target_side.mark_stopping()
                 self.core.state_publisher.publish_status()
-            target_side.give_back_runs()
+            target_side.hedge_runs()
             if now > ends_at - QUEUE_MARGIN_S:
                 target_side.refuse_queued_calls()
             if is_accepting and self._can_stop_accepting(elapsed_s):
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -68,8 +68,7 @@
             must refuse the call.
         run_id: Identifier of the run, by which nested calls are attributed.
         call: Call to send, with its deadline on this node's clock.
-        timeout: Timeout of the run. If it expires before the deadline, the run
-            is given back for a stop.
+        timeout: Timeout of the run.
 
     Returns:
         The result, whether the exchange succeeded or not.
@@ -95,7 +94,8 @@
                 accepts,
             )
     except TimeoutError:
-        return _classify_timeout(call, read_now())
+        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
+        return ExchangeResult(reply, Finding.LATE)
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
@@ -112,12 +112,6 @@
     return RequestContent(call.route, call.method, call.url, call.body)
 
 
-def _classify_timeout(call: Call, now: float) -> ExchangeResult:
-    is_over = now >= call.deadline
-    code = codes.DEADLINE_EXCEEDED if is_over else codes.NODE_STOPPING
-    return ExchangeResult(Reply(Outcome.UNKNOWN, code), Finding.LATE)
-
-
 def _classify_error(call: Call, error: ExchangeError) -> ExchangeResult:
     log_event(
         "target_exchange_failed",
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -18,6 +18,7 @@
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.open_runs import OpenRuns
+from kumquatwalk.daemon.own_calls import OwnCalls
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_exchange import ExchangeResult
 from kumquatwalk.daemon.target_exchange import Finding
@@ -67,6 +68,8 @@
         has_other_target: Returns whether another node's target takes calls of
             a service.
         on_change: Called when the target's state has changed.
+        hedge_call: Asks the peer that has sent a call to have it run elsewhere
+            too.
         traffic: Counts the runs of each route.
         metrics: Metrics of the daemon.
         budget: Bytes of bodies that the process may hold.
@@ -90,6 +93,7 @@
         count_targets: Callable[[str], int],
         has_other_target: Callable[[str], bool],
         on_change: Callable[[], None],
+        hedge_call: Callable[[Call], None],
         traffic: TrafficMeter,
         metrics: DaemonMetrics,
         budget: ByteBudget,
@@ -101,6 +105,7 @@
         self._count_targets = count_targets
         self._has_other_target = has_other_target
         self._on_change = on_change
+        self._hedge_call = hedge_call
         self._traffic = traffic
         self._metrics = metrics
         self._crash_tracker = crash_tracker
@@ -112,6 +117,7 @@
         self.service = settings.service
         self.runs = RunTable()
         self._open_runs = OpenRuns()
+        self._own_calls = OwnCalls()
         self._unique_calls = UniqueCalls(self._check_and_admit, budget)
         self._failure_share = 0.0
         self.is_stopping = False
@@ -163,17 +169,20 @@
         """Refuse all calls that wait for the target; admitted ones continue."""
         self._waiter.close(codes.TARGET_LEAVING)
 
-    def give_back_runs(self) -> None:
-        """End runs that another target can still run in time.
+    def hedge_runs(self) -> None:
+        """Have runs that may outlast the stop run at another target too.
 
-        Nothing is done while no other target takes calls. See
-        ``StopAdmission.should_give_back``.
+        They go on here, as the other target may refuse them. Nothing is done
+        while no other target takes calls. See ``StopAdmission.should_hedge``.
         """
         config = self._configs.config
-        if config is not None and self._has_other_target(self.service):
-            self._open_runs.give_back(
-                self.stop_admission, config.routes_by_name, read_now()
-            )
+        if config is None or not self._has_other_target(self.service):
+            return
+        for call in self._open_runs.take_due(
+            self.stop_admission, config.routes_by_name, read_now()
+        ):
+            if not self._own_calls.hedge(call):
+                self._hedge_call(call)
 
     def get_status(self) -> TargetStatus:
         """Return the status of the target that is published to other nodes."""
@@ -279,9 +288,22 @@
             The target's answer, or a reply that says why there is none and
             whether the call may have run.
         """
-        if call.is_idempotent:
+        if not call.is_idempotent:
+            return await self._unique_calls.serve_own(call)
+        if not call.is_hedgeable:
             return await self._check_and_admit(call)
-        return await self._unique_calls.serve_own(call)
+        return await self._own_calls.serve(call, self._check_and_admit(call))
+
+    def find_late_reply(self, call: Call) -> asyncio.Future[Reply] | None:
+        """Return the reply that may still come to a call that was hedged.
+
+        Cancelling it ends the run.
+
+        Args:
+            call: Call of this node to which ``serve`` has returned an unknown
+                outcome.
+        """
+        return self._own_calls.find_late_reply(call)
 
     async def serve_peer(self, call: Call, is_resent: bool) -> Reply:
         """Run a call of a peer at the target if it is admitted.
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -195,11 +195,11 @@
 
     # Guards against LOST: a stop gave back runs that no untried target could
     # take, and their callers got 502.
-    async def test_call_without_an_untried_target_is_not_movable(self):
+    async def test_call_without_an_untried_target_is_not_hedgeable(self):
         self.targets = 2
         failed = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
         await self._call([failed] * 2, True, tokens=None)
-        calls = [call.is_movable for _, call in self.peers.calls]
+        calls = [call.is_hedgeable for _, call in self.peers.calls]
         self.assertEqual(calls, [True, False])
 
     # Guards against LOST: a run at a peer that was not scheduled for a while
@@ -335,7 +335,7 @@
         self.assertEqual(len(self.peers.calls), 1)
 
     # Guards against LOST: a stop ended runs whose calls had no attempt left.
-    async def test_only_calls_with_an_attempt_left_are_movable(self):
+    async def test_only_calls_with_an_attempt_left_are_hedgeable(self):
         for idempotent, attempts_max, movable in (
             (True, 2, [True, False]),
             (True, 1, [False]),
@@ -347,10 +347,10 @@
                 tokens=None,
                 attempts_max=attempts_max,
             )
-            calls = [call.is_movable for _, call in self.peers.calls]
+            calls = [call.is_hedgeable for _, call in self.peers.calls]
             self.assertEqual(calls, movable)
         await self._call([LOST], True, tokens=0)
-        self.assertFalse(self.peers.calls[0][1].is_movable)
+        self.assertFalse(self.peers.calls[0][1].is_hedgeable)
 
     async def test_crash_mark_is_sent_with_the_next_attempt(self):
         crashed = Reply(
--- a/kumquatwalk/daemon/tests/test_overlapping_stops.py
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -147,6 +147,25 @@
         await asyncio.gather(*stops)
         self.assertEqual(answer.status, 200)
 
+    # Guards against LOST: the same for a caller beside the target.
+    async def test_own_run_goes_on_when_no_other_target_takes_it(self):
+        for name in WORK_S:
+            target = self.fleet.nodes[name].target
+            target.choose_script = lambda _: Script(work_s=LONG_RUN_S)
+        call = asyncio.create_task(
+            self.fleet.call("web-1", "/web/", "long", LONG_MS)
+        )
+        while not any(self._count_long_runs(n) for n in WORK_S):
+            await asyncio.sleep(PAUSE_S)
+        ran_here = self._count_long_runs("web-1")
+        name, other = ("web-1", "web-2") if ran_here else ("web-2", "web-1")
+        refusing = self.fleet.nodes[other].target
+        refusing.choose_script = lambda _: Script(status=503, was_not_run=True)
+        stop = self._stop(name)
+        answer = await call
+        await stop
+        self.assertEqual(answer.status, 200)
+
     # Guards against a target that gets no calls as soon as its node stops,
     # though they end before the node does.
     async def test_calls_that_end_before_the_stop_still_use_its_target(self):
--- a/kumquatwalk/event_loop.py
+++ b/kumquatwalk/event_loop.py
@@ -72,16 +72,6 @@
         """
         self._open.pop(timeout).cancel()
 
-    def expire(self, timeout: asyncio.Timeout) -> None:
-        """Let a timeout expire at once, unless it has.
-
-        Args:
-            timeout: Timeout that is open and in use as context manager.
-        """
-        self._open[timeout].cancel()
-        if not timeout.expired():
-            timeout.reschedule(asyncio.get_running_loop().time())
-
     def bring_forward(self, timeout_s: float) -> None:
         """Let no open timeout expire later than after a time.
 
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -11,6 +11,7 @@
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import OwnerQuery
@@ -103,7 +104,7 @@
         tokens=int(reader.tokens),
         is_protected=bool(reader.isProtected),
         crash_marks=bytes(reader.crashMarks),
-        is_movable=bool(reader.isMovable),
+        is_hedgeable=bool(reader.isHedgeable),
     )
 
 
@@ -173,6 +174,10 @@
     )
 
 
+def _read_hedge_request(reader: Any) -> HedgeRequest:
+    return HedgeRequest(int(reader.callId))
+
+
 def _read_config_request(reader: Any) -> ConfigRequest:
     return ConfigRequest(int(reader.afterVersion))
 
@@ -205,6 +210,7 @@
     "call": _read_call_frame,
     "reply": _read_reply_frame,
     "cancel": _read_cancel,
+    "hedgeRequest": _read_hedge_request,
     "status": _read_status,
     "configRequest": _read_config_request,
     "configDocument": _read_config_document,
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -11,6 +11,7 @@
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQueryFrame
 from kumquatwalk.mesh.message import Reply
@@ -87,7 +88,7 @@
     builder.tokens = min(message.tokens, _U16_MAX)
     builder.isProtected = message.is_protected
     builder.crashMarks = message.crash_marks
-    builder.isMovable = message.is_movable
+    builder.isHedgeable = message.is_hedgeable
 
 
 @write_frame.register
@@ -131,6 +132,11 @@
     frame.init("cancel").callId = message.call_id
 
 
+@write_frame.register
+def _(message: HedgeRequest, frame: Any) -> None:
+    frame.init("hedgeRequest").callId = message.call_id
+
+
 @write_frame.register
 def _(message: TargetStatus, frame: Any) -> None:
     builder = frame.init("status")
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -20,6 +20,7 @@
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import OwnerQuery
@@ -53,6 +54,7 @@
     link: LinkProtocol
     peer: Hello | None = None
     tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+    hedgeable: dict[int, Call] = dataclasses.field(default_factory=dict)
     # Keys of calls that are not idempotent, by the calls' identifiers.
     keys: dict[int, int] = dataclasses.field(default_factory=dict)
 
@@ -186,6 +188,18 @@
             ):
                 link.send_payload(payload)
 
+    def hedge(self, call: Call) -> None:
+        """Ask the sender of a call to have it run elsewhere too.
+
+        Args:
+            call: Call in progress; one that is not a peer's is ignored.
+        """
+        for link, session in self._sessions.items():
+            for call_id, other in session.hedgeable.items():
+                if other is call:
+                    link.send(HedgeRequest(call_id))
+                    return
+
     def _must_linger(self, elapsed_s: float, linger_max_s: float) -> bool:
         """Return whether peers may still take what they are owed."""
         if elapsed_s >= linger_max_s or not self._sessions:
@@ -220,6 +234,8 @@
                 self._on_hello(message)
             case CallFrame():
                 self._remember_key(session, message)
+                if message.call.is_hedgeable:
+                    session.hedgeable[message.call_id] = message.call
                 pending_reply = self._serve_call(
                     message.call, message.is_resent
                 )
@@ -276,6 +292,7 @@
             reply = Reply(Outcome.UNKNOWN, codes.OUTCOME_UNKNOWN)
         finally:
             session.tasks.pop(call_id, None)
+            session.hedgeable.pop(call_id, None)
         self._reply(session, call_id, reply)
 
     def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -34,7 +34,9 @@
   tokens @17 :UInt16;
   isProtected @18 :Bool;
   crashMarks @19 :Data;
+  # Used by earlier releases only.
   isMovable @20 :Bool;
+  isHedgeable @21 :Bool;
 }
 
 struct OwnerQuery {
@@ -68,6 +70,10 @@
   callId @0 :UInt32;
 }
 
+struct HedgeRequest {
+  callId @0 :UInt32;
+}
+
 struct RouteTime {
   route @0 :Text;
   runMs @1 :UInt32;
@@ -132,5 +138,6 @@
     trafficReport @7 :TrafficReport;
     ownerQuery @8 :OwnerQuery;
     crashNotice @9 :CrashNotice;
+    hedgeRequest @10 :HedgeRequest;
   }
 }
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -20,6 +20,7 @@
     "ConfigDocument",
     "ConfigRequest",
     "CrashNotice",
+    "HedgeRequest",
     "Hello",
     "Message",
     "OwnerQuery",
@@ -92,8 +93,8 @@
             most once.
         crash_marks: Marks of the targets that crashed while running the call,
             concatenated.
-        is_movable: Whether the sender can have it run at another target when
-            this run has no answer.
+        is_hedgeable: Whether the sender can have it run at another target too,
+            and takes ``HedgeRequest``.
     """
 
     key: int
@@ -114,7 +115,7 @@
     tokens: int = 0
     is_protected: bool = False
     crash_marks: bytes = b""
-    is_movable: bool = False
+    is_hedgeable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +240,20 @@
     call_id: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeRequest:
+    """Asks the sender of a call to have it run at another target too.
+
+    The run goes on; the first answer counts. Sent only for a call that is
+    hedgeable.
+
+    Attributes:
+        call_id: Identifier of the call.
+    """
+
+    call_id: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetStatus:
     """State of the sender's target, sent periodically and on change.
@@ -319,6 +334,7 @@
     | OwnerQueryFrame
     | ReplyFrame
     | Cancel
+    | HedgeRequest
     | TargetStatus
     | ConfigRequest
     | ConfigDocument
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -14,6 +14,7 @@
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.clock_offset import ClockOffset
+from kumquatwalk.mesh.late_calls import LateCalls
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
@@ -21,6 +22,7 @@
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Message
 from kumquatwalk.mesh.message import OwnerQuery
@@ -110,6 +112,8 @@
         self._budget = budget
         self._is_memory_short = is_memory_short
         self._link: LinkProtocol | None = None
+        # Calls on the connection that the peer has asked to hedge.
+        self._late: LateCalls | None = None
         self._clock_offset = ClockOffset()
         self._own_zone = ""
         self._pending: dict[int, _PendingRequest] = {}
@@ -135,8 +139,10 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request waits for a reply."""
-        return not self._pending and not any(
-            silent.is_needed for silent in self._silent_links
+        return not (
+            self._pending
+            or self._late
+            or any(silent.is_needed for silent in self._silent_links)
         )
 
     @property
@@ -181,6 +187,8 @@
             self._task.cancel()
         if self._link is not None:
             self._link.abort()
+        if self._late is not None:
+            self._late.fail_all()
         self._close_silent_links()
         self._fail_pending(lambda _: True)
         self.view.is_reachable = False
@@ -224,8 +232,9 @@
         """Return the reply that may still come to a call that has failed.
 
         Its connection has gone silent, and the peer may only not have been
-        scheduled. Cancelling the future cancels the call at the peer. Its
-        result has code ``LINK_FAILED`` once the reply cannot come any more.
+        scheduled; or the peer has asked to hedge the call. Cancelling the
+        future cancels the call at the peer. Its result has code ``LINK_FAILED``
+        once the reply cannot come any more.
 
         Args:
             call: Call to which ``call`` has returned an unknown outcome.
@@ -233,11 +242,11 @@
         Returns:
             The future reply; None if none can come.
         """
-        for silent in self._silent_links:
-            late = silent.find(call)
-            if late is not None:
-                return late
-        return None
+        late_calls = [silent.late for silent in self._silent_links]
+        if self._late is not None:
+            late_calls.append(self._late)
+        found = (late.find(call) for late in late_calls if late)
+        return next((late for late in found if late is not None), None)
 
     async def call(self, call: Call) -> Reply:
         """Send a call and wait for its reply.
@@ -366,7 +375,7 @@
                     self.address.port,
                 )
             link.attach_partition(self._partition, self.address.host)
-            self._link = link
+            self._link, self._late = link, LateCalls(link)
             hello = self._make_hello(self.view.node_id)
             self._own_zone = hello.availability_zone
             link.send(hello)
@@ -386,21 +395,23 @@
         self._handshake_done.clear()
         self.view.is_reachable = False
         link, self._link = self._link, None
+        late, self._late = self._late, None
         is_silent, self._is_silent = self._is_silent, False
         if link is not None and is_silent:
-            self._set_aside(link)
+            self._set_aside(link, late)
         elif link is not None:
+            late.fail_all()
             link.abort()
         self._fail_pending(lambda p: p.fails_on_disconnect)
 
-    def _set_aside(self, link: LinkProtocol) -> None:
+    def _set_aside(self, link: LinkProtocol, late: LateCalls) -> None:
         """Keep a silent connection for replies that may still come on it."""
-        silent = SilentLink(link, read_now())
+        silent = SilentLink(link, late, read_now())
         for call_id, pending in self._pending.items():
             if pending.reply.done() or not isinstance(pending.request, Call):
                 continue
             if pending.fails_on_disconnect:
-                silent.add(call_id, pending.request)
+                late.add(call_id, pending.request)
             else:
                 silent.add_resent(call_id, pending.reply)
         if silent.is_needed:
@@ -449,25 +460,12 @@
         if silent or (link is not self._link and self._link is not None):
             return
         match message:
-            case Hello() if self._handshake_done.is_set():
-                # The peer repeats it when its target announces a service.
-                self.view.service = message.service
-            case Hello() if message.node_id != self.view.node_id:
-                # The address now belongs to another node.
-                log_event(
-                    "peer_replaced",
-                    peer=self.view.node_id,
-                    found=message.node_id,
-                )
-                link.abort()
             case Hello():
-                # Traffic between availability zones is expensive; traffic
-                # within one is not, so it is left uncompressed.
-                if message.availability_zone != self._own_zone:
-                    link.enable_compression()
-                self._complete_handshake(message)
+                self._handle_hello(link, message)
             case ReplyFrame():
                 self._handle_reply(message)
+            case HedgeRequest():
+                self._hedge(message.call_id)
             case TargetStatus():
                 self._handle_status(message, read_now())
             case ConfigDocument():
@@ -480,6 +478,23 @@
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
 
+    def _handle_hello(self, link: LinkProtocol, hello: Hello) -> None:
+        if self._handshake_done.is_set():
+            # The peer repeats it when its target announces a service.
+            self.view.service = hello.service
+        elif hello.node_id != self.view.node_id:
+            # The address now belongs to another node.
+            log_event(
+                "peer_replaced", peer=self.view.node_id, found=hello.node_id
+            )
+            link.abort()
+        else:
+            # Traffic between availability zones is expensive; traffic within
+            # one is not, so it is left uncompressed.
+            if hello.availability_zone != self._own_zone:
+                link.enable_compression()
+            self._complete_handshake(hello)
+
     def _handle_status(self, status: TargetStatus, now: float) -> None:
         sent_at = None
         if status.clock_s:
@@ -508,7 +523,18 @@
             if not pending.reply.done():
                 self._send_request(call_id, pending.request, is_resent=True)
 
+    def _hedge(self, call_id: int) -> None:
+        """Return an unknown outcome to a call, whose reply may come late."""
+        pending = self._pending.get(call_id)
+        if pending is None or pending.reply.done():
+            return
+        self._late.add(call_id, pending.request)
+        pending.reply.set_result(Reply(Outcome.UNKNOWN, codes.NODE_STOPPING))
+
     def _handle_reply(self, frame: ReplyFrame) -> None:
+        if self._late and frame.call_id in self._late:
+            self._late.resolve(frame.call_id, frame.reply)
+            return
         pending = self._pending.get(frame.call_id)
         if pending is None or pending.reply.done():
             return  # the caller was cancelled, or this is a duplicate reply
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -21,6 +21,7 @@
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQuery
 from kumquatwalk.mesh.message import OwnerQueryFrame
@@ -82,6 +83,7 @@
     ),
     CrashNotice(b"C12345678"),
     Cancel(3),
+    HedgeRequest(3),
     TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
     TargetStatus(is_stopping=True, stop_left_s=3.5, clock_s=7.25),
     Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from kumquatwalk import codes
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.mesh.callbacks import PeerCallbacks
@@ -11,6 +12,7 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import HedgeRequest
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
@@ -150,6 +152,49 @@
         await self._wait_for(lambda: not self.ends[0].is_open)
         self.assertTrue(self.link.is_idle)
 
+    async def _hedge(self) -> asyncio.Future:
+        """Begin a call that the peer asks to hedge; return its late reply."""
+        call = make_call()
+        calling = asyncio.create_task(self.link.call(call))
+        await self._wait_for(lambda: self.frames)
+        self.ends[0].send(HedgeRequest(self.frames[0].call_id))
+        reply = await calling
+        self.assertEqual(
+            (reply.outcome, reply.code), (Outcome.UNKNOWN, codes.NODE_STOPPING)
+        )
+        return self.link.find_late_reply(call)
+
+    # Guards against LOST: the run of a call that was sent elsewhere too was
+    # ended, or its reply was not used.
+    async def test_reply_to_a_hedged_call_still_comes(self):
+        late = await self._hedge()
+        self.assertFalse(self.link.is_idle)
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+        self.assertTrue(self.link.is_idle)
+        self.assertEqual(self.cancelled, [])
+
+    async def test_reply_to_a_hedged_call_comes_on_a_silent_connection(self):
+        late = await self._hedge()
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+
+    async def test_hedged_call_that_is_not_wanted_is_cancelled(self):
+        late = await self._hedge()
+        late.cancel()
+        await self._wait_for(lambda: self.cancelled)
+        self.assertEqual(self.cancelled, [self.frames[0].call_id])
+
+    async def test_hedged_call_is_unknown_once_its_connection_is_lost(self):
+        late = await self._hedge()
+        self.ends[0].abort()
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual((await late).code, codes.LINK_FAILED)
+
     async def test_call_is_given_up_when_only_the_new_connection_speaks(self):
         late = await self._fail_by_silence()
         await self._wait_for(lambda: self.link.is_usable)
