A daemon that is to stop while it is created is not started

Cause: SIGTERM came while the process was created (0.61 s before it was handled). The process then opened its listeners, served, and counted the stop from the start of its creation, 1.68 s before, as a pause in which the signal may have come. What it took meanwhile was broken off early.

Change: signals are handled once more before the listeners open; nothing is owed then, so the process ends. A signal that is handled later has come after that.

Test: cli.test_stop_in_start; before: ['start', 'drain', 'close'] != [].

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -13,7 +13,7 @@
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
 
-__all__ = ["run_daemon"]
+__all__ = ["run_daemon", "serve_until_stopped"]
 
 # Thresholds of the garbage collector, by generation. They are high because a
 # request creates hardly any reference cycles, while a collection pauses all
@@ -48,16 +48,33 @@
 async def _run(
     make_daemon: Callable[[], Daemon], on_start: Callable[[Daemon], None]
 ) -> None:
-    stop = StopRequest()
-    if not stop.is_made:
-        daemon = make_daemon()
-        await daemon.start()
-        on_start(daemon)
-        await stop.wait()
-        await daemon.drain(stop.came_at)
-        await daemon.close()
+    await serve_until_stopped(make_daemon, on_start)
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
     # period of the process. Nothing but standard output is left to flush.
     sys.stdout.flush()
     os._exit(ExitCode.OK)
+
+
+async def serve_until_stopped(
+    make_daemon: Callable[[], Daemon], on_start: Callable[[Daemon], None]
+) -> None:
+    """Serve until a signal asks to stop, then drain and close the daemon.
+
+    A daemon that is asked to stop while it is created is not started.
+
+    Args:
+        make_daemon: Creates the daemon, which may take long.
+        on_start: Called with the daemon once it serves requests.
+    """
+    stop = StopRequest()
+    if stop.is_made:
+        return
+    daemon = make_daemon()
+    if await stop.has_come_so_far():
+        return
+    await daemon.start()
+    on_start(daemon)
+    await stop.wait()
+    await daemon.drain(stop.came_at)
+    await daemon.close()
--- a/kumquatwalk/cli/stop_request.py
+++ b/kumquatwalk/cli/stop_request.py
@@ -6,6 +6,7 @@
 from kumquatwalk.cli.held_signals import has_come
 from kumquatwalk.cli.pause_log import PauseLog
 from kumquatwalk.clock import read_now
+from kumquatwalk.event_loop import handle_pending_events
 
 __all__ = ["StopRequest"]
 
@@ -43,6 +44,15 @@
         """Whether a signal has come."""
         return self._event.is_set()
 
+    async def has_come_so_far(self) -> bool:
+        """Return whether a signal has come, handled or not.
+
+        If none has, one that is handled later has come after this.
+        """
+        await handle_pending_events()
+        self._pauses = PauseLog(read_now())
+        return self.is_made
+
     async def wait(self) -> None:
         """Wait until a signal has come."""
         await self._event.wait()
