http1: what ends a slow client ends no request that runs

Cause: both ends abort the connection with all that runs behind the untaken answer, and everything pipelined was passed on whatever stood before it. New reads were not the cause: reading pauses while the transport's buffer is not empty, so only requests sent together, behind a made answer, or behind answers that the kernel holds are concerned.

Now neither end touches a connection on which a handler runs. Requests wait behind an answer that stays untaken for 1 s or fills the transport's buffer, and behind answers of over 64 KiB each, expected or made, for which the client needs over 1 s (over 256 KiB together while it is not measured). Small answers, those of unknown size and a measured quick client keep nothing waiting. All is decided by events (buffer empty, answer made) but the untaken one, which the check of each second clears.

Not bounded: what ran together with a slow answer that was expected to be small is ended once its answer is made, untaken, as memory needs an end.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -18,6 +18,7 @@
 from kumquatwalk.http1.sockets import count_unread_bytes
 from kumquatwalk.http1.sockets import end_stream
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
+from kumquatwalk.http1.throughput import BUFFERS_BYTES_MAX
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
@@ -37,6 +38,10 @@
 # the timeout does not race with the close.
 IDLE_MARGIN_S = 1.0
 
+# Time in which a client takes what is before a request that is passed on, and
+# for which it may take nothing of an answer, in seconds.
+TAKING_S_MAX = 1.0
+
 # Interim answer to a request with ``Expect: 100-continue``.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -114,11 +119,15 @@
     def count_slowly_taken(self, now: float) -> int:
         """Return the bytes held for a client that reads slowly; else 0.
 
+        Also 0 while a request on the connection runs, since its end would be
+        that of the connection.
+
         Args:
             now: Current time, in seconds.
         """
         self._writer.update(now)
-        return self._writer.slowly_taken_bytes
+        size = self._writer.slowly_taken_bytes
+        return 0 if size and self._exchanges.has_run else size
 
     def is_settled(self, now: float) -> bool:
         """Return whether the connection can be aborted without a loss.
@@ -156,22 +165,26 @@
         A request head that does not arrive in time is answered with 408, and so
         is a body of which nothing has come for the idle timeout: it would hold
         memory that other requests need. If a client takes nothing for the idle
-        timeout while an answer waits, the connection is aborted. Once the
+        timeout while an answer waits, the connection is aborted once no request
+        runs on it. Once the
         server accepts no requests, an idle connection is closed at once. A
         half-closed one is closed ``LINGER_S`` after its last answer was taken.
 
-        Also passes on or refuses the requests that a stop holds back.
+        Also passes on or refuses the requests that are held back.
 
         Args:
             now: Current time, in seconds.
         """
         limits = self._server.limits
         self._writer.update(now)
-        if self._server.is_stopping:
-            self._pass_on_deferred(now)
+        self._pass_on_deferred(now)
         unused_s = now - max(self.idle_since, self._writer.progress_at)
         if self._writer.untaken:
-            if now - self._writer.progress_at > limits.idle_timeout_s:
+            untaken_s = now - self._writer.progress_at
+            if (
+                untaken_s > limits.idle_timeout_s
+                and not self._exchanges.has_run
+            ):
                 self.abort(End.TIMEOUT)
                 return
         elif self._is_closing:
@@ -259,8 +272,7 @@
         """Write the responses that are ready, and resume reading."""
         self._writer.resume()
         self._send_ready_responses()
-        if self._server.is_stopping:
-            self._pass_on_deferred(read_now())
+        self._pass_on_deferred(read_now())
 
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
@@ -281,6 +293,8 @@
             exchange.is_deferred = (
                 not can_take and self._exchanges.is_waiting_before(exchange)
             )
+        elif can_take:
+            exchange.is_deferred = self._is_behind(exchange, read_now())
         if exchange.is_deferred:
             request.progress.deferred_at = read_now()
         if not can_take and not exchange.is_deferred:
@@ -312,6 +326,12 @@
         What stands behind a request that is refused stays unanswered.
         """
         while (exchange := self._exchanges.first_deferred) is not None:
+            if not self._server.is_stopping:
+                if self._is_behind(exchange, now):
+                    return
+                self._pass_on(exchange)
+                self._send_ready_responses()
+                continue
             if self._can_take(exchange, now):
                 self._pass_on(exchange)
                 if exchange.response is not None:
@@ -347,8 +367,7 @@
         if response.closes_connection:
             self._end_requests()
         self._send_ready_responses()
-        if self._server.is_stopping:
-            self._pass_on_deferred(read_now())
+        self._pass_on_deferred(read_now())
 
     def _send_ready_responses(self) -> None:
         while self._writer.can_write and not self._is_closing:
@@ -405,6 +424,33 @@
         """Whether the next request to be completed has begun after the stop."""
         return not self._server.is_accepting and not self._expects_rest
 
+    def _is_behind(self, exchange: Exchange, now: float) -> bool:
+        """Return whether a request must wait for the answers before it.
+
+        The client may never take them, and what ends the connection then would
+        end the request. What its buffers hold at once, and small answers, keep
+        nothing waiting.
+        """
+        if not self._writer.untaken and not self._exchanges:
+            return False
+        first = self._exchanges.first_deferred
+        if first is not None and first is not exchange:
+            return True
+        if not self._writer.can_write:
+            return True
+        if now - self._writer.progress_at > TAKING_S_MAX:
+            self._writer.update(now)
+            untaken_s = now - self._writer.progress_at
+            if self._writer.untaken and untaken_s > TAKING_S_MAX:
+                return True
+        size = self._exchanges.count_large_bytes(
+            exchange, BACKLOG_BYTES_MAX, self._estimate_answer
+        )
+        taking_s = self._writer.estimate_taking_s(size)
+        if taking_s is None:
+            return size > BUFFERS_BYTES_MAX
+        return taking_s > TAKING_S_MAX
+
     def _can_take(self, exchange: Exchange, now: float) -> bool:
         """Return whether the client can take an answer before the stop ends.
 
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 from collections.abc import Callable
 
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -30,6 +31,7 @@
         response: Its answer; None until it is made.
         task: Task of the handler; None if the server answers by itself.
         is_deferred: Whether it waits for the answers before it to be handled.
+        expected_bytes: Size expected of the answer; None if not estimated yet.
         is_over: Whether the exchange has ended, so that an answer is not sent.
     """
 
@@ -37,6 +39,7 @@
     response: HttpResponse | None = None
     task: asyncio.Task | None = None
     is_deferred: bool = False
+    expected_bytes: float | None = None
     is_over: bool = False
 
 
@@ -83,6 +86,13 @@
                 return True
         return False
 
+    @property
+    def has_run(self) -> bool:
+        """Whether a request has been passed to its handler and is not over."""
+        return any(
+            e.task is not None and e.response is None for e in self._exchanges
+        )
+
     @property
     def first_deferred(self) -> Exchange | None:
         """First deferred exchange, or None; no handler has one behind it."""
@@ -108,6 +118,35 @@
                 size += len(response.body)
         return size
 
+    def count_large_bytes(
+        self,
+        end: Exchange,
+        size_min: int,
+        estimate: Callable[[HttpRequest], float],
+    ) -> float:
+        """Return the bytes of the large answers that are sent before another.
+
+        Args:
+            end: Exchange of the other answer; counts all if it is not added.
+            size_min: Size from which an answer is large, in bytes.
+            estimate: Returns the bytes expected of an answer not made yet;
+                infinite if not known, which counts as small. Asked once for
+                each request.
+        """
+        total = 0
+        for exchange in self._exchanges:
+            if exchange is end:
+                break
+            if exchange.response is not None:
+                size = len(exchange.response.body)
+            else:
+                if exchange.expected_bytes is None:
+                    exchange.expected_bytes = estimate(exchange.request)
+                size = exchange.expected_bytes
+            if size_min < size < math.inf:
+                total += size
+        return total
+
     def add(self, exchange: Exchange) -> None:
         """Add an exchange; the bytes of its request's body are reserved."""
         self._exchanges.append(exchange)
--- a/kumquatwalk/http1/throughput.py
+++ b/kumquatwalk/http1/throughput.py
@@ -1,6 +1,6 @@
 """Rate at which a client takes bytes that wait for it."""
 
-__all__ = ["BACKLOG_BYTES_MAX", "Throughput"]
+__all__ = ["BACKLOG_BYTES_MAX", "BUFFERS_BYTES_MAX", "Throughput"]
 
 # Bytes not taken up to which a client is not behind: the buffers of both ends
 # hold as many.
