http1: judge no limit of a connection by bytes that wait unread

Cause: the limits for heads, bodies and idle time looked at what the process had read; on uvloop timers run before the sockets are polled. A client that takes nothing was judged by acknowledged bytes alone, though it may have taken all that the kernel held while this process did not write the rest.

Now each check follows handle_pending_events, no limit is judged on a connection with unread bytes (SIOCINQ), and bytes that the kernel takes from the transport's buffer count as progress.

Before (test_own_pause), 5 failed of 7, with the check's part taken out alone for the last: "[(408, True, b'header_timeout\n')] != [(200, True, b'/a')]", "[(408, True, b'body_timeout\n')] != [(200, True, b'/a')]", "[] != [(200, True, b'/b')]", "AssertionError: 0 != 61.0", "[b'x', 'judged'] != [b'x', b'y']". After: all passed.

--- a/kumquatwalk/http1/answer_writer.py
+++ b/kumquatwalk/http1/answer_writer.py
@@ -57,6 +57,8 @@
         self._held_bytes = 0
         self._written_bytes = 0
         self._taken_bytes = 0
+        # Bytes that the kernel had taken at the last update.
+        self._sent_bytes = 0
         self._rate = ReadingRate()
         self._throughput = Throughput()
         # For each untaken answer the number of bytes written up to its end, and
@@ -130,6 +132,7 @@
         self._untaken.append((self._written_bytes, request))
         self._held_bytes += len(response.body)
         self._transport.write(data)
+        self._sent_bytes = self._count_sent()
         if not self._transport.get_write_buffer_size():
             self.release()
         if is_behind:
@@ -173,11 +176,19 @@
             return
         # The end of the stream may count as one byte that is not taken.
         taken_bytes = self._written_bytes - count_untaken_bytes(self._transport)
-        if taken_bytes > self._taken_bytes:
-            self._taken_bytes = taken_bytes
+        sent_bytes = self._count_sent()
+        # What the kernel takes after a write takes the place of what the client
+        # has taken, maybe long ago if this process did not run.
+        if taken_bytes > self._taken_bytes or sent_bytes > self._sent_bytes:
             self.progress_at = now
+        self._taken_bytes = max(self._taken_bytes, taken_bytes)
+        self._sent_bytes = sent_bytes
         self._rate.update(self._taken_bytes, now)
         untaken_bytes = self._written_bytes - self._taken_bytes
         self._throughput.update(self._taken_bytes, untaken_bytes, now)
         while self._untaken and self._untaken[0][0] <= taken_bytes:
             self._untaken.popleft()
+
+    def _count_sent(self) -> int:
+        """Return the bytes of all answers that have left the transport."""
+        return self._written_bytes - self._transport.get_write_buffer_size()
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -170,6 +170,8 @@
         server accepts no requests, an idle connection is closed at once. A
         half-closed one is closed ``LINGER_S`` after its last answer was taken.
 
+        No limit of the client's counts while bytes of it wait to be read.
+
         Also passes on or refuses the requests that are held back.
 
         Args:
@@ -192,15 +194,17 @@
         if self._exchanges or self._is_closing:
             return
         if self._parser.is_in_head:
-            if now - self._parser.started_at > limits.header_timeout_s:
+            head_s = now - self._parser.started_at
+            if head_s > limits.header_timeout_s and not self._has_unread_bytes:
                 self._end_with(make_error_response("header_timeout"))
         elif self._is_in_request:
-            if now - self._last_data_at > limits.idle_timeout_s:
+            pause_s = now - self._last_data_at
+            if pause_s > limits.idle_timeout_s and not self._has_unread_bytes:
                 self._end_with(make_error_response("body_timeout"))
         elif self._writer.untaken:
             return
         elif unused_s > limits.idle_timeout_s + IDLE_MARGIN_S:
-            self._close_gracefully()
+            self._close_if_idle(now)
         elif not self._server.is_accepting:
             self._close_if_idle(now)
 
@@ -485,6 +489,11 @@
             return self._server.estimate_answer(request)
         return largest_bytes
 
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Whether bytes have come that this process has yet to read."""
+        return count_unread_bytes(self._transport) > 0
+
     def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
         if self._is_in_request:
@@ -520,8 +529,8 @@
         self._send_ready_responses()
 
     def _close_if_idle(self, now: float) -> None:
-        # A request that waits unread is refused once it is read.
-        if self.is_idle(now) and not count_unread_bytes(self._transport):
+        # A request that waits unread is handled or refused once it is read.
+        if self.is_idle(now) and not self._has_unread_bytes:
             self._close_gracefully()
 
     def _close_gracefully(self) -> None:
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -13,6 +13,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.fleet_config import CallerLimits
+from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
@@ -269,6 +270,7 @@
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(self._choose_check_interval())
+            await handle_pending_events()
             now = read_now()
             for connection in tuple(self.connections):
                 connection.check_timeouts(now)
