Calls to the store time out only once the loop has read what has come

Callers saw: a request with a key refused as not run, its claim left in the store, and the store taken for lost, where the own process had not been scheduled across the time limit of the call (1.5 s) though the answer waited in the kernel.

Cause: `StoreClient._call` used `asyncio.timeout`, whose timer runs before the event loop reads.

The answer tells the store's truth when it was made, and a claim once written stays the claim of this record. What may be too old is judged from the sending: `is_claim_late` compares the time before the call with 5 s and with the deadline, a lease that has expired meanwhile is refused by the store at its next use, and an answer of an era that is over is rejected in the order of reading, as before.

Ruled out: a longer time limit (only moves the pause that breaks it).

--- a/kumquatwalk/platform/store.py
+++ b/kumquatwalk/platform/store.py
@@ -1,6 +1,5 @@
 """Asynchronous client of the platform's key-value store."""
 
-import asyncio
 import base64
 import json
 import urllib.parse
@@ -9,6 +8,7 @@
 from typing import Any
 
 from kumquatwalk.address import Address
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import CompareFailedError
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.exception import HistoryLostError
@@ -49,10 +49,14 @@
     Positions and leases of an era that is over are never sent: their numbers
     may have been given out again for something else.
 
+    An answer tells the state of the store when it was made. It may be read much
+    later, if the process was not scheduled: where its age matters, count from
+    the time at which the call was made.
+
     Args:
         address: Address of the store.
         timeout_s: Time limit of each call, connecting included, in seconds; a
-            watch may take its wait in addition.
+            watch may take its wait in addition. See ``limit_time``.
         source_host: IP address to connect from; empty leaves the choice to
             the system.
         era: Era of the store, shared with other clients; None for one of its
@@ -334,7 +338,7 @@
             method.encode(), path.encode(), tuple(headers), body
         )
         try:
-            async with asyncio.timeout(self._timeout_s + wait_s):
+            async with limit_time(self._timeout_s + wait_s):
                 connection = await self._acquire_connection()
                 response = await connection.exchange(data)
         except TimeoutError as error:
--- a/kumquatwalk/platform/tests/test_store.py
+++ b/kumquatwalk/platform/tests/test_store.py
@@ -23,6 +23,7 @@
 # Time limit of a call, in seconds.
 TIMEOUT_S = 0.3
 HANG_S = 20.0
+ABSENT_ANSWER = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
@@ -98,6 +99,7 @@
     listener: socket.socket,
     has_request: threading.Event,
     must_answer: threading.Event,
+    answer: bytes = ABSENT_ANSWER,
 ) -> None:
     """Answer one call, whatever it asks, when told to."""
     connection, _ = listener.accept()
@@ -105,9 +107,7 @@
         connection.recv(65536)
         has_request.set()
         must_answer.wait(HANG_S)
-        connection.sendall(
-            b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-        )
+        connection.sendall(answer)
         connection.recv(1)
 
 
