A run ends with a caller that leaves as it is hedged

Guards against GONE: where the caller left in the turn of the event loop in which its own node hedged the run, the run went on for nobody until its deadline. Test: daemon.test_own_calls (False is not true before).

--- a/kumquatwalk/daemon/own_calls.py
+++ b/kumquatwalk/daemon/own_calls.py
@@ -39,8 +39,8 @@
         try:
             return await reply
         except asyncio.CancelledError:
-            if not reply.done() or reply.cancelled():
-                task.cancel()
+            # Also if it has just been hedged: nobody waits for its late reply.
+            task.cancel()
             raise
         finally:
             del self._waiting[id(call)]
