A call whose caller leaves as it is hedged is forgotten

Its entry in LateCalls stayed until the connection was lost: the link never counted as idle again and kept the body. Test: mesh.test_link_silence (is_idle False before).

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -311,7 +311,11 @@
         try:
             return await future
         except asyncio.CancelledError:
-            if call_id in self._pending and self._link is not None:
+            late = self.find_late_reply(request)
+            if late is not None:
+                # Nobody waits for it, as its sender does not know of it yet.
+                late.cancel()
+            elif call_id in self._pending and self._link is not None:
                 self._link.send(Cancel(call_id))
             raise
         finally:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -80,7 +80,10 @@
         view = TargetView(
             "gate-1", "z1", "web", TargetStatus(TargetState.READY)
         )
-        ignore = PeerCallbacks(*(lambda *_: None for _ in range(4)))
+        self.on_status = lambda: None
+        ignore = PeerCallbacks(
+            lambda *_: self.on_status(), *(lambda *_: None for _ in range(3))
+        )
         self.link = PeerLink(
             Address("127.0.0.1", port), view, make_hello, ignore, Partition()
         )
@@ -195,6 +198,17 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual((await late).code, codes.LINK_FAILED)
 
+    # Guards against a link that never counts as idle again, and keeps the body
+    # of a call: its caller left in the turn in which the peer asked to hedge.
+    async def test_call_whose_caller_leaves_as_it_is_hedged_is_forgotten(self):
+        call = await self._begin_call()
+        self.on_status = call.cancel
+        self.ends[0].send(HedgeRequest(self.frames[0].call_id))
+        self.ends[0].send(TargetStatus(TargetState.READY))
+        await self._wait_for(call.done)
+        await self._wait_for(lambda: self.cancelled)
+        self.assertTrue(self.link.is_idle)
+
     async def test_call_is_given_up_when_only_the_new_connection_speaks(self):
         late = await self._fail_by_silence()
         await self._wait_for(lambda: self.link.is_usable)
