A call that is cancelled before it begins is forgotten

Call and Cancel read at once: the reply task is cancelled before its first step, so its finally clause never removed the call, with its body, from session.hedgeable. Test: mesh.test_link_server (the call was kept before).

--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -244,6 +244,8 @@
                 pending_reply = self._serve_query(message.query)
                 self._start_reply_task(session, message.call_id, pending_reply)
             case Cancel():
+                # A task that has not begun does not do it.
+                session.hedgeable.pop(message.call_id, None)
                 task = session.tasks.pop(message.call_id, None)
                 if task is not None:
                     task.cancel()
--- a/kumquatwalk/mesh/tests/test_link_server.py
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -1,6 +1,8 @@
 """Tests of the server end of links."""
 
 import asyncio
+import dataclasses
+import gc
 import socket
 import struct
 import unittest
@@ -14,6 +16,7 @@
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
+from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQuery
 from kumquatwalk.mesh.message import OwnerQueryFrame
@@ -130,6 +133,23 @@
         self.assertIs(replies[1].outcome, Outcome.UNKNOWN)
         self.assertIs(replies[2].outcome, Outcome.UNKNOWN)
 
+    # Guards against memory that grows with each call that its peer cancels
+    # before it has begun: both messages are read at once.
+    async def test_call_that_is_cancelled_at_once_is_forgotten(self):
+        call = make_call(b"/forgotten")
+        call = dataclasses.replace(call, is_hedgeable=True)
+        frames = [CallFrame(1, False, call, 0.0), Cancel(1)]
+        data = b"".join(bytes(make_frame(encode(f))) for f in frames)
+        await self.loop.sock_sendall(self.sock, data)
+        await self._send(CallFrame(2, False, make_call(b"/next"), 0.0))
+        async with asyncio.timeout(TIMEOUT_S):
+            while b"/next" not in self.served:
+                await asyncio.sleep(0.01)
+        del call, frames
+        gc.collect()
+        kept = [c for c in gc.get_objects() if isinstance(c, Call)]
+        self.assertEqual([c for c in kept if c.url == b"/forgotten"], [])
+
     async def test_link_that_was_reset_does_not_end_the_close(self):
         # Guards against LOST: the close failed at a link that its peer had
         # reset, and the process ended before others had their replies.
