A reply that comes as its attempt is hedged is used

Guards against LOST: with a late reply expected, an attempt runs in a task of its own, and its late reply was looked for two turns after its end; one that had come in the turn of the hedge (or as its link went silent) was forgotten by then, and the request waited for the first attempt only. Test: daemon.test_caller_side (the request was not answered before).

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -474,15 +474,22 @@
         request.is_in_flight = True
         if request.late_replies:
             reply = await take_first_result(
-                self._exchange(view, call), request.late_replies
+                self._make_attempt(view, request, call), request.late_replies
             )
         else:
-            reply = await self._exchange(view, call)
+            reply = await self._make_attempt(view, request, call)
+        request.is_in_flight = False
+        return reply
+
+    async def _make_attempt(
+        self, view: TargetView, request: PendingRequest, call: Call
+    ) -> Reply:
+        reply = await self._exchange(view, call)
         if reply.outcome is Outcome.UNKNOWN:
+            # At once: a late reply that has come is forgotten a turn later.
             late = self._find_late_reply(view, call)
             if late is not None:
                 request.late_replies.append(late)
-        request.is_in_flight = False
         return reply
 
     async def _exchange(self, view: TargetView, call: Call) -> Reply:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections.abc import Set
+from unittest import mock
 
 from kumquatwalk import codes
 from kumquatwalk.admission.memory import MemoryAdmission
@@ -21,6 +22,7 @@
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.mesh.late_calls import LateCalls
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import TargetStatus
@@ -49,6 +51,7 @@
         calls: Node identifier and call of each attempt.
         late: Reply that still comes to one call; None if none does.
         late_index: Index of that call.
+        late_calls: Other calls whose replies still come; None if none do.
         on_call: Called with each attempt.
     """
 
@@ -60,6 +63,7 @@
     ):
         self.late = late
         self.late_index = 0
+        self.late_calls: LateCalls | None = None
         self.calls: list[tuple[str, Call]] = []
         self.on_call = lambda: None
         self.count = 5
@@ -110,20 +114,35 @@
     """Link to one of the scripted peers."""
 
     def __init__(self, peers: ScriptedPeers, node_id: str):
-        self._peers = peers
-        self._node_id = node_id
+        self.peers = peers
+        self.node_id = node_id
 
     async def call(self, call: Call) -> Reply:
         """Return the next reply; wait for ever if it is None."""
-        reply = self._peers.reply(self._node_id, call)
+        reply = self.peers.reply(self.node_id, call)
         if reply is None:
             await asyncio.get_running_loop().create_future()
         return reply
 
     def find_late_reply(self, call: Call) -> asyncio.Future | None:
         """Return the reply that still comes to a call, if any."""
-        index = [sent is call for _, sent in self._peers.calls].index(True)
-        return self._peers.late if index == self._peers.late_index else None
+        index = [sent is call for _, sent in self.peers.calls].index(True)
+        if index == self.peers.late_index:
+            return self.peers.late
+        late_calls = self.peers.late_calls
+        return None if late_calls is None else late_calls.find(call)
+
+
+async def _call_and_hedge_second(link: ScriptedLink, call: Call) -> Reply:
+    """Return the next reply; the second call is hedged and answered at once."""
+    peers = link.peers
+    reply = peers.reply(link.node_id, call)
+    if len(peers.calls) == 2:
+        late_calls = LateCalls(mock.Mock())
+        late_calls.add(2, call)
+        late_calls.resolve(2, DONE)
+        peers.late_calls = late_calls
+    return reply
 
 
 class CallerSideTest(unittest.IsolatedAsyncioTestCase):
@@ -227,6 +246,18 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual(await serving, DONE)
 
+    # Guards against LOST: the answer to the second attempt came in the turn in
+    # which it was hedged, and was dropped while the first was in flight too.
+    async def test_reply_that_comes_as_its_attempt_is_hedged_is_used(self):
+        late = asyncio.get_running_loop().create_future()
+        with mock.patch.object(ScriptedLink, "call", _call_and_hedge_second):
+            serving = asyncio.create_task(
+                self._call([LOST, LOST], True, late=late, attempts_max=2)
+            )
+            await asyncio.wait([serving], timeout=HANG_S / 10)
+        self.assertTrue(serving.done())
+        self.assertEqual(await serving, DONE)
+
     async def test_retry_that_is_answered_cancels_the_late_reply(self):
         late = asyncio.get_running_loop().create_future()
         reply = await self._call([LOST, DONE], True, late=late)
