A late reply that has come makes a retry needless

A reply that came between two attempts (while a link was awaited, say) was looked at only once the next attempt had been passed on: one arrival, and one of the retry budget, for nothing. Test: daemon.test_caller_side (2 != 1 before).

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -12,6 +12,7 @@
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
+from kumquatwalk.daemon.late_replies import has_good_reply
 from kumquatwalk.daemon.late_replies import take_first_result
 from kumquatwalk.daemon.late_replies import wait_for_late_reply
 from kumquatwalk.daemon.metrics import DaemonMetrics
@@ -620,6 +621,8 @@
             other = view
         if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
             return False
+        if has_good_reply(request.late_replies):
+            return False
         return self._spend_on_retry(request, read_now())
 
     def _spend_on_retry(self, request: PendingRequest, now: float) -> bool:
--- a/kumquatwalk/daemon/late_replies.py
+++ b/kumquatwalk/daemon/late_replies.py
@@ -8,12 +8,24 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 
-__all__ = ["take_first_result", "wait_for_late_reply"]
+__all__ = ["has_good_reply", "take_first_result", "wait_for_late_reply"]
 
 # Status from which the answer of an attempt is no reason to end another.
 ERROR_STATUS_MIN = 500
 
 
+def has_good_reply(late_replies: Sequence[asyncio.Future[Reply]]) -> bool:
+    """Return whether a good answer of a run has come.
+
+    Args:
+        late_replies: Replies that may have come.
+    """
+    return any(
+        late.done() and not late.cancelled() and _is_good(late.result())
+        for late in late_replies
+    )
+
+
 async def wait_for_late_reply(
     late_replies: Sequence[asyncio.Future[Reply]], unknown: Reply
 ) -> Reply:
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -258,6 +258,16 @@
         self.assertTrue(serving.done())
         self.assertEqual(await serving, DONE)
 
+    # Guards against arrivals beyond need: a request was sent again though its
+    # answer had come.
+    async def test_late_reply_that_has_come_makes_a_retry_needless(self):
+        late = asyncio.get_running_loop().create_future()
+        late.set_result(DONE)
+        serving = self._call([LOST, None], True, late=late)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, DONE)
+        self.assertEqual(len(self.peers.calls), 1)
+
     async def test_retry_that_is_answered_cancels_the_late_reply(self):
         late = asyncio.get_running_loop().create_future()
         reply = await self._call([LOST, DONE], True, late=late)
