An error elsewhere does not end a hedged run

A hedge that its target answered with 500 (its nested calls may be refused in a stop) ended the run that was at work, though docs/PLATFORM.md has the first good answer count. The error is kept and passed on when no better answer comes: late replies that fail, the deadline, the end of the stop. A trade-off: the caller gets such an error later than before; take this commit back alone if that is not wanted. Test: daemon.test_caller_side (the late reply was cancelled before).

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -12,6 +12,7 @@
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.daemon.ingress_admission import IngressAdmission
+from kumquatwalk.daemon.late_replies import ERROR_STATUS_MIN
 from kumquatwalk.daemon.late_replies import has_good_reply
 from kumquatwalk.daemon.late_replies import take_first_result
 from kumquatwalk.daemon.late_replies import wait_for_late_reply
@@ -270,6 +271,8 @@
         except TimeoutError:
             if request.deadline > self._request_timeouts.ends_at:
                 return self._end_for_stop(request)
+            if request.has_answer_in_hand:
+                return self._make_final_reply(request)
             return make_timeout_reply(request)
         finally:
             self._request_timeouts.close(timeout)
@@ -315,6 +318,8 @@
     def _end_for_stop(self, request: PendingRequest) -> Reply:
         """Return the reply to a request that lasts longer than the stop."""
         self.capped += 1
+        if request.has_answer_in_hand:
+            return self._make_final_reply(request)
         if request.is_in_flight:
             self._log_awaited_reply(request)
         if request.is_in_flight or request.last_run is not None:
@@ -385,6 +390,11 @@
                 # All attempts are known not to have run.
                 request.last_run = None
                 request.last_refusal = reply
+        elif last_run is not None and last_run.status >= ERROR_STATUS_MIN:
+            # Without late replies it returns at once.
+            reply = await wait_for_late_reply(request.late_replies, last_run)
+            if reply.outcome is Outcome.DONE:
+                request.last_run = reply
         return self._make_final_reply(request)
 
     def _is_quarantined(self, request: PendingRequest) -> bool:
--- a/kumquatwalk/daemon/late_replies.py
+++ b/kumquatwalk/daemon/late_replies.py
@@ -8,7 +8,12 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 
-__all__ = ["has_good_reply", "take_first_result", "wait_for_late_reply"]
+__all__ = [
+    "ERROR_STATUS_MIN",
+    "has_good_reply",
+    "take_first_result",
+    "wait_for_late_reply",
+]
 
 # Status from which the answer of an attempt is no reason to end another.
 ERROR_STATUS_MIN = 500
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -8,6 +8,7 @@
 from kumquatwalk.daemon.chain import ChainContext
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import RequestContent
 
 __all__ = ["PendingRequest"]
@@ -67,6 +68,16 @@
             self.route.name, http.method, http.url, http.body
         )
 
+    @property
+    def has_answer_in_hand(self) -> bool:
+        """Whether a target's answer only waits for a better one."""
+        run = self.last_run
+        return (
+            not self.is_in_flight
+            and run is not None
+            and run.outcome is Outcome.DONE
+        )
+
     @property
     def is_nested(self) -> bool:
         """Whether it is a call of a run in progress."""
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -184,11 +184,15 @@
         self.peers.late_index = self.late_index
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
-        fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
+        fields = {
+            "attempts_max": 4,
+            "repeats_failures": False,
+            "timeout_s": 60.0,
+            **route_fields,
+        }
         route = make_route(
             "payments",
             is_idempotent=idempotent,
-            timeout_s=60.0,
             objective_s=60.0,
             **fields,
         )
@@ -268,6 +272,30 @@
             self.assertEqual(await serving, DONE)
         self.assertEqual(len(self.peers.calls), 1)
 
+    # Guards against a run that is broken off, and its answer lost, for another
+    # target's error.
+    async def test_error_elsewhere_does_not_end_a_hedged_run(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = asyncio.create_task(
+            self._call([LOST, failed], True, late=late)
+        )
+        while len(self.peers.calls) < 2:
+            await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertFalse(late.cancelled())
+        late.set_result(DONE)
+        self.assertEqual(await serving, DONE)
+
+    # Guards against 504 in place of the answer that a target has given.
+    async def test_error_is_passed_on_when_no_better_answer_comes(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = self._call([LOST, failed], True, late=late, timeout_s=0.2)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, failed)
+
     async def test_retry_that_is_answered_cancels_the_late_reply(self):
         late = asyncio.get_running_loop().create_future()
         reply = await self._call([LOST, DONE], True, late=late)
