--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -145,7 +145,8 @@
     return reply
 
 
-class CallerSideTest(unittest.IsolatedAsyncioTestCase):
+class CallerSideCase(unittest.IsolatedAsyncioTestCase):
+    """Case with a caller side whose peers are scripted."""
 
     def setUp(self):
         self.peers = ScriptedPeers([])
@@ -212,6 +213,9 @@
             )
         return await side.serve(http, caller, route, chain)
 
+
+class CallerSideTest(CallerSideCase):
+
     async def test_answer_is_passed_on(self):
         self.assertEqual(await self._call([DONE], idempotent=False), DONE)
         self.assertEqual(len(self.peers.calls), 1)
@@ -250,52 +254,6 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual(await serving, DONE)
 
-    # Guards against LOST: the answer to the second attempt came in the turn in
-    # which it was hedged, and was dropped while the first was in flight too.
-    async def test_reply_that_comes_as_its_attempt_is_hedged_is_used(self):
-        late = asyncio.get_running_loop().create_future()
-        with mock.patch.object(ScriptedLink, "call", _call_and_hedge_second):
-            serving = asyncio.create_task(
-                self._call([LOST, LOST], True, late=late, attempts_max=2)
-            )
-            await asyncio.wait([serving], timeout=HANG_S / 10)
-        self.assertTrue(serving.done())
-        self.assertEqual(await serving, DONE)
-
-    # Guards against arrivals beyond need: a request was sent again though its
-    # answer had come.
-    async def test_late_reply_that_has_come_makes_a_retry_needless(self):
-        late = asyncio.get_running_loop().create_future()
-        late.set_result(DONE)
-        serving = self._call([LOST, None], True, late=late)
-        async with asyncio.timeout(HANG_S):
-            self.assertEqual(await serving, DONE)
-        self.assertEqual(len(self.peers.calls), 1)
-
-    # Guards against a run that is broken off, and its answer lost, for another
-    # target's error.
-    async def test_error_elsewhere_does_not_end_a_hedged_run(self):
-        late = asyncio.get_running_loop().create_future()
-        failed = Reply(Outcome.DONE, "", 500, body=b"x")
-        serving = asyncio.create_task(
-            self._call([LOST, failed], True, late=late)
-        )
-        while len(self.peers.calls) < 2:
-            await asyncio.sleep(0)
-        for _ in range(10):
-            await asyncio.sleep(0)
-        self.assertFalse(late.cancelled())
-        late.set_result(DONE)
-        self.assertEqual(await serving, DONE)
-
-    # Guards against 504 in place of the answer that a target has given.
-    async def test_error_is_passed_on_when_no_better_answer_comes(self):
-        late = asyncio.get_running_loop().create_future()
-        failed = Reply(Outcome.DONE, "", 500, body=b"x")
-        serving = self._call([LOST, failed], True, late=late, timeout_s=0.2)
-        async with asyncio.timeout(HANG_S):
-            self.assertEqual(await serving, failed)
-
     async def test_retry_that_is_answered_cancels_the_late_reply(self):
         late = asyncio.get_running_loop().create_future()
         reply = await self._call([LOST, DONE], True, late=late)
@@ -440,5 +398,54 @@
         self.assertEqual(self.peers.calls, [])
 
 
+class LateRepliesToAttemptsTest(CallerSideCase):
+
+    # Guards against LOST: the answer to the second attempt came in the turn in
+    # which it was hedged, and was dropped while the first was in flight too.
+    async def test_reply_that_comes_as_its_attempt_is_hedged_is_used(self):
+        late = asyncio.get_running_loop().create_future()
+        with mock.patch.object(ScriptedLink, "call", _call_and_hedge_second):
+            serving = asyncio.create_task(
+                self._call([LOST, LOST], True, late=late, attempts_max=2)
+            )
+            await asyncio.wait([serving], timeout=HANG_S / 10)
+        self.assertTrue(serving.done())
+        self.assertEqual(await serving, DONE)
+
+    # Guards against arrivals beyond need: a request was sent again though its
+    # answer had come.
+    async def test_late_reply_that_has_come_makes_a_retry_needless(self):
+        late = asyncio.get_running_loop().create_future()
+        late.set_result(DONE)
+        serving = self._call([LOST, None], True, late=late)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, DONE)
+        self.assertEqual(len(self.peers.calls), 1)
+
+    # Guards against a run that is broken off, and its answer lost, for another
+    # target's error.
+    async def test_error_elsewhere_does_not_end_a_hedged_run(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = asyncio.create_task(
+            self._call([LOST, failed], True, late=late)
+        )
+        while len(self.peers.calls) < 2:
+            await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertFalse(late.cancelled())
+        late.set_result(DONE)
+        self.assertEqual(await serving, DONE)
+
+    # Guards against 504 in place of the answer that a target has given.
+    async def test_error_is_passed_on_when_no_better_answer_comes(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = self._call([LOST, failed], True, late=late, timeout_s=0.2)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, failed)
+
+
 if __name__ == "__main__":
     unittest.main()
