An error of this node's own does not end calls on a silent link

Any OSError of a new connection (no file descriptor, no route) closed the silent connection, on which replies may still come; only a refusal by the peer shows that its process has ended, as docs/PLATFORM.md has it. The old connection is then closed when it is lost, or when the new one answers. Test: mesh.test_link_silence (the late reply was given up before).

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -388,9 +388,12 @@
         except TimeoutError:
             # The peer may only not be scheduled. _run retries.
             return False
-        except OSError:
+        except ConnectionRefusedError:
             self._close_silent_links()
             return False
+        except OSError:
+            # It may be this node's own fault and says nothing of the peer.
+            return False
         return True
 
     def _disconnect(self) -> None:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -1,6 +1,7 @@
 """Tests of when a link counts as silent."""
 
 import asyncio
+import errno
 import unittest
 from unittest import mock
 
@@ -232,6 +233,27 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual((await late).outcome, Outcome.UNKNOWN)
 
+    # Guards against LOST: a run was given up for an error of this node (no file
+    # descriptor, no route for a moment), which says nothing of the peer.
+    async def test_call_is_kept_when_a_new_connection_cannot_be_made(self):
+        failed = asyncio.Event()
+
+        async def fail(*_):
+            failed.set()
+            raise OSError(errno.EMFILE, "too many open files")
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", fail):
+            late = await self._fail_by_silence()
+            async with asyncio.timeout(HANG_S):
+                await failed.wait()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertFalse(late.done())
+            self._answer(self.ends[0])
+            async with asyncio.timeout(HANG_S):
+                self.assertEqual(await late, DONE)
+
     # Guards against LOST: a peer that was not scheduled for longer was given up
     # because a new connection was not answered in time.
     async def test_call_is_kept_while_the_new_connection_is_not_answered(self):
