A call goes on when its node leaves the roster

What is owed was ended on the strength of a view: where a node is missing from the store and its link is not usable for a moment (this process was not scheduled, the link is congested or being replaced), set_roster closed the link with all calls on it, safe and unsafe ones: their outcome was unknown (502). The link now gets no more calls, and is closed once no reply can come on an open connection; the same for a node whose address has changed. Once the connection is lost, calls end as before. Test: daemon.test_dropped_peers (link_failed before).

--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -81,6 +81,8 @@
         self._ranked: dict[str, RankedNodes] = {}
         self._links: dict[str, PeerLink] = {}
         self._unselected_since: dict[str, float] = {}
+        # Links to nodes that have left the roster, with calls in progress.
+        self._dropped: list[PeerLink] = []
         self._checker: asyncio.Task | None = None
 
     @property
@@ -96,9 +98,10 @@
         """Stop the checks and close all links."""
         if self._checker is not None:
             self._checker.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._dropped):
             link.close()
         self._links.clear()
+        self._dropped.clear()
 
     def find(self, node_id: str) -> PeerLink | None:
         """Return the link to a node; None for this node or without a link.
@@ -288,8 +291,9 @@
     def set_roster(self, entries: Iterable[RosterEntry]) -> None:
         """Replace the known nodes and select links among them.
 
-        Links to nodes that are missing are closed; one whose node has changed
-        its address is opened anew.
+        Links to nodes that are missing get no more calls and are closed once
+        no reply can come; one whose node has changed its address is opened
+        anew.
 
         Args:
             entries: Entries of all nodes; this node's own is ignored.
@@ -336,8 +340,9 @@
         for count in itertools.count():
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = read_now()
-            for link in self._links.values():
+            for link in (*self._links.values(), *self._dropped):
                 link.reset_if_silent(now)
+            self._close_dropped()
             if not count % CHECKS_PER_REFRESH:
                 self.refresh_links(now)
 
@@ -371,9 +376,18 @@
         )
 
     def _close(self, node_id: str, event: str) -> None:
-        self._links.pop(node_id).close()
+        link = self._links.pop(node_id)
+        self._dropped.append(link)
         self._unselected_since.pop(node_id, None)
-        log_event(event, peer=node_id)
+        log_event(event, peer=node_id, is_idle=link.is_idle)
+        self._close_dropped()
+
+    def _close_dropped(self) -> None:
+        """Close links to nodes that have left, but those with calls."""
+        for link in tuple(self._dropped):
+            if not link.has_connection_with_calls:
+                self._dropped.remove(link)
+                link.close()
 
     def _open(self, entry: RosterEntry) -> PeerLink:
         view = TargetView(entry.node_id, entry.availability_zone, entry.service)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -145,6 +145,13 @@
             or any(silent.is_needed for silent in self._silent_links)
         )
 
+    @property
+    def has_connection_with_calls(self) -> bool:
+        """Whether a reply may still come on a connection that is open."""
+        if self._link is not None and (self._pending or self._late):
+            return True
+        return any(silent.is_needed for silent in self._silent_links)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the peer has sent what this process has not read yet."""
