An error in a hedged run does not end another attempt

The task of a hedged own run is a late reply; an exception in it came out of take_first_result and wait_for_late_reply: the attempt in flight was cancelled, and the request failed. It now counts as an unknown outcome and is logged (start_task), also where nobody waits for the run any more (an exception never retrieved before). Test: daemon.test_late_replies (RuntimeError before).

--- a/kumquatwalk/daemon/late_replies.py
+++ b/kumquatwalk/daemon/late_replies.py
@@ -26,7 +26,7 @@
         late_replies: Replies that may have come.
     """
     return any(
-        late.done() and not late.cancelled() and _is_good(late.result())
+        late.done() and not _is_lost(late) and _is_good(late.result())
         for late in late_replies
     )
 
@@ -52,7 +52,7 @@
             waiting, return_when=asyncio.FIRST_COMPLETED
         )
         for late in done:
-            if late.cancelled() or late.result().outcome is Outcome.UNKNOWN:
+            if _is_lost(late) or late.result().outcome is Outcome.UNKNOWN:
                 has_unknown = True
             elif late.result().outcome is Outcome.DONE:
                 return late.result()
@@ -83,12 +83,17 @@
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
             for late in done - {task}:
-                if not late.cancelled() and _is_good(late.result()):
+                if not _is_lost(late) and _is_good(late.result()):
                     return dataclasses.replace(late.result(), is_leaving=False)
         return task.result()
     finally:
         task.cancel()
 
 
+def _is_lost(late: asyncio.Future[Reply]) -> bool:
+    """Return whether a reply that is done is cancelled or has failed."""
+    return late.cancelled() or late.exception() is not None
+
+
 def _is_good(reply: Reply) -> bool:
     return reply.outcome is Outcome.DONE and reply.status < ERROR_STATUS_MIN
--- a/kumquatwalk/daemon/own_calls.py
+++ b/kumquatwalk/daemon/own_calls.py
@@ -7,6 +7,7 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.tasks import start_task
 
 __all__ = ["OwnCalls"]
 
@@ -32,8 +33,8 @@
         Returns:
             The reply; or that the outcome is unknown, once the call is hedged.
         """
-        loop = asyncio.get_running_loop()
-        task, reply = loop.create_task(running), loop.create_future()
+        task = start_task(running, "own_call")
+        reply = asyncio.get_running_loop().create_future()
         task.add_done_callback(lambda done: _pass_on(done, reply))
         self._waiting[id(call)] = task, reply
         try:
--- a/kumquatwalk/daemon/tests/test_late_replies.py
+++ b/kumquatwalk/daemon/tests/test_late_replies.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from kumquatwalk.daemon.late_replies import has_good_reply
 from kumquatwalk.daemon.late_replies import take_first_result
 from kumquatwalk.daemon.late_replies import wait_for_late_reply
 from kumquatwalk.mesh.message import Reply
@@ -64,6 +65,21 @@
         for late in (UNKNOWN, REFUSED, failed):
             self.assertEqual(await self.take_first(DONE, late), DONE)
 
+    # Guards against LOST: an error of this node in a run that was hedged ended
+    # the other attempt, and its answer was lost.
+    async def test_error_in_a_hedged_run_does_not_end_an_attempt(self):
+        late = asyncio.get_running_loop().create_future()
+        late.set_exception(RuntimeError("internal"))
+
+        async def make_attempt():
+            await asyncio.sleep(0.01)
+            return DONE
+
+        reply = await take_first_result(make_attempt(), [late])
+        self.assertEqual(reply, DONE)
+        self.assertEqual(await wait_for_late_reply([late], UNKNOWN), UNKNOWN)
+        self.assertFalse(has_good_reply([late]))
+
     async def test_late_answer_says_nothing_of_the_target_of_the_attempt(self):
         late = Reply(Outcome.DONE, status=200, is_leaving=True)
         reply = await self.take_first(REFUSED, late)
