A refused connection does not end a link whose last replies wait

A peer that stops closes its listener, sends its last replies and half-closes: where this node had set its connection aside as silent, a refusal of the new one closed the old one with the replies unread. It is now left to its own end if something has come. Test: mesh.test_link_silence (link_failed before).

--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -396,7 +396,11 @@
             # The peer may only not be scheduled. _run retries.
             return False
         except ConnectionRefusedError:
-            self._close_silent_links()
+            # The process has ended, and with it its connections; its last
+            # replies may still wait.
+            for silent in self._silent_links:
+                if not silent.is_alive:
+                    silent.close()
             return False
         except OSError:
             # It may be this node's own fault and says nothing of the peer.
@@ -440,8 +444,7 @@
             and now - self._linked_at > SILENT_LINGER_S
         )
         for silent in self._silent_links:
-            is_alive = silent.has_spoken or silent.link.has_unread_bytes
-            if not silent.is_needed or (is_answering and not is_alive):
+            if not silent.is_needed or (is_answering and not silent.is_alive):
                 silent.close()
 
     def _close_silent_links(self) -> None:
--- a/kumquatwalk/mesh/silent_link.py
+++ b/kumquatwalk/mesh/silent_link.py
@@ -30,9 +30,12 @@
         self._resent: dict[int, asyncio.Future[Reply]] = {}
 
     @property
-    def has_spoken(self) -> bool:
-        """Whether something has come since: the peer is at work."""
-        return self.link.last_received_at > self._silent_from
+    def is_alive(self) -> bool:
+        """Whether something has come since, be it read or not."""
+        return (
+            self.link.last_received_at > self._silent_from
+            or self.link.has_unread_bytes
+        )
 
     @property
     def is_needed(self) -> bool:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -254,6 +254,19 @@
             async with asyncio.timeout(HANG_S):
                 self.assertEqual(await late, DONE)
 
+    # Guards against LOST: the last replies of a peer that was stopping waited
+    # unread on the old connection when it refused a new one.
+    async def test_reply_that_waits_unread_at_a_refusal_is_used(self):
+        async def refuse(*_):
+            self._answer(self.ends[0])
+            raise ConnectionRefusedError
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", refuse):
+            late = await self._fail_by_silence()
+            async with asyncio.timeout(HANG_S):
+                self.assertEqual(await late, DONE)
+
     # Guards against LOST: a peer that was not scheduled for longer was given up
     # because a new connection was not answered in time.
     async def test_call_is_kept_while_the_new_connection_is_not_answered(self):
