--- a/kumquatwalk/daemon/tests/test_overlapping_stops.py
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -125,6 +125,45 @@
     def _count_long_runs(self, name: str) -> int:
         return self.fleet.nodes[name].target.count_runs("long")
 
+    async def _leave_hedged_run(self, caller: str) -> str:
+        """Let a caller leave once its silent run is hedged, until both end.
+
+        Returns:
+            The node at whose target the first run was.
+        """
+        for name in WORK_S:
+            self._set_work(name, SILENT_S)
+        nodes = [self.fleet.nodes[name] for name in WORK_S]
+        call = asyncio.create_task(
+            self.fleet.call(caller, "/web/", "long", LONG_MS)
+        )
+        async with asyncio.timeout(SILENT_S):
+            while not any(n.target.count_runs("long") for n in nodes):
+                await asyncio.sleep(PAUSE_S)
+            (first,) = (n for n in WORK_S if self._count_long_runs(n))
+            stop = self._stop(first)
+            while not all(n.target.count_runs("long") for n in nodes):
+                await asyncio.sleep(PAUSE_S)
+            sides = [node.daemon.core.target_side for node in nodes]
+            self.assertEqual([s.limiter.running for s in sides], [1, 1])
+            self.assertFalse(call.done())
+            call.cancel()
+            while any(side.limiter.running for side in sides):
+                # At the end of the stop they would end in any case.
+                self.assertFalse(stop.done())
+                await asyncio.sleep(PAUSE_S)
+        await stop
+        return first
+
+    # Guards against GONE: one of the runs of a hedged request goes on after its
+    # caller has left.
+    async def test_both_runs_of_a_hedged_request_end_with_their_caller(self):
+        await self._leave_hedged_run("caller")
+
+    # Guards against GONE: the same where the first run is at the own target.
+    async def test_hedged_run_at_the_own_target_ends_with_its_caller(self):
+        self.assertEqual(await self._leave_hedged_run("web-1"), "web-1")
+
     # Guards against LOST: a run was ended for another target, which refused it.
     async def test_run_goes_on_when_no_other_target_takes_it(self):
         call, name, other = await self._ask_for_long_run()
