--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -145,6 +145,13 @@
             or any(silent.is_needed for silent in self._silent_links)
         )
 
+    @property
+    def has_connection_with_calls(self) -> bool:
+        """Whether a reply may still come on a connection that is open."""
+        if self._link is not None and (self._pending or self._late):
+            return True
+        return any(silent.is_needed for silent in self._silent_links)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the peer has sent what this process has not read yet."""
@@ -311,7 +318,11 @@
         try:
             return await future
         except asyncio.CancelledError:
-            if call_id in self._pending and self._link is not None:
+            late = self.find_late_reply(request)
+            if late is not None:
+                # Nobody waits for it, as its sender does not know of it yet.
+                late.cancel()
+            elif call_id in self._pending and self._link is not None:
                 self._link.send(Cancel(call_id))
             raise
         finally:
@@ -384,8 +395,15 @@
         except TimeoutError:
             # The peer may only not be scheduled. _run retries.
             return False
+        except ConnectionRefusedError:
+            # The process has ended, and with it its connections; its last
+            # replies may still wait.
+            for silent in self._silent_links:
+                if not silent.is_alive:
+                    silent.close()
+            return False
         except OSError:
-            self._close_silent_links()
+            # It may be this node's own fault and says nothing of the peer.
             return False
         return True
 
@@ -426,8 +444,7 @@
             and now - self._linked_at > SILENT_LINGER_S
         )
         for silent in self._silent_links:
-            is_alive = silent.has_spoken or silent.link.has_unread_bytes
-            if not silent.is_needed or (is_answering and not is_alive):
+            if not silent.is_needed or (is_answering and not silent.is_alive):
                 silent.close()
 
     def _close_silent_links(self) -> None:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -1,6 +1,7 @@
 """Tests of when a link counts as silent."""
 
 import asyncio
+import errno
 import unittest
 from unittest import mock
 
@@ -80,7 +81,10 @@
         view = TargetView(
             "gate-1", "z1", "web", TargetStatus(TargetState.READY)
         )
-        ignore = PeerCallbacks(*(lambda *_: None for _ in range(4)))
+        self.on_status = lambda: None
+        ignore = PeerCallbacks(
+            lambda *_: self.on_status(), *(lambda *_: None for _ in range(3))
+        )
         self.link = PeerLink(
             Address("127.0.0.1", port), view, make_hello, ignore, Partition()
         )
@@ -195,6 +199,17 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual((await late).code, codes.LINK_FAILED)
 
+    # Guards against a link that never counts as idle again, and keeps the body
+    # of a call: its caller left in the turn in which the peer asked to hedge.
+    async def test_call_whose_caller_leaves_as_it_is_hedged_is_forgotten(self):
+        call = await self._begin_call()
+        self.on_status = call.cancel
+        self.ends[0].send(HedgeRequest(self.frames[0].call_id))
+        self.ends[0].send(TargetStatus(TargetState.READY))
+        await self._wait_for(call.done)
+        await self._wait_for(lambda: self.cancelled)
+        self.assertTrue(self.link.is_idle)
+
     async def test_call_is_given_up_when_only_the_new_connection_speaks(self):
         late = await self._fail_by_silence()
         await self._wait_for(lambda: self.link.is_usable)
@@ -218,6 +233,40 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual((await late).outcome, Outcome.UNKNOWN)
 
+    # Guards against LOST: a run was given up for an error of this node (no file
+    # descriptor, no route for a moment), which says nothing of the peer.
+    async def test_call_is_kept_when_a_new_connection_cannot_be_made(self):
+        failed = asyncio.Event()
+
+        async def fail(*_):
+            failed.set()
+            raise OSError(errno.EMFILE, "too many open files")
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", fail):
+            late = await self._fail_by_silence()
+            async with asyncio.timeout(HANG_S):
+                await failed.wait()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertFalse(late.done())
+            self._answer(self.ends[0])
+            async with asyncio.timeout(HANG_S):
+                self.assertEqual(await late, DONE)
+
+    # Guards against LOST: the last replies of a peer that was stopping waited
+    # unread on the old connection when it refused a new one.
+    async def test_reply_that_waits_unread_at_a_refusal_is_used(self):
+        async def refuse(*_):
+            self._answer(self.ends[0])
+            raise ConnectionRefusedError
+
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", refuse):
+            late = await self._fail_by_silence()
+            async with asyncio.timeout(HANG_S):
+                self.assertEqual(await late, DONE)
+
     # Guards against LOST: a peer that was not scheduled for longer was given up
     # because a new connection was not answered in time.
     async def test_call_is_kept_while_the_new_connection_is_not_answered(self):
