A stop hands targets no time beyond its end

Callers saw: an own 502 (node_stopping) for a run at work, at the end of a stop, where a nested call, or one that the mean time of its route let in, had been passed on during the stop and its target turned slow.

Cause: a call that is passed on in a stop was handed the time left until its own deadline, so the target worked on past the end of the stop.

Change: `StopAdmission.bound_deadline`. A call whose deadline lies before the end is not changed; another is handed time until 0.1 s before it (half of what is left when that is less), so that the target says itself that its time is over: 504 with its seal. The caller's side bounds calls to other nodes, the target's side what it hands to its target, for calls of the node and of peers.

Ruled out: to refuse such calls (their runs fail as surely); to cut the deadline before the own target's side has judged the call (it would admit what it now leaves to others); a field of the message for it (schema).

Failed before: `daemon.tests.test_stop_deadlines`, 3 of 4: (502, {"error":"node_stopping"}) != (504, b'time limit') for a call to another node and for one to the own target; (504, {"error":"deadline_exceeded"}), the caller's own, for a call of a peer. After: 4 of 4. The fourth holds before and after: requests of before the stop, and ones that end before it, get their time. Pass too: admission.tests.test_stop, daemon.tests.test_stop_end, _nested_calls, _kept_reply, test_stopping, test_overlapping_stops, test_late_stop, test_leaving_targets, test_caller_side.

Not shown: anything with a target that does not honour Deadline-Ms. An own one is awaited until the end as before; at another node the attempt ends 0.07 s before the end instead of at it.

test_target_exchange closes its timeout and does not block the loop while its thread ends: 0.7 s instead of 40 s.

--- a/kumquatwalk/admission/stop.py
+++ b/kumquatwalk/admission/stop.py
@@ -17,6 +17,9 @@
 # Maximum retry delay, in seconds: callers are sent to other nodes before the
 # process ends.
 RETRY_DELAY_MAX_S = 1.0
+# Time between the deadline that a target is handed during a stop and the end of
+# the drain, in seconds, for the target's own answer that it has stopped work.
+DEADLINE_MARGIN_S = 0.1
 
 
 class StopAdmission:
@@ -157,6 +160,22 @@
         self.refused += not is_admitted
         return is_admitted
 
+    def bound_deadline(self, deadline: float, now: float) -> float:
+        """Return the deadline to hand to a target for a call passed on now.
+
+        A target that turns slow then stops work before the end of the drain and
+        says so itself. A deadline that lies before the end is not changed. The
+        margin is at most half of the time left, so that some is handed out.
+
+        Args:
+            deadline: Deadline of the call, in seconds.
+            now: Current time, in seconds.
+        """
+        if deadline < self.ends_at:
+            return deadline
+        left_s = max(0.0, self.ends_at - now)
+        return self.ends_at - min(DEADLINE_MARGIN_S, left_s / 2.0)
+
     def should_give_back(
         self,
         route: str,
--- a/kumquatwalk/admission/tests/test_stop.py
+++ b/kumquatwalk/admission/tests/test_stop.py
@@ -8,6 +8,7 @@
 
 from kumquatwalk.admission import recent_times
 from kumquatwalk.admission.recent_times import RecentTimes
+from kumquatwalk.admission.stop import DEADLINE_MARGIN_S
 from kumquatwalk.admission.stop import REQUESTS_MIN
 from kumquatwalk.admission.stop import RETRY_DELAY_MAX_S
 from kumquatwalk.admission.stop import StopAdmission
@@ -60,6 +61,24 @@
         self.assertTrue(gate.admits("pay", now + limit_s, objective_s, now))
         self.assertEqual(gate.refused, 0)
 
+    # Guards against LOST: a target was handed time beyond the stop, or a call
+    # that ends before the stop was shortened.
+    @FIXED
+    @hypothesis.given(SECONDS, SECONDS)
+    def test_time_handed_to_a_target_ends_before_the_drain(
+        self, limit_s, left_s
+    ):
+        gate, now = StopAdmission(), 1000.0
+        self.assertEqual(gate.bound_deadline(now + limit_s, now), now + limit_s)
+        gate.set_end(now + left_s)
+        handed_s = gate.bound_deadline(now + limit_s, now) - now
+        self.assertLessEqual(handed_s, limit_s)
+        if limit_s < left_s:
+            self.assertEqual(handed_s, limit_s)
+        else:
+            wanted_s = max(left_s / 2.0, left_s - DEADLINE_MARGIN_S)
+            self.assertAlmostEqual(handed_s, wanted_s)
+
     @FIXED
     @hypothesis.given(REQUESTS, SECONDS, SECONDS, SECONDS)
     def test_what_is_admitted_can_end_before_the_drain(
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -495,7 +495,7 @@
             is_idempotent=route.is_idempotent,
             is_returning=request.is_returning,
             rank=request.rank,
-            deadline=request.deadline,
+            deadline=self._compute_deadline(request, view),
             start_by=self._compute_start_by(request),
             method=request.http.method,
             url=request.http.url,
@@ -508,6 +508,18 @@
             is_movable=self._has_spare_attempt(request, view),
         )
 
+    def _compute_deadline(
+        self, request: PendingRequest, view: TargetView
+    ) -> float:
+        """Return the deadline of an attempt that is now made.
+
+        The target side of this node bounds that of its own target, once it has
+        judged whether the call can end.
+        """
+        if view is self._own_view:
+            return request.deadline
+        return self.stop_admission.bound_deadline(request.deadline, read_now())
+
     def _has_spare_attempt(
         self, request: PendingRequest, view: TargetView
     ) -> bool:
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -58,6 +58,7 @@
     run_id: str,
     call: Call,
     timeout: asyncio.Timeout,
+    target_deadline: float,
 ) -> ExchangeResult:
     """Send a call to the target and wait for its answer.
 
@@ -70,11 +71,13 @@
         call: Call to send, with its deadline on this node's clock.
         timeout: Timeout of the run. If it expires before the deadline, the run
             is given back for a stop.
+        target_deadline: Time by which the target has to stop work, in seconds;
+            the deadline of the call or, during a stop, earlier.
 
     Returns:
         The result, whether the exchange succeeded or not.
     """
-    remaining_s = call.deadline - read_now()
+    remaining_s = target_deadline - read_now()
     headers = interface.make_target_headers(
         call, target_id, run_id, remaining_s
     )
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -532,8 +532,8 @@
         return dataclasses.replace(reply, tokens=run.tokens.left)
 
     async def _exchange(self, target_id: str, run: Run) -> ExchangeResult:
-        call = run.call
-        timeout = self._open_runs.open(call, read_now())
+        call, now = run.call, read_now()
+        timeout = self._open_runs.open(call, now)
         try:
             return await run_call(
                 self._client,
@@ -542,6 +542,7 @@
                 run.run_id,
                 call,
                 timeout,
+                self.stop_admission.bound_deadline(call.deadline, now),
             )
         finally:
             self._open_runs.close(timeout)
--- a/kumquatwalk/daemon/tests/test_target_exchange.py
+++ b/kumquatwalk/daemon/tests/test_target_exchange.py
@@ -45,6 +45,8 @@
     thread.start()
     client = TargetClient(Address(*listener.getsockname()))
     call = dataclasses.replace(make_call(), deadline=read_now() + LEFT_S)
+    open_runs = OpenRuns()
+    timeout = open_runs.open(call, read_now())
     run = asyncio.create_task(
         run_call(
             client,
@@ -52,7 +54,8 @@
             "web-1",
             "run-1",
             call,
-            OpenRuns().open(call, read_now()),
+            timeout,
+            call.deadline,
         )
     )
     async with asyncio.timeout(HANG_S):
@@ -61,9 +64,11 @@
     must_answer.set()
     time.sleep(LEFT_S + 2.0 * DEADLINE_GRACE_S)
     result = await run
+    open_runs.close(timeout)
     client.close()
     listener.shutdown(socket.SHUT_RDWR)
-    thread.join(HANG_S)
+    # The event loop has to run for the connection to close.
+    await asyncio.to_thread(thread.join, HANG_S)
     return result.finding
 
 
