Tests of own pauses let the loop close the connection they wait for

Joining the thread on the event loop waited 20 s for a close that only the loop could make. platform.tests.test_store takes 1.0 s, idempotency's test_claim_pause 0.8 s. The checks are unchanged.

--- a/kumquatwalk/idempotency/tests/test_claim_pause.py
+++ b/kumquatwalk/idempotency/tests/test_claim_pause.py
@@ -55,7 +55,8 @@
     result = await claiming
     client.close()
     listener.shutdown(socket.SHUT_RDWR)
-    thread.join(HANG_S)
+    # The event loop has to run for the connection to close.
+    await asyncio.to_thread(thread.join, HANG_S)
     held = store.held.list_newest_first(read_now())
     return result, [key for key, _ in held]
 
--- a/kumquatwalk/platform/tests/test_store.py
+++ b/kumquatwalk/platform/tests/test_store.py
@@ -131,7 +131,8 @@
         return await reading
     finally:
         client.close()
-        thread.join(HANG_S)
+        # The event loop has to run for the connection to close.
+        await asyncio.to_thread(thread.join, HANG_S)
 
 
 class OwnPauseTest(unittest.TestCase):
