Another start of a target begins without failures

Callers saw: a target that had failed its runs, left and was started again got few requests and no retries (share of failures above 0.15) until its own runs had outweighed those of the start before.

Cause: the run times are cleared with another start, the share of failed runs was not.

Failed before: daemon.tests.test_leaving_targets.LeavingTargetTest. test_another_start_is_not_judged_by_earlier_failures, 0.05 != 0.0. After: 6 of 6. By reading: a run of the start before that ends later still counts for the new one.

--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -344,8 +344,10 @@
         record = self._apply_departures(record)
         before, self.record = self.record, record
         if record.is_of_other_start(before):
-            # Callers would avoid it for the run times of the start before.
+            # Callers would avoid it for the run times and the failures of the
+            # start before.
             self.limiter.run_times.clear()
+            self._failure_share = 0.0
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
         if record.state is TargetState.READY:
--- a/kumquatwalk/daemon/tests/test_leaving_targets.py
+++ b/kumquatwalk/daemon/tests/test_leaving_targets.py
@@ -90,6 +90,16 @@
             while not self.leaving.target.runs:
                 await self.fleet.call("shop-1", "/web/b", "id")
 
+    # Guards against another start of a target that had failed getting few
+    # requests and no retries, judged by the failures of the start before.
+    async def test_another_start_is_not_judged_by_earlier_failures(self):
+        headers = LEAVING.extra_headers
+        await self._call_until_told(Script(status=500, extra_headers=headers))
+        target_side = self.leaving.daemon.core.target_side
+        self.assertGreater(target_side.get_status().failure_share, 0.0)
+        await self.fleet.send_heartbeat("web-1", born=2000, sequence=1)
+        self.assertEqual(target_side.get_status().failure_share, 0.0)
+
     def _list_run_times(self, caller: str, name: str) -> tuple:
         """Return the run times that a caller knows of a node's target."""
         peers = self.fleet.nodes[caller].daemon.core.peers
