A target of unknown start that left is used again after a restart

Callers saw: a target that its node knew from a health check only, that said in an answer that it leaves, and that was started again under its identifier, got no request any more.

Cause: the record had no start for the one that left, so the first heartbeat of the next start was taken for a late one of the former: its start was noted, its state dropped, and all later heartbeats were of a start that had left.

Change: such a heartbeat waits unconfirmed. A health check does not confirm it, since a target that leaves may still answer (DRAIN); heartbeats that go on for 8 s do, since one that comes later than that was sent after the departure. A heartbeat that says that it leaves tells its start, as before.

Ruled out: confirmation by a health check (the second test fails with it: READY is not DRAINING); the wall clock (it may be set back).

Failed before: targets.tests.test_record. test_target_of_unknown_start_that_left_is_used_after_a_restart, DRAINING is not READY. test_probe_does_not_bring_back_a_target_that_leaves holds before and after.

Cost: such a target is out for 8 s after its restart and probed meanwhile.

--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -20,7 +20,8 @@
     before the target left. Where the record cannot tell, because the process
     has just started or the start times cannot be compared, the heartbeat is
     unconfirmed until the target answers a probe under the same identifier, or
-    until its heartbeats have gone on for ``LATE_HEARTBEAT_MAX_S``.
+    until its heartbeats have gone on for ``LATE_HEARTBEAT_MAX_S``. Only the
+    latter confirms it if a start of the target that is not known leaves.
 
     Attributes:
         target_id: Identifier of the target; empty while unknown.
@@ -126,6 +127,9 @@
         record, unconfirmed = self, self.unconfirmed
         if unconfirmed is not None and asked_at >= self.unconfirmed_since:
             if unconfirmed.target_id == target_id:
+                if self._may_have_left(unconfirmed):
+                    # A target that leaves may answer health checks.
+                    return self
                 return self._accept(unconfirmed, now, is_confirmed=True)
             record = dataclasses.replace(self, unconfirmed=None)
         if self.state is not TargetState.UNKNOWN or target_id in self.departed:
@@ -225,6 +229,14 @@
             and heartbeat.incarnation == self.incarnation != 0
         )
 
+    def _may_have_left(self, heartbeat: Heartbeat) -> bool:
+        """Return whether the heartbeat may be of the start that leaves."""
+        return (
+            self.state is TargetState.DRAINING
+            and heartbeat.target_id == self.target_id
+            and not (heartbeat.incarnation and self.incarnation)
+        )
+
     def _needs_confirmation(self, heartbeat: Heartbeat) -> bool:
         if not self.is_probed:
             return False
@@ -233,6 +245,7 @@
         target_id = heartbeat.target_id
         return (
             not self.is_confirmed
+            or self._may_have_left(heartbeat)
             or target_id in self.departed
             or self._is_of_unplaced_target(heartbeat)
             # It was found to have been replaced.
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -132,6 +132,40 @@
             record = left.handle_heartbeat(heartbeat, 9.2)
             self.assertIs(record.state, state)
 
+    # Guards against a target that is started again under its identifier staying
+    # out: the start before was known from health checks only.
+    def test_target_of_unknown_start_that_left_is_used_after_a_restart(self):
+        record = TargetRecord(is_probed=True)
+        left = record.handle_probe("i-1", 8, 9.0, 9.1).mark_leaving()
+        first = make_heartbeat(incarnation=2000, sequence=1)
+        record = left.handle_heartbeat(first, 10.0)
+        self.assertIs(record.state, TargetState.DRAINING)
+        late = make_heartbeat(incarnation=2000, sequence=2)
+        record = record.handle_heartbeat(late, 10.0 + LATE_HEARTBEAT_MAX_S)
+        self.assertIs(record.state, TargetState.DRAINING)
+        last = make_heartbeat(incarnation=2000, sequence=3)
+        now = 10.1 + LATE_HEARTBEAT_MAX_S
+        record = record.handle_heartbeat(last, now)
+        self.assertIs(record.state, TargetState.READY)
+        self.assertEqual(record.incarnation, 2000)
+
+    # Guards against DRAIN: a late heartbeat of a target that leaves, of a start
+    # that is not known and still answers health checks, brings it back.
+    def test_probe_does_not_bring_back_a_target_that_leaves(self):
+        record = TargetRecord(is_probed=True)
+        record = record.handle_probe("i-1", 8, 9.0, 9.1).mark_leaving()
+        record = record.handle_heartbeat(make_heartbeat(), 10.0)
+        record = record.handle_probe("i-1", 8, 10.1, 10.2)
+        self.assertIs(record.state, TargetState.DRAINING)
+        leaving = make_heartbeat(state=TargetState.DRAINING, sequence=2)
+        record = record.handle_heartbeat(leaving, 10.3)
+        self.assertIs(record.state, TargetState.DRAINING)
+        self.assertEqual(record.incarnation, 1000)
+        late = make_heartbeat(sequence=3)
+        now = 10.4 + LATE_HEARTBEAT_MAX_S
+        record = record.handle_heartbeat(late, now)
+        self.assertIs(record.state, TargetState.DRAINING)
+
     def test_departure_that_others_remember_ends_with_another_start(self):
         record = TargetRecord(is_probed=True)
         record = record.handle_probe("i-1", 8, 9.0, 9.1).apply_departure(1000)
