http1: answer callers that have ended their side of the connection

Now what is in progress is answered in order, the last with Connection: close. One interim answer (RFC 9110, section 15.2), or the bytes of answers that are on their way, bring a reset from a caller that has closed: that cancels all as before. Nothing is put inside an answer, and a client of HTTP/1.0 gets no interim answer; it counts as closed. With nothing owed the connection closes at once as before.

Neither event loop reads after the end of a stream, so a reset shows only by the next write (trial on both: after the probe state 8 became 7, and connection_lost came with the second write). The kernel is therefore asked each 0.05 s (TCP_INFO) while such a connection is open. TCP_USER_TIMEOUT is not set: it ends peers with a closed window too.

Not bounded: a caller that half-closes, answers the probe by silence, and closes later is noticed by the next answer only. The request of a caller that closes at once may reach a target for some 0.05 s.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -17,6 +17,7 @@
 from kumquatwalk.http1.request_parser import RequestParser
 from kumquatwalk.http1.sockets import count_unread_bytes
 from kumquatwalk.http1.sockets import end_stream
+from kumquatwalk.http1.sockets import is_closed
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
 from kumquatwalk.http1.throughput import BUFFERS_BYTES_MAX
 from kumquatwalk.http1.unanswered import End
@@ -42,7 +43,12 @@
 # for which it may take nothing of an answer, in seconds.
 TAKING_S_MAX = 1.0
 
-# Interim answer to a request with ``Expect: 100-continue``.
+# Interval in which the kernel is asked whether a caller that has ended its side
+# has left, in seconds.
+LEFT_CHECK_INTERVAL_S = 0.05
+
+# Interim answer to a request with ``Expect: 100-continue``, and to the end of a
+# caller's stream.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # Time for which a new connection is expected to send a request, in seconds.
@@ -81,6 +87,10 @@
         self._expects_rest = False
         self._is_closing = False
         self._closed_at = 0.0
+        # Whether the caller has ended its side, and may still read.
+        self._has_eof = False
+        self._has_probed = False
+        self._left_check: asyncio.TimerHandle | None = None
         self._writer: AnswerWriter | None = None
         self._is_reading = True
         self._opened_at = read_now()
@@ -256,13 +266,33 @@
         self._start_exchanges(requests)
 
     def eof_received(self) -> bool:
-        """Cancel all requests: the caller has closed and awaits no response."""
-        self._end(End.CALLER_LEFT)
-        return False
+        """Close the connection, or answer first what is in progress.
+
+        The caller may have ended its side only, or have closed. An interim
+        answer, or bytes that are on their way, tell: what comes to a caller
+        that has closed brings a reset, which cancels all requests. A client of
+        HTTP/1.0 knows no interim answers; it counts as closed.
+
+        Returns:
+            Whether the connection stays open for the answers.
+        """
+        self._writer.update(read_now())
+        is_owed = self._exchanges or self._writer.untaken
+        if not is_owed or not self._parser.accepts_interim:
+            self._end(End.CALLER_LEFT)
+            return False
+        self._end_requests(End.CALLER_LEFT)
+        self._has_eof = True
+        if not self._exchanges:
+            self._close_gracefully()
+        self._probe_caller()
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister from the server and cancel all requests."""
         del exc
+        if self._left_check is not None:
+            self._left_check.cancel()
         self._server.connections.discard(self)
         self._end(End.CONNECTION_LOST)
         self._writer.release()
@@ -278,6 +308,26 @@
         self._send_ready_responses()
         self._pass_on_deferred(read_now())
 
+    def _check_caller(self) -> None:
+        # The event loop, which reads no more, notices a reset only by a write.
+        if self._transport.is_closing():
+            return
+        if is_closed(self._transport):
+            self.abort(End.CALLER_LEFT)
+        else:
+            self._probe_caller()
+
+    def _probe_caller(self) -> None:
+        """Send an interim answer once, never inside an answer."""
+        if not self._has_probed and not self._is_closing:
+            self._writer.update(read_now())
+            if self._writer.can_write and not self._writer.untaken:
+                self._has_probed = True
+                self._transport.write(CONTINUE)
+        self._left_check = asyncio.get_running_loop().call_later(
+            LEFT_CHECK_INTERVAL_S, self._check_caller
+        )
+
     def _start_exchanges(self, requests: list[HttpRequest]) -> None:
         for request in requests:
             if not self._is_ending:
@@ -404,7 +454,7 @@
             self._close_gracefully()
 
     def _update_backpressure(self) -> None:
-        if self._transport.is_closing():
+        if self._transport.is_closing() or self._has_eof:
             return
         # What comes after the last request is read and discarded. Otherwise
         # keep reading while few requests are in progress, to detect when the
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -37,6 +37,8 @@
     Attributes:
         peer_host: IP address of the caller, copied into each request; empty
             if unknown.
+        accepts_interim: Whether interim answers may be sent: no request of
+            HTTP/1.0 was received (RFC 9110, section 15.2).
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self._plain_head = b""
         self._plain_started_at = 0.0
         self.peer_host = ""
+        self.accepts_interim = True
         self._reset()
 
     @property
@@ -238,6 +241,8 @@
             received_at=self._started_at,
             peer_host=self.peer_host,
         )
+        if self._parser.get_http_version() == "1.0":
+            self.accepts_interim = False
         self._completed.append(request)
         self._reserved_bytes = 0
         self._reset()
--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -10,6 +10,7 @@
     "count_unread_bytes",
     "count_untaken_bytes",
     "end_stream",
+    "is_closed",
     "set_liveness_options",
 ]
 
@@ -22,6 +23,8 @@
 # one or two retransmissions on the expected links, whose one-way delay is below
 # 60 ms.
 USER_TIMEOUT_MS = 2500
+# First byte of ``TCP_INFO`` once a connection is closed (linux/tcp.h).
+TCP_CLOSE = 7
 
 
 def set_liveness_options(
@@ -80,6 +83,26 @@
     return _ask_kernel(transport, termios.FIONREAD)
 
 
+def is_closed(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the kernel has closed a connection (tcp(7), ``TCP_INFO``).
+
+    It has once the peer has reset it, or both sides have ended and all is
+    acknowledged. An event loop that does not read is not told. False where the
+    kernel does not tell.
+
+    Args:
+        transport: Transport of a TCP connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except (OSError, ValueError):
+        return False
+    return info[0] == TCP_CLOSE
+
+
 def end_stream(transport: asyncio.WriteTransport) -> None:
     """Half-close a connection; does nothing if it has already been lost.
 
