http1: a client that once paused is not slow for good

Now what it takes of several answers within 2 s is added up; less those 256 KiB it was surely read, whatever the buffers hold, and raises the rate. A client that is not measured is not measured by this. Not changed: a client that takes fewer than 256 KiB in 2 s after its pause stays slow, since nothing shows that it reads.

--- a/kumquatwalk/http1/tests/test_throughput.py
+++ b/kumquatwalk/http1/tests/test_throughput.py
@@ -3,6 +3,7 @@
 import unittest
 
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
+from kumquatwalk.http1.throughput import BUFFERS_BYTES_MAX
 from kumquatwalk.http1.throughput import RATE_SHARE
 from kumquatwalk.http1.throughput import WINDOW_S
 from kumquatwalk.http1.throughput import Throughput
@@ -48,6 +49,32 @@
         self.throughput.update(180_000, 0, 10.01)
         self.assertIsNone(self.throughput.estimate_s(1))
 
+    # Guards against LOST: a slow client whose buffers took several answers was
+    # taken for quicker than it reads.
+    def test_what_buffers_take_of_several_answers_is_no_rate(self):
+        now, taken_bytes, read_bytes_per_s = 10.0 + WINDOW_S, 0, 40_000
+        self.throughput.update(taken_bytes, LARGE, now)
+        taken_bytes = 250_000
+        for _ in range(60):
+            now += 0.1
+            taken_bytes += read_bytes_per_s // 10
+            self.throughput.update(taken_bytes, 0, now)
+            self.throughput.begin(taken_bytes, now)
+            taking_s = self.throughput.estimate_s(1000)
+            self.assertGreaterEqual(
+                taking_s * RATE_SHARE * 1.001, 1000 / read_bytes_per_s
+            )
+
+    # Guards against requests refused for no reason: a client that once took
+    # nothing for a moment was taken for slow whatever it took afterwards.
+    def test_quickly_taken_answers_are_added_up(self):
+        now = 10.0 + WINDOW_S
+        self.throughput.update(0, LARGE, now)
+        for number in range(1, 5):
+            self.throughput.update(number * 200_000, 0, now + number * 0.1)
+            self.throughput.begin(number * 200_000, now + number * 0.1)
+        self.check_rate((800_000 - BUFFERS_BYTES_MAX) / 0.4)
+
     def test_client_that_takes_nothing_needs_long(self):
         self.throughput.update(0, LARGE, 10.0 + WINDOW_S)
         self.assertEqual(self.throughput.estimate_s(LARGE), LARGE)
--- a/kumquatwalk/http1/throughput.py
+++ b/kumquatwalk/http1/throughput.py
@@ -13,6 +13,9 @@
 # Share of the measured rate that is relied on: a client's buffer takes the
 # first bytes at once, and its later reads may be slower.
 RATE_SHARE = 0.5
+# Longest time over which what a client takes in several answers is added up, in
+# seconds.
+SPAN_S_MAX = 2.0
 # Shortest time that is told apart from none, in seconds.
 RESOLUTION_S = 0.001
 
@@ -28,6 +31,9 @@
         # Start of the present window; None while the client is not behind.
         self._began_at: float | None = None
         self._taken_bytes = 0
+        # Start of the time over which several answers are added up.
+        self._span_at = 0.0
+        self._span_bytes = 0
 
     def begin(self, taken_bytes: int, now: float) -> None:
         """Note that the client is behind from now on, unless it was before.
@@ -56,9 +62,11 @@
             if elapsed_s >= WINDOW_S:
                 self._bytes_per_s = rate
                 self._restart(taken_bytes, now)
+                self._restart_span(taken_bytes, now)
             return
         # It may have caught up at any time before, so this is a lower bound.
         self._began_at = None
+        self._add_up(taken_bytes, now)
         if size <= BUFFERS_BYTES_MAX:
             return
         if self._bytes_per_s is not None:
@@ -79,6 +87,24 @@
             return None
         return size / max(1.0, RATE_SHARE * self._bytes_per_s)
 
+    def _add_up(self, taken_bytes: int, now: float) -> None:
+        """Raise the rate by what the client has surely read of several answers.
+
+        That is what it has taken but for what its buffers may hold.
+        """
+        if self._bytes_per_s is None:
+            return
+        span_s = max(now - self._span_at, RESOLUTION_S)
+        if span_s > SPAN_S_MAX:
+            self._restart_span(taken_bytes, now)
+            return
+        size = taken_bytes - self._span_bytes - BUFFERS_BYTES_MAX
+        self._bytes_per_s = max(self._bytes_per_s, size / span_s)
+
+    def _restart_span(self, taken_bytes: int, now: float) -> None:
+        self._span_at = now
+        self._span_bytes = taken_bytes
+
     def _restart(self, taken_bytes: int, now: float) -> None:
         self._began_at = now
         self._taken_bytes = taken_bytes
