Soak that stops all nodes of a service at once, with long runs

What was seen: with three targets of one service and a target of another, stops of any node that is not down and runs of 0.1 to 2.8 s, answers 502 in place of runs that targets were at work on (design/LOST.md). No soak of ours showed it: the deployment's stops 45% of all nodes a series, with runs of 0.1 to 0.4 s.

Change: `--interface service`, on PlatformSoak. Six callers of each kind (unsafe, pipelined) a node; SIGTERM to a node drawn at random every 0.01 to 0.4 s; nodes start again when they have ended. Nothing else happens, so that nothing excuses a loss. A habit of callers now has the range of its runs' time; the draws of the other soaks stay the same.

nose2 kumquatwalk.soak kumquatwalk.standin: 88 passed.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -8,6 +8,7 @@
 from kumquatwalk.soak.deployment_runner import run_deployment_soak
 from kumquatwalk.soak.platform_runner import run_platform_soak
 from kumquatwalk.soak.runner import run_soak
+from kumquatwalk.soak.service_runner import run_service_soak
 
 __all__ = ["main"]
 
@@ -23,10 +24,11 @@
 )
 @click.option(
     "--interface",
-    type=click.Choice(["own", "platform", "deployment"]),
+    type=click.Choice(["own", "platform", "deployment", "service"]),
     default="own",
     show_default=True,
-    help="Interface of the nodes, or the shape of a deployment on it.",
+    help="Interface of the nodes, or the shape of a deployment on it;"
+    " service stops all nodes of a service at once.",
 )
 @click.option(
     "--keep",
@@ -67,6 +69,8 @@
             result = run_soak(seed, seconds)
         elif interface == "deployment":
             result = run_deployment_soak(seed, seconds, rate, keep, tree)
+        elif interface == "service":
+            result = run_service_soak(seed, seconds, keep)
         else:
             result = run_platform_soak(seed, seconds, keep, has_link_faults)
         broken += bool(result.violations)
--- a/kumquatwalk/standin/attempt.py
+++ b/kumquatwalk/standin/attempt.py
@@ -25,6 +25,7 @@
         read_pause_s: Longest pause between two reads, in seconds.
         reconnect_s: Range of the pause before a connection, in seconds.
         is_safe: Whether the requests are idempotent.
+        work_ms: Range of the time that a run takes, in milliseconds.
     """
 
     name: str
@@ -37,6 +38,7 @@
     read_pause_s: float = 0.0
     reconnect_s: tuple[float, float] = (0.0, 0.05)
     is_safe: bool = True
+    work_ms: tuple[int, int] = (10, 500)
 
 
 HABITS = (
--- a/kumquatwalk/standin/connection_caller.py
+++ b/kumquatwalk/standin/connection_caller.py
@@ -19,8 +19,7 @@
 
 _RETRY_S = 0.05
 _BUFFER_BYTES = 65536
-# Longest run that a request asks for, in milliseconds, and that of one in ten.
-_WORK_MS = 500
+# Longest run that one request in ten asks for at least, in milliseconds.
 _LONG_WORK_MS = 2000
 
 
@@ -108,8 +107,10 @@
             rng.randint(*habit.sizes),
             read_now(),
         )
-        longest_ms = _LONG_WORK_MS if rng.random() < 0.1 else _WORK_MS
+        shortest_ms, longest_ms = habit.work_ms
+        if rng.random() < 0.1:
+            longest_ms = max(longest_ms, _LONG_WORK_MS)
         route, method = ("look", "GET") if habit.is_safe else ("pay-pay", "PUT")
         body = b"" if habit.is_safe else b"x" * rng.randint(1, 3000)
-        path = f"/{route}/{rng.randint(10, longest_ms)}/{attempt.size}"
+        path = f"/{route}/{rng.randint(shortest_ms, longest_ms)}/{attempt.size}"
         return self._send(attempt, method, path, LIMIT_S, body)
