Soak of the deployment with its delays, 8 ms to callers

What was missing: no soak had the deployment's delays. Loopback hides each race of a close with a request in transit.

Change: `--delays`. The callers' connections are late by 8 ms each way (DelayedConnection, in the caller's process: bytes, the end of the stream and resets pass in order, so a request that is sent before the caller sees a close meets it). Links between zones are late by 0.5 ms each way, by the proxies of `--links`. Calls of targets to the node beside them stay as they are, and so do the links within a zone.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -7,6 +7,7 @@
 
 from kumquatwalk.soak.deployment_runner import run_deployment_soak
 from kumquatwalk.soak.platform_runner import run_platform_soak
+from kumquatwalk.soak.runner import SoakResult
 from kumquatwalk.soak.runner import run_soak
 from kumquatwalk.soak.service_runner import run_service_soak
 
@@ -52,6 +53,12 @@
     is_flag=True,
     help="Let links between nodes fail too (platform only).",
 )
+@click.option(
+    "--delays",
+    "has_delays",
+    is_flag=True,
+    help="Let connections be as late as the deployment's (deployment only).",
+)
 def main(
     first: int,
     seeds: int,
@@ -61,6 +68,7 @@
     has_link_faults: bool,
     rate: float,
     tree: str | None,
+    has_delays: bool,
 ) -> None:
     """Run soaks with a seed each; exit with 1 if a promise was broken."""
     broken = 0
@@ -68,24 +76,30 @@
         if interface == "own":
             result = run_soak(seed, seconds)
         elif interface == "deployment":
-            result = run_deployment_soak(seed, seconds, rate, keep, tree)
+            result = run_deployment_soak(
+                seed, seconds, rate, keep, tree, has_delays
+            )
         elif interface == "service":
             result = run_service_soak(seed, seconds, keep)
         else:
             result = run_platform_soak(seed, seconds, keep, has_link_faults)
         broken += bool(result.violations)
-        outcomes = " ".join(f"{k}={v}" for k, v in result.outcomes.items())
-        click.echo(f"seed={seed} faults={result.actions} {outcomes}")
-        for name, count in result.losses.items():
-            click.echo(f"  {count} {name}")
-        rules = collections.Counter(v.rule for v in result.violations)
-        if rules:
-            click.echo("  " + " ".join(f"{k}={v}" for k, v in rules.items()))
-        for violation in result.violations[:20]:
-            click.echo(f"  {violation}")
+        _print_result(seed, result)
     click.echo(f"seeds={seeds} broken={broken}")
     sys.exit(1 if broken else 0)
 
 
+def _print_result(seed: int, result: SoakResult) -> None:
+    outcomes = " ".join(f"{k}={v}" for k, v in result.outcomes.items())
+    click.echo(f"seed={seed} faults={result.actions} {outcomes}")
+    for name, count in result.losses.items():
+        click.echo(f"  {count} {name}")
+    rules = collections.Counter(v.rule for v in result.violations)
+    if rules:
+        click.echo("  " + " ".join(f"{k}={v}" for k, v in rules.items()))
+    for violation in result.violations[:20]:
+        click.echo(f"  {violation}")
+
+
 if __name__ == "__main__":
     main.main()
--- a/kumquatwalk/soak/deployment_runner.py
+++ b/kumquatwalk/soak/deployment_runner.py
@@ -30,6 +30,9 @@
 }
 # Mean time between two requests of one caller, in seconds.
 _CYCLE_S = 0.85
+# One-way delays to callers and between zones, in seconds.
+_CALLER_DELAY_S = 0.008
+_ZONE_DELAY_S = 0.0005
 
 
 def run_deployment_soak(
@@ -38,6 +41,7 @@
     rate: float,
     keep: str | None = None,
     tree: str | None = None,
+    has_delays: bool = False,
 ) -> SoakResult:
     """Run one soak with twelve daemon processes whose targets make calls.
 
@@ -48,10 +52,12 @@
         keep: Folder in which the logs and the record are kept; None to keep
             them in a temporary folder, and only after a violation.
         tree: Checkout of which the daemons run; None for the present one.
+        has_delays: Whether connections of callers and links between zones are
+            as late as those of the deployment.
     """
 
     def run(folder: pathlib.Path) -> SoakResult:
-        soak = _DeploymentSoak(seed, folder, rate, tree)
+        soak = _DeploymentSoak(seed, folder, rate, tree, has_delays)
         return uvloop.run(soak.run(duration_s))
 
     return run_in_folder(f"soak-deployment-{seed}-", keep, run)
@@ -60,10 +66,17 @@
 class _DeploymentSoak(PlatformSoak):
 
     def __init__(
-        self, seed: int, folder: pathlib.Path, rate: float, tree: str | None
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        rate: float,
+        tree: str | None,
+        has_delays: bool,
     ):
         calls = []
-        fleet = DeploymentFleet(folder, seed, calls, tree)
+        zone_delay_s = _ZONE_DELAY_S if has_delays else 0.0
+        fleet = DeploymentFleet(folder, seed, calls, tree, zone_delay_s)
+        self._caller_delay_s = _CALLER_DELAY_S if has_delays else 0.0
         super().__init__(seed, fleet, len(PLACES), folder)
         self._attempts = calls
         self._rate = rate
@@ -90,6 +103,7 @@
                             lambda zone=zone: poll.choose_node(zone),
                             random.Random(caller),
                             self._attempts,
+                            self._caller_delay_s,
                         )
                     )
         return callers
--- a/kumquatwalk/soak/tests/test_deployment_soak.py
+++ b/kumquatwalk/soak/tests/test_deployment_soak.py
@@ -15,7 +15,13 @@
     # Guards against LOST: requests ended without an answer in rolling restarts
     # of nodes whose targets call each other.
     def test_no_promise_is_broken_in_rolling_restarts(self):
-        result = run_deployment_soak(SEED, SECONDS, RATE)
+        self.check(run_deployment_soak(SEED, SECONDS, RATE))
+
+    def test_no_promise_is_broken_with_the_delays_of_the_deployment(self):
+        self.check(run_deployment_soak(SEED, SECONDS, RATE, has_delays=True))
+
+    def check(self, result):
+        """Check that no promise was broken, and that requests were served."""
         self.assertEqual(result.violations, (), result.losses)
         self.assertGreater(result.actions, 2)
         self.assertGreater(result.outcomes["200"], 100)
--- a/kumquatwalk/standin/deployment_caller.py
+++ b/kumquatwalk/standin/deployment_caller.py
@@ -9,6 +9,7 @@
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.connection_use import ConnectionUse
+from kumquatwalk.standin.delayed_connection import open_delayed_connection
 from kumquatwalk.standin.platform_node import PlatformNode
 from kumquatwalk.standin.request_class import RequestClass
 from kumquatwalk.standin.serial_caller import SerialCaller
@@ -29,6 +30,7 @@
         choose_node: Returns the node for the next connection.
         rng: Source of all choices.
         attempts: Gets each attempt when it is sent.
+        delay_s: One-way delay of its connections, in seconds.
     """
 
     def __init__(
@@ -39,10 +41,12 @@
         choose_node: Callable[[], PlatformNode],
         rng: random.Random,
         attempts: list[Attempt],
+        delay_s: float = 0.0,
     ):
         super().__init__(name, habit, rng, attempts)
         self._entry = entry
         self._choose_node = choose_node
+        self._delay_s = delay_s
 
     async def run(self) -> None:
         """Open one connection after the other, until stopped."""
@@ -53,8 +57,8 @@
             pid = node.pid
             address = node.listeners["outbound"]
             try:
-                reader, writer = await asyncio.open_connection(
-                    address.host, address.port
+                reader, writer = await open_delayed_connection(
+                    address.host, address.port, self._delay_s
                 )
             except OSError:
                 await asyncio.sleep(_RETRY_S)
--- a/kumquatwalk/standin/deployment_fleet.py
+++ b/kumquatwalk/standin/deployment_fleet.py
@@ -7,6 +7,7 @@
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.calling_target import CallingTarget
 from kumquatwalk.standin.daemon_fleet import HOST
+from kumquatwalk.standin.link_faults import LinkFaults
 from kumquatwalk.standin.node_place import NodePlace
 from kumquatwalk.standin.platform_fleet import PlatformFleet
 from kumquatwalk.standin.platform_node import PlatformNode
@@ -39,6 +40,7 @@
         seed: Seed of the work that calls ask for.
         attempts: Gets each call of a target when it is sent.
         tree: Checkout of which the daemons run; None for the present one.
+        zone_delay_s: One-way delay of links between zones, in seconds.
     """
 
     start_timeout_s = 90.0
@@ -50,8 +52,10 @@
         seed: int,
         attempts: list[Attempt],
         tree: str | None = None,
+        zone_delay_s: float = 0.0,
     ):
-        super().__init__(folder, tree)
+        super().__init__(folder, tree, has_proxies=bool(zone_delay_s))
+        self._zone_delay_s = zone_delay_s
         self._seed = seed
         self._attempts = attempts
         self._clients: list[TargetClient] = []
@@ -97,6 +101,11 @@
 
     async def _add_node(self, number: int) -> PlatformNode:
         node = await super()._add_node(number)
+        if self._zone_delay_s:
+            faults = LinkFaults(self._zone_delay_s)
+            for place in PLACES:
+                if place.zone != node.zone:
+                    self.proxies[node.name].set_faults(place.name, faults)
         rng = random.Random(f"{self._seed}-{node.name}-calls")
         client = TargetClient(node, rng, self._attempts)
         target = CallingTarget(node, client, PLACES[number].speed)
--- a/kumquatwalk/standin/link_pipe.py
+++ b/kumquatwalk/standin/link_pipe.py
@@ -80,6 +80,8 @@
             due_at, data = await self._pieces.get()
             await asyncio.sleep(max(0.0, due_at - read_now()))
             await self._is_open.wait()
+            if self._writer.is_closing():
+                raise ConnectionResetError
             if not data:
                 self._writer.write_eof()
                 return
