Soak: planned work counts for the machine, not for its process

Found by the second judge.

The test that a stop of another process does not count said the opposite of the rule; in its place one for the next process of the node and one for another node, both for SIGTERM and SIGHUP.

Tested: the unit tests of both judges, of losses and manifest cuts pass.

--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -178,7 +178,7 @@
         return ""
     for work in sorted(works, key=lambda work: not work.is_stop):
         after_s = attempt.ended_at - work.at
-        if work.pid != attempt.pid or after_s < 0.0:
+        if work.node != attempt.node or after_s < 0.0:
             continue
         sent_after_s = (attempt.sent_at or attempt.began_at) - work.at
         if work.is_stop:
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -54,8 +54,15 @@
         late = change(CUT, began_at=102.1, sent_at=102.1, ended_at=103.0)
         self.assertEqual(self.check(late, RUN, works=(RELOAD,)), [])
 
-    def test_stop_of_another_process_does_not_count(self):
-        self.assertEqual(self.check(change(CUT, pid=8), RUN), [])
+    def test_planned_work_counts_for_the_next_process_of_its_node(self):
+        later = change(CUT, pid=8)
+        self.assertEqual(self.check(later, RUN), ["lost"])
+        self.assertEqual(self.check(later, RUN, works=(RELOAD,)), ["lost"])
+
+    def test_planned_work_of_another_node_does_not_count(self):
+        other = change(CUT, node="n3")
+        self.assertEqual(self.check(other, RUN), [])
+        self.assertEqual(self.check(other, RUN, works=(RELOAD,)), [])
 
     def test_loss_after_the_end_of_the_stop_does_not_count(self):
         late = change(CUT, began_at=106.0, sent_at=106.0, ended_at=107.1)
