--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -25,6 +25,7 @@
 from kumquatwalk.soak.platform_record import collect_runs
 from kumquatwalk.soak.platform_record import write_record
 from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.soak.rule_judge import judge_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
 from kumquatwalk.soak.scheduling import SchedulingWatch
@@ -163,12 +164,16 @@
         return self._impairments
 
     def check(self, record: PlatformRecord) -> list[Violation]:
-        """Return the broken promises of a record.
+        """Return the broken promises of a record, of two independent judges.
 
         Args:
             record: Record of the soak.
         """
-        return check_record(record) + check_manifest_cuts(record)
+        return [
+            *check_record(record),
+            *check_manifest_cuts(record),
+            *judge_record(record),
+        ]
 
     def run_beside(self, coroutine) -> None:
         """Run a coroutine until the soak ends, then cancel it.
--- a/kumquatwalk/soak/tests/test_platform_soak.py
+++ b/kumquatwalk/soak/tests/test_platform_soak.py
@@ -1,13 +1,19 @@
 """Tests of the platform soak's plan, and a short soak with fixed seeds."""
 
 import collections
+import pathlib
 import unittest
 
 from kumquatwalk.soak.plan import Fault
 from kumquatwalk.soak.platform_plan import ChangeKind
 from kumquatwalk.soak.platform_plan import make_changes
 from kumquatwalk.soak.platform_plan import make_platform_plan
+from kumquatwalk.soak.platform_record import PlannedWork
+from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_runner import run_platform_soak
+from kumquatwalk.soak.platform_soak import PlatformSoak
+from kumquatwalk.standin.attempt import Attempt
+from kumquatwalk.standin.scripted_target import Run
 
 NODES = tuple(f"n{number}" for number in range(1, 7))
 # One seed with planned work only, and one with kills and pauses.
@@ -48,6 +54,32 @@
         self.assertGreater(count, 40)
 
 
+class CheckTest(unittest.TestCase):
+
+    def check(self, works, statuses):
+        """Return the rules broken for one attempt, run at n2.
+
+        Args:
+            works: Planned work.
+            statuses: Status of the answer and that of the run.
+        """
+        attempt = Attempt(
+            *("a", "unsafe", False, "n1", 1, 1, 0, False, 9, 99.0, 99.0, 101.0)
+        )
+        attempt.status, status = statuses
+        run = Run("a", None, 99.1, True, 101.0, status=status)
+        runs = {"a": [("n2", run)]}
+        soak = PlatformSoak(1, None, 1, pathlib.Path())
+        record = PlatformRecord([attempt], runs, works, ())
+        return [violation.rule for violation in soak.check(record)]
+
+    def test_violation_that_either_judge_finds_counts(self):
+        stop = PlannedWork("n2", 1, 100.0, True)
+        self.assertEqual(self.check([], (503, 200)), ["run_though_refused"])
+        self.assertEqual(self.check([stop], (502, 200)), ["LOST"])
+        self.assertEqual(self.check([], (502, 200)), [])
+
+
 class PlatformSoakTest(unittest.TestCase):
 
     # Guards against LOST: planned stops dropped requests that targets ran.
