--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -8,7 +8,7 @@
 from collections.abc import Set
 
 from kumquatwalk.clock import read_now
-from kumquatwalk.event_loop import limit_time
+from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
@@ -31,6 +31,9 @@
 
 # Interval at which links that are being opened are polled, in seconds.
 RELINK_POLL_S = 0.02
+# Time that counts for one poll at most, in seconds: in one that takes longer
+# the process was not scheduled.
+RELINK_POLL_MAX_S = 2.0 * RELINK_POLL_S
 # Time without a usable connection after which a node no longer counts as one
 # that can serve, in seconds. A link to a node that is up opens within 0.1 s.
 UNFIT_DELAY_S = 0.6
@@ -81,6 +84,8 @@
         self._ranked: dict[str, RankedNodes] = {}
         self._links: dict[str, PeerLink] = {}
         self._unselected_since: dict[str, float] = {}
+        # Links to nodes that have left the roster, with calls in progress.
+        self._dropped: list[PeerLink] = []
         self._checker: asyncio.Task | None = None
 
     @property
@@ -96,9 +101,10 @@
         """Stop the checks and close all links."""
         if self._checker is not None:
             self._checker.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._dropped):
             link.close()
         self._links.clear()
+        self._dropped.clear()
 
     def find(self, node_id: str) -> PeerLink | None:
         """Return the link to a node; None for this node or without a link.
@@ -185,20 +191,24 @@
 
         Args:
             service: Name of the service.
-            timeout_s: Maximum wait, in seconds.
+            timeout_s: Maximum wait, in seconds. Pauses of this process, in
+                which no link is opened, do not count.
 
         Returns:
             Whether one is reachable; False at once when no known target of
             the service accepts calls.
         """
-        try:
-            async with limit_time(timeout_s):
-                while not self._is_linked(service):
-                    if not self._may_be_linked(service):
-                        return False
-                    await asyncio.sleep(RELINK_POLL_S)
-        except TimeoutError:
-            pass  # It may have been linked since the last poll.
+        waited_s = 0.0
+        while not self._is_linked(service):
+            if not self._may_be_linked(service):
+                return False
+            if waited_s >= timeout_s:
+                # It may have been linked since the last poll.
+                await handle_pending_events()
+                break
+            polled_at = read_now()
+            await asyncio.sleep(RELINK_POLL_S)
+            waited_s += min(read_now() - polled_at, RELINK_POLL_MAX_S)
         return self._is_linked(service)
 
     def list_links(self) -> list[PeerLink]:
@@ -288,8 +298,9 @@
     def set_roster(self, entries: Iterable[RosterEntry]) -> None:
         """Replace the known nodes and select links among them.
 
-        Links to nodes that are missing are closed; one whose node has changed
-        its address is opened anew.
+        Links to nodes that are missing get no more calls and are closed once
+        no reply can come; one whose node has changed its address is opened
+        anew.
 
         Args:
             entries: Entries of all nodes; this node's own is ignored.
@@ -336,8 +347,9 @@
         for count in itertools.count():
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = read_now()
-            for link in self._links.values():
+            for link in (*self._links.values(), *self._dropped):
                 link.reset_if_silent(now)
+            self._close_dropped()
             if not count % CHECKS_PER_REFRESH:
                 self.refresh_links(now)
 
@@ -371,9 +383,18 @@
         )
 
     def _close(self, node_id: str, event: str) -> None:
-        self._links.pop(node_id).close()
+        link = self._links.pop(node_id)
+        self._dropped.append(link)
         self._unselected_since.pop(node_id, None)
-        log_event(event, peer=node_id)
+        log_event(event, peer=node_id, is_idle=link.is_idle)
+        self._close_dropped()
+
+    def _close_dropped(self) -> None:
+        """Close links to nodes that have left, but those with calls."""
+        for link in tuple(self._dropped):
+            if not link.has_connection_with_calls:
+                self._dropped.remove(link)
+                link.close()
 
     def _open(self, entry: RosterEntry) -> PeerLink:
         view = TargetView(entry.node_id, entry.availability_zone, entry.service)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -366,8 +366,10 @@
         record = self._apply_departures(record)
         before, self.record = self.record, record
         if record.is_of_other_start(before):
-            # Callers would avoid it for the run times of the start before.
+            # Callers would avoid it for the run times and the failures of the
+            # start before.
             self.limiter.run_times.clear()
+            self._failure_share = 0.0
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
         if record.state is TargetState.READY:
@@ -554,8 +556,8 @@
         return dataclasses.replace(reply, tokens=run.tokens.left)
 
     async def _exchange(self, target_id: str, run: Run) -> ExchangeResult:
-        call = run.call
-        timeout = self._open_runs.open(call, read_now())
+        call, now = run.call, read_now()
+        timeout = self._open_runs.open(call, now)
         try:
             return await run_call(
                 self._client,
@@ -564,6 +566,7 @@
                 run.run_id,
                 call,
                 timeout,
+                self.stop_admission.bound_deadline(call.deadline, now),
             )
         finally:
             self._open_runs.close(timeout)
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections.abc import Set
+from unittest import mock
 
 from kumquatwalk import codes
 from kumquatwalk.admission.memory import MemoryAdmission
@@ -21,6 +22,7 @@
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.mesh.late_calls import LateCalls
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import TargetStatus
@@ -49,6 +51,7 @@
         calls: Node identifier and call of each attempt.
         late: Reply that still comes to one call; None if none does.
         late_index: Index of that call.
+        late_calls: Other calls whose replies still come; None if none do.
         on_call: Called with each attempt.
     """
 
@@ -60,6 +63,7 @@
     ):
         self.late = late
         self.late_index = 0
+        self.late_calls: LateCalls | None = None
         self.calls: list[tuple[str, Call]] = []
         self.on_call = lambda: None
         self.count = 5
@@ -110,23 +114,39 @@
     """Link to one of the scripted peers."""
 
     def __init__(self, peers: ScriptedPeers, node_id: str):
-        self._peers = peers
-        self._node_id = node_id
+        self.peers = peers
+        self.node_id = node_id
 
     async def call(self, call: Call) -> Reply:
         """Return the next reply; wait for ever if it is None."""
-        reply = self._peers.reply(self._node_id, call)
+        reply = self.peers.reply(self.node_id, call)
         if reply is None:
             await asyncio.get_running_loop().create_future()
         return reply
 
     def find_late_reply(self, call: Call) -> asyncio.Future | None:
         """Return the reply that still comes to a call, if any."""
-        index = [sent is call for _, sent in self._peers.calls].index(True)
-        return self._peers.late if index == self._peers.late_index else None
+        index = [sent is call for _, sent in self.peers.calls].index(True)
+        if index == self.peers.late_index:
+            return self.peers.late
+        late_calls = self.peers.late_calls
+        return None if late_calls is None else late_calls.find(call)
 
 
-class CallerSideTest(unittest.IsolatedAsyncioTestCase):
+async def _call_and_hedge_second(link: ScriptedLink, call: Call) -> Reply:
+    """Return the next reply; the second call is hedged and answered at once."""
+    peers = link.peers
+    reply = peers.reply(link.node_id, call)
+    if len(peers.calls) == 2:
+        late_calls = LateCalls(mock.Mock())
+        late_calls.add(2, call)
+        late_calls.resolve(2, DONE)
+        peers.late_calls = late_calls
+    return reply
+
+
+class CallerSideCase(unittest.IsolatedAsyncioTestCase):
+    """Case with a caller side whose peers are scripted."""
 
     def setUp(self):
         self.peers = ScriptedPeers([])
@@ -165,11 +185,15 @@
         self.peers.late_index = self.late_index
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
-        fields = {"attempts_max": 4, "repeats_failures": False, **route_fields}
+        fields = {
+            "attempts_max": 4,
+            "repeats_failures": False,
+            "timeout_s": 60.0,
+            **route_fields,
+        }
         route = make_route(
             "payments",
             is_idempotent=idempotent,
-            timeout_s=60.0,
             objective_s=60.0,
             **fields,
         )
@@ -189,6 +213,9 @@
             )
         return await side.serve(http, caller, route, chain)
 
+
+class CallerSideTest(CallerSideCase):
+
     async def test_answer_is_passed_on(self):
         self.assertEqual(await self._call([DONE], idempotent=False), DONE)
         self.assertEqual(len(self.peers.calls), 1)
@@ -371,5 +398,54 @@
         self.assertEqual(self.peers.calls, [])
 
 
+class LateRepliesToAttemptsTest(CallerSideCase):
+
+    # Guards against LOST: the answer to the second attempt came in the turn in
+    # which it was hedged, and was dropped while the first was in flight too.
+    async def test_reply_that_comes_as_its_attempt_is_hedged_is_used(self):
+        late = asyncio.get_running_loop().create_future()
+        with mock.patch.object(ScriptedLink, "call", _call_and_hedge_second):
+            serving = asyncio.create_task(
+                self._call([LOST, LOST], True, late=late, attempts_max=2)
+            )
+            await asyncio.wait([serving], timeout=HANG_S / 10)
+        self.assertTrue(serving.done())
+        self.assertEqual(await serving, DONE)
+
+    # Guards against arrivals beyond need: a request was sent again though its
+    # answer had come.
+    async def test_late_reply_that_has_come_makes_a_retry_needless(self):
+        late = asyncio.get_running_loop().create_future()
+        late.set_result(DONE)
+        serving = self._call([LOST, None], True, late=late)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, DONE)
+        self.assertEqual(len(self.peers.calls), 1)
+
+    # Guards against a run that is broken off, and its answer lost, for another
+    # target's error.
+    async def test_error_elsewhere_does_not_end_a_hedged_run(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = asyncio.create_task(
+            self._call([LOST, failed], True, late=late)
+        )
+        while len(self.peers.calls) < 2:
+            await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertFalse(late.cancelled())
+        late.set_result(DONE)
+        self.assertEqual(await serving, DONE)
+
+    # Guards against 504 in place of the answer that a target has given.
+    async def test_error_is_passed_on_when_no_better_answer_comes(self):
+        late = asyncio.get_running_loop().create_future()
+        failed = Reply(Outcome.DONE, "", 500, body=b"x")
+        serving = self._call([LOST, failed], True, late=late, timeout_s=0.2)
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await serving, failed)
+
+
 if __name__ == "__main__":
     unittest.main()
