http1: look for requests that wait only if one may

The search for deferred requests after each answer, added with the deferral at any time, cost processor time on every connection.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -85,6 +85,8 @@
         # Whether a request was received in part when the server stopped to
         # accept requests; it is handled.
         self._expects_rest = False
+        # Whether a request may wait to be passed on; saves a search.
+        self._may_have_deferred = False
         self._is_closing = False
         self._closed_at = 0.0
         # Whether the caller has ended its side, and may still read.
@@ -350,6 +352,7 @@
         elif can_take:
             exchange.is_deferred = self._is_behind(exchange, read_now())
         if exchange.is_deferred:
+            self._may_have_deferred = True
             request.progress.deferred_at = read_now()
         if not can_take and not exchange.is_deferred:
             self._end_requests()
@@ -379,6 +382,8 @@
 
         What stands behind a request that is refused stays unanswered.
         """
+        if not self._may_have_deferred:
+            return
         while (exchange := self._exchanges.first_deferred) is not None:
             if not self._server.is_stopping:
                 if self._is_behind(exchange, now):
@@ -396,6 +401,7 @@
             ):
                 self._refuse_deferred(exchange)
             return
+        self._may_have_deferred = False
 
     def _refuse_deferred(self, exchange: Exchange) -> None:
         exchange.is_deferred = False
@@ -487,16 +493,19 @@
         """
         if not self._writer.untaken and not self._exchanges:
             return False
-        first = self._exchanges.first_deferred
-        if first is not None and first is not exchange:
-            return True
         if not self._writer.can_write:
             return True
+        if self._may_have_deferred:
+            first = self._exchanges.first_deferred
+            if first is not None and first is not exchange:
+                return True
         if now - self._writer.progress_at > TAKING_S_MAX:
             self._writer.update(now)
             untaken_s = now - self._writer.progress_at
             if self._writer.untaken and untaken_s > TAKING_S_MAX:
                 return True
+        if not self._exchanges:
+            return False
         size = self._exchanges.count_large_bytes(
             exchange, BACKLOG_BYTES_MAX, self._estimate_answer
         )
