--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -1,6 +1,7 @@
 """Caller side of a node: chooses targets, retries and enforces deadlines."""
 
 import asyncio
+import dataclasses
 import random
 import secrets
 
@@ -490,6 +491,10 @@
         else:
             reply = await self._make_attempt(view, request, call)
         request.is_in_flight = False
+        is_over = reply.code == codes.DEADLINE_EXCEEDED
+        if is_over and call.deadline < request.deadline:
+            # Only the time that the stop leaves was over.
+            return dataclasses.replace(reply, code=codes.NODE_STOPPING)
         return reply
 
     async def _make_attempt(
