Soak of the deployment with faults beside planned work

What was missing: resets of connections on other machines, bursts, callers that leave early or repeat at once, and a traffic split were never played beside planned work.

Change: `--disturbed` (with the delays).

Cause by reading: a caller that was stopped while its connection was being opened used that connection for ever; the delay makes the time longer.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -59,6 +59,13 @@
     is_flag=True,
     help="Let connections be as late as the deployment's (deployment only).",
 )
+@click.option(
+    "--disturbed",
+    "is_disturbed",
+    is_flag=True,
+    help="Reset links, let callers come in bursts, leave early and repeat at"
+    " once, and split a route (deployment only; with its delays).",
+)
 def main(
     first: int,
     seeds: int,
@@ -69,6 +76,7 @@
     rate: float,
     tree: str | None,
     has_delays: bool,
+    is_disturbed: bool,
 ) -> None:
     """Run soaks with a seed each; exit with 1 if a promise was broken."""
     broken = 0
@@ -77,7 +85,7 @@
             result = run_soak(seed, seconds)
         elif interface == "deployment":
             result = run_deployment_soak(
-                seed, seconds, rate, keep, tree, has_delays
+                seed, seconds, rate, keep, tree, has_delays, is_disturbed
             )
         elif interface == "service":
             result = run_service_soak(seed, seconds, keep)
--- a/kumquatwalk/soak/tests/test_deployment_soak.py
+++ b/kumquatwalk/soak/tests/test_deployment_soak.py
@@ -20,6 +20,12 @@
     def test_no_promise_is_broken_with_the_delays_of_the_deployment(self):
         self.check(run_deployment_soak(SEED, SECONDS, RATE, has_delays=True))
 
+    # Guards against LOST: faults excuse losses only at the nodes they hit.
+    def test_no_promise_is_broken_beside_faults_elsewhere(self):
+        result = run_deployment_soak(SEED, SECONDS, RATE, is_disturbed=True)
+        self.check(result)
+        self.assertGreater(result.outcomes["left"], 0)
+
     def check(self, result):
         """Check that no promise was broken, and that requests were served."""
         self.assertEqual(result.violations, (), result.losses)
--- a/kumquatwalk/standin/attempt.py
+++ b/kumquatwalk/standin/attempt.py
@@ -26,6 +26,8 @@
         reconnect_s: Range of the pause before a connection, in seconds.
         is_safe: Whether the requests are idempotent.
         work_ms: Range of the time that a run takes, in milliseconds.
+        patience_s: Range of the time after which the caller leaves, in seconds;
+            None to wait until the limit.
     """
 
     name: str
@@ -39,6 +41,7 @@
     reconnect_s: tuple[float, float] = (0.0, 0.05)
     is_safe: bool = True
     work_ms: tuple[int, int] = (10, 500)
+    patience_s: tuple[float, float] | None = None
 
 
 HABITS = (
--- a/kumquatwalk/standin/connection_caller.py
+++ b/kumquatwalk/standin/connection_caller.py
@@ -61,7 +61,7 @@
             except OSError:
                 await asyncio.sleep(_RETRY_S)
                 continue
-            if pid != self._get_pid():
+            if pid != self._get_pid() or self._is_stopped:
                 # Either process may have accepted it.
                 writer.transport.abort()
                 continue
--- a/kumquatwalk/standin/connection_use.py
+++ b/kumquatwalk/standin/connection_use.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -50,6 +51,8 @@
         self._writer = writer
         self._make_attempt = make_attempt
         self._patience_s = patience_s
+        leave_s = habit.patience_s
+        self._leave_s = rng.uniform(*leave_s) if leave_s else math.inf
         self._is_stopped = False
         self._waiting: collections.deque[Attempt] = collections.deque()
         self._answered: Attempt | None = None
@@ -91,6 +94,8 @@
             await asyncio.sleep(_WATCH_S)
             if self._waiting and self._is_over(self._waiting[0]):
                 self._error = "limit"
+            elif self._waiting and self._has_left(self._waiting[0]):
+                self._error = "left"
             elif self._waiting or not sender.done():
                 continue
             self._writer.transport.abort()
@@ -100,6 +105,9 @@
         waited_s = read_now() - attempt.began_at
         return waited_s > attempt.limit_s + self._patience_s
 
+    def _has_left(self, attempt: Attempt) -> bool:
+        return read_now() - attempt.began_at > self._leave_s
+
     def _can_send(self) -> bool:
         habit = self._habit
         return not (
--- a/kumquatwalk/standin/deployment_caller.py
+++ b/kumquatwalk/standin/deployment_caller.py
@@ -63,7 +63,7 @@
             except OSError:
                 await asyncio.sleep(_RETRY_S)
                 continue
-            if pid != node.pid:
+            if pid != node.pid or self._is_stopped:
                 # Either process may have accepted it.
                 writer.transport.abort()
                 continue
--- a/kumquatwalk/standin/deployment_fleet.py
+++ b/kumquatwalk/standin/deployment_fleet.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import random
+from collections.abc import Mapping
 
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.calling_target import CallingTarget
@@ -41,6 +42,7 @@
         attempts: Gets each call of a target when it is sent.
         tree: Checkout of which the daemons run; None for the present one.
         zone_delay_s: One-way delay of links between zones, in seconds.
+        splits: Weights of services by the name of a route that they share.
     """
 
     start_timeout_s = 90.0
@@ -53,9 +55,11 @@
         attempts: list[Attempt],
         tree: str | None = None,
         zone_delay_s: float = 0.0,
+        splits: Mapping[str, Mapping[str, int]] | None = None,
     ):
         super().__init__(folder, tree, has_proxies=bool(zone_delay_s))
         self._zone_delay_s = zone_delay_s
+        self._splits = splits or {}
         self._seed = seed
         self._attempts = attempts
         self._clients: list[TargetClient] = []
@@ -80,6 +84,13 @@
             }
             for entry in CLASSES.values()
         ]
+        for path in paths:
+            if path["name"] in self._splits:
+                weights = self._splits[path["name"]]
+                path["trafficSplit"] = [
+                    {"service": service, "weight": weight}
+                    for service, weight in weights.items()
+                ]
         document = {
             "version": f"r{version}",
             "services": [
