Soak judges: a request that outlasts its process's stop is not counted for other stops

Each was sent 2.32 to 2.58 s after the SIGTERM of the process that took it, its target was at work for up to 2.7 s, and that process answered 502 at 5.40 to 5.41 s. Only the stop of the process that took the request can excuse; an end before the last sixth counts as before.

Tests: one for each judge, both failing before (1 != 0, ['lost'] != []).

--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -175,6 +175,13 @@
     """
     if not runs and not is_read(attempt):
         return ""
+    is_excused = any(
+        work.is_stop
+        and work.pid == attempt.pid
+        and work.at <= attempt.ended_at
+        and _outlasts(work, attempt, runs)
+        for work in works
+    )
     for work in sorted(works, key=lambda work: not work.is_stop):
         after_s = attempt.ended_at - work.at
         if work.node != attempt.node or after_s < 0.0:
@@ -183,7 +190,7 @@
         if work.is_stop:
             # An answer of the node's own in place of the target's counts too.
             is_lost = after_s <= GRACE_S + 1.0 and not (
-                sent_after_s <= SENT_EARLY_S and _is_late(runs, work.at)
+                is_excused or _outlasts(work, attempt, runs)
             )
         else:
             is_lost = not attempt.status and sent_after_s <= CONFIG_APPLY_S
@@ -210,6 +217,14 @@
     )
 
 
+def _outlasts(
+    work: PlannedWork, attempt: Attempt, runs: Sequence[tuple[str, Run]]
+) -> bool:
+    """Return whether an early request still ran at the end of a stop."""
+    sent_after_s = (attempt.sent_at or attempt.began_at) - work.at
+    return sent_after_s <= SENT_EARLY_S and _is_late(runs, work.at)
+
+
 def _is_late(runs: Sequence[tuple[str, Run]], stopped_at: float) -> bool:
     """Return whether a target was at work in the last sixth of the stop."""
     from_at = stopped_at + GRACE_S - LAST_PART_S
--- a/kumquatwalk/soak/tests/test_platform_records.py
+++ b/kumquatwalk/soak/tests/test_platform_records.py
@@ -59,6 +59,22 @@
         self.assertEqual(self.check(later, RUN), ["lost"])
         self.assertEqual(self.check(later, RUN, works=(RELOAD,)), ["lost"])
 
+    def test_run_in_the_last_sixth_beside_a_stop_before(self):
+        # As 25-n1-8-69 of the soak: the stop of its own process ended it.
+        before = change(STOP, pid=8, at=STOP.at - 0.7)
+        for late_s, expected in ((5.4, []), (4.9, ["lost"])):
+            sent_at, ended_at = STOP.at + 2.33, STOP.at + late_s
+            run = change(RUN, at=sent_at, ended_at=ended_at, is_aborted=True)
+            failed = change(
+                CUT,
+                status=502,
+                began_at=sent_at,
+                sent_at=sent_at,
+                ended_at=ended_at,
+            )
+            found = self.check(failed, run, works=(before, STOP))
+            self.assertEqual(found, expected)
+
     def test_planned_work_of_another_node_does_not_count(self):
         other = change(CUT, node="n3")
         self.assertEqual(self.check(other, RUN), [])
--- a/kumquatwalk/soak/tests/test_rule_judge.py
+++ b/kumquatwalk/soak/tests/test_rule_judge.py
@@ -1,5 +1,6 @@
 """Tests of the second judge of lost requests and departed targets."""
 
+import dataclasses
 import unittest
 
 from kumquatwalk.soak import rule_judge
@@ -209,6 +210,22 @@
         self.assertEqual(self.count(stop(), runs=(), **answer), 0)
         self.assertEqual(self.count(stop(), limit_s=1.0, **answer), 0)
 
+    def test_run_in_the_last_sixth_beside_another_stop(self):
+        # As 21-n3-7-61 and 25-n1-8-69 of the soak: the stop of the process that
+        # took the request ended it, and another stop was beside it.
+        for other in (stop(AT + 4.0, "n2"), stop(AT - 0.7)):
+            other = dataclasses.replace(other, pid=7)
+            for late_s, expected in ((5.4, 0), (4.9, 1)):
+                found = self.count(
+                    stop(),
+                    other,
+                    began_at=AT + 2.33,
+                    ended_at=AT + late_s,
+                    status=502,
+                    error="",
+                )
+                self.assertEqual(found, expected)
+
     def test_own_answer_while_the_target_goes_on(self):
         answer = {"status": 502, "error": ""}
         for ended_at, expected in ((AT + 1.5, 1), (AT + 0.5, 0)):
