--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -178,9 +178,9 @@
         is a body of which nothing has come for the idle timeout: it would hold
         memory that other requests need. If a client takes nothing for the idle
         timeout while an answer waits, the connection is aborted once no request
-        runs on it. Once the
-        server accepts no requests, an idle connection is closed at once. A
-        half-closed one is closed ``LINGER_S`` after its last answer was taken.
+        runs on it. Once the server accepts no requests, an idle connection is
+        closed at once. A half-closed one is closed ``LINGER_S`` after its last
+        answer was taken.
 
         No limit of the client's counts while bytes of it wait to be read.
 
