test_overlapping_stops: one check of a run that is refused elsewhere

The test for a caller beside the target repeated the set-up and the course of the one for a caller elsewhere. Both use one check now, with the same assertion; the wait for the run also ends if the call does.

--- a/kumquatwalk/daemon/tests/test_overlapping_stops.py
+++ b/kumquatwalk/daemon/tests/test_overlapping_stops.py
@@ -104,8 +104,10 @@
         await asyncio.gather(neighbour, caller)
         self.assertEqual(answer.status, 200)
 
-    async def _ask_for_long_run(self) -> tuple[asyncio.Task, str, str]:
-        """Send a safe request that lasts for most of a stop.
+    async def _ask_for_long_run(
+        self, caller: str = "caller"
+    ) -> tuple[asyncio.Task, str, str]:
+        """Send a safe request to a node that lasts for most of a stop.
 
         Returns:
             Its task, the node at whose target it runs, and the other node.
@@ -113,7 +115,7 @@
         for name in WORK_S:
             self._set_work(name, LONG_RUN_S)
         call = asyncio.create_task(
-            self.fleet.call("caller", "/web/", "long", LONG_MS)
+            self.fleet.call(caller, "/web/", "long", LONG_MS)
         )
         running = []
         while not running and not call.done():
@@ -164,9 +166,8 @@
     async def test_hedged_run_at_the_own_target_ends_with_its_caller(self):
         self.assertEqual(await self._leave_hedged_run("web-1"), "web-1")
 
-    # Guards against LOST: a run was ended for another target, which refused it.
-    async def test_run_goes_on_when_no_other_target_takes_it(self):
-        call, name, other = await self._ask_for_long_run()
+    async def _check_run_goes_on_when_refused_elsewhere(self, caller: str):
+        call, name, other = await self._ask_for_long_run(caller)
         refusing = self.fleet.nodes[other].target
         refusing.choose_script = lambda _: Script(status=503, was_not_run=True)
         stop = self._stop(name)
@@ -174,6 +175,10 @@
         await stop
         self.assertEqual(answer.status, 200)
 
+    # Guards against LOST: a run was ended for another target, which refused it.
+    async def test_run_goes_on_when_no_other_target_takes_it(self):
+        await self._check_run_goes_on_when_refused_elsewhere("caller")
+
     # Guards against LOST: the same where the node of the other target has
     # begun to stop when the run arrives there.
     async def test_run_goes_on_when_all_nodes_of_its_service_stop(self):
@@ -188,22 +193,7 @@
 
     # Guards against LOST: the same for a caller beside the target.
     async def test_own_run_goes_on_when_no_other_target_takes_it(self):
-        for name in WORK_S:
-            target = self.fleet.nodes[name].target
-            target.choose_script = lambda _: Script(work_s=LONG_RUN_S)
-        call = asyncio.create_task(
-            self.fleet.call("web-1", "/web/", "long", LONG_MS)
-        )
-        while not any(self._count_long_runs(n) for n in WORK_S):
-            await asyncio.sleep(PAUSE_S)
-        ran_here = self._count_long_runs("web-1")
-        name, other = ("web-1", "web-2") if ran_here else ("web-2", "web-1")
-        refusing = self.fleet.nodes[other].target
-        refusing.choose_script = lambda _: Script(status=503, was_not_run=True)
-        stop = self._stop(name)
-        answer = await call
-        await stop
-        self.assertEqual(answer.status, 200)
+        await self._check_run_goes_on_when_refused_elsewhere("web-1")
 
     # Guards against a target that gets no calls as soon as its node stops,
     # though they end before the node does.
