Soak: a process that SIGHUP ended at its start counts as one that ended

The soak left out processes that SIGHUP had ended before they had a caller, as no program catches signals before its interpreter runs.

--- a/kumquatwalk/soak/__main__.py
+++ b/kumquatwalk/soak/__main__.py
@@ -53,6 +53,13 @@
     is_flag=True,
     help="Let links between nodes fail too (platform only).",
 )
+@click.option(
+    "--early",
+    "reloads_from_exec",
+    is_flag=True,
+    help="Send SIGHUP from the first moment of a process on, before any program"
+    " can catch it (platform only).",
+)
 @click.option(
     "--delays",
     "has_delays",
@@ -73,6 +80,7 @@
     interface: str,
     keep: str | None,
     has_link_faults: bool,
+    reloads_from_exec: bool,
     rate: float,
     tree: str | None,
     has_delays: bool,
@@ -90,7 +98,9 @@
         elif interface == "service":
             result = run_service_soak(seed, seconds, keep)
         else:
-            result = run_platform_soak(seed, seconds, keep, has_link_faults)
+            result = run_platform_soak(
+                seed, seconds, keep, has_link_faults, reloads_from_exec
+            )
         broken += bool(result.violations)
         _print_result(seed, result)
     click.echo(f"seeds={seeds} broken={broken}")
--- a/kumquatwalk/soak/platform_runner.py
+++ b/kumquatwalk/soak/platform_runner.py
@@ -35,6 +35,7 @@
     duration_s: float,
     keep: str | None = None,
     has_link_faults: bool = False,
+    reloads_from_exec: bool = False,
 ) -> SoakResult:
     """Run one soak with daemon processes on loopback addresses.
 
@@ -47,12 +48,13 @@
             them in a temporary folder, and only after a violation.
         has_link_faults: Whether links between nodes fail too; the other faults
             of a seed stay the same.
+        reloads_from_exec: See ``PlatformSoak``.
     """
 
     def run(folder: pathlib.Path) -> SoakResult:
-        return asyncio.run(
-            _MixedSoak(seed, folder, has_link_faults).run(duration_s)
-        )
+        soak = _MixedSoak(seed, folder, has_link_faults)
+        soak.reloads_from_exec = reloads_from_exec
+        return asyncio.run(soak.run(duration_s))
 
     return run_in_folder(f"soak-platform-{seed}-", keep, run)
 
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -58,6 +58,11 @@
         fleet: Fleet, not yet started.
         node_count: Number of its nodes.
         folder: Folder that gets the record.
+
+    Attributes:
+        reloads_from_exec: Whether processes get SIGHUP from their first moment
+            on, as a platform may send it; else once they catch it, so that the
+            same seed gives the same verdict.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         node_count: int,
         folder: pathlib.Path,
     ):
+        self.reloads_from_exec = False
         self._seed = seed
         self._rng = random.Random(f"{seed}-soak")
         self._folder = folder
@@ -78,7 +84,6 @@
         self._departures: list[Departure] = []
         self._violations: list[Violation] = []
         self._signalled: set[int] = set()
-        self._ended_at_start = 0
         self._tasks: list[asyncio.Task] = []
         self._beside: list[asyncio.Task] = []
         self._manifests: list[float] = []
@@ -270,9 +275,15 @@
             self._manifests.append(read_now())
             self._fleet.change_config()
         else:
-            self._reload(self._fleet.nodes[change.node_id])
+            node = self._fleet.nodes[change.node_id]
+            self._start_task(self._reload(node))
 
-    def _reload(self, node: PlatformNode) -> None:
+    async def _reload(self, node: PlatformNode) -> None:
+        pid = node.pid
+        while not (self.reloads_from_exec or node.catches(signal.SIGHUP)):
+            await asyncio.sleep(POLL_S)
+            if node.pid != pid or not node.is_running:
+                return
         self._works.append(PlannedWork(node.name, node.pid, read_now(), False))
         self._fleet.change_settings(node)
 
@@ -314,16 +325,8 @@
             await asyncio.sleep(POLL_S)
 
     def _note_end(self, node: PlatformNode) -> None:
-        """Note that a process ended though nobody stopped or killed it.
-
-        One that a SIGHUP ended before it had a caller owed nothing, and no
-        program catches signals before its interpreter runs: it is counted.
-        """
+        """Note that a process ended though nobody stopped or killed it."""
         status = node.process.returncode
-        is_used = any(a.pid == node.pid for a in self._attempts)
-        if status == -signal.SIGHUP and not is_used:
-            self._ended_at_start += 1
-            return
         after_s = read_now() - node.started_at
         detail = f"status {status}, {after_s:.2f} s after its start"
         self._violations.append(Violation("ended_by_itself", node.name, detail))
@@ -332,7 +335,7 @@
         pid = node.pid
         await asyncio.sleep(self._rng.uniform(0.0, RELOAD_AFTER_START_S))
         if node.pid == pid:
-            self._reload(node)
+            await self._reload(node)
 
     def _impair_if_killed(self, node: PlatformNode) -> None:
         """Count the start after a kill as a part of the impairment."""
@@ -356,5 +359,4 @@
 
     def _count_outcomes(self) -> dict[str, int]:
         ends = (str(a.status or a.error) for a in self._attempts)
-        counts = dict(collections.Counter(ends))
-        return counts | {"ended_at_start": self._ended_at_start}
+        return dict(collections.Counter(ends))
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -17,6 +17,8 @@
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.standin.daemon_fleet import exchange
 from kumquatwalk.standin.daemon_fleet import make_config
+from kumquatwalk.standin.deployed_command import ROOT
+from kumquatwalk.standin.deployed_command import read_deployed_command
 from kumquatwalk.standin.kv_store import KvStore
 from kumquatwalk.standin.link_proxy import LinkProxy
 from kumquatwalk.standin.node_place import NodePlace
@@ -37,7 +39,7 @@
     """Store, targets and daemon processes on loopback addresses.
 
     The store and the targets run on the running event loop; each daemon is
-    started as ``kumquatwalk daemon --settings FILE``. Route ``/look/`` is safe,
+    started as the deploy file says. Route ``/look/`` is safe,
     ``/pay-pay/`` is unsafe.
 
     Args:
@@ -133,19 +135,20 @@
         log = self._folder / f"{node.name}-{node.starts}.log"
         with log.open("wb") as output:
             node.process = subprocess.Popen(
-                [sys.executable, "-m", *self._make_command(node)],
+                [sys.executable, *self._make_command(node)],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                cwd=self._tree,
+                cwd=self._tree or ROOT,
             )
 
     def _make_command(self, node: PlatformNode) -> list[str]:
-        module = ["kumquatwalk"]
-        if self._has_proxies:
-            listener = str(node.listeners["proxied"])
-            module = ["kumquatwalk.standin.proxied_daemon", listener]
-        return [*module, "daemon", "--settings", str(node.settings)]
+        settings = ["--settings", str(node.settings)]
+        if not self._has_proxies:
+            return [*read_deployed_command(self._tree or ROOT)[1:], *settings]
+        listener = str(node.listeners["proxied"])
+        module = "kumquatwalk.standin.proxied_daemon"
+        return ["-m", module, listener, "daemon", *settings]
 
     def change_settings(self, node: PlatformNode) -> None:
         """Change a bound in the settings file and send SIGHUP.
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -78,6 +78,23 @@
         """Whether the daemon has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def catches(self, number: int) -> bool:
+        """Return whether the daemon has a handler for a signal.
+
+        Args:
+            number: Number of the signal.
+        """
+        path = pathlib.Path("/proc", str(self.pid), "status")
+        try:
+            fields = dict(
+                line.split(":", 1)
+                for line in path.read_text(encoding="ascii").splitlines()
+            )
+        except OSError:
+            return False
+        caught = int(fields.get("SigCgt", "0"), 16)
+        return bool(caught >> (number - 1) & 1)
+
     def signal(self, number: int) -> None:
         """Send a signal to the daemon if it is running."""
         if self.is_running:
