Wait for a port in use, and bind all ports before connecting to others

What callers saw: a node that did not start while a connection of any process held one of its five ports, or the machine lacked its address; each start ended with status 1, also for the port of the metrics alone.

Cause: the first error of a bind ended the process; nothing was tried again. The node also opened connections, whose ports the system chooses, before it had bound all of its own. The class is that of an end decided by a state that passes.

Ruled out: connections of the last process that are closing (SO_REUSEADDR was set before; it does not help against a connection that was opened from the port, which may hold it for a minute after its end).

A stop meanwhile ends the process with code 0. The metrics are started beside.

RecordingDaemon of test_stop_in_start has the new step; its checks are the same.

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -1,5 +1,6 @@
 """Runs a daemon in the foreground, from its start to its graceful stop."""
 
+import asyncio
 import gc
 import os
 import sys
@@ -61,7 +62,8 @@
 ) -> None:
     """Serve until a signal asks to stop, then drain and close the daemon.
 
-    A daemon that is asked to stop while it is created is not started.
+    A daemon that is asked to stop while it is created, or while it waits for an
+    address, is not started.
 
     Args:
         make_daemon: Creates the daemon, which may take long.
@@ -73,8 +75,23 @@
     daemon = make_daemon()
     if await stop.has_come_so_far():
         return
+    if not await _bind_unless_stopped(daemon, stop):
+        return
     await daemon.start()
     on_start(daemon)
     await stop.wait()
     await daemon.drain(stop.came_at)
     await daemon.close()
+
+
+async def _bind_unless_stopped(daemon: Daemon, stop: StopRequest) -> bool:
+    """Bind the daemon's addresses; return whether no stop came before."""
+    binding = asyncio.create_task(daemon.bind())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait((binding, stopping), return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if binding.done():
+        binding.result()
+        return True
+    binding.cancel()
+    return False
--- a/kumquatwalk/cli/tests/test_stop_in_start.py
+++ b/kumquatwalk/cli/tests/test_stop_in_start.py
@@ -25,6 +25,9 @@
     def __init__(self):
         self.asked: list[str] = []
 
+    async def bind(self) -> None:
+        """Do nothing, as all addresses can be had."""
+
     async def start(self) -> None:
         """Record the call."""
         self.asked.append("start")
--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -5,6 +5,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
 from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.optional_server import OptionalServer
 from kumquatwalk.daemon.platform_interface import PlatformInterface
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.daemon.readiness import ReadinessHandler
@@ -51,7 +52,7 @@
     if settings.metrics_listener is not None:
         status = StatusHandler(core)
         auxiliary_services.append(
-            HttpServer(settings.metrics_listener, status.handle)
+            OptionalServer(HttpServer(settings.metrics_listener, status.handle))
         )
     server = HttpServer(
         settings.caller_listener,
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -79,6 +79,8 @@
         self._caller_server = caller_server
         self._target_server = target_server
         self._components = (target_server, *components)
+        servers = (caller_server, *self._components)
+        self._servers = tuple(s for s in servers if isinstance(s, HttpServer))
         core.on_config = self._apply_config
 
     @property
@@ -103,6 +105,19 @@
             and self.core.roster.is_known
         )
 
+    async def bind(self) -> None:
+        """Bind all addresses that the daemon needs to serve.
+
+        To be awaited before ``start``, whose connections to others could take a
+        port. May be cancelled; the daemon is then to be closed.
+
+        Raises:
+            OSError: An address could not be had, see ``Listener``.
+        """
+        await self.core.link_server.bind()
+        for server in self._servers:
+            await server.bind()
+
     async def start(self) -> None:
         """Start all components and begin to serve.
 
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -23,6 +23,7 @@
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.http1.unanswered import find_level
+from kumquatwalk.listener import Listener
 from kumquatwalk.logs import log_event
 from kumquatwalk.tasks import keep_running
 
@@ -105,7 +106,7 @@
         identify: Callable[[HttpRequest], str] = lambda _: "",
         on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
     ):
-        self._address = address
+        self._listener = Listener(address)
         self.handler = handler
         self.limits = limits
         self.budget = budget
@@ -129,18 +130,22 @@
         """TCP port that the server listens on."""
         return self._server.sockets[0].getsockname()[1]
 
+    async def bind(self) -> None:
+        """Bind the address; connections are refused until ``start``.
+
+        Raises:
+            OSError: The address could not be had, see ``Listener``.
+        """
+        await self._listener.bind()
+
     async def start(self) -> None:
         """Start listening for connections.
 
         Raises:
             OSError: The server cannot listen on the address.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self),
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG,
+        self._server = await self._listener.listen(
+            lambda: CallerConnection(self), BACKLOG
         )
         self._start_checks()
 
@@ -242,6 +247,7 @@
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
+        self._listener.close()
         if self._timeout_task is not None:
             self._timeout_task.cancel()
         if self._server is not None:
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -10,6 +10,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.listener import Listener
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.codec import encode
@@ -42,6 +43,8 @@
 # round trips between zones.
 LINGER_MAX_S = 1.0
 _POLL_S = 0.01
+# Connections that may wait to be accepted.
+BACKLOG = 1024
 # Time from the handshake to the second status, in seconds.
 SECOND_STATUS_S = 0.1
 # Maximum number of calls of a link whose keys are remembered after their
@@ -99,7 +102,7 @@
         partition: Partition,
         budget: ByteBudget,
     ):
-        self._address = address
+        self._listener = Listener(address)
         self._make_hello = make_hello
         self._serve_call = serve_call
         self._release_reply = release_reply
@@ -131,23 +134,28 @@
         """TCP port that the server listens on."""
         return self._server.sockets[0].getsockname()[1]
 
+    async def bind(self) -> None:
+        """Bind the address; connections are refused until ``start``.
+
+        Raises:
+            OSError: The address could not be had, see ``Listener``.
+        """
+        await self._listener.bind()
+
     async def start(self) -> None:
         """Start listening for connections.
 
         Raises:
             OSError: The server cannot listen on the address.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        self._server = await self._listener.listen(
             lambda: LinkProtocol(
                 self._add_session,
                 self._handle_message,
                 self._remove_session,
                 self._budget,
             ),
-            self._address.host,
-            self._address.port,
-            backlog=1024,
+            BACKLOG,
         )
 
     async def close(self, linger_max_s: float = LINGER_MAX_S) -> None:
@@ -162,6 +170,7 @@
         """
         began_at = read_now()
         self._is_closing = True
+        self._listener.close()
         if self._server is not None:
             self._server.close()
         for session in tuple(self._sessions.values()):
