Wait for settings that are not whole yet when the daemon starts

What callers saw: a node that did not start while its settings file was missing, empty or written in part; each start ended with status 78, though at SIGHUP the same file left the settings in force.

Cause: the first read decided.

--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -6,7 +6,6 @@
 
 import click
 
-from kumquatwalk.cli.exit_codes import ExitCode
 from kumquatwalk.cli.held_signals import has_come
 from kumquatwalk.cli.held_signals import hold_signals
 
@@ -36,19 +35,14 @@
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
+    from kumquatwalk.cli.first_settings import wait_for_settings
     from kumquatwalk.composition import make_daemon
     from kumquatwalk.daemon.settings_watcher import SettingsWatcher
-    from kumquatwalk.exception import SettingError
     from kumquatwalk.logs import start_logs
     from kumquatwalk.logs.bounded_writer import BoundedWriter
     from kumquatwalk.logs.level import Level
-    from kumquatwalk.platform.settings import load_settings
 
-    try:
-        settings = load_settings(settings_path)
-    except SettingError as error:
-        click.echo(f"error: {settings_path}: {error}", err=True)
-        sys.exit(ExitCode.CONFIGURATION)
+    settings = wait_for_settings(settings_path)
     start_logs(
         BoundedWriter(sys.stdout.fileno()),
         Level[log_level.upper()],
--- /dev/null
+++ b/kumquatwalk/cli/tests/test_first_settings.py
@@ -0,0 +1,37 @@
+"""Tests of daemons that start before their settings file is whole."""
+
+import signal
+import unittest
+
+from kumquatwalk.cli.tests.daemon_case import DaemonCase
+
+
+class SettingsTest(DaemonCase):
+
+    # Guards against FAULT: a settings file that was still being written ended
+    # each start until it was whole.
+    def test_settings_that_are_not_whole_yet_are_waited_for(self):
+        whole = self.settings
+        for text in (None, "", whole[: len(whole) // 2], "node = 1\n"):
+            with self.subTest(text=text):
+                self.path.unlink(missing_ok=True)
+                if text is not None:
+                    self.write_settings(text)
+                self.start_daemon()
+                self.wait_for_line("error: ")
+                self.process.send_signal(signal.SIGHUP)
+                self.write_settings(whole)
+                self.wait_for_line("event=daemon_started ")
+                self.wait_until_listening("outbound")
+                self.assertEqual(
+                    self.stop_daemon(signal.SIGKILL), -signal.SIGKILL
+                )
+
+    def test_stop_while_settings_are_waited_for_ends_with_code_0(self):
+        self.start_daemon()
+        self.wait_for_line("error: ")
+        self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
