Open the standard descriptors that a daemon is started without

Cause: the log asked sys.stdout, which is None then, for its descriptor. Beside it, the number of a closed descriptor was that of the next file or connection, into which messages would have been written. Also, a fault of an extension module now leaves its traceback on standard error (faulthandler).

--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -1,6 +1,7 @@
 """The ``daemon`` command: a node with the platform's interface."""
 
 import asyncio
+import faulthandler
 import signal
 import sys
 
@@ -8,6 +9,7 @@
 
 from kumquatwalk.cli.held_signals import has_come
 from kumquatwalk.cli.held_signals import hold_signals
+from kumquatwalk.cli.standard_streams import open_standard_streams
 
 __all__ = ["daemon"]
 
@@ -32,6 +34,9 @@
     SIGHUP reloads the settings file.
     """
     hold_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    open_standard_streams()
+    # An end by a fault of an extension module leaves no other line.
+    faulthandler.enable()
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
