Settings: fields that are not needed do not end a start; others are checked

What callers saw: a daemon whose settings lacked portRange or ip, which only the metrics need, or whose memoryMb was a fraction, ended with status 78; bounds of another type ended it with a traceback; a bound that is not finite was taken and decided how long a stop lasts; a port above 65535 was taken.

--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -15,6 +15,14 @@
 __all__ = ["decode_address", "decode_settings", "load_settings"]
 
 _BYTES_PER_MB = 1024 * 1024
+_BOUND_FIELDS = {
+    "drainS": "drain_s",
+    "graceS": "grace_s",
+    "retryBudgetRatio": "retry_ratio",
+    "budgetWindowS": "retry_window_s",
+    "budgetSlack": "retry_slack",
+    "addrReuseS": "address_reuse_s",
+}
 
 
 def load_settings(path: str) -> DaemonSettings:
@@ -104,36 +112,49 @@
     return decode_address(fields.read_text(table, name), name)
 
 
-def _read_metrics_listener(table: Mapping[str, Any]) -> Address:
-    """Return the metrics address, on the first of the VM's free ports."""
+def _read_metrics_listener(table: Mapping[str, Any]) -> Address | None:
+    """Return the metrics address, on the first of the VM's free ports.
+
+    None if the file names no address or no free port.
+    """
+    if not table.get("portRange") or not table.get("ip"):
+        return None
     ports = fields.read_list(table, "portRange")
-    if len(ports) != 2 or not all(isinstance(p, int) for p in ports):
+    if len(ports) != 2 or not all(_is_port(port) for port in ports):
         raise PlatformFormatError(
-            "field_invalid", "portRange must be a list of two whole numbers"
+            "field_invalid", "portRange must be a list of two ports"
         )
     return Address(fields.read_text(table, "ip"), ports[0])
 
 
+def _is_port(value: Any) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and 0 <= value <= 65535
+
+
 def _read_memory(table: Mapping[str, Any]) -> int:
     """Return the memory of the process in bytes; 256 MB if it is not given."""
     limits = fields.read_table(table.get("limits", {}), "limits")
-    return fields.read_int(limits, "memoryMb", 256) * _BYTES_PER_MB
+    return int(fields.read_number(limits, "memoryMb", 256) * _BYTES_PER_MB)
 
 
 def _decode_bounds(table: Mapping[str, Any]) -> FleetBounds:
-    values: dict[str, float] = {}
-    for text in table.get("bounds", []):
-        name, _, value = str(text).partition("=")
-        try:
-            values[name] = float(value)
-        except ValueError:
-            continue  # a boolean bound: none of them is read here
-    defaults = FleetBounds()
-    return FleetBounds(
-        drain_s=values.get("drainS", defaults.drain_s),
-        grace_s=values.get("graceS", defaults.grace_s),
-        retry_ratio=values.get("retryBudgetRatio", defaults.retry_ratio),
-        retry_window_s=values.get("budgetWindowS", defaults.retry_window_s),
-        retry_slack=values.get("budgetSlack", defaults.retry_slack),
-        address_reuse_s=values.get("addrReuseS", defaults.address_reuse_s),
-    )
+    texts = fields.read_list({"bounds": []} | dict(table), "bounds")
+    pairs = [str(text).partition("=") for text in texts]
+    values = {name: value for name, _, value in pairs}
+    known = {
+        field: _decode_bound(values[name], name)
+        for name, field in _BOUND_FIELDS.items()
+        if name in values
+    }
+    return FleetBounds(**known)
+
+
+def _decode_bound(text: str, name: str) -> float:
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise PlatformFormatError(
+            "field_invalid", f"bound {name} must be a number, not {text!r:.80}"
+        ) from error
+    return fields.read_number({name: value}, name)
--- a/kumquatwalk/platform/tests/test_decoders.py
+++ b/kumquatwalk/platform/tests/test_decoders.py
@@ -16,7 +16,8 @@
 from kumquatwalk.platform.settings import decode_settings
 from kumquatwalk.targets.heartbeat import TargetState
 
-SETTINGS = """
+BOUNDS = 'bounds = ["drainS=2.5","graceS=7","retryBudgetRatio=0.1","x=true"]'
+SETTINGS = f"""
 node = "vm-1"
 zone = "a"
 ip = "10.1.0.8"
@@ -24,7 +25,7 @@
 appAddr = "10.1.0.8:8301"
 portRange = [7620,7635]
 heartbeatS = 1.5
-bounds = ["drainS=2.5","graceS=7","retryBudgetRatio=0.1","x=true"]
+{BOUNDS}
 later = "a field that is not known yet"
 [listen]
 inbound = "10.1.0.8:8300"
@@ -118,11 +119,37 @@
             ("10.1.0.8:8304", "10.1.0.8:99999", "outbound"),
             ("portRange = [7620,7635]", "portRange = 3", "portRange"),
             ("portRange = [7620,7635]", 'portRange = [1,"a"]', "portRange"),
+            ("portRange = [7620,7635]", "portRange = [70000,7]", "portRange"),
+            ("portRange = [7620,7635]", "portRange = [-1,7]", "portRange"),
+            (BOUNDS, "bounds = 5", "bounds"),
+            ("graceS=7", "graceS=nan", "graceS"),
+            ("graceS=7", "graceS=inf", "graceS"),
+            ("graceS=7", "graceS=-1", "graceS"),
+            ("graceS=7", "graceS=true", "graceS"),
         ):
             with self.subTest(new), self.assertRaises(SettingError) as caught:
                 decode_settings(SETTINGS.replace(old, new))
             self.assertIn(name, caught.exception.message)
 
+    # Guards against FAULT: settings without a field that only the metrics need,
+    # or with one that the node does not know, ended the start.
+    def test_fields_that_are_not_needed_do_not_end_a_start(self):
+        for old, new in (
+            ("portRange = [7620,7635]", ""),
+            ("portRange = [7620,7635]", "portRange = []"),
+            ('ip = "10.1.0.8"', ""),
+        ):
+            with self.subTest(new):
+                settings_ = decode_settings(SETTINGS.replace(old, new))
+                self.assertIsNone(settings_.metrics_listener)
+        for old, new in (
+            ("x=true", "x=nan"),
+            ("x=true", "x=-1"),
+            ("memoryMb = 300", "memoryMb = 300.5"),
+        ):
+            with self.subTest(new):
+                decode_settings(SETTINGS.replace(old, new))
+
 
 class FleetConfigTest(unittest.TestCase):
 
