Ignore signals that the daemon has no use for

What callers saw: SIGUSR1, SIGUSR2 or SIGALRM ended a process at any moment of its life (statuses -10, -12, -14), with all that it owed. The class is that of an end decided by an event that means nothing to the node.

Cause: their default action. They are held from the first line on, as SIGHUP is, and each writes a line signal_ignored. SIGQUIT and SIGABRT still end a process, as an operator's choice.

Test: in test_daemon_signals (start, serving, stop) and test_early_signals; both failed before, the second with status -10 in place of 78.

--- a/kumquatwalk/__main__.py
+++ b/kumquatwalk/__main__.py
@@ -9,7 +9,15 @@
 import _signal
 import sys
 
-_HELD = (_signal.SIGHUP, _signal.SIGTERM, _signal.SIGINT)
+_HELD = (
+    _signal.SIGHUP,
+    _signal.SIGTERM,
+    _signal.SIGINT,
+    # Without a use, see ``cli.unused_signals``.
+    _signal.SIGUSR1,
+    _signal.SIGUSR2,
+    _signal.SIGALRM,
+)
 
 
 def _hold_early_signals() -> set[int]:
--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -10,6 +10,7 @@
 from kumquatwalk.cli.held_signals import has_come
 from kumquatwalk.cli.held_signals import hold_signals
 from kumquatwalk.cli.standard_streams import open_standard_streams
+from kumquatwalk.cli.unused_signals import UNUSED_SIGNALS
 
 __all__ = ["daemon"]
 
@@ -33,7 +34,7 @@
 
     SIGHUP reloads the settings file.
     """
-    hold_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    hold_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, *UNUSED_SIGNALS)
     open_standard_streams()
     # An end by a fault of an extension module leaves no other line.
     faulthandler.enable()
--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -11,6 +11,7 @@
 
 from kumquatwalk.cli.exit_codes import ExitCode
 from kumquatwalk.cli.stop_request import StopRequest
+from kumquatwalk.cli.unused_signals import ignore_unused_signals
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
 
@@ -49,6 +50,7 @@
 async def _run(
     make_daemon: Callable[[], Daemon], on_start: Callable[[Daemon], None]
 ) -> None:
+    ignore_unused_signals()
     await serve_until_stopped(make_daemon, on_start)
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
--- a/kumquatwalk/cli/node.py
+++ b/kumquatwalk/cli/node.py
@@ -6,6 +6,7 @@
 import click
 
 from kumquatwalk.cli.held_signals import hold_signals
+from kumquatwalk.cli.unused_signals import UNUSED_SIGNALS
 from kumquatwalk.native.options import node_options
 from kumquatwalk.native.settings import NodeSettings
 
@@ -16,7 +17,7 @@
 @node_options
 def node(settings: NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
-    hold_signals(signal.SIGTERM, signal.SIGINT)
+    hold_signals(signal.SIGTERM, signal.SIGINT, *UNUSED_SIGNALS)
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
--- a/kumquatwalk/cli/tests/test_daemon_signals.py
+++ b/kumquatwalk/cli/tests/test_daemon_signals.py
@@ -117,6 +117,27 @@
         self.process.communicate(timeout=TIMEOUT_S)
         self.assertEqual(self.process.returncode, 0)
 
+    # Guards against FAULT: a signal that the daemon has no use for ended it, in
+    # its start, while it served and in its stop, with all that it owed.
+    def test_signals_without_a_use_do_not_end_the_process(self):
+        settings = self._open_settings()
+        self._send_unused_signals()
+        self._write_settings(settings)
+        self._wait_for("signal_ignored")
+        self._wait_for("daemon_started")
+        self._send_unused_signals()
+        self._wait_for("signal_ignored")
+        self.process.send_signal(signal.SIGTERM)
+        self._wait_for("daemon_stopping")
+        self._send_unused_signals()
+        self._wait_for("daemon_drained")
+        self.process.communicate(timeout=TIMEOUT_S)
+        self.assertEqual(self.process.returncode, 0)
+
+    def _send_unused_signals(self) -> None:
+        for number in (signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM):
+            self.process.send_signal(number)
+
     def test_second_signals_do_not_change_a_stop(self):
         # Guards against LOST: a stop is cut short by another signal.
         self._write_settings(self._open_settings())
--- a/kumquatwalk/cli/tests/test_early_signals.py
+++ b/kumquatwalk/cli/tests/test_early_signals.py
@@ -84,6 +84,11 @@
         self._signal_in_site(signal.SIGHUP, signal.SIGHUP)
         self.assertEqual(self.process.returncode, EXIT_CONFIGURATION)
 
+    # Guards against FAULT: a signal without a use ended a process in that time.
+    def test_unused_signals_before_site_do_not_end_the_process(self):
+        self._signal_in_site(signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM)
+        self.assertEqual(self.process.returncode, EXIT_CONFIGURATION)
+
     # Guards against FAULT: SIGTERM in that time ended the process with -15, so
     # that a planned stop looked like a process that was ended.
     def test_stop_before_site_is_a_planned_stop(self):
