An error in the process's own code does not end a stop

What callers saw: by injected errors, not in a run of the fleet: an exception in a step of the drain (a status that could not be published, the count of what is owed) left serve_until_stopped, and the process ended with status 1 and all that it had accepted. One in the close of a component left the links open, so that the last replies were cut off. An exception of on_start, such as a closed pipe that the addresses are printed to, ended a process that served.

Cause: the steps of a stop were one sequence, so that each error ended all that followed. The class is that of an error in one part that ends the work of others.

Ruled out: log lines (the destination drops those that fail) and sends on closed links (they do nothing).

Change: each step of drain and close is taken whatever became of the others, and its error is logged as task_failed. A drain that cannot tell what is owed waits until its end. The check of the connections' timeouts goes on with the next one after an error; a standard output that takes nothing does not change the status.

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -1,6 +1,7 @@
 """Runs a daemon in the foreground, from its start to its graceful stop."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import sys
@@ -14,6 +15,7 @@
 from kumquatwalk.cli.unused_signals import ignore_unused_signals
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["run_daemon", "serve_until_stopped"]
 
@@ -55,7 +57,8 @@
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
     # period of the process. Nothing but standard output is left to flush.
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        sys.stdout.flush()
     os._exit(ExitCode.OK)
 
 
@@ -65,7 +68,7 @@
     """Serve until a signal asks to stop, then drain and close the daemon.
 
     A daemon that is asked to stop while it is created, or while it waits for an
-    address, is not started.
+    address, is not started. Errors once it serves are logged and do not end it.
 
     Args:
         make_daemon: Creates the daemon, which may take long.
@@ -80,10 +83,13 @@
     if not await _bind_unless_stopped(daemon, stop):
         return
     await daemon.start()
-    on_start(daemon)
+    with log_errors("on_start"):
+        on_start(daemon)
     await stop.wait()
-    await daemon.drain(stop.came_at)
-    await daemon.close()
+    with log_errors("drain"):
+        await daemon.drain(stop.came_at)
+    with log_errors("close"):
+        await daemon.close()
 
 
 async def _bind_unless_stopped(daemon: Daemon, stop: StopRequest) -> bool:
--- a/kumquatwalk/cli/tests/test_stop_in_start.py
+++ b/kumquatwalk/cli/tests/test_stop_in_start.py
@@ -42,6 +42,20 @@
         self.asked.append("close")
 
 
+class FailingDaemon(RecordingDaemon):
+    """Daemon that fails once it has recorded what is asked of its stop."""
+
+    async def drain(self, signalled_at: float) -> None:
+        """Record the call and fail."""
+        await super().drain(signalled_at)
+        raise OSError("injected")
+
+    async def close(self) -> None:
+        """Record the call and fail."""
+        await super().close()
+        raise OSError("injected")
+
+
 class StopInStartTest(unittest.TestCase):
 
     # Guards against LOST: a process that got SIGTERM while it was created began
@@ -60,6 +74,19 @@
                 runner.run(serve_until_stopped(make_daemon, lambda _: None))
             self.assertEqual(daemon.asked, [])
 
+    # Guards against FAULT: an error in the process's own code, once it served
+    # or in its stop, ended it before the rest of the stop.
+    def test_errors_do_not_keep_a_stop_from_its_end(self):
+        daemon = FailingDaemon()
+
+        def stop_and_fail(_) -> None:
+            signal.raise_signal(signal.SIGTERM)
+            raise BrokenPipeError
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve_until_stopped(lambda: daemon, stop_and_fail))
+        self.assertEqual(daemon.asked, ["start", "drain", "close"])
+
     # Guards against LOST: a stop that came after the start was counted from the
     # time in which the daemon was created.
     def test_signal_after_the_start_has_not_come_before(self):
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -49,6 +49,7 @@
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["DaemonCore"]
 
@@ -181,18 +182,24 @@
         self.state_publisher.start()
 
     async def close(self, linger_max_s: float = LINGER_MAX_S) -> None:
-        """Stop all tasks and close all sockets.
+        """Stop all tasks and close all sockets; log errors.
 
         Args:
             linger_max_s: See ``LinkServer.close``.
         """
-        self.state_publisher.close()
-        self.config_watcher.close()
-        self.roster.close()
-        self.peers.close()
-        await self.link_server.close(linger_max_s)
-        self.target_side.close()
-        self.store.close()
+        for component in (
+            self.state_publisher,
+            self.config_watcher,
+            self.roster,
+            self.peers,
+        ):
+            with log_errors("close"):
+                component.close()
+        with log_errors("close"):
+            await self.link_server.close(linger_max_s)
+        for component in (self.target_side, self.store):
+            with log_errors("close"):
+                component.close()
 
     def set_end(
         self,
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -11,6 +11,7 @@
 from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
+from kumquatwalk.tasks import log_errors
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
 
 __all__ = ["Component", "Daemon"]
@@ -143,7 +144,8 @@
 
         Callers are still accepted for a while, until they are sent elsewhere,
         and requests of theirs that can end in time. Requests that cannot end
-        before SIGKILL is due have got an answer that says so.
+        before SIGKILL is due have got an answer that says so. An error in a
+        step is logged, and the others are taken.
 
         Args:
             signalled_at: Time of the signal, from which SIGKILL is due, in
@@ -157,12 +159,16 @@
         ends_at = killed_at - ANSWER_MARGIN_S
         self._closes_by = killed_at - CLOSE_MARGIN_S
         self.is_stopping = True
-        self._caller_server.begin_stop(killed_at - SETTLE_MARGIN_S, ends_at)
-        # Callers that come before this time are not sent elsewhere yet.
-        self.core.set_end(
-            ends_at, began_at + CALLER_DRAIN_S, signalled_at + CERTAIN_AFTER_S
-        )
-        self.core.state_publisher.publish_status()
+        with log_errors("drain_callers"):
+            self._caller_server.begin_stop(killed_at - SETTLE_MARGIN_S, ends_at)
+        with log_errors("drain_requests"):
+            # Callers that come before this time are not sent elsewhere yet.
+            self.core.set_end(
+                ends_at,
+                began_at + CALLER_DRAIN_S,
+                signalled_at + CERTAIN_AFTER_S,
+            )
+        self._publish_status()
         log_event("daemon_stopping", late_s=began_at - signalled_at)
         await self._wait_until_quiet(began_at, ends_at)
         await self._end_requests(killed_at - SETTLE_MARGIN_S)
@@ -170,25 +176,30 @@
 
     async def _wait_until_quiet(self, began_at: float, ends_at: float) -> None:
         """Wait until no request is in progress, at most until the end."""
-        target_side = self.core.target_side
         is_accepting = True
         while True:
             await asyncio.sleep(_POLL_S)
             now = read_now()
             elapsed_s = now - began_at
-            if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
-                target_side.mark_stopping()
-                self.core.state_publisher.publish_status()
-            target_side.hedge_runs()
+            with log_errors("drain_target"):
+                self._drain_target(elapsed_s)
             if now > ends_at - QUEUE_MARGIN_S:
-                target_side.refuse_queued_calls()
+                with log_errors("drain_queue"):
+                    self.core.target_side.refuse_queued_calls()
             if is_accepting and self._can_stop_accepting(elapsed_s):
                 # Connections accepted from here on would be cut off at the end.
-                self._caller_server.stop_accepting()
+                self._stop_accepting()
                 is_accepting = False
-            if now > ends_at or not (is_accepting or self._count_owed(now)):
+            if now > ends_at or not (is_accepting or self._is_owing(now)):
                 return
 
+    def _drain_target(self, elapsed_s: float) -> None:
+        target_side = self.core.target_side
+        if elapsed_s > TARGET_DRAIN_DELAY_S and not target_side.is_stopping:
+            target_side.mark_stopping()
+            self._publish_status()
+        target_side.hedge_runs()
+
     async def _end_requests(self, settles_at: float) -> None:
         """Take no more requests, and wait until the answers are taken.
 
@@ -196,31 +207,46 @@
             settles_at: Time at which to return at the latest, in seconds.
         """
         ended_at = read_now()
-        self._caller_server.stop_accepting()
-        self.core.set_end(ended_at)
-        self.core.state_publisher.publish_status()
+        self._stop_accepting()
+        with log_errors("drain_requests"):
+            self.core.set_end(ended_at)
+        self._publish_status()
         while True:
             await asyncio.sleep(_POLL_S)
             now = read_now()
-            is_settled = (
-                not self._count_owed(now) and now > ended_at + REFUSAL_S
-            )
+            is_settled = not self._is_owing(now) and now > ended_at + REFUSAL_S
             if is_settled or now > settles_at:
                 break
         # What came while the process was not scheduled is still passed on.
         await handle_pending_events()
 
+    def _publish_status(self) -> None:
+        with log_errors("drain_status"):
+            self.core.state_publisher.publish_status()
+
+    def _stop_accepting(self) -> None:
+        with log_errors("drain_listener"):
+            self._caller_server.stop_accepting()
+
+    def _is_owing(self, now: float) -> bool:
+        """Return whether answers are owed, or whether that cannot be told."""
+        is_owing = True
+        with log_errors("drain_owed"):
+            is_owing = self._count_owed(now) > 0
+        return is_owing
+
     def _log_end(self, began_at: float) -> None:
         caller_side = self.core.caller_side
         now = read_now()
-        log_event(
-            "daemon_drained",
-            seconds=now - began_at,
-            owed=self._count_owed(now),
-            refused=caller_side.stop_admission.refused
-            + self.core.target_side.stop_admission.refused,
-            capped=caller_side.capped,
-        )
+        with log_errors("drain_log"):
+            log_event(
+                "daemon_drained",
+                seconds=now - began_at,
+                owed=self._count_owed(now),
+                refused=caller_side.stop_admission.refused
+                + self.core.target_side.stop_admission.refused,
+                capped=caller_side.capped,
+            )
 
     def apply_settings(self, settings: DaemonSettings) -> None:
         """Apply changed settings.
@@ -236,11 +262,11 @@
         log_event("settings_in_force", store=settings.store)
 
     async def close(self) -> None:
-        """Stop all tasks and close all sockets."""
+        """Stop all tasks and close all sockets; log errors."""
         # First, so that nothing is read or passed on meanwhile.
-        await self._caller_server.close()
-        for component in reversed(self._components):
-            await component.close()
+        for component in (self._caller_server, *reversed(self._components)):
+            with log_errors("close"):
+                await component.close()
         linger_max_s = LINGER_MAX_S
         if self.is_stopping:
             linger_max_s = max(0.0, self._closes_by - read_now())
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -26,6 +26,7 @@
 from kumquatwalk.listener import Listener
 from kumquatwalk.logs import log_event
 from kumquatwalk.tasks import keep_running
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["HttpServer"]
 
@@ -238,11 +239,13 @@
             return
         self.is_stopping = True
         self.is_accepting = False
-        self._accept_queued()
+        with log_errors("accept_queued"):
+            self._accept_queued()
         self._server.close()
         now = read_now()
         for connection in tuple(self.connections):
-            connection.stop_accepting(now)
+            with log_errors("stop_accepting"):
+                connection.stop_accepting(now)
         self._start_checks()
 
     async def close(self) -> None:
@@ -253,7 +256,8 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.abort(End.PROCESS_END)
+            with log_errors("abort"):
+                connection.abort(End.PROCESS_END)
 
     def _accept_queued(self) -> None:
         loop = asyncio.get_running_loop()
@@ -279,7 +283,8 @@
             await handle_pending_events()
             now = read_now()
             for connection in tuple(self.connections):
-                connection.check_timeouts(now)
+                with log_errors("connection_check"):
+                    connection.check_timeouts(now)
             self._end_slow_clients(now)
 
     def _choose_check_interval(self) -> float:
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -31,6 +31,7 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["LINK_LOST", "LinkServer"]
 
@@ -174,8 +175,10 @@
         if self._server is not None:
             self._server.close()
         for session in tuple(self._sessions.values()):
-            self._end_calls(session)
-            session.link.close_sending()
+            with log_errors("end_calls"):
+                self._end_calls(session)
+            with log_errors("close_sending"):
+                session.link.close_sending()
         while self._must_linger(read_now() - began_at, linger_max_s):
             await asyncio.sleep(_POLL_S)
         for link in tuple(self._sessions):
--- a/kumquatwalk/tasks.py
+++ b/kumquatwalk/tasks.py
@@ -1,14 +1,16 @@
-"""Background tasks whose failures are logged."""
+"""Background tasks, and steps of a stop, whose failures are logged."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterator
 from typing import Any
 
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 
-__all__ = ["keep_running", "start_task"]
+__all__ = ["keep_running", "log_errors", "start_task"]
 
 # Pause before the work of a task that has failed begins again, in seconds.
 RESTART_DELAY_S = 0.5
@@ -48,6 +50,22 @@
     return start_task(_restart_after_errors(make_work, name), name)
 
 
+@contextlib.contextmanager
+def log_errors(name: str) -> Iterator[None]:
+    """Log an unexpected error in the context, and go on after it.
+
+    For the steps of a stop, each of which is to be taken whatever became of the
+    others.
+
+    Args:
+        name: Name of the step in the log.
+    """
+    try:
+        yield
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        _log_error(name, error)
+
+
 async def _restart_after_errors(
     make_work: Callable[[], Coroutine[Any, Any, Any]], name: str
 ) -> None:
