Soak: every end of a process is recorded with its status, and judged

The soak left out ends: a process that was to stop could end with any status, also by the kernel's SIGKILL within its grace period, and one that a kill just missed counted as killed. One that ended before all nodes first served was not started again, so that the soak ended with a TimeoutError that named no process. The record keeps each end now.

--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.process_ends import ProcessEnd
 from kumquatwalk.soak.scheduling import ProcessWait
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.platform_node import PlatformNode
@@ -83,6 +84,7 @@
         departures: Acknowledged departures of targets.
         manifests: Times at which the configuration was changed, in seconds.
         waits: Long waits of processes for a processor.
+        ends: Ends of daemon processes.
     """
 
     attempts: Sequence[Attempt]
@@ -92,6 +94,7 @@
     departures: Sequence[Departure] = ()
     manifests: Sequence[float] = ()
     waits: Sequence[ProcessWait] = ()
+    ends: Sequence[ProcessEnd] = ()
 
 
 def collect_runs(
@@ -128,6 +131,7 @@
         *record.impairments,
         *record.departures,
         *record.waits,
+        *record.ends,
         *record.attempts,
     )
     documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -25,6 +25,8 @@
 from kumquatwalk.soak.platform_record import collect_runs
 from kumquatwalk.soak.platform_record import write_record
 from kumquatwalk.soak.platform_records import check_record
+from kumquatwalk.soak.process_ends import ProcessEnd
+from kumquatwalk.soak.process_ends import judge_end
 from kumquatwalk.soak.rule_judge import judge_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
@@ -60,9 +62,9 @@
         folder: Folder that gets the record.
 
     Attributes:
-        reloads_from_exec: Whether processes get SIGHUP from their first moment
-            on, as a platform may send it; else once they catch it, so that the
-            same seed gives the same verdict.
+        reloads_from_exec: Whether processes get SIGHUP and SIGTERM from their
+            first moment on, as a platform may send them; else once they catch
+            them, so that the same seed gives the same verdict.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self._impairments: list[Impairment] = []
         self._departures: list[Departure] = []
         self._violations: list[Violation] = []
+        self._ends: list[ProcessEnd] = []
         self._signalled: set[int] = set()
         self._tasks: list[asyncio.Task] = []
         self._beside: list[asyncio.Task] = []
@@ -114,10 +117,11 @@
         """
         fleet = self._fleet
         try:
+            # Also a process that ends before all serve is counted.
+            self.run_beside(self._restart_ended())
             await fleet.start(self._node_count)
             callers = self.make_callers()
             running = [asyncio.create_task(c.run()) for c in callers]
-            self.run_beside(self._restart_ended())
             self.run_beside(self._watch.run())
             plan, changes = self.make_plan(duration_s)
             await self._play(plan, changes, self.list_events(plan, duration_s))
@@ -129,6 +133,9 @@
             for task in self._beside:
                 task.cancel()
             ended_at = read_now()
+            for node in fleet.nodes.values():
+                if node.has_ended:
+                    self._note_end(node)
             await fleet.close()
         record = PlatformRecord(
             # Calls that have not ended then are cut by the end of the soak.
@@ -139,6 +146,7 @@
             self._departures,
             self._manifests,
             self._watch.waits,
+            self._ends,
         )
         self._violations += self.check(record)
         write_record(self._folder, record, self._violations)
@@ -279,17 +287,30 @@
             self._start_task(self._reload(node))
 
     async def _reload(self, node: PlatformNode) -> None:
+        if not await self._wait_until_caught(node, signal.SIGHUP):
+            return
+        self._works.append(PlannedWork(node.name, node.pid, read_now(), False))
+        self._fleet.change_settings(node)
+
+    async def _wait_until_caught(self, node: PlatformNode, number: int) -> bool:
+        """Wait until a signal may be sent; return whether the daemon runs."""
         pid = node.pid
-        while not (self.reloads_from_exec or node.catches(signal.SIGHUP)):
+        while not (self.reloads_from_exec or node.catches(number)):
             await asyncio.sleep(POLL_S)
             if node.pid != pid or not node.is_running:
-                return
-        self._works.append(PlannedWork(node.name, node.pid, read_now(), False))
-        self._fleet.change_settings(node)
+                return False
+        return True
+
+    async def _stop_once_caught(self, node: PlatformNode) -> None:
+        if await self._wait_until_caught(node, signal.SIGTERM):
+            self._stop(node)
 
     def _stop(self, node: PlatformNode) -> None:
         if not node.is_running:
             return
+        if not (self.reloads_from_exec or node.catches(signal.SIGTERM)):
+            self._start_task(self._stop_once_caught(node))
+            return
         if node.pid in self._signalled:
             node.signal(signal.SIGTERM)
             return
@@ -313,11 +334,10 @@
         """Start what has ended; note a process that ended by itself."""
         while True:
             for node in self._fleet.nodes.values():
-                if node.is_running:
+                if not node.has_ended:
                     continue
-                if node.pid not in self._signalled:
-                    self._note_end(node)
-                else:
+                self._note_end(node)
+                if node.pid in self._signalled:
                     self._impair_if_killed(node)
                 self._fleet.start_daemon(node)
                 if self._rng.random() < RELOAD_RATIO:
@@ -325,11 +345,21 @@
             await asyncio.sleep(POLL_S)
 
     def _note_end(self, node: PlatformNode) -> None:
-        """Note that a process ended though nobody stopped or killed it."""
-        status = node.process.returncode
-        after_s = read_now() - node.started_at
-        detail = f"status {status}, {after_s:.2f} s after its start"
-        self._violations.append(Violation("ended_by_itself", node.name, detail))
+        """Record the end of a process, and what it breaks."""
+        is_stopped = any(w.is_stop and w.pid == node.pid for w in self._works)
+        end = ProcessEnd(
+            node.name,
+            node.pid,
+            node.started_at,
+            read_now(),
+            node.process.returncode,
+            is_stopped,
+            node.is_killed,
+        )
+        self._ends.append(end)
+        violation = judge_end(end)
+        if violation is not None:
+            self._violations.append(violation)
 
     async def _reload_soon(self, node: PlatformNode) -> None:
         pid = node.pid
--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -132,6 +132,7 @@
         """
         node.starts += 1
         node.started_at = read_now()
+        node.is_killed = False
         log = self._folder / f"{node.name}-{node.starts}.log"
         with log.open("wb") as output:
             node.process = subprocess.Popen(
@@ -171,7 +172,7 @@
         deadline = read_now() + GRACE_S
         while process.poll() is None:
             if read_now() > deadline:
-                process.kill()
+                node.signal(signal.SIGKILL)
                 process.wait()
             await asyncio.sleep(0.01)
 
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 
 from kumquatwalk.address import Address
@@ -46,6 +47,7 @@
         born: Start of the target, in Unix milliseconds.
         starts: Number of starts of the daemon.
         started_at: Time of the last one, in seconds.
+        is_killed: Whether the daemon got SIGKILL since.
         reloads: Number of changes of the settings.
         slots: Number of requests that the target runs at once.
     """
@@ -65,6 +67,7 @@
     born: int = 1000
     starts: int = 0
     started_at: float = 0.0
+    is_killed: bool = False
     reloads: int = 0
     slots: int = 64
 
@@ -78,6 +81,11 @@
         """Whether the daemon has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the daemon was started and has ended."""
+        return self.process is not None and self.process.poll() is not None
+
     def catches(self, number: int) -> bool:
         """Return whether the daemon has a handler for a signal.
 
@@ -98,6 +106,7 @@
     def signal(self, number: int) -> None:
         """Send a signal to the daemon if it is running."""
         if self.is_running:
+            self.is_killed |= number == signal.SIGKILL
             os.kill(self.pid, number)
 
     def choose_script(self, request: HttpRequest) -> Script:
