--- a/kumquatwalk/soak/deployment_runner.py
+++ b/kumquatwalk/soak/deployment_runner.py
@@ -196,7 +196,7 @@
         return events
 
     def _begin_burst(self, number: int) -> None:
-        self._start_task(self._play_burst(number))
+        self.start_task(self._play_burst(number))
 
     def _reset_links(self, name: str) -> None:
         self._impair(self._fleet.nodes[name], read_now())
--- a/kumquatwalk/soak/platform_runner.py
+++ b/kumquatwalk/soak/platform_runner.py
@@ -21,9 +21,11 @@
 from kumquatwalk.soak.platform_soak import Event
 from kumquatwalk.soak.platform_soak import PlatformSoak
 from kumquatwalk.soak.runner import SoakResult
+from kumquatwalk.soak.start_troubles import StartTroubles
 from kumquatwalk.standin.attempt import HABITS
 from kumquatwalk.standin.connection_caller import ConnectionCaller
 from kumquatwalk.standin.platform_fleet import PlatformFleet
+from kumquatwalk.standin.platform_node import PlatformNode
 
 __all__ = ["run_in_folder", "run_platform_soak"]
 
@@ -90,6 +92,7 @@
         super().__init__(seed, fleet, NODE_COUNT, folder)
         self._has_link_faults = has_link_faults
         self._links = LinkPlayer(fleet.proxies)
+        self._troubles: StartTroubles | None = None
 
     def make_callers(self) -> list[ConnectionCaller]:
         """Return a caller of each habit for each node."""
@@ -136,6 +139,15 @@
         """Lift the faults of links."""
         self._links.lift_all()
 
+    async def prepare_start(self, node: PlatformNode) -> None:
+        """Let some starts meet a port in use, or settings cut short."""
+        if self._troubles is None:
+            store = self._fleet.store.address
+            self._troubles = StartTroubles(self._seed, store)
+        self.start_task(self._troubles.play(node))
+        # The trouble is there before the process.
+        await asyncio.sleep(0)
+
     def list_impairments(self) -> list[Impairment]:
         """Return the impairments of nodes and of links."""
         return [*self._impairments, *self._links.impairments]
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -92,7 +92,7 @@
         self._manifests: list[float] = []
         self._watch = SchedulingWatch(self._list_processes)
         self._release = TargetRelease(
-            fleet, self._rng, self._departures, self._end_soon, self._start_task
+            fleet, self._rng, self._departures, self._end_soon, self.start_task
         )
 
     def make_callers(self) -> list:
@@ -169,6 +169,21 @@
         del plan, duration_s
         return []
 
+    async def prepare_start(self, node: PlatformNode) -> None:
+        """Prepare the start of a daemon that has ended; nothing by default.
+
+        Args:
+            node: Its node.
+        """
+
+    def start_task(self, coroutine) -> None:
+        """Run a coroutine that ends by itself; awaited at the soak's end.
+
+        Args:
+            coroutine: What to run.
+        """
+        self._tasks.append(asyncio.create_task(coroutine))
+
     def lift_events(self) -> None:
         """End what further events began; nothing by default."""
 
@@ -245,7 +260,7 @@
                 self._impair(node, now + action.hold_s)
                 node.signal(signal.SIGSTOP)
             case Fault.TARGET_STOP:
-                self._start_task(self._release.replace(node))
+                self.start_task(self._release.replace(node))
             case Fault.TARGET_KILL:
                 node.target.crash()
             case Fault.TARGET_PAUSE | Fault.TARGET_SILENT:
@@ -266,7 +281,7 @@
                 self._impair(node, read_now())
                 node.signal(signal.SIGCONT)
             case Fault.TARGET_KILL:
-                self._start_task(self._fleet.restart_target(node))
+                self.start_task(self._fleet.restart_target(node))
             case Fault.TARGET_SLOW:
                 node.work_factor = 1.0
             case (
@@ -284,7 +299,7 @@
             self._fleet.change_config()
         else:
             node = self._fleet.nodes[change.node_id]
-            self._start_task(self._reload(node))
+            self.start_task(self._reload(node))
 
     async def _reload(self, node: PlatformNode) -> None:
         if not await self._wait_until_caught(node, signal.SIGHUP):
@@ -309,14 +324,14 @@
         if not node.is_running:
             return
         if not (self.reloads_from_exec or node.catches(signal.SIGTERM)):
-            self._start_task(self._stop_once_caught(node))
+            self.start_task(self._stop_once_caught(node))
             return
         if node.pid in self._signalled:
             node.signal(signal.SIGTERM)
             return
         self._signalled.add(node.pid)
         self._works.append(PlannedWork(node.name, node.pid, read_now(), True))
-        self._start_task(self._fleet.stop_daemon(node))
+        self.start_task(self._fleet.stop_daemon(node))
 
     def _kill(self, node: PlatformNode) -> None:
         self._impair(node, read_now())
@@ -333,15 +348,16 @@
     async def _restart_ended(self) -> None:
         """Start what has ended; note a process that ended by itself."""
         while True:
-            for node in self._fleet.nodes.values():
+            for node in tuple(self._fleet.nodes.values()):
                 if not node.has_ended:
                     continue
                 self._note_end(node)
                 if node.pid in self._signalled:
                     self._impair_if_killed(node)
+                await self.prepare_start(node)
                 self._fleet.start_daemon(node)
                 if self._rng.random() < RELOAD_RATIO:
-                    self._start_task(self._reload_soon(node))
+                    self.start_task(self._reload_soon(node))
             await asyncio.sleep(POLL_S)
 
     def _note_end(self, node: PlatformNode) -> None:
@@ -379,9 +395,6 @@
     def _set_store_faults(self, **faults) -> None:
         self._fleet.store.faults = StoreFaults(**faults)
 
-    def _start_task(self, coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
     def _list_processes(self) -> list[tuple[str, int]]:
         nodes = self._fleet.nodes.values()
         own = ("driver", os.getpid())
