Keep a silent connection while its last replies may still come

When a peer had been silent for 1.6 s, its connection was kept for late replies, but only for 0.25 s after the peer had answered on a new one, and not at all if a new process had answered there. A reply that waited unread, or that the peer's TCP sent again after the loss of packets, was dropped: the caller got 502 for a run that had been answered (LOST). Class: the end of what is owed was judged by something else that had come.

A silent connection now stays for as long as the peer's TCP sends again (USER_TIMEOUT_MS, 2.5 s), also when another process answers. An unsafe call is not sent to that process, which does not know it; it ends with the old connection. It costs a safe call that has failed elsewhere too up to 2.5 s before its 502.

Four of the new tests in mesh.tests.test_link_silence failed before (the late reply was done as unknown; the unsafe call got link_failed). Not changed: a refused new connection ends a silent one without unread bytes.

--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -7,6 +7,7 @@
 import termios
 
 __all__ = [
+    "USER_TIMEOUT_MS",
     "count_unread_bytes",
     "count_untaken_bytes",
     "end_stream",
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -11,6 +11,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.event_loop import limit_time
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.sockets import USER_TIMEOUT_MS
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.clock_offset import ClockOffset
@@ -49,8 +50,8 @@
 # interval of a peer's status and a delay.
 RECEIVE_TIMEOUT_S = 1.6
 # Time for which a silent connection is kept once the peer has answered on a new
-# one, in seconds.
-SILENT_LINGER_S = 0.25
+# one, in seconds: for so long the peer's TCP sends again what has been lost.
+SILENT_LINGER_S = USER_TIMEOUT_MS / 1000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,7 +73,9 @@
     is replaced because the peer is silent, replies to such calls may still come
     on it, see ``find_late_reply``. A call that is not idempotent stays pending:
     it is sent again on the next connection to the same process, which knows
-    whether the call has run. Its reply may come on either connection.
+    whether the call has run. Its reply may come on either connection. It is not
+    sent to another process at the address: its reply may then still come on the
+    silent connection, or the call fails with it.
 
     Args:
         address: Address at which the peer accepts links.
@@ -430,7 +433,7 @@
                 continue
             if pending.fails_on_disconnect:
                 late.add(call_id, pending.request)
-            else:
+            elif not self._is_left_behind(pending):
                 silent.add_resent(call_id, pending.reply)
         if silent.is_needed:
             self._silent_links.append(silent)
@@ -451,6 +454,13 @@
         for silent in self._silent_links:
             silent.close()
 
+    def _is_left_behind(self, pending: _PendingRequest) -> bool:
+        """Return whether a reply can only come on a silent connection."""
+        return any(
+            silent.is_left_behind(pending.reply)
+            for silent in self._silent_links
+        )
+
     def _find_silent(self, link: LinkProtocol) -> SilentLink | None:
         return next((s for s in self._silent_links if s.link is link), None)
 
@@ -533,11 +543,13 @@
         self.view.updated_at = now
         self._linked_at = now
         if not is_same_process:
-            self._close_silent_links()
-            self._fail_pending(lambda _: True)
+            # The last replies of the process before may still come.
+            for silent in self._silent_links:
+                silent.leave_behind()
+            self._fail_pending(lambda p: not self._is_left_behind(p))
         self._handshake_done.set()
         for call_id, pending in tuple(self._pending.items()):
-            if not pending.reply.done():
+            if not (pending.reply.done() or self._is_left_behind(pending)):
                 self._send_request(call_id, pending.request, is_resent=True)
 
     def _hedge(self, call_id: int) -> None:
--- a/kumquatwalk/mesh/silent_link.py
+++ b/kumquatwalk/mesh/silent_link.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from kumquatwalk import codes
 from kumquatwalk.mesh.late_calls import LateCalls
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Cancel
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.outcome import Outcome
 
 __all__ = ["SilentLink"]
 
@@ -28,6 +30,7 @@
         self.late = late
         self._silent_from = now
         self._resent: dict[int, asyncio.Future[Reply]] = {}
+        self._is_left_behind = False
 
     @property
     def is_alive(self) -> bool:
@@ -55,6 +58,21 @@
         self._resent[call_id] = reply
         reply.add_done_callback(lambda _: self._end_resent(call_id))
 
+    def leave_behind(self) -> None:
+        """Send its calls nowhere else: the process they were sent to has ended.
+
+        They end with this connection then.
+        """
+        self._is_left_behind = True
+
+    def is_left_behind(self, reply: asyncio.Future[Reply]) -> bool:
+        """Return whether a reply can only come here.
+
+        Args:
+            reply: Reply to a call.
+        """
+        return self._is_left_behind and reply in self._resent.values()
+
     def resolve(self, call_id: int, reply: Reply) -> None:
         """Pass on the reply to a call, if one is expected.
 
@@ -75,6 +93,10 @@
         The outcome of its calls is unknown, but for those sent again.
         """
         self.late.fail_all()
+        if self._is_left_behind:
+            for reply in self._resent.values():
+                if not reply.done():
+                    reply.set_result(Reply(Outcome.UNKNOWN, codes.LINK_FAILED))
         self.link.abort()
 
     def _end_resent(self, call_id: int) -> None:
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -8,6 +8,7 @@
 from kumquatwalk import codes
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
+from kumquatwalk.http1.sockets import USER_TIMEOUT_MS
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_protocol import LinkProtocol
 from kumquatwalk.mesh.message import Call
@@ -31,9 +32,9 @@
 DONE = Reply(Outcome.DONE, status=200, body=b"whole")
 
 
-def make_hello(_receiver: str = "") -> Hello:
+def make_hello(_receiver: str = "", incarnation: int = 1) -> Hello:
     """Return the handshake message of node ``gate-1``."""
-    return Hello("gate-1", 1, "z1", "web", "127.0.0.1", 1, 0.0)
+    return Hello("gate-1", incarnation, "z1", "web", "127.0.0.1", 1, 0.0)
 
 
 def make_call(is_idempotent: bool = True) -> Call:
@@ -69,6 +70,7 @@
         self.cancelled: list[int] = []
         self.cancelled_on: list[LinkProtocol] = []
         self.is_stalled = False
+        self.incarnation = 1
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: LinkProtocol(
@@ -102,7 +104,7 @@
         match message:
             case Hello():
                 if not self.is_stalled:
-                    link.send(make_hello())
+                    link.send(make_hello(incarnation=self.incarnation))
             case CallFrame():
                 self.frames.append(message)
             case Cancel():
@@ -227,6 +229,57 @@
         async with asyncio.timeout(HANG_S):
             self.assertEqual(await late, DONE)
 
+    # Guards against LOST: a connection that had lost packets was closed before
+    # the peer's TCP sent the reply on it again.
+    async def test_call_is_kept_while_tcp_may_send_its_reply_again(self):
+        late = await self._fail_by_silence()
+        await self._wait_for(lambda: self.link.is_usable)
+        self.link.reset_if_silent(read_now() + USER_TIMEOUT_MS / 1000 - 0.5)
+        self.assertFalse(late.done())
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+
+    # Guards against LOST: the last replies of a process were dropped when the
+    # one started after it answered first.
+    async def test_reply_of_the_process_before_still_comes(self):
+        self.incarnation = 2
+        late = await self._fail_by_silence()
+        await self._wait_for(lambda: self.link.is_usable)
+        self.assertFalse(late.done())
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await late, DONE)
+
+    async def test_unsafe_call_awaits_the_process_before(self):
+        self.incarnation = 2
+        call = await self._begin_call(is_idempotent=False)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        await self._wait_for(lambda: self.link.is_usable)
+        self._answer(self.ends[0])
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual(await call, DONE)
+        # The process after it does not know the call.
+        self.assertEqual(len(self.frames), 1)
+
+    async def test_unsafe_call_ends_with_the_process_before(self):
+        self.incarnation = 2
+        call = await self._begin_call(is_idempotent=False)
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 1.0)
+        await self._wait_for(lambda: len(self.ends) == 2)
+        await self._wait_for(lambda: self.link.is_usable)
+        # Neither a silence of the new connection sends it there.
+        self.link.reset_if_silent(read_now() + RECEIVE_TIMEOUT_S + 0.2)
+        await self._wait_for(lambda: len(self.ends) == 3)
+        await self._wait_for(lambda: self.link.is_usable)
+        self.assertFalse(call.done())
+        self.ends[0].abort()
+        async with asyncio.timeout(HANG_S):
+            self.assertEqual((await call).code, codes.LINK_FAILED)
+        self.assertEqual(len(self.frames), 1)
+        self.assertTrue(self.link.is_idle)
+
     async def test_call_is_given_up_when_the_peer_accepts_no_connection(self):
         self.server.close()
         late = await self._fail_by_silence()
