Own interface: count the reply that came in a pause of the own process

The waits for the node that owns a request, and of a repeat for the run in progress, ended by asyncio.timeout: after a time without the processor the timer ran before the reply that had come was read, and the caller got an unknown outcome for a run with an answer. Both use limit_time now.

--- a/kumquatwalk/idempotency/pending_run.py
+++ b/kumquatwalk/idempotency/pending_run.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Generic, TypeVar
 
+from kumquatwalk.event_loop import limit_time
+
 __all__ = ["PendingRun"]
 
 AnswerT = TypeVar("AnswerT")
@@ -49,7 +51,7 @@
             if self._event is None:
                 self._event = asyncio.Event()
             try:
-                async with asyncio.timeout(timeout_s):
+                async with limit_time(timeout_s):
                     await self._event.wait()
             except TimeoutError:
                 return None
--- a/kumquatwalk/native/at_most_once.py
+++ b/kumquatwalk/native/at_most_once.py
@@ -10,6 +10,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.config_holder import ConfigHolder
+from kumquatwalk.event_loop import limit_time
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.idempotency import begin_result
 from kumquatwalk.idempotency.claim import make_claim_key
@@ -247,7 +248,7 @@
             return _make_unknown_reply(codes.OWNER_UNREACHABLE)
         wait_s = query.deadline - read_now() + OWNER_REPLY_GRACE_S
         try:
-            async with asyncio.timeout(wait_s):
+            async with limit_time(wait_s):
                 reply = await link.query_owner(query)
         except TimeoutError:
             return _make_unknown_reply(codes.OWNER_UNREACHABLE)
--- a/kumquatwalk/native/tests/test_once.py
+++ b/kumquatwalk/native/tests/test_once.py
@@ -1,6 +1,8 @@
 """Tests of at-most-once requests of outside callers."""
 
 import asyncio
+import socket
+import time
 import unittest
 
 from kumquatwalk import codes
@@ -16,6 +18,7 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.native.fleet_config import decode_fleet_config
 from kumquatwalk.native.at_most_once import AtMostOnceRequests
+from kumquatwalk.native.at_most_once import OWNER_REPLY_GRACE_S
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.targets.run import measure_reply
 
@@ -36,6 +39,34 @@
         return DONE
 
 
+class SlowLink(RecordingLink):
+    """Link whose reply comes as bytes, while this process pauses.
+
+    The pause begins once the query has been sent.
+
+    Args:
+        pause_s: Length of the pause, in seconds.
+    """
+
+    def __init__(self, incarnation: int, pause_s: float):
+        super().__init__(incarnation)
+        self._pause_s = pause_s
+
+    async def query_owner(self, query: OwnerQuery) -> Reply:
+        """Return ``DONE`` once the reply has been read."""
+        loop = asyncio.get_running_loop()
+        here, there = socket.socketpair()
+        with here, there:
+            here.setblocking(False)
+            loop.call_soon(self._pause, there)
+            await loop.sock_recv(here, 1)
+        return await super().query_owner(query)
+
+    def _pause(self, there: socket.socket) -> None:
+        there.send(b"1")
+        time.sleep(self._pause_s)
+
+
 class OnceRequestsTest(unittest.IsolatedAsyncioTestCase):
 
     def setUp(self):
@@ -62,10 +93,12 @@
         await asyncio.sleep(0.02)
         return Reply(Outcome.DONE, "", 200, body=b"%d" % self.runs)
 
-    async def _serve(self, ticket: str, body: bytes = b"1") -> Reply:
+    async def _serve(
+        self, ticket: str, body: bytes = b"1", limit_s: float = 60.0
+    ) -> Reply:
         headers = ((b"Kumquat-Ticket", ticket.encode()),)
         request = HttpRequest(b"POST", b"/pay", headers, body, True, 0.0)
-        return await self.once.serve(request, ROUTE, read_now() + 60.0)
+        return await self.once.serve(request, ROUTE, read_now() + limit_s)
 
     async def connect(self, node_id, _timeout_s):
         """Return the link to a node, as ``Peers.connect`` does."""
@@ -77,6 +110,13 @@
         (query,) = self.links["there"].queries
         self.assertEqual((query.ticket, query.body), (self.ticket, b"1"))
 
+    # Guards against LOST: the reply of the owner came while this process was not
+    # scheduled, and the timer of its time limit ran before it was read.
+    async def test_reply_of_the_owner_in_a_pause_is_used(self):
+        limit_s = 0.1
+        self.links["there"] = SlowLink(5, limit_s + OWNER_REPLY_GRACE_S + 0.1)
+        self.assertEqual(await self._serve(self.ticket, b"1", limit_s), DONE)
+
     async def test_ticket_of_a_node_that_is_not_known_is_not_sent(self):
         reply = await self._serve(self.ticket)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
