Ask refusing targets once more when the run that went on is lost

A safe request was hedged (a stop, or a silent link), the other targets refused it, and then the first run was lost too: the request already waited for that run only, and its caller got 502 with time left (LOST). Class: a decision made on what was so earlier. The targets that refused it are now asked once more, within its attempts, the retry budget and its tokens.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -351,24 +351,29 @@
     async def _attempt_until_final(self, request: PendingRequest) -> Reply:
         self._retry_budgets.record_first_attempt(request.service, read_now())
         while True:
-            if self._is_quarantined(request):
-                return await self._finish(request)
+            await self._attempt_while_possible(request)
+            await self._await_late_replies(request)
+            if not self._prepare_repeat(request):
+                return self._make_final_reply(request)
+
+    async def _attempt_while_possible(self, request: PendingRequest) -> None:
+        while not self._is_quarantined(request):
             view = await self._choose_target_or_wait(request)
             if view is None:
-                return await self._finish(request)
+                return
             reply = await self._sender.send(view, request)
             self._record_attempt(request, view, reply)
             if self._is_final(request, reply, view):
-                return await self._finish(request)
+                return
             if not self._can_go_on(request):
-                return await self._finish(request)
+                return
             if request.attempts_at_targets and not await self._prepare_retry(
                 request, reply, view
             ):
-                return await self._finish(request)
+                return
 
-    async def _finish(self, request: PendingRequest) -> Reply:
-        """Return the final reply, after replies that may still come."""
+    async def _await_late_replies(self, request: PendingRequest) -> None:
+        """Wait for replies that may still come, unless there is an answer."""
         last_run = request.last_run
         if last_run is not None and last_run.outcome is Outcome.UNKNOWN:
             reply = await wait_for_late_reply(request.late_replies, last_run)
@@ -383,7 +388,26 @@
             reply = await wait_for_late_reply(request.late_replies, last_run)
             if reply.outcome is Outcome.DONE:
                 request.last_run = reply
-        return self._make_final_reply(request)
+
+    def _prepare_repeat(self, request: PendingRequest) -> bool:
+        """Return whether targets that refused a request are asked once more.
+
+        They are if the run that went on meanwhile has been lost.
+        """
+        run = request.last_run
+        if run is None or run.outcome is not Outcome.UNKNOWN:
+            return False
+        if not request.late_replies or not request.refused_nodes:
+            return False
+        if request.attempts_at_targets >= request.route.attempts_max:
+            return False
+        request.late_replies.clear()
+        request.tried_nodes -= request.refused_nodes
+        request.refused_nodes.clear()
+        other = self._choose_target(request)
+        if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
+            return False
+        return self._spend_on_retry(request, read_now())
 
     def _is_quarantined(self, request: PendingRequest) -> bool:
         """Return whether a request is quarantined; if so, note the refusal."""
@@ -411,6 +435,7 @@
         tokens = None if request.chain is None else request.chain.tokens
         if reply.outcome is Outcome.NOT_RUN:
             request.attempts_at_targets += reply.shed_by_target
+            request.refused_nodes.add(view.node_id)
             request.last_refusal = reply
             if tokens is not None:
                 tokens.record_not_run()
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -29,6 +29,7 @@
         tried_nodes: Identifiers of the nodes that attempts were sent to and
             that are not to be tried again. A node whose link has reconnected
             is removed when the request is retried there.
+        refused_nodes: Those of them that have refused it.
         last_node: Identifier of the node of the last attempt; empty before it.
         is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
@@ -50,6 +51,7 @@
     is_returning: bool
     chain: ChainContext | None = None
     tried_nodes: set[str] = dataclasses.field(default_factory=set)
+    refused_nodes: set[str] = dataclasses.field(default_factory=set)
     last_node: str = ""
     is_in_flight: bool = False
     attempts_at_targets: int = 0
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -266,6 +266,28 @@
         reply = await self._call([LOST], True, late=late, attempts_max=1)
         self.assertIs(reply.outcome, Outcome.UNKNOWN)
 
+    # Guards against LOST: a run that a stop hedged was refused elsewhere and
+    # then lost with its node; though time was left, its caller got 502.
+    async def test_run_that_is_lost_after_a_refusal_is_made_again(self):
+        self.targets = 2
+        refused = Reply(Outcome.NOT_RUN, codes.QUEUE_FULL)
+        for script in ([LOST, refused, DONE], [LOST, refused, refused]):
+            late = asyncio.get_running_loop().create_future()
+            self.peers = ScriptedPeers([])
+            serving = asyncio.create_task(
+                self._call(script, True, tokens=None, late=late)
+            )
+            while len(self.peers.calls) < 2:
+                await asyncio.sleep(0)
+            late.set_result(LOST)
+            async with asyncio.timeout(HANG_S):
+                reply = await serving
+            nodes = [node_id for node_id, _ in self.peers.calls]
+            self.assertEqual(len(nodes), 3)
+            self.assertEqual(nodes[1], nodes[2])
+            expected = script[2] if script[2] is DONE else LOST
+            self.assertEqual(reply.outcome, expected.outcome)
+
     # Guards against 502 for a request that has not run: its attempts were
     # refused, one of them late.
     async def test_late_refusal_is_passed_on_if_no_attempt_may_have_run(self):
