--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import os
 import pathlib
 import subprocess
@@ -103,14 +104,21 @@
     def choose_script(self, request: HttpRequest) -> Script:
         """Return the behaviour that the path ``/ROUTE/WORK_MS/BYTES`` asks for.
 
+        The target stops work at the request's ``Deadline-Ms`` and answers 504.
+        While it is silent, it stays so past that.
+
         Args:
             request: Request to run.
         """
         _, _, work_ms, size = request.url.decode("ascii").split("/")
         attempt_id = (request.find_header(b"attempt-id") or b"").decode()
         silent_s = max(0.0, self.silent_until - read_now())
+        work_s = silent_s + self.work_factor * int(work_ms) / 1000
+        limit_ms = request.find_header(b"deadline-ms")
+        limit_s = float(limit_ms) / 1000 if limit_ms else math.inf
         return Script(
-            work_s=silent_s + self.work_factor * int(work_ms) / 1000,
+            work_s=min(work_s, max(silent_s, limit_s)),
+            status=200 if work_s <= limit_s else 504,
             body=make_body(attempt_id, int(size)),
         )
 
