--- a/kumquatwalk/native/tests/test_once.py
+++ b/kumquatwalk/native/tests/test_once.py
@@ -110,8 +110,8 @@
         (query,) = self.links["there"].queries
         self.assertEqual((query.ticket, query.body), (self.ticket, b"1"))
 
-    # Guards against LOST: the reply of the owner came while this process was not
-    # scheduled, and the timer of its time limit ran before it was read.
+    # Guards against LOST: the reply of the owner came while this process was
+    # not scheduled, and the timer of its time limit ran before it was read.
     async def test_reply_of_the_owner_in_a_pause_is_used(self):
         limit_s = 0.1
         self.links["there"] = SlowLink(5, limit_s + OWNER_REPLY_GRACE_S + 0.1)
