Bound the first large answer of a connection at a stop

What callers saw: none known; by reading, a request whose expected answer was of any size was passed on until the last moment of a stop if its connection's client was not measured, and the process ended before the client had taken it (LOST).

Cause: without a measured rate only the bytes before a request were judged, not its own answer; and a request held back for such an answer would have waited until the end. A client not measured yet is now expected to take 256 KiB at once and 512 KiB a second; what it can't take in the time left is refused (503, not run), also once nothing is left to be taken before it. The time counts in the stop's rule for the run as well. Not bounded: a client slower than that, and a connection whose answers were small so far, as they tell the size expected.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -20,6 +20,7 @@
 from kumquatwalk.http1.sockets import is_closed
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
 from kumquatwalk.http1.throughput import BUFFERS_BYTES_MAX
+from kumquatwalk.http1.throughput import estimate_first_s
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
@@ -396,8 +397,9 @@
                 if exchange.response is not None:
                     self._send_ready_responses()
                 continue
-            if self._has_rate and not self._exchanges.is_waiting_before(
-                exchange
+            if self._is_next(exchange) or (
+                self._has_rate
+                and not self._exchanges.is_waiting_before(exchange)
             ):
                 self._refuse_deferred(exchange)
             return
@@ -518,24 +520,34 @@
         """Return whether the client can take an answer before the stop ends.
 
         If it is not known how fast it reads, it can unless many bytes are to be
-        taken before. Also notes how long it needs for the answer itself.
+        taken before, or the answer itself is too large for the time left. Also
+        notes how long it needs for the answer itself.
         """
         self._writer.update(now)
         size = self._writer.untaken_bytes
         size += self._exchanges.count_answer_bytes(
             exchange, self._estimate_answer
         )
-        if not self._has_rate or self._server.answers_by == math.inf:
+        if self._server.answers_by == math.inf:
             return size <= BACKLOG_BYTES_MAX
         own_size = self._estimate_answer(exchange.request)
-        taking_s = self._writer.estimate_taking_s(own_size)
-        exchange.request.progress.taking_s = taking_s
-        taking_s = self._writer.estimate_taking_s(size + own_size)
+        if self._has_rate:
+            own_s = self._writer.estimate_taking_s(own_size)
+            taking_s = self._writer.estimate_taking_s(size + own_size)
+        else:
+            own_s = taking_s = estimate_first_s(own_size)
+        exchange.request.progress.taking_s = own_s
+        if not self._has_rate and size > BACKLOG_BYTES_MAX:
+            return False
         if self._exchanges.is_waiting_before(exchange):
             # The answers before it may be made as late as that.
             now = max(now, self._server.made_by)
         return now + taking_s <= self._server.answers_by
 
+    def _is_next(self, exchange: Exchange) -> bool:
+        """Return whether the client has taken all answers before another's."""
+        return not self._writer.untaken and self._exchanges.is_first(exchange)
+
     @property
     def _has_rate(self) -> bool:
         """Whether it is known how fast the client reads."""
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -86,6 +86,10 @@
                 return True
         return False
 
+    def is_first(self, exchange: Exchange) -> bool:
+        """Return whether no answer is sent before that of an exchange."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
     @property
     def has_run(self) -> bool:
         """Whether a request has been passed to its handler and is not over."""
--- a/kumquatwalk/http1/tests/test_stop_backlog.py
+++ b/kumquatwalk/http1/tests/test_stop_backlog.py
@@ -35,6 +35,29 @@
         await self.send("/a", "/b", "/c")
         self.assertEqual(self.seen, ["/a", "/b", "/c"])
 
+    # Guards against LOST: the first large answer of a connection was passed on
+    # whatever time was left, and the process ended before its client had it.
+    async def test_first_answer_too_large_for_the_time_left_is_refused(self):
+        self.expected_bytes = 100 * LARGE_BYTES
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a")
+        self.assertEqual(self.seen, [])
+        self.assertEqual(self.list_answers()[0][:2], (503, True))
+
+    # Guards against a request that waits until the end: the answer before it
+    # was an error, which tells nothing of its client.
+    async def test_first_large_answer_behind_an_error_is_refused(self):
+        self.expected_bytes = 12 * LARGE_BYTES
+        self.server.begin_stop(self.now + 5.0)
+        await self.send("/a", "/b")
+        self.assertEqual(self.seen, ["/a"])
+        self.now += 2.0
+        self.waiting["/a"].set_result(HttpResponse(404))
+        await self.settle()
+        self.assertEqual(self.seen, ["/a"])
+        answers = [answer[:2] for answer in self.list_answers()]
+        self.assertEqual(answers, [(404, False), (503, True)])
+
     # Guards against refusals of small requests on a route that has had a large
     # answer: the first answer shows what the connection asks for.
     async def test_what_waits_is_passed_on_behind_a_small_answer(self):
--- a/kumquatwalk/http1/throughput.py
+++ b/kumquatwalk/http1/throughput.py
@@ -1,6 +1,13 @@
 """Rate at which a client takes bytes that wait for it."""
 
-__all__ = ["BACKLOG_BYTES_MAX", "BUFFERS_BYTES_MAX", "Throughput"]
+import math
+
+__all__ = [
+    "BACKLOG_BYTES_MAX",
+    "BUFFERS_BYTES_MAX",
+    "Throughput",
+    "estimate_first_s",
+]
 
 # Bytes not taken up to which a client is not behind: the buffers of both ends
 # hold as many.
@@ -16,10 +23,24 @@
 # Longest time over which what a client takes in several answers is added up, in
 # seconds.
 SPAN_S_MAX = 2.0
+# Rate expected of a client that was not measured yet, beyond what its buffers
+# take at once.
+FIRST_BYTES_PER_S = 512 * 1024
 # Shortest time that is told apart from none, in seconds.
 RESOLUTION_S = 0.001
 
 
+def estimate_first_s(size: float) -> float:
+    """Return the time in which a client not measured yet takes an answer.
+
+    Args:
+        size: Number of bytes; infinite if not known, which counts as small.
+    """
+    if size <= BUFFERS_BYTES_MAX or size == math.inf:
+        return 0.0
+    return (size - BUFFERS_BYTES_MAX) / FIRST_BYTES_PER_S
+
+
 class Throughput:
     """Measures a client only while it is behind.
 
