Soak: tell a caller's own close from a reset by the node

Two faults of the checks, one of them for, one against the nodes:

The second judge leaves out a caller's own ends already, which a test shows now.

A caller that reads late took a reset by the node for its own close at the limit, as it had yet to read what came before: both checks and both judges left that loss out. It now asks its kernel.

--- a/kumquatwalk/soak/manifest_cuts.py
+++ b/kumquatwalk/soak/manifest_cuts.py
@@ -7,6 +7,7 @@
 from kumquatwalk.soak.platform_record import PlatformRecord
 from kumquatwalk.soak.platform_records import find_excuse
 from kumquatwalk.soak.platform_records import is_read
+from kumquatwalk.soak.platform_records import list_abandoned
 from kumquatwalk.standin.attempt import Attempt
 
 __all__ = ["check_manifest_cuts"]
@@ -23,11 +24,12 @@
     """Check that nodes cut no more requests beside a new configuration.
 
     Processes that were stopped are left out; their cuts are judged by
-    themselves.
+    themselves. A caller that closes its connection at a limit is no cut.
 
     Args:
         record: Record after all callers and runs have ended.
     """
+    abandoned = list_abandoned(record.attempts)
     stopped = {work.pid for work in record.works if work.is_stop}
     # Requests and cuts, by node, beside a change and at other times.
     requests = collections.Counter()
@@ -36,7 +38,8 @@
         if attempt.pid not in stopped:
             key = attempt.node, _is_beside(attempt, record)
             requests[key] += 1
-            cuts[key] += _is_cut(attempt, record)
+            if attempt.attempt_id not in abandoned:
+                cuts[key] += _is_cut(attempt, record)
     violations = []
     for node in sorted({node for node, _ in requests}):
         beside, other = (node, True), (node, False)
--- a/kumquatwalk/soak/platform_records.py
+++ b/kumquatwalk/soak/platform_records.py
@@ -17,6 +17,7 @@
     "find_planned_loss",
     "is_answered",
     "is_read",
+    "list_abandoned",
 ]
 
 # Statuses that promise that the request has not run and never will.
@@ -42,14 +43,14 @@
     """
     violations = []
     unanswered = []
-    abandoned = _list_abandoned(record.attempts)
+    abandoned = list_abandoned(record.attempts)
     for attempt in record.attempts:
         runs = record.runs.get(attempt.attempt_id, ())
         for rule in _list_broken(attempt, runs):
             violations.append(_describe(rule, attempt, runs, ""))
         if is_answered(attempt) or find_excuse(attempt, runs, record):
             continue
-        if attempt.error == "limit" and _get_connection(attempt) in abandoned:
+        if attempt.attempt_id in abandoned:
             continue
         cause = find_planned_loss(attempt, runs, record.works)
         if cause:
@@ -100,17 +101,26 @@
     return attempt.attempt_id.rpartition("-")[0], attempt.connection
 
 
-def _list_abandoned(attempts: Sequence[Attempt]) -> set[tuple[str, int]]:
-    """Return connections that their callers closed at a request's limit.
+def list_abandoned(attempts: Sequence[Attempt]) -> set[str]:
+    """Return the requests on connections that their callers closed at a limit.
 
-    What stands behind that request on the connection ends with it. The request
-    itself may have had the rest of its answer in its caller's buffer.
+    What stands behind the request whose limit it was ends with its connection.
+    That request itself may have had the rest of its answer in its caller's
+    buffer.
+
+    Args:
+        attempts: Requests of the callers, ended.
     """
-    return {
+    closed = {
         _get_connection(attempt)
         for attempt in attempts
         if attempt.ended_at - attempt.began_at >= attempt.limit_s
     }
+    return {
+        attempt.attempt_id
+        for attempt in attempts
+        if attempt.error == "limit" and _get_connection(attempt) in closed
+    }
 
 
 def is_answered(attempt: Attempt) -> bool:
--- a/kumquatwalk/soak/tests/test_manifest_cuts.py
+++ b/kumquatwalk/soak/tests/test_manifest_cuts.py
@@ -56,6 +56,30 @@
         stop = PlannedWork("n1", 7, 100.5, True)
         self.assertEqual(self.check(CUT, *others, works=(stop,)), [])
 
+    # Guards against a caller that closed at a request's limit being taken for a
+    # node that cut what stood behind it.
+    def test_close_by_the_caller_at_a_limit_is_no_cut(self):
+        first = change(
+            CUT,
+            attempt_id="n1-1-1",
+            began_at=95.0,
+            sent_at=95.0,
+            error="limit",
+        )
+        behind = change(CUT, attempt_id="n1-1-2", error="limit")
+        others = self.make_others(0, 10)
+        self.assertEqual(self.check(first, behind, *others), [])
+        for changed in (
+            (first, change(behind, error="ended")),
+            (first, change(behind, error="ConnectionResetError")),
+            (first, change(behind, connection=2)),
+            (change(first, attempt_id="n1-2-1"), behind),
+            (change(first, ended_at=99.9), behind),
+            (behind,),
+        ):
+            with self.subTest(changed):
+                self.assertEqual(self.check(*changed, *others), ["n1"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/soak/tests/test_rule_judge.py
+++ b/kumquatwalk/soak/tests/test_rule_judge.py
@@ -264,6 +264,19 @@
         self.assertEqual(self.count(at=AT - 2.1), 0)
         self.assertEqual(self.count(at=AT + 1.1), 0)
 
+    # Guards against a caller's own close being taken for a cut, and against a
+    # cut that is left out with it.
+    def test_only_the_callers_own_close_is_no_cut(self):
+        for error, expected in (
+            ("limit", 0),
+            ("left", 0),
+            ("ended", 1),
+            ("behind", 1),
+            ("ConnectionResetError", 1),
+            ("", 1),
+        ):
+            self.assertEqual(self.count(error=error), expected, error)
+
     def test_cuts_three_times_as_often_as_at_other_times(self):
         self.assertEqual(self.count(usual=10, calm=19), 0)
         self.assertEqual(self.count(usual=10, calm=20), 1)
--- a/kumquatwalk/standin/connection_use.py
+++ b/kumquatwalk/standin/connection_use.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
+from kumquatwalk.http1.sockets import is_closed
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.platform_node import make_body
@@ -92,15 +93,29 @@
         """Give up when the time is over; close when all is done."""
         while True:
             await asyncio.sleep(_WATCH_S)
-            if self._waiting and self._is_over(self._waiting[0]):
-                self._error = "limit"
-            elif self._waiting and self._has_left(self._waiting[0]):
-                self._error = "left"
-            elif self._waiting or not sender.done():
+            error = self._find_own_end()
+            if not error and (self._waiting or not sender.done()):
                 continue
+            if error and self._was_reset():
+                error = "ended"
+            self._error = self._error or error
             self._writer.transport.abort()
             self._reader.feed_eof()
 
+    def _find_own_end(self) -> str:
+        """Return why the caller gives up; "" if it does not."""
+        if not self._waiting:
+            return ""
+        if self._is_over(self._waiting[0]):
+            return "limit"
+        return "left" if self._has_left(self._waiting[0]) else ""
+
+    def _was_reset(self) -> bool:
+        """Return whether the node has reset what is still being read."""
+        return self._reader.exception() is not None or is_closed(
+            self._writer.transport
+        )
+
     def _is_over(self, attempt: Attempt) -> bool:
         waited_s = read_now() - attempt.began_at
         return waited_s > attempt.limit_s + self._patience_s
