End fewer slow clients, and fewer requests, when memory for answers is short

Cause: a client counted with the one answer that it takes, not with the answers that wait behind it, though its end frees all; and the order was by bytes alone. Now all that its end frees counts, and those come first that free most for each request lost. By reading only: the default idle timeout, 60 s, is longer than the time limits of requests; one that runs keeps its connection.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -132,15 +132,18 @@
     def count_slowly_taken(self, now: float) -> int:
         """Return the bytes held for a client that reads slowly; else 0.
 
-        Also 0 while a request on the connection runs, since its end would be
-        that of the connection.
+        These are the bytes that the end of the connection frees. Also 0 while a
+        request on the connection runs, since its end would be that of the
+        connection.
 
         Args:
             now: Current time, in seconds.
         """
         self._writer.update(now)
         size = self._writer.slowly_taken_bytes
-        return 0 if size and self._exchanges.has_run else size
+        if not size or self._exchanges.has_run:
+            return 0
+        return size + self._exchanges.answer_bytes
 
     def is_settled(self, now: float) -> bool:
         """Return whether the connection can be aborted without a loss.
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -97,6 +97,12 @@
             e.task is not None and e.response is None for e in self._exchanges
         )
 
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes held for the bodies of answers that are made."""
+        responses = (e.response for e in self._exchanges)
+        return sum(len(r.body) for r in responses if r is not None)
+
     @property
     def first_deferred(self) -> Exchange | None:
         """First deferred exchange, or None; no handler has one behind it."""
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -297,8 +297,9 @@
     def _end_slow_clients(self, now: float) -> None:
         """End clients that read slowly while memory for answers is short.
 
-        Those for which most is held come first, until the rest is within the
-        limit; at least one while requests are refused for want of memory.
+        Those for which most is held for each request that is lost come first,
+        until the rest is within the limit; at least one while requests are
+        refused for want of memory.
         """
         if self.answer_budget is None:
             return
@@ -310,8 +311,10 @@
         if not excess:
             return
         sizes = {c: c.count_slowly_taken(now) for c in self.connections}
-        for connection in sorted(sizes, key=sizes.get, reverse=True):
-            if excess <= 0 or not sizes[connection]:
+        slow = [connection for connection in sizes if sizes[connection]]
+        slow.sort(key=lambda c: sizes[c] / c.count_owed(now), reverse=True)
+        for connection in slow:
+            if excess <= 0:
                 return
             excess -= sizes[connection]
             connection.abort(End.TIMEOUT)
--- a/kumquatwalk/http1/tests/test_slow_clients.py
+++ b/kumquatwalk/http1/tests/test_slow_clients.py
@@ -56,6 +56,37 @@
         self.assertEqual(self.unanswered, ended)
         self.assertEqual(len(self.server.connections), 1)
 
+    # Guards against LOST: what waits behind the answer that a slow client takes
+    # was not counted, so that further clients were ended for memory that was
+    # free by then.
+    async def test_answers_behind_the_one_that_is_taken_count(self):
+        self.answers_held.limit = 100 * LARGE_BYTES
+        part_bytes = LARGE_BYTES + 1000
+        self.answers["/part"] = HttpResponse(200, body=bytes(part_bytes))
+        await self.open(make_get("/large"))
+        await self.open(make_get("/part") * 2)
+        used = LARGE_BYTES + 2 * part_bytes
+        await self.wait_for(lambda: self.answers_held.used == used)
+        await asyncio.sleep(JUDGED_S)
+        self.answers_held.limit = LARGE_BYTES
+        await self.wait_for(lambda: self.answers_held.used < used)
+        self.assertEqual(len(self.unanswered), 2)
+        self.assertEqual(self.answers_held.used, LARGE_BYTES)
+
+    # Guards against LOST: of two slow clients the one was ended that lost more
+    # requests.
+    async def test_client_that_loses_few_requests_is_ended_first(self):
+        self.answers_held.limit = 100 * LARGE_BYTES
+        self.answers["/part"] = HttpResponse(200, body=bytes(LARGE_BYTES - 1))
+        await self.open(make_get("/large") + make_get("/a") * 5)
+        await self.open(make_get("/part"))
+        used = 2 * LARGE_BYTES - 1 + 5 * len("/a")
+        await self.wait_for(lambda: self.answers_held.used == used)
+        await asyncio.sleep(JUDGED_S)
+        self.answers_held.limit = used - 1
+        await self.wait_for(lambda: self.answers_held.used < used)
+        self.assertEqual(self.unanswered, [(Stage.ANSWERED, End.TIMEOUT)])
+
     # Guards against LOST: a client that reads is ended.
     async def test_client_that_reads_is_not_ended(self):
         self.answers_held.limit = 1000
