--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -20,6 +20,7 @@
 from kumquatwalk.http1.sockets import is_closed
 from kumquatwalk.http1.throughput import BACKLOG_BYTES_MAX
 from kumquatwalk.http1.throughput import BUFFERS_BYTES_MAX
+from kumquatwalk.http1.throughput import estimate_first_s
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.logs import log_event
@@ -131,15 +132,18 @@
     def count_slowly_taken(self, now: float) -> int:
         """Return the bytes held for a client that reads slowly; else 0.
 
-        Also 0 while a request on the connection runs, since its end would be
-        that of the connection.
+        These are the bytes that the end of the connection frees. Also 0 while a
+        request on the connection runs, since its end would be that of the
+        connection.
 
         Args:
             now: Current time, in seconds.
         """
         self._writer.update(now)
         size = self._writer.slowly_taken_bytes
-        return 0 if size and self._exchanges.has_run else size
+        if not size or self._exchanges.has_run:
+            return 0
+        return size + self._exchanges.answer_bytes
 
     def is_settled(self, now: float) -> bool:
         """Return whether the connection can be aborted without a loss.
@@ -325,7 +329,7 @@
             self._writer.update(read_now())
             if self._writer.can_write and not self._writer.untaken:
                 self._has_probed = True
-                self._transport.write(CONTINUE)
+                self._writer.write_interim(CONTINUE)
         self._left_check = asyncio.get_running_loop().call_later(
             LEFT_CHECK_INTERVAL_S, self._check_caller
         )
@@ -396,8 +400,9 @@
                 if exchange.response is not None:
                     self._send_ready_responses()
                 continue
-            if self._has_rate and not self._exchanges.is_waiting_before(
-                exchange
+            if self._is_next(exchange) or (
+                self._has_rate
+                and not self._exchanges.is_waiting_before(exchange)
             ):
                 self._refuse_deferred(exchange)
             return
@@ -443,7 +448,7 @@
     def _ask_for_body(self) -> None:
         """Tell a client to continue that sends no body before."""
         if not self._is_ending and self._parser.take_expectation():
-            self._transport.write(CONTINUE)
+            self._writer.write_interim(CONTINUE)
 
     def _write_response(
         self, request: HttpRequest, response: HttpResponse
@@ -518,24 +523,34 @@
         """Return whether the client can take an answer before the stop ends.
 
         If it is not known how fast it reads, it can unless many bytes are to be
-        taken before. Also notes how long it needs for the answer itself.
+        taken before, or the answer itself is too large for the time left. Also
+        notes how long it needs for the answer itself.
         """
         self._writer.update(now)
         size = self._writer.untaken_bytes
         size += self._exchanges.count_answer_bytes(
             exchange, self._estimate_answer
         )
-        if not self._has_rate or self._server.answers_by == math.inf:
+        if self._server.answers_by == math.inf:
             return size <= BACKLOG_BYTES_MAX
         own_size = self._estimate_answer(exchange.request)
-        taking_s = self._writer.estimate_taking_s(own_size)
-        exchange.request.progress.taking_s = taking_s
-        taking_s = self._writer.estimate_taking_s(size + own_size)
+        if self._has_rate:
+            own_s = self._writer.estimate_taking_s(own_size)
+            taking_s = self._writer.estimate_taking_s(size + own_size)
+        else:
+            own_s = taking_s = estimate_first_s(own_size)
+        exchange.request.progress.taking_s = own_s
+        if not self._has_rate and size > BACKLOG_BYTES_MAX:
+            return False
         if self._exchanges.is_waiting_before(exchange):
             # The answers before it may be made as late as that.
             now = max(now, self._server.made_by)
         return now + taking_s <= self._server.answers_by
 
+    def _is_next(self, exchange: Exchange) -> bool:
+        """Return whether the client has taken all answers before another's."""
+        return not self._writer.untaken and self._exchanges.is_first(exchange)
+
     @property
     def _has_rate(self) -> bool:
         """Whether it is known how fast the client reads."""
