Bound what targets' answers take in memory: trailers, short chunks, cycles

Callers saw 504, 502 or, where the platform kills a process over its memory, a reset connection for all that the node owed.

Causes, all of the class "held, but not counted": - Trailers had no bound and no account. Now the bytes since the last byte of a body have the bound of a head, there are at most 1,000 lines, and lines that the parser has not reported count as well. - Parts of bodies were counted by their length: a chunk of two bytes takes some forty as an object. Parts are now copied into blocks; the same for bodies of requests. - A parser is in a reference cycle, so what an exchange that failed had read stayed until the garbage collector ran, while the account had released it. It is dropped at the release now; the same for requests read in part.

An answer beyond the bound ends its exchange with 502 (target_failed); others wait for room until their time limits (504).

--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -3,6 +3,7 @@
 import httptools
 
 from kumquatwalk.exception import RequestError
+from kumquatwalk.http1.body_buffer import BodyBuffer
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpRequest
@@ -131,10 +132,15 @@
         (RFC 9110, section 10.1.1).
         """
         is_expecting, self._is_expecting = self._is_expecting, False
-        return is_expecting and not self._body_bytes
+        return is_expecting and not self._body.size
 
     def release(self) -> None:
-        """Release what a request that was received only in part reserved."""
+        """Drop a request received only in part, and release what it reserved.
+
+        Nothing may be fed afterwards. The parser is part of a reference cycle,
+        so it may exist for long.
+        """
+        self._body = BodyBuffer()
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
@@ -145,10 +151,9 @@
         # Request target and headers of a complete head, in origin form.
         self._head: tuple[bytes, tuple[Header, ...]] = (b"", ())
         self._checked_headers: list[Header] = []
-        self._body_chunks: list[bytes] = []
+        self._body = BodyBuffer()
         self._head_bytes = 0
         self._unreported_bytes = 0
-        self._body_bytes = 0
         self._announced_bytes = 0
         self._has_started = False
         self._started_at = 0.0
@@ -217,10 +222,10 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Add a part of the body."""
-        self._body_bytes += len(chunk)
-        self._check_body_size(self._body_bytes)
-        self._reserve(self._body_bytes)
-        self._body_chunks.append(chunk)
+        size = self._body.size + len(chunk)
+        self._check_body_size(size)
+        self._reserve(size)
+        self._body.add(chunk)
 
     def on_message_complete(self) -> None:
         """Store the completed request."""
@@ -236,7 +241,7 @@
             method=method,
             url=url,
             headers=headers,
-            body=b"".join(self._body_chunks),
+            body=self._body.join(),
             is_keep_alive=self._parser.should_keep_alive(),
             received_at=self._started_at,
             peer_host=self.peer_host,
--- a/kumquatwalk/http1/response_parser.py
+++ b/kumquatwalk/http1/response_parser.py
@@ -2,6 +2,7 @@
 
 import httptools
 
+from kumquatwalk.http1.body_buffer import BodyBuffer
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
@@ -9,9 +10,16 @@
 
 __all__ = ["ResponseParser"]
 
-# Maximum of bytes received before the head of a response is complete. The
-# parser keeps an unfinished header line to itself, so received bytes count.
+# Maximum of bytes received before the head of a response is complete, or since
+# the last byte of its body. The parser keeps an unfinished header line to
+# itself, so received bytes count.
 HEAD_BYTES_MAX = 128 * 1024
+# Maximum number of header lines, trailers included.
+HEADERS_MAX = 1000
+# Memory that a header line takes beside its name and value, in bytes. It is
+# counted for lines beyond the usual number.
+_HEADER_OVERHEAD_BYTES = 200
+_USUAL_HEADERS = 50
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -21,11 +29,12 @@
     Args:
         is_head: Whether the method is HEAD, whose responses have no body.
         body_bytes_max: Maximum size of a body, in bytes.
-        budget: Bytes of bodies that the process may hold while they are read;
-            None for no bound.
+        budget: Bytes of responses, heads and trailers included, that the
+            process may hold while they are read; None for no bound.
 
     Attributes:
-        is_too_long: Whether a body or a head has exceeded its limit.
+        is_too_long: Whether a body, a head or the trailers have exceeded their
+            limit.
     """
 
     def __init__(
@@ -40,7 +49,10 @@
         self._reserved_bytes = 0
         self._completed: list[HttpResponse] = []
         self.is_too_long = False
+        # Bytes received that are not of a body, since the last that were.
         self._head_bytes = 0
+        self._has_body_data = False
+        self._has_header = False
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
@@ -59,10 +71,15 @@
             httptools.HttpParserError: A response is malformed. Responses
                 completed before it can still be taken.
         """
+        self._has_body_data = self._has_header = False
         self._parser.feed_data(data)
-        if not self._is_head_complete and not self._completed:
-            self._head_bytes += len(data)
-            self.is_too_long |= self._head_bytes > HEAD_BYTES_MAX
+        if self._has_body_data or self._completed:
+            self._head_bytes = 0
+            return
+        self._head_bytes += len(data)
+        # The parser holds the header line, if any, that it has not reported.
+        has_room = self._has_header or self._try_reserve(len(data))
+        self.is_too_long |= not has_room or self._head_bytes > HEAD_BYTES_MAX
 
     def handle_eof(self) -> None:
         """Complete a response whose body is delimited by the close."""
@@ -75,7 +92,13 @@
         return completed
 
     def release(self) -> None:
-        """Release what was reserved for bodies that were read."""
+        """Drop what was received in part, and release what was reserved.
+
+        Nothing may be fed afterwards. The parser is part of a reference cycle,
+        so it may exist for long.
+        """
+        self._completed.clear()
+        self._reset()
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
@@ -90,10 +113,8 @@
 
     def _reset(self) -> None:
         self._headers: list[Header] = []
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._status = 0
-        self._is_head_complete = False
         self._has_started = False
         self._closes_connection = True
         self._is_close_delimited = False
@@ -102,7 +123,7 @@
         response = HttpResponse(
             status=self._status,
             headers=tuple(self._headers),
-            body=b"".join(self._body_chunks),
+            body=self._body.join(),
             closes_connection=self._closes_connection,
         )
         self._completed.append(response)
@@ -116,16 +137,23 @@
         self._has_started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header line."""
-        self._headers.append((name, value))
+        """Add a header line or a trailer."""
+        self._has_header = True
+        size = len(name) + len(value)
+        if len(self._headers) >= _USUAL_HEADERS:
+            size += _HEADER_OVERHEAD_BYTES
+        if self.is_too_long or len(self._headers) >= HEADERS_MAX:
+            self.is_too_long = True
+        elif self._try_reserve(size):
+            self._headers.append((name, value))
+        else:
+            self.is_too_long = True
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited (RFC 9112, section 6.3)."""
         status = self._parser.get_status_code()
         if status < 200:
             return
-        self._is_head_complete = True
-        self._head_bytes = 0
         self._status = status
         if self._is_head:
             self._finish()
@@ -141,11 +169,12 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Add a part of the body."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._body_bytes_max or self.is_too_long:
+        self._has_body_data = True
+        size = self._body.size + len(chunk)
+        if self.is_too_long or size > self._body_bytes_max:
             self.is_too_long = True
         elif self._try_reserve(len(chunk)):
-            self._body_chunks.append(chunk)
+            self._body.add(chunk)
         else:
             self.is_too_long = True
 
--- a/kumquatwalk/http1/tests/test_response_parser.py
+++ b/kumquatwalk/http1/tests/test_response_parser.py
@@ -1,10 +1,15 @@
 """Tests of responses whose bytes come without end."""
 
+import gc
+import tracemalloc
 import unittest
 
+from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.response_parser import HEAD_BYTES_MAX
+from kumquatwalk.http1.response_parser import HEADERS_MAX
 from kumquatwalk.http1.response_parser import ResponseParser
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"x" * 4096
 
 
@@ -41,6 +46,73 @@
         parser.feed(b"HTTP/1.1 200 OK\r\n\r\n")
         self.feed_until_refused(parser, CHUNK, 1 << 20)
 
+    # Guards against FAULT: trailers without end took all of the memory.
+    def test_long_trailers_without_end_are_refused(self):
+        parser = ResponseParser(False, 1 << 20)
+        parser.feed(CHUNKED + b"1\r\nx\r\n0\r\n")
+        line = b"X-Many: " + b"y" * 1000 + b"\r\n"
+        self.feed_until_refused(parser, line, HEAD_BYTES_MAX)
+
+    # Guards against FAULT: the same by lines of a few bytes, whose objects take
+    # many times their size.
+    def test_short_trailers_without_end_are_refused(self):
+        parser = ResponseParser(False, 1 << 20)
+        parser.feed(CHUNKED + b"1\r\nx\r\n0\r\n")
+        self.feed_until_refused(parser, b"a: b\r\n", 7 * HEADERS_MAX)
+
+    # Guards against FAULT: the same by one line.
+    def test_trailer_line_without_end_is_refused(self):
+        parser = ResponseParser(False, 1 << 20)
+        parser.feed(CHUNKED + b"1\r\nx\r\n0\r\nX: ")
+        self.feed_until_refused(parser, CHUNK, HEAD_BYTES_MAX)
+
+    def test_chunk_extension_without_end_is_refused(self):
+        parser = ResponseParser(False, 1 << 20)
+        parser.feed(CHUNKED + b"1;")
+        self.feed_until_refused(parser, CHUNK, HEAD_BYTES_MAX)
+
+    def test_trailers_and_unfinished_lines_count_in_the_budget(self):
+        budget = ByteBudget(1 << 20)
+        parser = ResponseParser(False, 1 << 20, budget)
+        parser.feed(CHUNKED + b"1\r\nx\r\n0\r\n")
+        before = budget.used
+        parser.feed(b"X: " + b"y" * 1000 + b"\r\n")
+        self.assertGreaterEqual(budget.used, before + 1000)
+        parser.feed(b"Z: " + b"y" * 1000)
+        self.assertGreaterEqual(budget.used, before + 2000)
+        parser.release()
+        self.assertEqual(budget.used, 0)
+
+    # Guards against FAULT: each chunk of two bytes took some forty.
+    def test_short_chunks_take_little_more_than_their_size(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        parser = ResponseParser(False, 1 << 24)
+        parser.feed(CHUNKED)
+        data = b"2\r\nzz\r\n" * 1000
+        before = tracemalloc.get_traced_memory()[0]
+        for _ in range(500):
+            parser.feed(data)
+        grown = tracemalloc.get_traced_memory()[0] - before
+        self.assertLess(grown, 2 * 1_000_000)
+
+    # Guards against FAULT: a body that was received in part stayed until the
+    # garbage collector ran, though no budget counted it any more.
+    def test_release_drops_a_body_that_was_received_in_part(self):
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before = tracemalloc.get_traced_memory()[0]
+        parser = ResponseParser(False, 1 << 24)
+        parser.feed(CHUNKED)
+        for _ in range(100):
+            parser.feed(b"8000\r\n" + b"z" * 0x8000 + b"\r\n")
+        parser.release()
+        del parser
+        held = tracemalloc.get_traced_memory()[0] - before
+        self.assertLess(held, 500_000)
+
     def test_long_head_below_the_limit_is_read(self):
         parser = ResponseParser(False, 1 << 20)
         parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: ")
