Bound bodies on the listeners for heartbeats, readiness and metrics

Cause, of the class "held, but not counted": these servers had no budget and the limits of callers' bodies. Now a body has at most 64 KiB (else 413) and each listener a budget of its own, a 64th of the memory, so that none keeps the others out, nor bodies of callers the heartbeats. The local listener of the native interface counts in the budgets of callers.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -3,6 +3,7 @@
 import functools
 
 from kumquatwalk.address import Address
+from kumquatwalk.config.fleet_config import CallerLimits
 from kumquatwalk.daemon.heartbeats import HeartbeatHandler
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.optional_server import OptionalServer
@@ -13,6 +14,8 @@
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.status import StatusHandler
 from kumquatwalk.daemon.target_prober import TargetProber
+from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.http1.caller_connection import Handler
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.native.settings import NodeSettings
 from kumquatwalk.platform.request_headers import find_attempt_id
@@ -23,6 +26,11 @@
 # responses of the store.
 INITIAL_CLAIMS_PER_S = 20.0
 CLAIM_BURST = 40.0
+# Limits on requests of the target, of health checks and of operators: their
+# bodies are small.
+AUXILIARY_LIMITS = CallerLimits(body_bytes_max=64 * 1024)
+# Fraction of the memory of the process that each of their listeners may take.
+AUXILIARY_MEMORY_FRACTION = 1 / 64
 
 
 @functools.singledispatch
@@ -39,6 +47,14 @@
     raise TypeError(f"not the settings of a daemon: {type(settings).__name__}")
 
 
+def _make_auxiliary_server(
+    settings: DaemonSettings, address: Address, handler: Handler
+) -> HttpServer:
+    """Return a server whose memory does not depend on that of others."""
+    size = int(settings.memory_max_bytes * AUXILIARY_MEMORY_FRACTION)
+    return HttpServer(address, handler, AUXILIARY_LIMITS, ByteBudget(size))
+
+
 @make_daemon.register
 def _make_platform_daemon(settings: DaemonSettings) -> Daemon:
     core = DaemonCore(settings, PlatformInterface())
@@ -47,13 +63,16 @@
     readiness = ReadinessHandler(lambda: daemon.is_ready)
     auxiliary_services = [
         TargetProber(settings, core.target_side, core.configs),
-        HttpServer(settings.readiness_listener, readiness.handle),
+        _make_auxiliary_server(
+            settings, settings.readiness_listener, readiness.handle
+        ),
     ]
     if settings.metrics_listener is not None:
         status = StatusHandler(core)
-        auxiliary_services.append(
-            OptionalServer(HttpServer(settings.metrics_listener, status.handle))
+        metrics_server = _make_auxiliary_server(
+            settings, settings.metrics_listener, status.handle
         )
+        auxiliary_services.append(OptionalServer(metrics_server))
     server = HttpServer(
         settings.caller_listener,
         callers.handle,
@@ -64,7 +83,9 @@
         identify=find_attempt_id,
         on_unanswered=core.metrics.record_unanswered,
     )
-    target_server = HttpServer(settings.heartbeat_listener, heartbeats.handle)
+    target_server = _make_auxiliary_server(
+        settings, settings.heartbeat_listener, heartbeats.handle
+    )
     daemon = Daemon(core, server, target_server, tuple(auxiliary_services))
     return daemon
 
@@ -134,6 +155,8 @@
         Address(settings.local_host, settings.local_port),
         local.handle,
         limits,
+        core.body_budget,
+        core.answer_budget,
         on_unanswered=core.metrics.record_unanswered,
     )
     restorer = CatalogueRestorer(core.store, core.configs, core.has_watch_duty)
