Links: bound the first frame of a connection from another node

The listener for links took a frame of up to 72 MB from each connection before it had said whose it is; the budget counted it, and bounded nothing. test_large_frame_before_the_handshake_ends_the_connection failed before (the connection stayed open until the test's time limit).

Now the first message has at most 64 KiB; a longer one ends the connection.

--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -66,10 +66,15 @@
 
 
 class FrameReader:
-    """Splits a byte stream into the payloads of its frames."""
+    """Splits a byte stream into the payloads of its frames.
 
-    def __init__(self):
+    Args:
+        first_bytes_max: Maximum payload of the first frame, in bytes.
+    """
+
+    def __init__(self, first_bytes_max: int = FRAME_BYTES_MAX):
         self._buffer = bytearray()
+        self._bytes_max = first_bytes_max
 
     @property
     def pending_bytes(self) -> int:
@@ -83,7 +88,8 @@
             data: Received bytes.
 
         Raises:
-            FrameError: A payload is longer than ``FRAME_BYTES_MAX``.
+            FrameError: A payload is longer than ``FRAME_BYTES_MAX``, or the
+                first one than its maximum.
         """
         buffer = self._buffer
         buffer += data
@@ -91,7 +97,7 @@
         start = 0
         while len(buffer) - start >= _LENGTH_PREFIX.size:
             (size,) = _LENGTH_PREFIX.unpack_from(buffer, start)
-            if size > FRAME_BYTES_MAX:
+            if size > self._bytes_max:
                 raise FrameError(
                     "frame_too_long", f"frame of {size} bytes exceeds the limit"
                 )
@@ -100,5 +106,6 @@
                 break
             frames.append(bytes(buffer[start + _LENGTH_PREFIX.size : end]))
             start = end
+            self._bytes_max = FRAME_BYTES_MAX
         del buffer[:start]
         return frames
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -12,6 +12,7 @@
 from kumquatwalk.http1.sockets import set_liveness_options
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
+from kumquatwalk.mesh.codec import FRAME_BYTES_MAX
 from kumquatwalk.mesh.codec import FrameReader
 from kumquatwalk.mesh.codec import decode
 from kumquatwalk.mesh.codec import encode
@@ -50,6 +51,8 @@
         on_lost: Called when the connection is closed or lost.
         budget: Bytes of bodies that the process may hold; None not to count.
         is_memory_short: Returns whether large messages are read only slowly.
+        first_frame_bytes_max: Maximum payload of the first frame received, in
+            bytes; a longer one ends the connection.
 
     Attributes:
         last_received_at: Time at which data was last received, or at which the
@@ -63,6 +66,7 @@
         on_lost: Callable[["LinkProtocol"], None],
         budget: ByteBudget | None = None,
         is_memory_short: Callable[[], bool] = lambda: False,
+        first_frame_bytes_max: int = FRAME_BYTES_MAX,
     ):
         self._on_open = on_open
         self._on_message = on_message
@@ -71,7 +75,7 @@
         self._is_memory_short = is_memory_short
         self._read_timer: asyncio.TimerHandle | None = None
         self._counted_bytes = 0
-        self._frame_reader = FrameReader()
+        self._frame_reader = FrameReader(first_frame_bytes_max)
         self._compressor: PayloadCompressor | None = None
         self._decompressor: PayloadDecompressor | None = None
         self._transport: asyncio.Transport | None = None
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -50,6 +50,8 @@
 # Maximum number of calls of a link whose keys are remembered after their
 # replies: a peer of an earlier release does not say that it has taken them.
 KEYS_MAX = 10_000
+# Maximum size of the first message of a link.
+HELLO_BYTES_MAX = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,6 +156,7 @@
                 self._handle_message,
                 self._remove_session,
                 self._budget,
+                first_frame_bytes_max=HELLO_BYTES_MAX,
             ),
             BACKLOG,
         )
--- a/kumquatwalk/mesh/tests/test_link_server.py
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -9,6 +9,7 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.http1.byte_budget import ByteBudget
+from kumquatwalk.mesh.codec import FRAME_BYTES_MAX
 from kumquatwalk.mesh.codec import FrameReader
 from kumquatwalk.mesh.codec import decode
 from kumquatwalk.mesh.codec import encode
@@ -104,6 +105,24 @@
                         replies[message.call_id] = message.reply
         return replies
 
+    # Guards against FAULT: connections that never said whose they are could
+    # each hold a frame of 72 MB.
+    async def test_large_frame_before_the_handshake_ends_the_connection(self):
+        address = ("127.0.0.1", self.server.port)
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            await self.loop.sock_connect(sock, address)
+            size = FRAME_BYTES_MAX - 1
+            await self.loop.sock_sendall(sock, size.to_bytes(4, "big"))
+            async with asyncio.timeout(TIMEOUT_S):
+                self.assertEqual(await self._read_end(sock), b"")
+
+    async def _read_end(self, sock) -> bytes:
+        try:
+            return await self.loop.sock_recv(sock, 1)
+        except ConnectionResetError:
+            return b""
+
     async def test_reply_written_just_before_the_end_is_not_lost(self):
         # Guards against LOST: a link was reset with a reply on its way.
         await self._send(CallFrame(1, False, make_call(b"/quick"), 0.0))
