--- a/kumquatwalk/platform/store.py
+++ b/kumquatwalk/platform/store.py
@@ -39,6 +39,10 @@
 
 # Longest response accepted: a full page of items in base64, with its framing.
 _RESPONSE_BYTES_MAX = 8 * 1024 * 1024
+# Largest snapshot read, in bytes of keys and values, with the memory that an
+# item takes beside them.
+SNAPSHOT_BYTES_MAX = 32 * 1024 * 1024
+_ITEM_OVERHEAD_BYTES = 300
 # Idle connections kept for reuse. A long poll takes a connection of its own.
 _IDLE_CONNECTIONS_MAX = 2
 
@@ -130,11 +134,13 @@
 
         Raises:
             HistoryLostError: The store was restored between two pages.
-            PlatformError: The store did not answer or refused a call.
+            PlatformError: The store did not answer or refused a call, or its
+                items exceed ``SNAPSHOT_BYTES_MAX``.
         """
         items: list[StoreItem] = []
         first: StorePosition | None = None
         after = ""
+        size = 0
         while True:
             query = {"pathPrefix": prefix}
             if allow_stale:
@@ -149,6 +155,12 @@
                 for v in fields.read_list(table, "items")
             ]
             items += page
+            size += sum(map(_measure_item, page))
+            if size > SNAPSHOT_BYTES_MAX:
+                raise PlatformError(
+                    "snapshot_too_long",
+                    f"items below {prefix} exceed the limit",
+                )
             if first is None:
                 first = decode_position(table, era, "at")
             self._check_era(first.era)
@@ -370,6 +382,10 @@
         )
 
 
+def _measure_item(item: StoreItem) -> int:
+    return len(item.key) + len(item.value) + _ITEM_OVERHEAD_BYTES
+
+
 def _make_lease_error(lease: StoreLease) -> LeaseLostError:
     return LeaseLostError(
         "lease_unknown", f"lease {lease.number} does not exist"
--- a/kumquatwalk/platform/tests/test_store.py
+++ b/kumquatwalk/platform/tests/test_store.py
@@ -1,6 +1,8 @@
 """Tests of the asynchronous store client with the stand-in store."""
 
 import asyncio
+import base64
+import json
 import socket
 import threading
 import time
@@ -12,7 +14,9 @@
 from kumquatwalk.exception import CompareFailedError
 from kumquatwalk.exception import HistoryLostError
 from kumquatwalk.exception import LeaseLostError
+from kumquatwalk.exception import PlatformError
 from kumquatwalk.exception import PlatformUnavailableError
+from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.platform.store_items import Deletion
 from kumquatwalk.platform.store_items import Put
 from kumquatwalk.platform.store_items import StoreItem
@@ -23,9 +27,24 @@
 # Time limit of a call, in seconds.
 TIMEOUT_S = 0.3
 HANG_S = 20.0
+# Pages after which a list counts as read without end.
+PAGES_MAX = 100
 ABSENT_ANSWER = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
 
+class EndlessStoreClient(StoreClient):
+    """Client of a store whose list of items has no end."""
+
+    async def _call(self, method, path, document=None, wait_s=0.0):
+        self.call_count += 1
+        if self.call_count > PAGES_MAX:
+            raise AssertionError("read without end")
+        value = base64.b64encode(bytes(1_000_000)).decode()
+        item = {"key": f"k{self.call_count:09}", "value": value, "revision": 1}
+        page = {"items": [item], "at": 1, "hasMore": True}
+        return HttpResponse(200, (), json.dumps(page).encode())
+
+
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
 
     async def asyncSetUp(self):
@@ -41,6 +60,13 @@
         self.assertEqual((item.value, item.position), (b"\x00\xff", revision))
         self.assertIsNone(await self.client.get("a/c"))
 
+    # Guards against FAULT: pages without end took all of the memory.
+    async def test_list_without_end_is_refused(self):
+        client = EndlessStoreClient(self.store.address, 2.0)
+        with self.assertRaises(PlatformError) as caught:
+            await client.list_items("k")
+        self.assertEqual(caught.exception.code, "snapshot_too_long")
+
     async def test_transaction_is_all_or_nothing(self):
         await self.client.commit([Put("a", b"1")])
         with self.assertRaises(CompareFailedError):
