Links: copy a complete frame once

A reply of 10 MB was copied twice when its frame was complete, once only to be dropped; neither copy is counted. test_complete_frame_is_copied_once failed before.

--- a/kumquatwalk/mesh/codec.py
+++ b/kumquatwalk/mesh/codec.py
@@ -104,7 +104,8 @@
             end = start + _LENGTH_PREFIX.size + size
             if len(buffer) < end:
                 break
-            frames.append(bytes(buffer[start + _LENGTH_PREFIX.size : end]))
+            with memoryview(buffer) as view:
+                frames.append(bytes(view[start + _LENGTH_PREFIX.size : end]))
             start = end
             self._bytes_max = FRAME_BYTES_MAX
         del buffer[:start]
