Soak: requests whose answers at the target do not end

Beside the platform soaks, seeded requests get answers without end of ten kinds, and a process over 300 MB is a violation (`memory`). They are not counted as attempts of callers. On fleets without their route they get 404.

--- a/kumquatwalk/proofs/tests/test_endless_answers.py
+++ b/kumquatwalk/proofs/tests/test_endless_answers.py
@@ -8,34 +8,14 @@
 
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.standin.daemon_fleet import exchange
+from kumquatwalk.standin.endless_answers import ENDLESS_SCRIPTS
 from kumquatwalk.standin.platform_fleet import PlatformFleet
-from kumquatwalk.standin.scripted_target import Script
 
 # Settings of the fleet: the platform kills a process above it.
 MEMORY_KB_MAX = 300 * 1024
 LIMIT_MS = 2500
 REQUESTS = 30
 
-_HEAD = b"HTTP/1.1 200 OK\r\nServer-Seal: seal\r\n"
-_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-_TRAILERS = _CHUNKED + b"1\r\nx\r\n0\r\n"
-# Bytes before what does not end, and what is sent again and again.
-ENDLESS = {
-    "long trailers": (_TRAILERS, b"X: " + b"y" * 60000 + b"\r\n"),
-    "short trailers": (_TRAILERS, b"a: b\r\n" * 1000),
-    "a trailer without end": (_TRAILERS + b"X: ", b"y" * 60000),
-    "a chunk's extension": (_CHUNKED + b"1;", b"y" * 60000),
-    "long chunks": (_CHUNKED, b"4000\r\n" + b"z" * 0x4000 + b"\r\n"),
-    "short chunks": (_CHUNKED, b"2\r\nzz\r\n" * 1000),
-    "a body until the close": (_HEAD + b"\r\n", b"z" * 60000),
-    "a false length": (
-        _HEAD + b"Content-Length: 99999999999\r\n\r\n",
-        b"z" * 60000,
-    ),
-    "short header lines": (_HEAD, b"a: b\r\n" * 1000),
-    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
-}
-
 
 class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
 
@@ -47,13 +27,6 @@
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start(1)
         self.node = self.fleet.nodes["n1"]
-        self.node.target.choose_script = self._choose_script
-        self.script = Script()
-
-    def _choose_script(self, request) -> Script:
-        if request.url.startswith(b"/look/0/"):
-            return self.node.choose_script(request)
-        return self.script
 
     async def send(self, path: bytes) -> HttpResponse:
         """Return the answer to a request on a new connection.
@@ -81,12 +54,14 @@
         path = pathlib.Path(f"/proc/{self.node.pid}/clear_refs")
         path.write_text("5", encoding="ascii")
 
-    async def get_statuses(self, count: int) -> set[int]:
+    async def get_statuses(self, name: str, count: int) -> set[int]:
         """Return the statuses of the answers to requests sent at once.
 
         The test ends as soon as the daemon takes too much memory.
         """
-        sends = asyncio.gather(*(self.send(b"/look/1/1") for _ in range(count)))
+        sends = asyncio.gather(
+            *(self.send(f"/look/1/{name}".encode()) for _ in range(count))
+        )
         while not sends.done():
             await asyncio.wait([sends], timeout=0.02)
             peak_kb = self.read_peak_kb()
@@ -99,12 +74,11 @@
 
     async def check(self, count: int) -> None:
         """Check each kind of answer without end, as many times at once."""
-        for name, (prefix, endless) in ENDLESS.items():
-            self.script = Script(prefix=prefix, endless=endless)
+        for name in ENDLESS_SCRIPTS:
             with self.subTest(name, count=count):
                 self.assertTrue(self.node.is_running)
                 self.reset_peak()
-                statuses = await self.get_statuses(count)
+                statuses = await self.get_statuses(name, count)
                 self.assertLessEqual(statuses, {502, 504})
                 self.assertEqual((await self.send(b"/look/0/9")).status, 200)
 
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -11,6 +11,7 @@
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.endless_requests import EndlessRequests
 from kumquatwalk.soak.losses import count_losses
 from kumquatwalk.soak.manifest_cuts import check_manifest_cuts
 from kumquatwalk.soak.plan import Action
@@ -87,6 +88,7 @@
         self._tasks: list[asyncio.Task] = []
         self._beside: list[asyncio.Task] = []
         self._manifests: list[float] = []
+        self._endless = EndlessRequests(fleet, seed, self._violations)
         self._watch = SchedulingWatch(self._list_processes)
         self._release = TargetRelease(
             fleet, self._rng, self._departures, self._end_soon, self._start_task
@@ -119,6 +121,7 @@
             running = [asyncio.create_task(c.run()) for c in callers]
             self.run_beside(self._restart_ended())
             self.run_beside(self._watch.run())
+            self.run_beside(self._endless.run())
             plan, changes = self.make_plan(duration_s)
             await self._play(plan, changes, self.list_events(plan, duration_s))
             await self._guard("not_served_again", self._settle())
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -9,6 +9,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.standin.endless_answers import ENDLESS_SCRIPTS
 from kumquatwalk.standin.scripted_target import Script
 from kumquatwalk.standin.scripted_target import ScriptedTarget
 
@@ -103,10 +104,14 @@
     def choose_script(self, request: HttpRequest) -> Script:
         """Return the behaviour that the path ``/ROUTE/WORK_MS/BYTES`` asks for.
 
+        In place of ``BYTES`` it may name one of ``ENDLESS_SCRIPTS``.
+
         Args:
             request: Request to run.
         """
         _, _, work_ms, size = request.url.decode("ascii").split("/")
+        if size in ENDLESS_SCRIPTS:
+            return ENDLESS_SCRIPTS[size]
         attempt_id = (request.find_header(b"attempt-id") or b"").decode()
         silent_s = max(0.0, self.silent_until - read_now())
         return Script(
