--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -11,6 +11,7 @@
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.standin.endless_answers import ENDLESS_SCRIPTS
 from kumquatwalk.standin.scripted_target import Script
 from kumquatwalk.standin.scripted_target import ScriptedTarget
 
@@ -115,11 +116,14 @@
 
         The target stops work at the request's ``Deadline-Ms`` and answers 504.
         While it is silent, it stays so past that.
+        In place of ``BYTES`` it may name one of ``ENDLESS_SCRIPTS``.
 
         Args:
             request: Request to run.
         """
         _, _, work_ms, size = request.url.decode("ascii").split("/")
+        if size in ENDLESS_SCRIPTS:
+            return ENDLESS_SCRIPTS[size]
         attempt_id = (request.find_header(b"attempt-id") or b"").decode()
         silent_s = max(0.0, self.silent_until - read_now())
         work_s = silent_s + self.work_factor * int(work_ms) / 1000
