Second judge: readiness after a stop, and impairment of the store

The second judge did not judge row DRAIN about nodes that still count as ready, as the record held no answers to readiness questions, nor could it show that an impairment of the store excuses nothing. Soaks now ask each node once a second, as the platform does, and record the answers and the spans in which the store is impaired. judge_readiness is written from RULES.md; a node that was frozen, killed or cut off from 3 s before the signal on is left out ("In touch").

Tests: test_rule_judge.ReadinessTest (7), StoreTest: four losses of safe and of unsafe requests beside a SIGTERM, a SIGHUP, a manifest and at any time count all the same; test_readiness.AnswersTest, test_platform_soak.StoreImpairmentTest.

--- a/kumquatwalk/soak/deployment_runner.py
+++ b/kumquatwalk/soak/deployment_runner.py
@@ -15,7 +15,6 @@
 from kumquatwalk.soak.platform_runner import run_in_folder
 from kumquatwalk.soak.platform_soak import Event
 from kumquatwalk.soak.platform_soak import PlatformSoak
-from kumquatwalk.soak.readiness import ReadinessPoll
 from kumquatwalk.soak.runner import SoakResult
 from kumquatwalk.standin.attempt import Habit
 from kumquatwalk.standin.deployment_caller import DeploymentCaller
@@ -112,16 +111,11 @@
         super().__init__(seed, fleet, len(PLACES), folder)
         self._attempts = calls
         self._rate = rate
-        self._poll: ReadinessPoll | None = None
 
     def make_callers(self) -> list[DeploymentCaller]:
-        """Return the callers of all zones and start to poll the nodes."""
-        nodes = list(self._fleet.nodes.values())
-        poll = ReadinessPoll(nodes, random.Random(f"{self._seed}-nodes"))
-        self.run_beside(poll.run())
+        """Return the callers of all zones."""
         # Calls of the time before are not counted.
         self._attempts.clear()
-        self._poll = poll
         return self._make_zone_callers("", _HABITS, self._rate)
 
     def _make_zone_callers(
--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -20,6 +20,7 @@
     "Impairment",
     "PlannedWork",
     "PlatformRecord",
+    "ReadinessAnswer",
     "collect_runs",
     "write_record",
 ]
@@ -72,6 +73,23 @@
     acked_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessAnswer:
+    """Answer to the platform's question whether a node is ready.
+
+    Attributes:
+        node: Node that was asked.
+        pid: Its process when it was asked.
+        at: Time of the answer, in seconds.
+        status: Status of the answer; 0 without one.
+    """
+
+    node: str
+    pid: int
+    at: float
+    status: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformRecord:
     """What callers and targets saw, and what was done to the daemons.
@@ -85,6 +103,9 @@
         manifests: Times at which the configuration was changed, in seconds.
         waits: Long waits of processes for a processor.
         ends: Ends of daemon processes.
+        readiness: Answers to the questions whether nodes are ready, in order.
+        store_impairments: Begin and end of each impairment of the store, in
+            seconds.
     """
 
     attempts: Sequence[Attempt]
@@ -95,6 +116,8 @@
     manifests: Sequence[float] = ()
     waits: Sequence[ProcessWait] = ()
     ends: Sequence[ProcessEnd] = ()
+    readiness: Sequence[ReadinessAnswer] = ()
+    store_impairments: Sequence[tuple[float, float]] = ()
 
 
 def collect_runs(
@@ -132,9 +155,12 @@
         *record.departures,
         *record.waits,
         *record.ends,
+        *record.readiness,
         *record.attempts,
     )
     documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
+    for span in record.store_impairments:
+        documents.append({"StoreImpairment": span})
     for attempt_id, runs in record.runs.items():
         for name, run in runs:
             times = (run.at, run.ended_at, run.is_broken_off)
--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -22,11 +22,13 @@
 from kumquatwalk.soak.platform_record import Impairment
 from kumquatwalk.soak.platform_record import PlannedWork
 from kumquatwalk.soak.platform_record import PlatformRecord
+from kumquatwalk.soak.platform_record import ReadinessAnswer
 from kumquatwalk.soak.platform_record import collect_runs
 from kumquatwalk.soak.platform_record import write_record
 from kumquatwalk.soak.platform_records import check_record
 from kumquatwalk.soak.process_ends import ProcessEnd
 from kumquatwalk.soak.process_ends import judge_end
+from kumquatwalk.soak.readiness import ReadinessPoll
 from kumquatwalk.soak.rule_judge import judge_record
 from kumquatwalk.soak.runner import COPY_AGE_FACTOR
 from kumquatwalk.soak.runner import SoakResult
@@ -90,6 +92,10 @@
         self._tasks: list[asyncio.Task] = []
         self._beside: list[asyncio.Task] = []
         self._manifests: list[float] = []
+        self._readiness: list[ReadinessAnswer] = []
+        self._store_impairments: list[tuple[float, float]] = []
+        self._store_impaired_at: float | None = None
+        self._poll: ReadinessPoll | None = None
         self._watch = SchedulingWatch(self._list_processes)
         self._release = TargetRelease(
             fleet, self._rng, self._departures, self._end_soon, self._start_task
@@ -120,6 +126,12 @@
             # Also a process that ends before all serve is counted.
             self.run_beside(self._restart_ended())
             await fleet.start(self._node_count)
+            self._poll = ReadinessPoll(
+                list(fleet.nodes.values()),
+                random.Random(f"{self._seed}-nodes"),
+                self._readiness,
+            )
+            self.run_beside(self._poll.run())
             callers = self.make_callers()
             running = [asyncio.create_task(c.run()) for c in callers]
             self.run_beside(self._watch.run())
@@ -147,6 +159,8 @@
             self._manifests,
             self._watch.waits,
             self._ends,
+            self._readiness,
+            self._store_impairments,
         )
         self._violations += self.check(record)
         write_record(self._folder, record, self._violations)
@@ -213,7 +227,7 @@
     async def _settle(self) -> None:
         """Lift all faults and wait until all is served again."""
         fleet = self._fleet
-        fleet.store.faults = StoreFaults()
+        self._set_store_faults()
         self.lift_events()
         await asyncio.gather(*self._tasks)
         for node in fleet.nodes.values():
@@ -377,6 +391,10 @@
         self._impairments.append(Impairment(node.name, now, max(now, until)))
 
     def _set_store_faults(self, **faults) -> None:
+        now = read_now()
+        if self._store_impaired_at is not None:
+            self._store_impairments.append((self._store_impaired_at, now))
+        self._store_impaired_at = now if faults else None
         self._fleet.store.faults = StoreFaults(**faults)
 
     def _start_task(self, coroutine) -> None:
--- a/kumquatwalk/soak/readiness.py
+++ b/kumquatwalk/soak/readiness.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.soak.platform_record import ReadinessAnswer
 from kumquatwalk.standin.daemon_fleet import exchange
 from kumquatwalk.standin.platform_node import PlatformNode
 
@@ -21,9 +23,16 @@
     Args:
         nodes: Nodes to poll.
         rng: Source of the choices.
+        answers: Gets each answer; None to keep none.
     """
 
-    def __init__(self, nodes: list[PlatformNode], rng: random.Random):
+    def __init__(
+        self,
+        nodes: list[PlatformNode],
+        rng: random.Random,
+        answers: list[ReadinessAnswer] | None = None,
+    ):
+        self._answers = answers
         self._nodes = nodes
         self._rng = rng
         self._misses = {node.name: 0 for node in nodes}
@@ -65,7 +74,13 @@
 
     async def _poll(self, node: PlatformNode) -> None:
         while True:
-            self.note_answer(node.name, await _ask(node))
+            pid = node.pid
+            status = await _ask(node)
+            self.note_answer(node.name, status)
+            if self._answers is not None:
+                self._answers.append(
+                    ReadinessAnswer(node.name, pid, read_now(), status)
+                )
             await asyncio.sleep(POLL_S)
 
 
--- a/kumquatwalk/soak/rule_judge.py
+++ b/kumquatwalk/soak/rule_judge.py
@@ -1,9 +1,8 @@
 """Second judge of lost requests and of departed targets.
 
 It is written from the published rules LOST and DRAIN alone and shares nothing
-with ``platform_records``. A record holds no impairment of the store, so none
-excuses anything here, and no readiness, so that a stop's effect on the nodes
-that count as ready is not judged.
+with ``platform_records``. An impairment of the store excuses nothing here: the
+callers of a soak send safe and unsafe requests without a key only.
 """
 
 import math
@@ -23,6 +22,7 @@
     "judge_closes",
     "judge_departures",
     "judge_manifests",
+    "judge_readiness",
     "judge_record",
     "judge_signals",
     "list_disturbances",
@@ -38,6 +38,12 @@
 _SENT_EARLY_S = 3.0
 _AFTER_S = 1.0
 _CLOSES_MAX = 3
+# Time after a SIGTERM by which a node must not count as ready, in seconds, and
+# number of questions in a row without a 200 that take it out.
+_READY_S = 4.0
+_MISSES_MAX = 2
+_LATE_NODES_MIN = 2
+_LATE_SHARE = 0.25
 _CUT_FACTOR = 3
 _TIME_USED = 0.7
 # Errors of attempts that the caller ended itself.
@@ -58,6 +64,7 @@
         *judge_signals(record),
         *judge_manifests(record),
         *judge_departures(record),
+        *judge_readiness(record),
     ]
 
 
@@ -214,6 +221,48 @@
     return violations
 
 
+def judge_readiness(record: PlatformRecord) -> list[Violation]:
+    """Judge nodes that still count as ready some time after a SIGTERM.
+
+    Args:
+        record: Record of a soak.
+    """
+    ends = {(end.node, end.pid): end.seen_at for end in record.ends}
+    spans = [(i.node, i.began_at, i.ended_at) for i in record.impairments]
+    ready = late = 0
+    violations = []
+    for work in record.works:
+        due_at = work.at + _READY_S
+        if not work.is_stop or _is_disturbed(
+            spans, {work.node}, work.at, due_at
+        ):
+            continue
+        if not _counts_as_ready(record, work, work.at):
+            continue
+        ready += 1
+        has_ended = ends.get((work.node, work.pid), math.inf) <= due_at
+        if not has_ended and _counts_as_ready(record, work, due_at):
+            late += 1
+            detail = f"process {work.pid} ready {_READY_S} s after SIGTERM"
+            violations.append(Violation("DRAIN", work.node, detail))
+    nodes = {violation.name for violation in violations}
+    is_broken = len(nodes) >= _LATE_NODES_MIN and late > _LATE_SHARE * ready
+    return violations if is_broken else []
+
+
+def _counts_as_ready(
+    record: PlatformRecord, work: PlannedWork, now: float
+) -> bool:
+    """Return whether a stopped process counts as ready at a time."""
+    statuses = [
+        answer.status
+        for answer in record.readiness
+        if (answer.node, answer.pid) == (work.node, work.pid)
+        and answer.at <= now
+    ]
+    return 200 in statuses[-_MISSES_MAX:]
+
+
 def _is_disturbed(
     spans: Spans, nodes: Iterable[str], begin: float, end: float
 ) -> bool:
--- a/kumquatwalk/soak/tests/test_platform_soak.py
+++ b/kumquatwalk/soak/tests/test_platform_soak.py
@@ -2,8 +2,11 @@
 
 import collections
 import pathlib
+import types
 import unittest
+from unittest import mock
 
+from kumquatwalk.soak import platform_soak
 from kumquatwalk.soak.plan import Fault
 from kumquatwalk.soak.platform_plan import ChangeKind
 from kumquatwalk.soak.platform_plan import make_changes
@@ -80,6 +83,22 @@
         self.assertEqual(self.check([], (502, 200)), [])
 
 
+class StoreImpairmentTest(unittest.TestCase):
+
+    def test_each_fault_of_the_store_is_recorded_until_it_is_lifted(self):
+        store = types.SimpleNamespace(faults=None)
+        fleet = types.SimpleNamespace(store=store)
+        soak = PlatformSoak(1, fleet, 1, pathlib.Path())
+        # pylint: disable=protected-access
+        with mock.patch.object(platform_soak, "read_now") as read_now:
+            read_now.side_effect = (10.0, 10.5, 11.0, 11.5)
+            soak._set_store_faults(delay_ms=300)
+            soak._set_store_faults(outage=True)
+            soak._set_store_faults()
+            soak._set_store_faults()
+        self.assertEqual(soak._store_impairments, [(10.0, 10.5), (10.5, 11.0)])
+
+
 class PlatformSoakTest(unittest.TestCase):
 
     # Guards against LOST: planned stops dropped requests that targets ran.
--- a/kumquatwalk/soak/tests/test_readiness.py
+++ b/kumquatwalk/soak/tests/test_readiness.py
@@ -1,9 +1,12 @@
 """Tests of the readiness of nodes as the platform polls it."""
 
+import asyncio
 import random
 import types
 import unittest
+from unittest import mock
 
+from kumquatwalk.soak import readiness
 from kumquatwalk.soak.readiness import ReadinessPoll
 
 
@@ -47,5 +50,28 @@
         self.assertEqual(self.choose_all("z2"), {f"z2-{n}" for n in range(4)})
 
 
+class AnswersTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_answers_are_kept_with_the_process_that_was_asked(self):
+        nodes = [types.SimpleNamespace(name="n1", zone="z1", pid=7)]
+        answers = []
+        asked = asyncio.Event()
+
+        async def ask(node):
+            node.pid = 8
+            asked.set()
+            return 503
+
+        poll = ReadinessPoll(nodes, random.Random(1), answers)
+        with mock.patch.object(readiness, "_ask", ask):
+            task = asyncio.create_task(poll.run())
+            await asked.wait()
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        found = [(a.node, a.pid, a.status) for a in answers]
+        self.assertEqual(found, [("n1", 7, 503)])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/soak/tests/test_rule_judge.py
+++ b/kumquatwalk/soak/tests/test_rule_judge.py
@@ -8,6 +8,8 @@
 from kumquatwalk.soak.platform_record import Impairment
 from kumquatwalk.soak.platform_record import PlannedWork
 from kumquatwalk.soak.platform_record import PlatformRecord
+from kumquatwalk.soak.platform_record import ReadinessAnswer
+from kumquatwalk.soak.process_ends import ProcessEnd
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.scripted_target import Run
 
@@ -321,6 +323,118 @@
         self.assertEqual(found, 1)
 
 
+class ReadinessTest(unittest.TestCase):
+
+    def answer(self, node, *statuses, pid=1):
+        """Return answers of a node, each second until 4 s after ``AT``."""
+        first = AT + 4.5 - len(statuses)
+        return [
+            ReadinessAnswer(node, pid, first + number, status)
+            for number, status in enumerate(statuses)
+        ]
+
+    def end(self, node, pid, at):
+        """Return the end of a process that was stopped."""
+        return ProcessEnd(node, pid, 0.0, at, 0, True, False)
+
+    def count(self, statuses, late=2, others=0, **fields):
+        """Return the violations of nodes that got SIGTERM at ``AT``.
+
+        Args:
+            statuses: Answers of each late node; the last four follow the
+                signal.
+            late: Number of nodes that answer so.
+            others: Number of nodes that answer 503 from the signal on.
+            **fields: Other fields of the record.
+        """
+        late_nodes = [f"l{number}" for number in range(late)]
+        other_nodes = [f"o{number}" for number in range(others)]
+        answers = []
+        for node in late_nodes:
+            answers += self.answer(node, *statuses)
+        for node in other_nodes:
+            answers += self.answer(node, 200, 200, 503, 503, 503, 503)
+        works = [stop(node=node) for node in late_nodes + other_nodes]
+        record = make_record(works=works, readiness=answers, **fields)
+        return len(rule_judge.judge_readiness(record))
+
+    def test_two_nodes_that_still_count_as_ready(self):
+        self.assertEqual(self.count([200] * 6), 2)
+        self.assertEqual(self.count([200] * 6, late=1), 0)
+
+    def test_more_than_a_quarter_of_those_that_were_ready(self):
+        self.assertEqual(self.count([200] * 6, others=5), 2)
+        self.assertEqual(self.count([200] * 6, others=6), 0)
+
+    def test_two_questions_in_a_row_without_success_take_a_node_out(self):
+        for after, expected in (
+            ((503, 503, 503, 503), 0),
+            ((200, 200, 503, 503), 0),
+            ((200, 200, 503, 0), 0),
+            ((503, 503, 503, 200), 2),
+            ((503, 503, 200, 503), 2),
+            ((503, 503, 200, 0), 2),
+        ):
+            found = self.count((200, 200, *after))
+            self.assertEqual(found, expected, after)
+
+    def test_node_that_was_not_ready_at_the_signal(self):
+        self.assertEqual(self.count((503, 503, 200, 200, 200, 200)), 0)
+        self.assertEqual(self.count((200, 503, 200, 200, 200, 200)), 2)
+        # Neither does it count among those that were.
+        record = make_record(
+            works=[stop(node=f"n{number}") for number in range(9)],
+            readiness=[
+                answer
+                for number in range(9)
+                for answer in self.answer(
+                    f"n{number}", *[200 if number < 2 else 503] * 6
+                )
+            ],
+        )
+        self.assertEqual(len(rule_judge.judge_readiness(record)), 2)
+
+    def test_process_that_has_ended_or_was_replaced(self):
+        for late_s, expected in ((3.9, 0), (4.1, 2)):
+            ends = [self.end(f"l{n}", 1, AT + late_s) for n in range(2)]
+            self.assertEqual(self.count([200] * 6, ends=ends), expected)
+        ends = [self.end(f"l{n}", 2, AT + 1.0) for n in range(2)]
+        self.assertEqual(self.count([200] * 6, ends=ends), 2)
+
+    def test_node_out_of_touch(self):
+        for end, expected in ((AT - 2.9, 0), (AT - 3.1, 2)):
+            impairments = [Impairment("l0", 0.0, end)]
+            found = self.count([200] * 6, impairments=impairments)
+            self.assertEqual(found, expected, end)
+
+    def test_reload_takes_no_node_out(self):
+        record = make_record(
+            works=[reload()], readiness=self.answer("n1", *[200] * 6)
+        )
+        self.assertEqual(rule_judge.judge_readiness(record), [])
+
+
+class StoreTest(unittest.TestCase):
+
+    # Guards against a loss that an impairment of the store hides.
+    def test_impairment_of_the_store_alone_excuses_nothing(self):
+        span = [(AT - 10.0, AT + 10.0)]
+        for is_safe in (True, False):
+            attempts = [make_attempt(number) for number in range(4)]
+            for attempt in attempts:
+                attempt.is_safe = is_safe
+            for judge, fields in (
+                (rule_judge.judge_signals, {"works": [stop()]}),
+                (rule_judge.judge_signals, {"works": [reload()]}),
+                (rule_judge.judge_closes, {}),
+                (rule_judge.judge_manifests, {"manifests": [AT]}),
+            ):
+                record = make_record(
+                    *attempts, store_impairments=span, **fields
+                )
+                self.assertEqual(len(judge(record)), 4, fields)
+
+
 class RecordTest(unittest.TestCase):
 
     def test_all_rules_are_judged(self):
