Do not refuse small answers for the largest of their route

Cause: the time expected for the largest answer of the route was added to the time of the run in the stop's rule. For a client not measured yet it no longer is; the bound by the time left stays.

Tests: the two of the bound, unchanged; no test shows this cost.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -524,7 +524,7 @@
 
         If it is not known how fast it reads, it can unless many bytes are to be
         taken before, or the answer itself is too large for the time left. Also
-        notes how long it needs for the answer itself.
+        notes how long one that was measured needs for the answer itself.
         """
         self._writer.update(now)
         size = self._writer.untaken_bytes
@@ -536,10 +536,10 @@
         own_size = self._estimate_answer(exchange.request)
         if self._has_rate:
             own_s = self._writer.estimate_taking_s(own_size)
+            exchange.request.progress.taking_s = own_s
             taking_s = self._writer.estimate_taking_s(size + own_size)
         else:
-            own_s = taking_s = estimate_first_s(own_size)
-        exchange.request.progress.taking_s = own_s
+            taking_s = estimate_first_s(own_size)
         if not self._has_rate and size > BACKLOG_BYTES_MAX:
             return False
         if self._exchanges.is_waiting_before(exchange):
