Read settings again that could not be read at their change

What callers saw: by a test, not in a run of the fleet: a settings file that was changed while no descriptor was left was never in force until its next change, so that a stop went on with the bounds of before.

Cause: the watcher took the state of the file as read before it was. The class is that of a decision for good by a state that passes, as at the start.

Change: a file that cannot be read is read at each check, and reported once.

--- a/kumquatwalk/daemon/settings_watcher.py
+++ b/kumquatwalk/daemon/settings_watcher.py
@@ -8,6 +8,7 @@
 from kumquatwalk.exception import SettingError
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
+from kumquatwalk.platform.settings import UNREADABLE
 from kumquatwalk.platform.settings import load_settings
 from kumquatwalk.tasks import keep_running
 
@@ -16,12 +17,15 @@
 # Interval at which the file is checked, in seconds: half of the two seconds
 # within which an operator's change must be in force.
 CHECK_INTERVAL_S = 1.0
+# Time of change, inode and size of the file.
+FileStamp = tuple[int, int, int]
 
 
 class SettingsWatcher:
     """Polls the settings file and reports valid changes.
 
-    An invalid file is logged, and the settings in force remain.
+    An invalid file is logged, and the settings in force remain. One that cannot
+    be read is read again at the next check.
 
     Args:
         path: Path of the file.
@@ -38,7 +42,8 @@
         self._path = path
         self._settings = settings
         self._on_change = on_change
-        self._last_stamp = self._read_file_stamp()
+        self._last_stamp: FileStamp | None = self._read_file_stamp()
+        self._unreadable = ""
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -56,24 +61,35 @@
         try:
             settings = load_settings(self._path)
         except SettingError as error:
-            log_event(
-                "settings_rejected",
-                Level.ERROR,
-                code=error.code,
-                error=error.message,
-            )
+            if error.code == UNREADABLE:
+                self._last_stamp = None
+            self._report(error)
             return
+        self._unreadable = ""
         if settings != self._settings:
             self._settings = settings
             self._on_change(settings)
 
+    def _report(self, error: SettingError) -> None:
+        # One report for a file that is read again and again.
+        if error.code == UNREADABLE:
+            if error.message == self._unreadable:
+                return
+            self._unreadable = error.message
+        log_event(
+            "settings_rejected",
+            Level.ERROR,
+            code=error.code,
+            error=error.message,
+        )
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._read_file_stamp() != self._last_stamp:
                 self.check()
 
-    def _read_file_stamp(self) -> tuple[int, int, int]:
+    def _read_file_stamp(self) -> FileStamp:
         try:
             status = os.stat(self._path)
         except OSError:
--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -12,8 +12,10 @@
 from kumquatwalk.exception import SettingError
 from kumquatwalk.platform import fields
 
-__all__ = ["decode_address", "decode_settings", "load_settings"]
+__all__ = ["UNREADABLE", "decode_address", "decode_settings", "load_settings"]
 
+# Code of the error of a file that cannot be read, which may pass.
+UNREADABLE = "settings_unreadable"
 _BYTES_PER_MB = 1024 * 1024
 _BOUND_FIELDS = {
     "drainS": "drain_s",
@@ -41,7 +43,7 @@
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingError("settings_unreadable", str(error)) from error
+        raise SettingError(UNREADABLE, str(error)) from error
     return decode_settings(text)
 
 
