Wait for descriptors and memory at a bind, and bound the wait for a listener

What callers saw: by injected errors, not in a run of the fleet: a bind for which the machine lacked descriptors or memory for a moment ended the start with status 1. A port that another process kept listening on between bind and listen would have kept the start busy without an end, and deaf to SIGTERM.

Cause: these errors did not count as passing; the second loop had neither a pause nor a bound.

Tests: test_lack_of_sockets_is_waited_for (four errors) failed before; before, the other, test_lack_that_does_not_pass_ends_the_wait, did not end within 15 s.

--- a/kumquatwalk/listener.py
+++ b/kumquatwalk/listener.py
@@ -17,8 +17,17 @@
 BIND_WAIT_S = 120.0
 _POLL_S = 0.05
 # Errors that pass: the last process, or a connection from this port, has not
-# ended; the network interface is not up yet.
-_PASSING_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+# ended; the network interface is not up yet; descriptors or memory are short.
+_PASSING_ERRORS = frozenset(
+    (
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
 
 
 class Listener:
@@ -83,6 +92,7 @@
             OSError: The address could not be had in time.
         """
         loop = asyncio.get_running_loop()
+        give_up_at = read_now() + self._wait_s
         while True:
             await self.bind()
             sock, self._socket = self._socket, None
@@ -93,8 +103,10 @@
             except OSError as error:
                 sock.close()
                 # Another process may have bound the port too, and listens now.
-                if error.errno not in _PASSING_ERRORS:
+                is_late = read_now() >= give_up_at
+                if error.errno not in _PASSING_ERRORS or is_late:
                     raise
+            await asyncio.sleep(_POLL_S)
 
     def close(self) -> None:
         """Give up a bound socket that does not listen."""
--- a/kumquatwalk/tests/test_listener.py
+++ b/kumquatwalk/tests/test_listener.py
@@ -1,8 +1,10 @@
 """Tests of sockets that are bound before the process connects to others."""
 
 import asyncio
+import errno
 import socket
 import unittest
+from unittest import mock
 
 from kumquatwalk.address import Address
 from kumquatwalk.listener import Listener
@@ -44,6 +46,34 @@
         writer.close()
         return True
 
+    # Guards against FAULT: a lack of descriptors or memory of the machine,
+    # which passes, ended the start at once.
+    async def test_lack_of_sockets_is_waited_for(self):
+        for number in (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM):
+            results = [OSError(number, "injected"), socket.socket()]
+            with (
+                self.subTest(error=errno.errorcode[number]),
+                mock.patch(
+                    "kumquatwalk.listener._bind_socket", side_effect=results
+                ) as bind,
+            ):
+                await self.listener.bind()
+                self.assertEqual(bind.call_count, 2)
+            self.listener.close()
+
+    # Guards against FAULT: a wait for a lack that does not pass was not bound,
+    # and kept the event loop busy.
+    async def test_lack_that_does_not_pass_ends_the_wait(self):
+        patient = Listener(Address(HOST, self.port), 0.2)
+        loop = asyncio.get_running_loop()
+        error = OSError(errno.EADDRINUSE, "injected")
+        with mock.patch.object(
+            loop, "create_server", side_effect=error
+        ) as tried:
+            with self.assertRaises(OSError):
+                await patient.listen(asyncio.Protocol, 1)
+        self.assertLessEqual(tried.call_count, 6)
+
     # Guards against FAULT: a port that an outgoing connection had taken ended
     # the start at once.
     async def test_port_in_use_is_waited_for(self):
