--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -11,8 +11,8 @@
 from kumquatwalk.event_loop import handle_pending_events
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.logs import log_event
-from kumquatwalk.tasks import log_errors
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["Component", "Daemon"]
 
