test_path: one test, with nodes of its own, for each answer without end

Cause: the subtests shared their nodes, so that the failures and the times of runs of one decided which target the next one was sent to; where that was not the first target, its failures did not grow.

Now each of the six answers has a test with nodes of its own, whose first request goes to the first target. The checks are the same; failures are compared with 0, which they are at the start.

--- a/kumquatwalk/daemon/tests/test_path.py
+++ b/kumquatwalk/daemon/tests/test_path.py
@@ -119,6 +119,10 @@
                 await asyncio.sleep(0.02)
 
 
+# Begin of an answer without end.
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
 class FaultyTargetTest(unittest.IsolatedAsyncioTestCase):
 
     async def asyncSetUp(self):
@@ -226,39 +230,51 @@
         answer = await self.fleet.call("web-1", "/web/", "id-2")
         self.assertEqual(answer.status, 502)
 
-    async def test_bytes_without_end_are_cut_off_and_counted(self):
-        head = b"HTTP/1.1 200 OK\r\n"
-        scripts = {
-            "head line": Script(prefix=head + b"X: ", endless=b"y" * 65536),
-            "head lines": Script(prefix=head, endless=b"X: y\r\n" * 9000),
-            "interim": Script(endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 999),
-            "no answer": Script(endless=b"\x00\x01\x02" * 9000),
-            "body": Script(prefix=head + b"\r\n", endless=b"z" * 65536),
-            "chunks": Script(
-                prefix=head + b"Transfer-Encoding: chunked\r\n\r\n",
-                endless=b"8000\r\n" + b"c" * 0x8000 + b"\r\n",
-            ),
-        }
+    async def _check_cut_off(self, script: Script) -> None:
+        """Check that an answer of the first target without end is a failure."""
         core = self.first.daemon.core
         core.body_budget.limit = 1 << 20
-        for name, script in scripts.items():
-            with self.subTest(name):
-                self._script_both(script)
-                failed_before = core.target_side.get_status().failure_share
-                answer = await self.fleet.call("web-1", "/web/", f"id-{name}")
-                self.assertEqual(answer.status, 200)
-                self.assertEqual(
-                    answer.find_header(b"server-seal"), b"seal-i-web-2"
-                )
-                run = self.first.target.runs[-1]
-                async with asyncio.timeout(10):
-                    while not run.is_aborted:
-                        await asyncio.sleep(0.01)
-                self.assertEqual(core.body_budget.used, 0)
-                self.assertEqual(core.target_side.limiter.running, 0)
-                status = core.target_side.get_status()
-                self.assertGreater(status.failure_share, failed_before)
-                core.caller_side.clear_backoffs()
+        self._script_both(script)
+        answer = await self.fleet.call("web-1", "/web/", "id-1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.find_header(b"server-seal"), b"seal-i-web-2")
+        run = self.first.target.runs[-1]
+        async with asyncio.timeout(10):
+            while not run.is_aborted:
+                await asyncio.sleep(0.01)
+        self.assertEqual(core.body_budget.used, 0)
+        self.assertEqual(core.target_side.limiter.running, 0)
+        self.assertGreater(core.target_side.get_status().failure_share, 0.0)
+
+    async def test_header_line_without_end_is_cut_off_and_counted(self):
+        await self._check_cut_off(
+            Script(prefix=HEAD + b"X: ", endless=b"y" * 65536)
+        )
+
+    async def test_header_lines_without_end_are_cut_off_and_counted(self):
+        await self._check_cut_off(
+            Script(prefix=HEAD, endless=b"X: y\r\n" * 9000)
+        )
+
+    async def test_interim_answers_without_end_are_cut_off_and_counted(self):
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        await self._check_cut_off(Script(endless=interim * 999))
+
+    async def test_bytes_that_are_no_answer_are_cut_off_and_counted(self):
+        await self._check_cut_off(Script(endless=b"\x00\x01\x02" * 9000))
+
+    async def test_body_without_end_is_cut_off_and_counted(self):
+        await self._check_cut_off(
+            Script(prefix=HEAD + b"\r\n", endless=b"z" * 65536)
+        )
+
+    async def test_chunks_without_end_are_cut_off_and_counted(self):
+        await self._check_cut_off(
+            Script(
+                prefix=HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+                endless=b"8000\r\n" + b"c" * 0x8000 + b"\r\n",
+            )
+        )
 
     async def test_payment_answered_without_end_is_unknown_and_run_once(self):
         script = Script(endless=b"HTTP/1.1 100 Continue\r\n\r\n" * 999)
