First settings: wait also when standard error cannot be written

Callers saw a node that did not start: a settings file that was missing or not whole ended the start with status 1 if standard error had no reader or a full disk. Before: the new test fails for both kinds of standard error, each process ended before the file was whole.

--- a/kumquatwalk/cli/first_settings.py
+++ b/kumquatwalk/cli/first_settings.py
@@ -1,5 +1,6 @@
 """Settings with which a daemon starts."""
 
+import contextlib
 import signal
 import sys
 import time
@@ -40,7 +41,9 @@
         except SettingError as error:
             problem = str(error)
         if problem != reported:
-            click.echo(f"error: {path}: {problem}", err=True)
+            # Standard error may have no reader, or a full disk.
+            with contextlib.suppress(OSError):
+                click.echo(f"error: {path}: {problem}", err=True)
             reported = problem
         if has_come(signal.SIGTERM) or has_come(signal.SIGINT):
             sys.exit(ExitCode.OK)
--- a/kumquatwalk/cli/tests/test_first_settings.py
+++ b/kumquatwalk/cli/tests/test_first_settings.py
@@ -1,6 +1,8 @@
 """Tests of daemons that start before their settings file is whole."""
 
+import os
 import signal
+import time
 import unittest
 
 from kumquatwalk.cli.tests.daemon_case import DaemonCase
@@ -32,6 +34,23 @@
         self.wait_for_line("error: ")
         self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
 
+    # Guards against FAULT: a problem of the settings that could not be
+    # reported, as nobody read standard error or its disk was full, ended the
+    # start.
+    def test_settings_are_waited_for_without_standard_error(self):
+        reader, pipe = os.pipe()
+        os.close(reader)
+        full = os.open("/dev/full", os.O_WRONLY)
+        for stderr in (pipe, full):
+            self.addCleanup(os.close, stderr)
+            with self.subTest(stderr=stderr):
+                self.path.unlink(missing_ok=True)
+                self.start_daemon(stderr=stderr)
+                time.sleep(1.0)
+                self.write_settings(self.settings)
+                self.wait_for_line("event=daemon_started ")
+                self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
