Listener: notice on each loop that another process listens on the port

Callers saw refused connections, or another process, at a node that said it had started: a listener whose port another process had bound too, and listened on first, was lost for the life of the node. Cause: uvloop, the loop of the deployed daemon, does not raise the error of listen; the tests ran on asyncio's loop only, on which the port is waited for. Before: the new test fails on uvloop (OSError not raised); in one trial with the deployed command the daemon logged daemon_started and went on without its listener for callers. After: the seven tests of test_listener pass on one run.

--- a/kumquatwalk/listener.py
+++ b/kumquatwalk/listener.py
@@ -87,6 +87,8 @@
             await self.bind()
             sock, self._socket = self._socket, None
             try:
+                # The loop of uvloop does not raise the error of its own call.
+                sock.listen(backlog)
                 return await loop.create_server(
                     protocol_factory, sock=sock, backlog=backlog
                 )
--- a/kumquatwalk/tests/test_listener.py
+++ b/kumquatwalk/tests/test_listener.py
@@ -4,6 +4,8 @@
 import socket
 import unittest
 
+import uvloop
+
 from kumquatwalk.address import Address
 from kumquatwalk.listener import Listener
 
@@ -84,6 +86,28 @@
         await first.wait_closed()
         (await listening).close()
 
+    # Guards against FAULT: a daemon began to serve without its listener, as the
+    # loop of the deployed daemon does not raise the error of ``listen``.
+    def test_port_that_another_listens_on_is_noticed_on_each_loop(self):
+        for factory in (asyncio.new_event_loop, uvloop.new_event_loop):
+            with (
+                self.subTest(factory.__module__),
+                asyncio.Runner(loop_factory=factory) as runner,
+            ):
+                runner.run(self._listen_beside_another())
+
+    async def _listen_beside_another(self) -> None:
+        """Listen on a port on which another listens once it is bound."""
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((HOST, 0))
+            address = Address(HOST, other.getsockname()[1])
+            listener = Listener(address, wait_s=0.1)
+            await listener.bind()
+            other.listen()
+            with self.assertRaises(OSError):
+                await listener.listen(asyncio.Protocol, 1)
+
     async def test_port_that_stays_in_use_is_an_error(self):
         self.hold_port()
         listener = Listener(Address(HOST, self.port), wait_s=0.1)
