Daemon: hear a stop while a listener waits for its address

Callers saw a process that outlived its grace period: SIGTERM was not heard in the start once a listener waited again for a port that another process had begun to listen on; the wait is up to 120 s. Before, with the error of listen noticed: the new test fails, the process still ran 12 s after SIGTERM. After: it ends with status 0, and the tests of test_ports_in_use, test_stop_in_start and test_stop_backlog pass (22, one run).

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -6,6 +6,8 @@
 import os
 import sys
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 import click
 import uvloop
@@ -68,7 +70,8 @@
     """Serve until a signal asks to stop, then drain and close the daemon.
 
     A daemon that is asked to stop while it is created, or while it waits for an
-    address, is not started. Errors once it serves are logged and do not end it.
+    address, is not started. One that is asked to stop while it starts is
+    drained as it is. Errors once it serves are logged and do not end it.
 
     Args:
         make_daemon: Creates the daemon, which may take long.
@@ -80,11 +83,11 @@
     daemon = make_daemon()
     if await stop.has_come_so_far():
         return
-    if not await _bind_unless_stopped(daemon, stop):
+    if not await _is_done_before_stop(daemon.bind(), stop):
         return
-    await daemon.start()
-    with log_errors("on_start"):
-        on_start(daemon)
+    if await _is_done_before_stop(daemon.start(), stop):
+        with log_errors("on_start"):
+            on_start(daemon)
     await stop.wait()
     with log_errors("drain"):
         await daemon.drain(stop.came_at)
@@ -92,14 +95,16 @@
         await daemon.close()
 
 
-async def _bind_unless_stopped(daemon: Daemon, stop: StopRequest) -> bool:
-    """Bind the daemon's addresses; return whether no stop came before."""
-    binding = asyncio.create_task(daemon.bind())
+async def _is_done_before_stop(
+    step: Coroutine[Any, Any, None], stop: StopRequest
+) -> bool:
+    """Take a step of the start; cancel it and return False if a stop comes."""
+    task = asyncio.create_task(step)
     stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((binding, stopping), return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait((task, stopping), return_when=asyncio.FIRST_COMPLETED)
     stopping.cancel()
-    if binding.done():
-        binding.result()
+    if task.done():
+        task.result()
         return True
-    binding.cancel()
+    task.cancel()
     return False
--- a/kumquatwalk/cli/tests/test_ports_in_use.py
+++ b/kumquatwalk/cli/tests/test_ports_in_use.py
@@ -55,6 +55,24 @@
         self.wait_for_line("event=listener_waits ")
         self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
 
+    # Guards against FAULT: a stop was not heard while a port was waited for on
+    # which another process had begun to listen after it was bound.
+    def test_stop_while_a_listener_is_waited_for_ends_with_code_0(self):
+        other = socket.socket()
+        self.addCleanup(other.close)
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Bound before, as by a process that starts at the same time.
+        other.bind((HOST, self.ports["outbound"]))
+        held = self.hold_port("ready")
+        self.write_settings(self.settings)
+        self.start_daemon()
+        self.wait_for_line("event=listener_waits ")
+        other.listen()
+        for sock in held:
+            sock.close()
+        self.wait_for_line("event=listener_waits ")
+        self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -239,9 +239,11 @@
             return
         self.is_stopping = True
         self.is_accepting = False
-        with log_errors("accept_queued"):
-            self._accept_queued()
-        self._server.close()
+        # The stop may come while the address is waited for.
+        if self._server is not None:
+            with log_errors("accept_queued"):
+                self._accept_queued()
+            self._server.close()
         now = read_now()
         for connection in tuple(self.connections):
             with log_errors("stop_accepting"):
