--- a/kumquatwalk/__main__.py
+++ b/kumquatwalk/__main__.py
@@ -31,8 +31,12 @@
 def _complete_start() -> None:
     """Do what ``-S`` and ``-m`` leave out when this file itself is run."""
     if not __package__:
-        # Not the folder of this file, whose modules would hide other ones.
-        sys.path[0] = __file__.rpartition("/")[0].rpartition("/")[0]
+        root = __file__.rpartition("/")[0].rpartition("/")[0]
+        if sys.flags.safe_path:
+            sys.path.insert(0, root)
+        else:
+            # Not the folder of this file, whose modules would hide other ones.
+            sys.path[0] = root
     if sys.flags.no_site:
         # pylint: disable-next=import-outside-toplevel
         import site
--- a/kumquatwalk/cli/tests/test_early_signals.py
+++ b/kumquatwalk/cli/tests/test_early_signals.py
@@ -115,6 +115,22 @@
         ]
         self.assertEqual(*outputs)
 
+    # Guards against FAULT: the folder of libraries, first on the path where the
+    # interpreter adds no folder of its own, was replaced by the program's.
+    def test_deployed_command_keeps_the_path_of_libraries(self):
+        with tempfile.TemporaryDirectory() as folder:
+            module = pathlib.Path(folder, "sitecustomize.py")
+            module.write_text("print('found')", encoding="ascii")
+            for name in ("PYTHONSAFEPATH", "PYTHONDONTWRITEBYTECODE"):
+                output = subprocess.run(
+                    [*make_command()[:-1], "version"],
+                    cwd=ROOT,
+                    env=os.environ | {"PYTHONPATH": folder, name: "1"},
+                    capture_output=True,
+                    check=True,
+                ).stdout
+                self.assertTrue(output.startswith(b"found\n"), name)
+
 
 if __name__ == "__main__":
     unittest.main()
