Platform soak: send a signal that a process does not come to catch

Now it is sent after 10 s. Before: the new test fails, no signal was sent in 5 s. No soak was run on it.

--- a/kumquatwalk/soak/platform_soak.py
+++ b/kumquatwalk/soak/platform_soak.py
@@ -43,6 +43,8 @@
 Event = tuple[float, Callable[[], None]]
 
 POLL_S = 0.02
+# Time after which a process gets a signal that it does not catch, in seconds.
+CATCH_WAIT_S = 10.0
 SLOW_FACTOR = 5.0
 # A node beside a target that leaves is ended within this time after the
 # acknowledgement, in seconds.
@@ -310,7 +312,10 @@
     async def _wait_until_caught(self, node: PlatformNode, number: int) -> bool:
         """Wait until a signal may be sent; return whether the daemon runs."""
         pid = node.pid
+        give_up_at = read_now() + CATCH_WAIT_S
         while not (self.reloads_from_exec or node.catches(number)):
+            if read_now() > give_up_at:
+                return True
             await asyncio.sleep(POLL_S)
             if node.pid != pid or not node.is_running:
                 return False
@@ -318,12 +323,13 @@
 
     async def _stop_once_caught(self, node: PlatformNode) -> None:
         if await self._wait_until_caught(node, signal.SIGTERM):
-            self._stop(node)
+            self._stop(node, is_due=True)
 
-    def _stop(self, node: PlatformNode) -> None:
+    def _stop(self, node: PlatformNode, is_due: bool = False) -> None:
         if not node.is_running:
             return
-        if not (self.reloads_from_exec or node.catches(signal.SIGTERM)):
+        is_due |= self.reloads_from_exec
+        if not (is_due or node.catches(signal.SIGTERM)):
             self.start_task(self._stop_once_caught(node))
             return
         if node.pid in self._signalled:
--- a/kumquatwalk/soak/tests/test_process_ends.py
+++ b/kumquatwalk/soak/tests/test_process_ends.py
@@ -76,5 +76,24 @@
         self.assertIn('"status": 3', record)
 
 
+class UncaughtSignalTest(unittest.IsolatedAsyncioTestCase):
+
+    # Guards against FAULT that no soak counts: a process that never catches a
+    # signal never got it.
+    @mock.patch("kumquatwalk.soak.platform_soak.CATCH_WAIT_S", 0.1)
+    async def test_signal_is_sent_to_a_process_that_does_not_catch_it(self):
+        fleet = mock.Mock()
+        fleet.stop_daemon = mock.AsyncMock()
+        node = mock.Mock(pid=1, is_running=True)
+        node.catches.return_value = False
+        soak = PlatformSoak(1, fleet, 1, pathlib.Path())
+        # pylint: disable=protected-access
+        async with asyncio.timeout(5.0):
+            await soak._reload(node)
+            await soak._stop_once_caught(node)
+        fleet.change_settings.assert_called_once_with(node)
+        fleet.stop_daemon.assert_called_once_with(node)
+
+
 if __name__ == "__main__":
     unittest.main()
