Native node: open the standard descriptors that it was started without

Callers saw a native node that ended: without standard output the process ended by SIGABRT, without standard error by a traceback with status 1. Cause: only the daemon opened closed standard descriptors. Before: the new test fails for both (status -6 and 1).

--- a/kumquatwalk/cli/node.py
+++ b/kumquatwalk/cli/node.py
@@ -6,6 +6,7 @@
 import click
 
 from kumquatwalk.cli.held_signals import hold_signals
+from kumquatwalk.cli.standard_streams import open_standard_streams
 from kumquatwalk.cli.unused_signals import UNUSED_SIGNALS
 from kumquatwalk.native.options import node_options
 from kumquatwalk.native.settings import NodeSettings
@@ -18,6 +19,7 @@
 def node(settings: NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
     hold_signals(signal.SIGTERM, signal.SIGINT, *UNUSED_SIGNALS)
+    open_standard_streams()
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
