--- a/kumquatwalk/cli/tests/test_build.py
+++ b/kumquatwalk/cli/tests/test_build.py
@@ -77,6 +77,13 @@
         self.assertEqual(self.build(), 0)
         self.assertTrue(self.has_all_libraries())
 
+    # Guards against FAULT: an installation that broke off took away libraries
+    # that processes of the machine run with.
+    def test_interrupted_installation_keeps_the_one_before(self):
+        self.assertEqual(self.build(OTHER_MACHINE="cpython-311-x86_64"), 0)
+        self.assertNotEqual(self.build(INTERRUPTED="1"), 0)
+        self.assertTrue(self.has_all_libraries())
+
     # Guards against FAULT: libraries carried over from a machine of another
     # kind counted as built, so that no process started.
     def test_libraries_of_another_kind_of_machine_are_replaced(self):
