--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -1,18 +1,23 @@
 """Runs a daemon in the foreground, from its start to its graceful stop."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import sys
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 import click
 import uvloop
 
 from kumquatwalk.cli.exit_codes import ExitCode
 from kumquatwalk.cli.stop_request import StopRequest
+from kumquatwalk.cli.unused_signals import ignore_unused_signals
 from kumquatwalk.daemon.process import Daemon
 from kumquatwalk.logs import close_logs
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["run_daemon", "serve_until_stopped"]
 
@@ -49,11 +54,13 @@
 async def _run(
     make_daemon: Callable[[], Daemon], on_start: Callable[[Daemon], None]
 ) -> None:
+    ignore_unused_signals()
     await serve_until_stopped(make_daemon, on_start)
     close_logs()
     # Exit without the interpreter's shutdown, which could outlast the grace
     # period of the process. Nothing but standard output is left to flush.
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        sys.stdout.flush()
     os._exit(ExitCode.OK)
 
 
@@ -63,7 +70,8 @@
     """Serve until a signal asks to stop, then drain and close the daemon.
 
     A daemon that is asked to stop while it is created, or while it waits for an
-    address, is not started.
+    address, is not started. One that is asked to stop while it starts is
+    drained as it is. Errors once it serves are logged and do not end it.
 
     Args:
         make_daemon: Creates the daemon, which may take long.
@@ -75,23 +83,28 @@
     daemon = make_daemon()
     if await stop.has_come_so_far():
         return
-    if not await _bind_unless_stopped(daemon, stop):
+    if not await _is_done_before_stop(daemon.bind(), stop):
         return
-    await daemon.start()
-    on_start(daemon)
+    if await _is_done_before_stop(daemon.start(), stop):
+        with log_errors("on_start"):
+            on_start(daemon)
     await stop.wait()
-    await daemon.drain(stop.came_at)
-    await daemon.close()
+    with log_errors("drain"):
+        await daemon.drain(stop.came_at)
+    with log_errors("close"):
+        await daemon.close()
 
 
-async def _bind_unless_stopped(daemon: Daemon, stop: StopRequest) -> bool:
-    """Bind the daemon's addresses; return whether no stop came before."""
-    binding = asyncio.create_task(daemon.bind())
+async def _is_done_before_stop(
+    step: Coroutine[Any, Any, None], stop: StopRequest
+) -> bool:
+    """Take a step of the start; cancel it and return False if a stop comes."""
+    task = asyncio.create_task(step)
     stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((binding, stopping), return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait((task, stopping), return_when=asyncio.FIRST_COMPLETED)
     stopping.cancel()
-    if binding.done():
-        binding.result()
+    if task.done():
+        task.result()
         return True
-    binding.cancel()
+    task.cancel()
     return False
--- a/kumquatwalk/cli/node.py
+++ b/kumquatwalk/cli/node.py
@@ -6,6 +6,8 @@
 import click
 
 from kumquatwalk.cli.held_signals import hold_signals
+from kumquatwalk.cli.standard_streams import open_standard_streams
+from kumquatwalk.cli.unused_signals import UNUSED_SIGNALS
 from kumquatwalk.native.options import node_options
 from kumquatwalk.native.settings import NodeSettings
 
@@ -16,7 +18,8 @@
 @node_options
 def node(settings: NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
-    hold_signals(signal.SIGTERM, signal.SIGINT)
+    hold_signals(signal.SIGTERM, signal.SIGINT, *UNUSED_SIGNALS)
+    open_standard_streams()
     # Deferred so that these imports do not slow down other commands.
     # pylint: disable=import-outside-toplevel
     from kumquatwalk.cli.daemon_run import run_daemon
--- a/kumquatwalk/cli/tests/test_early_signals.py
+++ b/kumquatwalk/cli/tests/test_early_signals.py
@@ -84,6 +84,11 @@
         self._signal_in_site(signal.SIGHUP, signal.SIGHUP)
         self.assertEqual(self.process.returncode, EXIT_CONFIGURATION)
 
+    # Guards against FAULT: a signal without a use ended a process in that time.
+    def test_unused_signals_before_site_do_not_end_the_process(self):
+        self._signal_in_site(signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM)
+        self.assertEqual(self.process.returncode, EXIT_CONFIGURATION)
+
     # Guards against FAULT: SIGTERM in that time ended the process with -15, so
     # that a planned stop looked like a process that was ended.
     def test_stop_before_site_is_a_planned_stop(self):
@@ -110,6 +115,22 @@
         ]
         self.assertEqual(*outputs)
 
+    # Guards against FAULT: the folder of libraries, first on the path where the
+    # interpreter adds no folder of its own, was replaced by the program's.
+    def test_deployed_command_keeps_the_path_of_libraries(self):
+        with tempfile.TemporaryDirectory() as folder:
+            module = pathlib.Path(folder, "sitecustomize.py")
+            module.write_text("print('found')", encoding="ascii")
+            for name in ("PYTHONSAFEPATH", "PYTHONDONTWRITEBYTECODE"):
+                output = subprocess.run(
+                    [*make_command()[:-1], "version"],
+                    cwd=ROOT,
+                    env=os.environ | {"PYTHONPATH": folder, name: "1"},
+                    capture_output=True,
+                    check=True,
+                ).stdout
+                self.assertTrue(output.startswith(b"found\n"), name)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -26,6 +26,7 @@
 from kumquatwalk.listener import Listener
 from kumquatwalk.logs import log_event
 from kumquatwalk.tasks import keep_running
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["HttpServer"]
 
@@ -238,11 +239,15 @@
             return
         self.is_stopping = True
         self.is_accepting = False
-        self._accept_queued()
-        self._server.close()
+        # The stop may come while the address is waited for.
+        if self._server is not None:
+            with log_errors("accept_queued"):
+                self._accept_queued()
+            self._server.close()
         now = read_now()
         for connection in tuple(self.connections):
-            connection.stop_accepting(now)
+            with log_errors("stop_accepting"):
+                connection.stop_accepting(now)
         self._start_checks()
 
     async def close(self) -> None:
@@ -253,7 +258,8 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.abort(End.PROCESS_END)
+            with log_errors("abort"):
+                connection.abort(End.PROCESS_END)
 
     def _accept_queued(self) -> None:
         loop = asyncio.get_running_loop()
@@ -279,7 +285,8 @@
             await handle_pending_events()
             now = read_now()
             for connection in tuple(self.connections):
-                connection.check_timeouts(now)
+                with log_errors("connection_check"):
+                    connection.check_timeouts(now)
             self._end_slow_clients(now)
 
     def _choose_check_interval(self) -> float:
@@ -297,8 +304,9 @@
     def _end_slow_clients(self, now: float) -> None:
         """End clients that read slowly while memory for answers is short.
 
-        Those for which most is held come first, until the rest is within the
-        limit; at least one while requests are refused for want of memory.
+        Those for which most is held for each request that is lost come first,
+        until the rest is within the limit; at least one while requests are
+        refused for want of memory.
         """
         if self.answer_budget is None:
             return
@@ -310,8 +318,10 @@
         if not excess:
             return
         sizes = {c: c.count_slowly_taken(now) for c in self.connections}
-        for connection in sorted(sizes, key=sizes.get, reverse=True):
-            if excess <= 0 or not sizes[connection]:
+        slow = [connection for connection in sizes if sizes[connection]]
+        slow.sort(key=lambda c: sizes[c] / c.count_owed(now), reverse=True)
+        for connection in slow:
+            if excess <= 0:
                 return
             excess -= sizes[connection]
             connection.abort(End.TIMEOUT)
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -31,6 +31,7 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.mesh.partition import Partition
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.tasks import log_errors
 
 __all__ = ["LINK_LOST", "LinkServer"]
 
@@ -50,6 +51,8 @@
 # Maximum number of calls of a link whose keys are remembered after their
 # replies: a peer of an earlier release does not say that it has taken them.
 KEYS_MAX = 10_000
+# Maximum size of the first message of a link.
+HELLO_BYTES_MAX = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,6 +157,7 @@
                 self._handle_message,
                 self._remove_session,
                 self._budget,
+                first_frame_bytes_max=HELLO_BYTES_MAX,
             ),
             BACKLOG,
         )
@@ -174,8 +178,10 @@
         if self._server is not None:
             self._server.close()
         for session in tuple(self._sessions.values()):
-            self._end_calls(session)
-            session.link.close_sending()
+            with log_errors("end_calls"):
+                self._end_calls(session)
+            with log_errors("close_sending"):
+                session.link.close_sending()
         while self._must_linger(read_now() - began_at, linger_max_s):
             await asyncio.sleep(_POLL_S)
         for link in tuple(self._sessions):
--- a/kumquatwalk/soak/platform_record.py
+++ b/kumquatwalk/soak/platform_record.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from kumquatwalk.history import Violation
+from kumquatwalk.soak.process_ends import ProcessEnd
 from kumquatwalk.soak.scheduling import ProcessWait
 from kumquatwalk.standin.attempt import Attempt
 from kumquatwalk.standin.platform_node import PlatformNode
@@ -19,6 +20,7 @@
     "Impairment",
     "PlannedWork",
     "PlatformRecord",
+    "ReadinessAnswer",
     "collect_runs",
     "write_record",
 ]
@@ -71,6 +73,23 @@
     acked_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessAnswer:
+    """Answer to the platform's question whether a node is ready.
+
+    Attributes:
+        node: Node that was asked.
+        pid: Its process when it was asked.
+        at: Time of the answer, in seconds.
+        status: Status of the answer; 0 without one.
+    """
+
+    node: str
+    pid: int
+    at: float
+    status: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformRecord:
     """What callers and targets saw, and what was done to the daemons.
@@ -83,6 +102,10 @@
         departures: Acknowledged departures of targets.
         manifests: Times at which the configuration was changed, in seconds.
         waits: Long waits of processes for a processor.
+        ends: Ends of daemon processes.
+        readiness: Answers to the questions whether nodes are ready, in order.
+        store_impairments: Begin and end of each impairment of the store, in
+            seconds.
     """
 
     attempts: Sequence[Attempt]
@@ -92,6 +115,9 @@
     departures: Sequence[Departure] = ()
     manifests: Sequence[float] = ()
     waits: Sequence[ProcessWait] = ()
+    ends: Sequence[ProcessEnd] = ()
+    readiness: Sequence[ReadinessAnswer] = ()
+    store_impairments: Sequence[tuple[float, float]] = ()
 
 
 def collect_runs(
@@ -128,9 +154,13 @@
         *record.impairments,
         *record.departures,
         *record.waits,
+        *record.ends,
+        *record.readiness,
         *record.attempts,
     )
     documents = [{type(e).__name__: dataclasses.asdict(e)} for e in entries]
+    for span in record.store_impairments:
+        documents.append({"StoreImpairment": span})
     for attempt_id, runs in record.runs.items():
         for name, run in runs:
             times = (run.at, run.ended_at, run.is_broken_off)
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -2,13 +2,16 @@
 
 import dataclasses
 import json
+import math
 import os
 import pathlib
+import signal
 import subprocess
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.standin.endless_answers import ENDLESS_SCRIPTS
 from kumquatwalk.standin.scripted_target import Script
 from kumquatwalk.standin.scripted_target import ScriptedTarget
 
@@ -46,6 +49,7 @@
         born: Start of the target, in Unix milliseconds.
         starts: Number of starts of the daemon.
         started_at: Time of the last one, in seconds.
+        is_killed: Whether the daemon got SIGKILL since.
         reloads: Number of changes of the settings.
         slots: Number of requests that the target runs at once.
     """
@@ -65,6 +69,7 @@
     born: int = 1000
     starts: int = 0
     started_at: float = 0.0
+    is_killed: bool = False
     reloads: int = 0
     slots: int = 64
 
@@ -78,6 +83,11 @@
         """Whether the daemon has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the daemon was started and has ended."""
+        return self.process is not None and self.process.poll() is not None
+
     def catches(self, number: int) -> bool:
         """Return whether the daemon has a handler for a signal.
 
@@ -98,19 +108,30 @@
     def signal(self, number: int) -> None:
         """Send a signal to the daemon if it is running."""
         if self.is_running:
+            self.is_killed |= number == signal.SIGKILL
             os.kill(self.pid, number)
 
     def choose_script(self, request: HttpRequest) -> Script:
         """Return the behaviour that the path ``/ROUTE/WORK_MS/BYTES`` asks for.
 
+        The target stops work at the request's ``Deadline-Ms`` and answers 504.
+        While it is silent, it stays so past that.
+        In place of ``BYTES`` it may name one of ``ENDLESS_SCRIPTS``.
+
         Args:
             request: Request to run.
         """
         _, _, work_ms, size = request.url.decode("ascii").split("/")
+        if size in ENDLESS_SCRIPTS:
+            return ENDLESS_SCRIPTS[size]
         attempt_id = (request.find_header(b"attempt-id") or b"").decode()
         silent_s = max(0.0, self.silent_until - read_now())
+        work_s = silent_s + self.work_factor * int(work_ms) / 1000
+        limit_ms = request.find_header(b"deadline-ms")
+        limit_s = float(limit_ms) / 1000 if limit_ms else math.inf
         return Script(
-            work_s=silent_s + self.work_factor * int(work_ms) / 1000,
+            work_s=min(work_s, max(silent_s, limit_s)),
+            status=200 if work_s <= limit_s else 504,
             body=make_body(attempt_id, int(size)),
         )
 
