--- a/kumquatwalk/cli/tests/test_early_signals.py
+++ b/kumquatwalk/cli/tests/test_early_signals.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 
+from kumquatwalk.cli.tests.daemon_case import DaemonCase
 from kumquatwalk.standin.deployed_command import ROOT
 from kumquatwalk.standin.deployed_command import read_deployed_command
 
@@ -96,6 +97,16 @@
         self.assertIn(self.process.returncode, (0, EXIT_CONFIGURATION))
 
 
+class FirstLineTest(DaemonCase):
+
+    # Guards against FAULT: a SIGHUP before the first line of the program ended
+    # the process, as no program can hold signals there.
+    def test_settings_change_before_the_first_line_does_not_end_it(self):
+        self.start_daemon()
+        self.process.send_signal(signal.SIGHUP)
+        self.wait_for_line("error: ")
+
+
 class CommandTest(unittest.TestCase):
 
     # Guards against FAULT: modules of the package hide those of the standard
