Refuse answers in too many small parts, and parse no more of one that is too long

Cause: a target's answer in chunks of two bytes, or of short header lines, without end kept the node's event loop busy: each part takes processor time whatever its size, and what came after a limit, up to 2 MB in one turn, was parsed in full. The class is that of the memory: a cost that a target chooses and nothing bounds.

Ruled out: the machine (no process waited long for a processor) and the stand-in (its own loop was late by at most 10 ms).

Change: beyond 10,000 parts a body needs 64 bytes a part on average, else it counts as lost (502), and the parser stops at a limit.

--- a/kumquatwalk/http1/body_buffer.py
+++ b/kumquatwalk/http1/body_buffer.py
@@ -1,9 +1,13 @@
 """Parts of a body that is being received."""
 
-__all__ = ["BodyBuffer"]
+__all__ = ["PARTS_MAX", "BodyBuffer"]
 
 # Parts below this size are copied into blocks of about this size.
 _BLOCK_BYTES = 16 * 1024
+# Number of parts beyond which their average size counts, and its minimum in
+# bytes. A part takes processor time whatever its size.
+PARTS_MAX = 10_000
+PART_BYTES_MIN = 64
 
 
 class BodyBuffer:
@@ -17,8 +21,16 @@
 
     def __init__(self):
         self._blocks: list[bytes | bytearray] = []
+        self._parts = 0
         self.size = 0
 
+    @property
+    def is_fragmented(self) -> bool:
+        """Whether the body has come in too many parts for its size."""
+        return (
+            self._parts > PARTS_MAX and self.size < PART_BYTES_MIN * self._parts
+        )
+
     def add(self, part: bytes) -> None:
         """Add a part.
 
@@ -26,6 +38,7 @@
             part: Received bytes.
         """
         self.size += len(part)
+        self._parts += 1
         if len(part) >= _BLOCK_BYTES:
             self._blocks.append(part)
             return
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -177,11 +177,13 @@
             parser.feed(data)
         except httptools.HttpParserError as error:
             self._deliver(parser.take_completed(), has_extra=True)
+            if parser.is_too_long:
+                self._fail_as_too_long()
             self._fail("response_malformed", str(error)[:200])
             return
         self._deliver(parser.take_completed(), parser.has_partial)
         if parser.is_too_long:
-            self._fail("response_too_long", "response body exceeds the limit")
+            self._fail_as_too_long()
         elif self._limiter is not None and not self._waiter.done():
             self._limit_reading()
 
@@ -233,6 +235,9 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(response)
 
+    def _fail_as_too_long(self) -> None:
+        self._fail("response_too_long", "response body exceeds the limit")
+
     def _fail(self, code: str, message: str) -> None:
         waiter = self._waiter
         if waiter is not None and not waiter.done():
--- a/kumquatwalk/http1/response_parser.py
+++ b/kumquatwalk/http1/response_parser.py
@@ -34,7 +34,7 @@
 
     Attributes:
         is_too_long: Whether a body, a head or the trailers have exceeded their
-            limit.
+            limit, or a body has come in too many parts.
     """
 
     def __init__(
@@ -68,8 +68,8 @@
             data: Received bytes.
 
         Raises:
-            httptools.HttpParserError: A response is malformed. Responses
-                completed before it can still be taken.
+            httptools.HttpParserError: A response is malformed or too long.
+                Responses completed before it can still be taken.
         """
         self._has_body_data = self._has_header = False
         self._parser.feed_data(data)
@@ -138,11 +138,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header line or a trailer."""
+        self._check_length()
         self._has_header = True
         size = len(name) + len(value)
         if len(self._headers) >= _USUAL_HEADERS:
             size += _HEADER_OVERHEAD_BYTES
-        if self.is_too_long or len(self._headers) >= HEADERS_MAX:
+        if len(self._headers) >= HEADERS_MAX:
             self.is_too_long = True
         elif self._try_reserve(size):
             self._headers.append((name, value))
@@ -169,15 +170,20 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Add a part of the body."""
+        self._check_length()
         self._has_body_data = True
         size = self._body.size + len(chunk)
-        if self.is_too_long or size > self._body_bytes_max:
-            self.is_too_long = True
-        elif self._try_reserve(len(chunk)):
+        if size <= self._body_bytes_max and self._try_reserve(len(chunk)):
             self._body.add(chunk)
+            self.is_too_long = self._body.is_fragmented
         else:
             self.is_too_long = True
 
+    def _check_length(self) -> None:
+        """Let the parser parse no more of a response that is too long."""
+        if self.is_too_long:
+            raise ValueError("response exceeds a limit")
+
     def on_message_complete(self) -> None:
         """Store the completed response unless it is an interim one."""
         if self._status and not self._is_close_delimited:
