End a daemon without the interpreter's shutdown on every way out

Cause: sys.exit ran the interpreter's shutdown, which gives signals back their default actions before the process ends. The class is that of the start: a time in which no handler stands. A stop that served ended by os._exit before already.

Ruled out: a signal before the first line (it was sent 0.29 s after the start, the log had its first line).

--- a/kumquatwalk/cli/daemon_run.py
+++ b/kumquatwalk/cli/daemon_run.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import gc
-import os
-import sys
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
@@ -13,6 +11,7 @@
 import uvloop
 
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.cli.process_end import end_process
 from kumquatwalk.cli.stop_request import StopRequest
 from kumquatwalk.cli.unused_signals import ignore_unused_signals
 from kumquatwalk.daemon.process import Daemon
@@ -43,12 +42,14 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     try:
-        uvloop.run(_run(make_daemon, on_start))
+        try:
+            uvloop.run(_run(make_daemon, on_start))
+        finally:
+            close_logs()
     except OSError as error:
-        click.echo(f"error: {error}", err=True)
-        sys.exit(ExitCode.FAILED)
-    finally:
-        close_logs()
+        with contextlib.suppress(OSError):
+            click.echo(f"error: {error}", err=True)
+        end_process(ExitCode.FAILED)
 
 
 async def _run(
@@ -57,11 +58,7 @@
     ignore_unused_signals()
     await serve_until_stopped(make_daemon, on_start)
     close_logs()
-    # Exit without the interpreter's shutdown, which could outlast the grace
-    # period of the process. Nothing but standard output is left to flush.
-    with contextlib.suppress(OSError):
-        sys.stdout.flush()
-    os._exit(ExitCode.OK)
+    end_process(ExitCode.OK)
 
 
 async def serve_until_stopped(
--- a/kumquatwalk/cli/first_settings.py
+++ b/kumquatwalk/cli/first_settings.py
@@ -2,13 +2,13 @@
 
 import contextlib
 import signal
-import sys
 import time
 
 import click
 
 from kumquatwalk.cli.exit_codes import ExitCode
 from kumquatwalk.cli.held_signals import has_come
+from kumquatwalk.cli.process_end import end_process
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.exception import SettingError
@@ -46,7 +46,7 @@
                 click.echo(f"error: {path}: {problem}", err=True)
             reported = problem
         if has_come(signal.SIGTERM) or has_come(signal.SIGINT):
-            sys.exit(ExitCode.OK)
+            end_process(ExitCode.OK)
         if is_last:
-            sys.exit(ExitCode.CONFIGURATION)
+            end_process(ExitCode.CONFIGURATION)
         time.sleep(_POLL_S)
--- a/kumquatwalk/cli/tests/test_first_settings.py
+++ b/kumquatwalk/cli/tests/test_first_settings.py
@@ -34,6 +34,18 @@
         self.wait_for_line("error: ")
         self.assertEqual(self.stop_daemon(signal.SIGTERM), 0)
 
+    # Guards against FAULT: a second signal came while the interpreter ended,
+    # which had given the signals back their default actions.
+    def test_signals_at_the_end_do_not_change_the_exit_code(self):
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            with self.subTest(number=number):
+                self.start_daemon()
+                self.wait_for_line("error: ")
+                self.process.send_signal(signal.SIGTERM)
+                while self.process.poll() is None:
+                    self.process.send_signal(number)
+                self.assertEqual(self.process.returncode, 0)
+
     # Guards against FAULT: a problem of the settings that could not be
     # reported, as nobody read standard error or its disk was full, ended the
     # start.
