Stand-in node: one reader of the kernel's status of a daemon

The soak's requests without end read VmHWM as the node read SigCgt; both call PlatformNode now. Behaviour is the same.

--- a/kumquatwalk/soak/endless_requests.py
+++ b/kumquatwalk/soak/endless_requests.py
@@ -1,7 +1,6 @@
 """Requests beside a soak whose answers at the target do not end."""
 
 import asyncio
-import pathlib
 import random
 
 from kumquatwalk.exception import ExchangeError
@@ -66,18 +65,8 @@
     def _check_memory(self, node: PlatformNode) -> None:
         if not node.is_running or node.pid in self._exceeded:
             return
-        peak_kb = _read_peak_kb(node.pid)
+        peak_kb = node.read_peak_kb()
         if peak_kb >= MEMORY_KB_MAX:
             self._exceeded.add(node.pid)
             violation = Violation("memory", node.name, f"{peak_kb} KB")
             self._violations.append(violation)
-
-
-def _read_peak_kb(pid: int) -> int:
-    """Return the largest resident size of a process; 0 once it has ended."""
-    try:
-        text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    except OSError:
-        return 0
-    fields = dict(line.split(":", 1) for line in text.splitlines())
-    return int(fields.get("VmHWM", "0 kB").split()[0])
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -94,16 +94,21 @@
         Args:
             number: Number of the signal.
         """
+        caught = int(self._read_status().get("SigCgt", "0"), 16)
+        return bool(caught >> (number - 1) & 1)
+
+    def read_peak_kb(self) -> int:
+        """Return the largest resident size, in kilobytes; 0 once ended."""
+        return int(self._read_status().get("VmHWM", "0 kB").split()[0])
+
+    def _read_status(self) -> dict[str, str]:
+        """Return what the kernel tells of the daemon; empty once it is gone."""
         path = pathlib.Path("/proc", str(self.pid), "status")
         try:
-            fields = dict(
-                line.split(":", 1)
-                for line in path.read_text(encoding="ascii").splitlines()
-            )
+            text = path.read_text(encoding="ascii")
         except OSError:
-            return False
-        caught = int(fields.get("SigCgt", "0"), 16)
-        return bool(caught >> (number - 1) & 1)
+            return {}
+        return dict(line.split(":", 1) for line in text.splitlines())
 
     def signal(self, number: int) -> None:
         """Send a signal to the daemon if it is running."""
