Keys of teams and kind download

Cause: a deployment with teams sends a key with each request; nodes passed it on to the target, named no team, and served unknown and removed keys. Change: the configuration's teams are decoded into a table; a request needs a known key unless its route is public (401 otherwise); the target gets the name of the team in place of the key; the rank of a team goes before that of the route. Downloads are idempotent.

--- a/kumquatwalk/codes.py
+++ b/kumquatwalk/codes.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "ANSWER_SPOILED",
+    "API_KEY_INVALID",
     "ATTEMPT_ID_MISSING",
     "CALL_CANCELLED",
     "CONFIG_ABSENT",
@@ -40,6 +41,7 @@
 ]
 
 ANSWER_SPOILED = "answer_spoiled"
+API_KEY_INVALID = "api_key_invalid"
 ATTEMPT_ID_MISSING = "attempt_id_missing"
 CALL_CANCELLED = "call_cancelled"
 CONFIG_ABSENT = "config_absent"
--- a/kumquatwalk/config/__init__.py
+++ b/kumquatwalk/config/__init__.py
@@ -5,6 +5,8 @@
 from kumquatwalk.config.fleet_config import ServiceConfig
 from kumquatwalk.config.route import Route
 from kumquatwalk.config.route import ServiceShare
+from kumquatwalk.config.team import Team
+from kumquatwalk.config.team import TeamTable
 
 __all__ = [
     "CallerLimits",
@@ -12,4 +14,6 @@
     "Route",
     "ServiceConfig",
     "ServiceShare",
+    "Team",
+    "TeamTable",
 ]
--- a/kumquatwalk/config/fleet_config.py
+++ b/kumquatwalk/config/fleet_config.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from kumquatwalk.config.route import Route
+from kumquatwalk.config.team import TeamTable
 
 __all__ = ["CallerLimits", "FleetConfig", "ServiceConfig"]
 
@@ -52,12 +53,14 @@
         routes: Routes of all services.
         services: Services by name.
         limits: Limits on the requests of callers.
+        teams: Teams of the callers; None if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceConfig]
     limits: CallerLimits
+    teams: TeamTable | None = None
 
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
--- a/kumquatwalk/config/route.py
+++ b/kumquatwalk/config/route.py
@@ -40,6 +40,7 @@
             None for no limit.
         rate_max_per_s: Maximum rate at which requests are started over all
             targets, per second; None for no limit.
+        is_public: Whether its requests need no key of a team.
     """
 
     name: str
@@ -54,3 +55,4 @@
     repeats_failures: bool = True
     in_flight_max: int | None = None
     rate_max_per_s: float | None = None
+    is_public: bool = False
--- a/kumquatwalk/daemon/attempt_sender.py
+++ b/kumquatwalk/daemon/attempt_sender.py
@@ -131,6 +131,7 @@
             is_idempotent=route.is_idempotent,
             is_returning=request.is_returning,
             rank=request.rank,
+            team=request.team_name,
             deadline=self._compute_deadline(request, view),
             start_by=self._compute_start_by(request),
             method=request.http.method,
@@ -189,7 +190,7 @@
         objective_s = min(route.objective_s, route.timeout_s)
         if self._graph.is_internal(route.name):
             share = QUEUE_TIME_SHARE_INTERNAL
-        elif request.rank == 0 or not self._graph.is_external(route.name):
+        elif request.own_rank == 0 or not self._graph.is_external(route.name):
             return request.deadline
         else:
             share = (
--- a/kumquatwalk/daemon/caller_request.py
+++ b/kumquatwalk/daemon/caller_request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from kumquatwalk.config.team import Team
 from kumquatwalk.http1.message import Header
 
 __all__ = ["CallerRequest"]
@@ -17,9 +18,11 @@
         timeout_s: Time for which the caller waits, in seconds; None when not
             given.
         headers: Headers to forward to the target.
+        team: Team whose key it has; None without one.
     """
 
     attempt_id: bytes
     host: str
     timeout_s: float | None
     headers: tuple[Header, ...]
+    team: Team | None = None
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -10,6 +10,7 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.quarantine import RequestContent
+from kumquatwalk.routing.rank import combine_ranks
 
 __all__ = ["PendingRequest"]
 
@@ -88,4 +89,18 @@
     @property
     def rank(self) -> int:
         """Priority under overload; 0 is the highest."""
+        team = self.caller.team
+        if team is None:
+            return self.own_rank
+        return combine_ranks(team.rank, self.own_rank)
+
+    @property
+    def team_name(self) -> str:
+        """Name of the team that sent it; empty if it has none."""
+        team = self.caller.team
+        return "" if team is None else team.name
+
+    @property
+    def own_rank(self) -> int:
+        """Priority among the requests of its team; 0 is the highest."""
         return self.route.rank if self.chain is None else self.chain.rank
--- a/kumquatwalk/daemon/route_handler.py
+++ b/kumquatwalk/daemon/route_handler.py
@@ -15,6 +15,7 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.platform.caller_response import encode_reply
+from kumquatwalk.platform.credentials import identify_team
 from kumquatwalk.platform.request_headers import decode_caller_request
 
 __all__ = ["RouteHandler"]
@@ -41,8 +42,9 @@
 
         Returns:
             The target's answer, or a refusal or failure with its code. A
-            request without a known route or an attempt identifier, and any
-            request before the first configuration, is refused.
+            request without a known route or an attempt identifier, one
+            without the key of a team where it needs one, and any request
+            before the first configuration, is refused.
         """
         caller = decode_caller_request(request)
         reply = await self._serve(request, caller)
@@ -93,4 +95,9 @@
             return Reply(Outcome.NOT_RUN, codes.ENTRY_UNKNOWN)
         if not caller.attempt_id:
             return Reply(Outcome.NOT_RUN, codes.ATTEMPT_ID_MISSING)
+        if config.teams is not None:
+            caller = identify_team(request, caller, config.teams)
+            if caller.team is None and not route.is_public:
+                log_event("api_key_refused", route=route.name)
+                return Reply(Outcome.NOT_RUN, codes.API_KEY_INVALID)
         return await self._caller_side.serve(request, caller, route)
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -105,6 +105,7 @@
         is_protected=bool(reader.isProtected),
         crash_marks=bytes(reader.crashMarks),
         is_hedgeable=bool(reader.isHedgeable),
+        team=str(reader.team),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -89,6 +89,8 @@
     builder.isProtected = message.is_protected
     builder.crashMarks = message.crash_marks
     builder.isHedgeable = message.is_hedgeable
+    if message.team:
+        builder.team = message.team
 
 
 @write_frame.register
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -37,6 +37,7 @@
   # Used by earlier releases only.
   isMovable @20 :Bool;
   isHedgeable @21 :Bool;
+  team @22 :Text;
 }
 
 struct OwnerQuery {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -95,6 +95,7 @@
             concatenated.
         is_hedgeable: Whether the sender can have it run at another target too,
             and takes ``HedgeRequest``.
+        team: Name of the team of the caller; empty if it has none.
     """
 
     key: int
@@ -116,6 +117,7 @@
     is_protected: bool = False
     crash_marks: bytes = b""
     is_hedgeable: bool = False
+    team: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/platform/caller_response.py
+++ b/kumquatwalk/platform/caller_response.py
@@ -11,9 +11,13 @@
 # 504 it may have run.
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
-_STATUS_BY_CODE = {
+# Statuses of refusals that no retry would change.
+_STATUS_REFUSED = {
+    codes.API_KEY_INVALID: 401,
     codes.ATTEMPT_ID_MISSING: 400,
     codes.ENTRY_UNKNOWN: 404,
+}
+_STATUS_BY_CODE = {
     codes.DEADLINE_EXCEEDED: 504,
 }
 _CONTENT_TYPE = (b"Content-Type", b"application/json")
@@ -37,10 +41,8 @@
         return HttpResponse(reply.status, headers, reply.body)
     headers = (_CONTENT_TYPE,)
     if reply.outcome is Outcome.NOT_RUN:
-        status = _STATUS_NOT_RUN
-        if reply.code in (codes.ATTEMPT_ID_MISSING, codes.ENTRY_UNKNOWN):
-            status = _STATUS_BY_CODE[reply.code]
-        else:
+        status = _STATUS_REFUSED.get(reply.code, _STATUS_NOT_RUN)
+        if status == _STATUS_NOT_RUN:
             headers += ((b"Retry-After", b"%.3f" % reply.retry_after_s),)
     else:
         status = _STATUS_BY_CODE.get(reply.code, _STATUS_UNKNOWN)
--- a/kumquatwalk/platform/fleet_config.py
+++ b/kumquatwalk/platform/fleet_config.py
@@ -12,12 +12,14 @@
 from kumquatwalk.config.route import ServiceShare
 from kumquatwalk.exception import PlatformFormatError
 from kumquatwalk.platform import fields
+from kumquatwalk.platform.teams import decode_teams
 
 __all__ = ["decode_fleet_config"]
 
 _VERSION = re.compile(r"r([0-9]{1,15})")
-# A route of any other kind counts as not idempotent.
-_IDEMPOTENT_ROUTE_KIND = "safe"
+# A route of any other kind counts as not idempotent. Downloads have large
+# answers and are idempotent all the same.
+_IDEMPOTENT_ROUTE_KINDS = ("safe", "download")
 _DEFAULT_HEALTH_PATH = "/health"
 # Timeout and latency objective of a route that sets none: longer than any
 # caller waits.
@@ -54,6 +56,7 @@
         routes=tuple(routes),
         services={service.name: service for service in services},
         limits=_decode_limits(table),
+        teams=decode_teams(table),
     )
 
 
@@ -100,11 +103,12 @@
         host=host,
         path_prefix=prefix,
         shares=_decode_shares(table),
-        is_idempotent=table.get("routeKind") == _IDEMPOTENT_ROUTE_KIND,
+        is_idempotent=table.get("routeKind") in _IDEMPOTENT_ROUTE_KINDS,
         attempts_max=max(1, fields.read_int(table, "maxAttempts", 1)),
         timeout_s=fields.read_number(table, "timeoutS", _NO_TIMEOUT_S),
         objective_s=fields.read_number(table, "targetLatencyS", _NO_TIMEOUT_S),
         rank=fields.read_int(table, "priority", _DEFAULT_RANK),
+        is_public=fields.read_bool(table, "public", False),
     )
 
 
--- a/kumquatwalk/platform/names.py
+++ b/kumquatwalk/platform/names.py
@@ -1,6 +1,7 @@
 """Header names, paths, variables and store keys that the platform defines."""
 
 HEADER_ATTEMPT_ID = b"attempt-id"
+HEADER_AUTHORIZATION = b"authorization"
 HEADER_CALLER_SERVICE = b"caller-service"
 HEADER_DEADLINE_MS = b"deadline-ms"
 # Identifier of one start of a target, not of its service or address.
@@ -15,6 +16,8 @@
 HEADER_NOT_RUN = b"not-executed"
 HEADER_RETRY_AFTER = b"retry-after"
 HEADER_SIGNATURE = b"server-seal"
+# Name of the team that sent a request; set by nodes, whatever the caller sent.
+HEADER_TEAM = b"tenant"
 # In the answers of the store; rises each time it is restored from a copy.
 HEADER_STORE_ERA = b"store-era"
 
