--- a/kumquatwalk/config/route.py
+++ b/kumquatwalk/config/route.py
@@ -56,3 +56,8 @@
     in_flight_max: int | None = None
     rate_max_per_s: float | None = None
     is_public: bool = False
+
+    @property
+    def has_fleet_limits(self) -> bool:
+        """Whether a limit holds over all targets together."""
+        return self.in_flight_max is not None or self.rate_max_per_s is not None
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -457,7 +457,10 @@
         route = config and config.routes_by_name.get(call.route)
         if route is None:
             return "", None
-        targets = self._count_targets(self.service)
+        # Counting targets costs more than the rest of this check.
+        targets = (
+            self._count_targets(self.service) if route.has_fleet_limits else 1
+        )
         code = self._limits.begin(route, targets, read_now())
         return code, None if code else route
 
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -184,8 +184,8 @@
         link = self._link
         return (
             link is not None
-            and self._handshake_done.is_set()
             and now - link.last_received_at < RECEIVE_TIMEOUT_S
+            and self._handshake_done.is_set()
             and not link.is_congested
         )
 
