--- /dev/null
+++ b/kumquatwalk/caps/borrower.py
@@ -0,0 +1,251 @@
+"""Tokens that one node has borrowed, and its plan of what to borrow next."""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from kumquatwalk.caps.entry import COUNT_MAX
+from kumquatwalk.caps.entry import TokenEntry
+from kumquatwalk.caps.grants import GRANT_LIFETIME_S
+
+__all__ = ["BorrowerPool"]
+
+# Time of a team's recent demand for which tokens are borrowed ahead, in
+# seconds: well under the lifetime of a grant, so that few tokens are lost. A
+# team with less than one request in that time borrows on demand only.
+AHEAD_S = 0.12
+# Time constant of the estimate of a team's demand, in seconds.
+DEMAND_TIME_S = 0.5
+# Time before the end of a grant at which its tokens are returned, in seconds.
+# Tokens that would end on the way are not worth the bytes.
+RETURN_BEFORE_S = 0.1
+# Bounds of the time for which an allocator without tokens is not asked again,
+# in seconds. It doubles while the team stays over its cap, which bounds the
+# messages; tokens that come meanwhile are kept up to the burst.
+EMPTY_MIN_S = 0.025
+EMPTY_MAX_S = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Lot:
+    """Tokens of one grant."""
+
+    count: int
+    expires_at: float
+    zone: str
+    epoch: int
+
+
+class _TeamState:
+    """Tokens and demand of one team."""
+
+    __slots__ = ("lots", "rate_per_s", "counted_at", "empty_s", "empty_until")
+
+    def __init__(self, now: float):
+        self.lots: list[_Lot] = []
+        self.rate_per_s = 0.0
+        self.counted_at = now
+        self.empty_s = 0.5 * EMPTY_MIN_S
+        self.empty_until: dict[str, float] = {}
+
+
+class BorrowerPool:
+    """Holds unspent tokens of all teams at one node.
+
+    Its memory follows the teams with requests at this node lately.
+
+    Attributes:
+        lost: Number of tokens whose lifetime has ended unspent.
+        returned: Number of tokens returned.
+    """
+
+    def __init__(self):
+        self._teams: dict[int, _TeamState] = {}
+        self._returns: dict[tuple[str, int], dict[int, int]] = {}
+        self.lost = 0
+        self.returned = 0
+
+    def take(self, team: int, now: float) -> bool:
+        """Spend a token for one request and return whether there was one.
+
+        Args:
+            team: Number of the team.
+            now: Current time, in seconds.
+        """
+        state = self._teams.get(team)
+        if state is None:
+            state = self._teams[team] = _TeamState(now)
+        self._count_demand(state, now)
+        return self._spend(state, now)
+
+    def spend(self, team: int, now: float) -> bool:
+        """Spend a token for a request that has waited, if there is one.
+
+        Args:
+            team: Number of the team.
+            now: Current time, in seconds.
+        """
+        state = self._teams.get(team)
+        return state is not None and self._spend(state, now)
+
+    def plan_request(self, team: int, waiting: int) -> int:
+        """Return how many tokens to request.
+
+        Args:
+            team: Number of the team.
+            waiting: Requests that wait for a token.
+
+        Returns:
+            As many as wait, and for a team with much demand some more.
+        """
+        state = self._teams.get(team)
+        ahead = 0 if state is None else int(state.rate_per_s * AHEAD_S)
+        return min(COUNT_MAX, waiting + ahead)
+
+    def wants_more(self, team: int, now: float) -> bool:
+        """Return whether to borrow ahead, as few tokens are left.
+
+        Args:
+            team: Number of the team.
+            now: Current time, in seconds.
+        """
+        state = self._teams.get(team)
+        if state is None:
+            return False
+        ahead = int(state.rate_per_s * AHEAD_S)
+        if ahead < 2:
+            return False
+        left = sum(lot.count for lot in state.lots if lot.expires_at > now)
+        return 2 * left <= ahead
+
+    def add_grant(
+        self, zone: str, epoch: int, entry: TokenEntry, sent_at: float
+    ) -> None:
+        """Add granted tokens.
+
+        Args:
+            zone: Zone of the allocator.
+            epoch: Epoch that its message names; returns name it again.
+            entry: Team with the tokens granted.
+            sent_at: Time at which the request was sent, in seconds.
+        """
+        state = self._teams.get(entry.team)
+        if state is None:
+            state = self._teams[entry.team] = _TeamState(sent_at)
+        if entry.count:
+            expires_at = sent_at + GRANT_LIFETIME_S
+            state.empty_s = 0.5 * EMPTY_MIN_S
+            state.lots.append(_Lot(entry.count, expires_at, zone, epoch))
+
+    def mark_empty(
+        self, zone: str, team: int, wait_s: float, now: float
+    ) -> None:
+        """Record that an allocator has no more tokens of a team.
+
+        Args:
+            zone: Zone of the allocator.
+            team: Number of the team.
+            wait_s: Time until it expects the next token, in seconds.
+            now: Current time, in seconds.
+        """
+        state = self._teams.get(team)
+        if state is not None:
+            state.empty_s = min(EMPTY_MAX_S, 2.0 * state.empty_s)
+            state.empty_until[zone] = now + max(state.empty_s, wait_s)
+
+    def find_zone(
+        self, team: int, zones: Iterable[str], now: float
+    ) -> str | None:
+        """Return the first zone that is not known to lack tokens of a team.
+
+        Args:
+            team: Number of the team.
+            zones: Zones in order of preference.
+            now: Current time, in seconds.
+        """
+        state = self._teams.get(team)
+        empty = {} if state is None else state.empty_until
+        return next((z for z in zones if empty.get(z, 0.0) <= now), None)
+
+    def get_empty_until(self, team: int, zone: str) -> float:
+        """Return until when an allocator is not asked for a team's tokens.
+
+        Args:
+            team: Number of the team.
+            zone: Zone of the allocator.
+
+        Returns:
+            The time, in seconds; minus infinity if it may be asked.
+        """
+        state = self._teams.get(team)
+        return (
+            -math.inf
+            if state is None
+            else state.empty_until.get(zone, -math.inf)
+        )
+
+    def sweep(self, now: float) -> bool:
+        """Set tokens aside for return that are not spent; forget idle teams.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            Whether any tokens are left whose time will come.
+        """
+        has_lots = False
+        for team, state in tuple(self._teams.items()):
+            self._drop_expired(state, now)
+            kept = []
+            for lot in state.lots:
+                if lot.expires_at - now < RETURN_BEFORE_S:
+                    returns = self._returns.setdefault(
+                        (lot.zone, lot.epoch), {}
+                    )
+                    returns[team] = returns.get(team, 0) + lot.count
+                    self.returned += lot.count
+                else:
+                    kept.append(lot)
+            state.lots = kept
+            has_lots |= bool(kept)
+            idle_s = now - state.counted_at
+            if not kept and idle_s > 10.0 * DEMAND_TIME_S:
+                del self._teams[team]
+        return has_lots
+
+    def take_returns(self) -> dict[tuple[str, int], dict[int, int]]:
+        """Return and forget the tokens set aside for return.
+
+        Returns:
+            Numbers of tokens by team, by zone and epoch of the allocator.
+        """
+        returns, self._returns = self._returns, {}
+        return returns
+
+    def clear(self) -> None:
+        """Forget all tokens and teams."""
+        self._teams.clear()
+        self._returns.clear()
+
+    def _spend(self, state: _TeamState, now: float) -> bool:
+        self._drop_expired(state, now)
+        if not state.lots:
+            return False
+        lot = state.lots[0]
+        lot.count -= 1
+        if not lot.count:
+            del state.lots[0]
+        return True
+
+    def _drop_expired(self, state: _TeamState, now: float) -> None:
+        # A late grant may end before one that was added earlier.
+        if any(lot.expires_at <= now for lot in state.lots):
+            ended = [lot for lot in state.lots if lot.expires_at <= now]
+            self.lost += sum(lot.count for lot in ended)
+            state.lots = [lot for lot in state.lots if lot.expires_at > now]
+
+    def _count_demand(self, state: _TeamState, now: float) -> None:
+        elapsed = max(0.0, now - state.counted_at)
+        state.counted_at = max(now, state.counted_at)
+        state.rate_per_s *= math.exp(-elapsed / DEMAND_TIME_S)
+        state.rate_per_s += 1.0 / DEMAND_TIME_S
--- a/kumquatwalk/codes.py
+++ b/kumquatwalk/codes.py
@@ -9,6 +9,7 @@
     "API_KEY_INVALID",
     "ATTEMPT_ID_MISSING",
     "CALL_CANCELLED",
+    "CAP_UNAVAILABLE",
     "CONFIG_ABSENT",
     "CONTEXT_UNKNOWN",
     "DEADLINE_EXCEEDED",
@@ -31,6 +32,7 @@
     "TARGET_REPLACED",
     "TARGET_SHED",
     "TARGET_UNREACHABLE",
+    "TEAM_CAP",
     "FORGED_TICKET",
     "KEY_REUSED",
     "OWNER_UNREACHABLE",
@@ -44,6 +46,7 @@
 API_KEY_INVALID = "api_key_invalid"
 ATTEMPT_ID_MISSING = "attempt_id_missing"
 CALL_CANCELLED = "call_cancelled"
+CAP_UNAVAILABLE = "cap_unavailable"
 CONFIG_ABSENT = "config_absent"
 CONTEXT_UNKNOWN = "context_unknown"
 DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -66,6 +69,7 @@
 TARGET_REPLACED = "target_replaced"
 TARGET_SHED = "target_shed"
 TARGET_UNREACHABLE = "target_unreachable"
+TEAM_CAP = "team_cap"
 FORGED_TICKET = "forged_ticket"
 KEY_REUSED = "key_reused"
 OWNER_UNREACHABLE = "owner_unreachable"
--- a/kumquatwalk/mesh/callbacks.py
+++ b/kumquatwalk/mesh/callbacks.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import TargetStatus
@@ -12,6 +14,10 @@
 __all__ = ["PeerCallbacks"]
 
 
+def _ignore(_message: CapGrant | CapHolder) -> None:
+    pass
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCallbacks:
     """Functions that a ``PeerLink`` calls with messages from its peer.
@@ -21,9 +27,11 @@
         on_config: Called with each fleet configuration that was requested.
         on_traffic: Called with each traffic report of the peer.
         on_crash: Called with each notice of a request that crashes targets.
+        on_caps: Called with each answer to a request for tokens.
     """
 
     on_status: Callable[[TargetView, TargetStatus], None]
     on_config: Callable[[ConfigDocument], None]
     on_traffic: Callable[[TargetView, TrafficReport], None]
     on_crash: Callable[[CrashNotice], None]
+    on_caps: Callable[[CapGrant | CapHolder], None] = _ignore
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -3,11 +3,16 @@
 import math
 from typing import Any
 
+from kumquatwalk.caps.entry import COUNT_MAX
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.exception import FrameError
 from kumquatwalk.http1.message import Header
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -31,6 +36,8 @@
 
 __all__ = ["read_frame"]
 
+_U32_MAX = 0xFFFFFFFF
+
 
 def read_frame(frame: Any) -> Message:
     """Read the message in a frame of the schema.
@@ -206,6 +213,29 @@
     return CrashNotice(bytes(reader.report))
 
 
+def _read_cap_request(reader: Any) -> CapRequest:
+    return CapRequest(
+        int(reader.requestId), int(reader.epoch), _read_entries(reader)
+    )
+
+
+def _read_cap_grant(reader: Any) -> CapGrant:
+    return CapGrant(
+        int(reader.requestId), int(reader.epoch), _read_entries(reader)
+    )
+
+
+def _read_cap_holder(reader: Any) -> CapHolder:
+    return CapHolder(int(reader.requestId), str(reader.holder))
+
+
+def _read_entries(reader: Any) -> tuple[TokenEntry, ...]:
+    return tuple(
+        TokenEntry(n & _U32_MAX, n >> 32 & COUNT_MAX, n >> 48)
+        for n in reader.entries
+    )
+
+
 _READ_FUNCTIONS = {
     "hello": _read_hello,
     "call": _read_call_frame,
@@ -218,4 +248,7 @@
     "trafficReport": _read_traffic_report,
     "ownerQuery": _read_owner_query,
     "crashNotice": _read_crash_notice,
+    "capRequest": _read_cap_request,
+    "capGrant": _read_cap_grant,
+    "capHolder": _read_cap_holder,
 }
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -4,10 +4,15 @@
 import math
 from typing import Any
 
+from kumquatwalk.caps.entry import COUNT_MAX
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.http1.message import Header
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -195,6 +200,34 @@
     frame.init("crashNotice").report = message.report
 
 
+@write_frame.register
+def _(message: CapRequest, frame: Any) -> None:
+    _write_tokens(frame.init("capRequest"), message)
+
+
+@write_frame.register
+def _(message: CapGrant, frame: Any) -> None:
+    _write_tokens(frame.init("capGrant"), message)
+
+
+@write_frame.register
+def _(message: CapHolder, frame: Any) -> None:
+    builder = frame.init("capHolder")
+    builder.requestId = message.request_id
+    builder.holder = message.holder
+
+
+def _write_tokens(builder: Any, message: CapRequest | CapGrant) -> None:
+    builder.requestId = message.request_id
+    builder.epoch = message.epoch
+    builder.entries = [_pack_entry(entry) for entry in message.entries]
+
+
+def _pack_entry(entry: TokenEntry) -> int:
+    count = min(entry.count, COUNT_MAX)
+    return entry.team | count << 32 | min(entry.extra, COUNT_MAX) << 48
+
+
 def _encode_time(time_s: float) -> int:
     return max(0, int(time_s * US_PER_S))
 
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -18,6 +18,9 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -88,6 +91,11 @@
         partition: Simulated network partition of this node.
         budget: Bytes of bodies that the process may hold; the links count in
             it what waits to be sent and what has been received in part.
+
+    Attributes:
+        lend_tokens: Returns the answer to a request for tokens of teams, or
+            None if none is wanted; set by ``DaemonCore``. Until then it says
+            that this node knows of no allocator.
     """
 
     def __init__(
@@ -120,6 +128,9 @@
         self._sessions: dict[LinkProtocol, _Session] = {}
         self._server: asyncio.Server | None = None
         self._is_closing = False
+        self.lend_tokens: Callable[
+            [CapRequest], CapGrant | CapHolder | None
+        ] = _lend_nothing
 
     @property
     def calls_in_progress(self) -> int:
@@ -267,8 +278,8 @@
                 key = session.keys.pop(message.call_id, None)
                 if key is not None:
                     self._release_reply(key)
-            case ConfigRequest():
-                self._send_config(link, message)
+            case ConfigRequest() | CapRequest():
+                self._answer_request(link, message)
             case _:
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
@@ -285,6 +296,16 @@
         if document is not None and document.version > request.after_version:
             link.send(document)
 
+    def _answer_request(
+        self, link: LinkProtocol, request: ConfigRequest | CapRequest
+    ) -> None:
+        if isinstance(request, ConfigRequest):
+            self._send_config(link, request)
+            return
+        answer = self.lend_tokens(request)
+        if answer is not None:
+            link.send(answer)
+
     def _start_reply_task(
         self, session: _Session, call_id: int, pending_reply: Awaitable[Reply]
     ) -> None:
@@ -330,3 +351,7 @@
             return
         for task in tuple(session.tasks.values()):
             task.cancel(LINK_LOST)
+
+
+def _lend_nothing(request: CapRequest) -> CapHolder:
+    return CapHolder(request.request_id, "")
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -127,6 +127,26 @@
   report @0 :Data;
 }
 
+struct CapRequest {
+  requestId @0 :UInt32;
+  epoch @1 :UInt32;
+  # Each: team in the low 32 bits, tokens wanted in 16, tokens returned in 16.
+  entries @2 :List(UInt64);
+}
+
+struct CapGrant {
+  requestId @0 :UInt32;
+  epoch @1 :UInt32;
+  # Each: team in the low 32 bits, tokens in 16, ms until the next in 16.
+  entries @2 :List(UInt64);
+}
+
+struct CapHolder {
+  requestId @0 :UInt32;
+  # Empty where the sender knows of none.
+  holder @1 :Text;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -140,5 +160,8 @@
     ownerQuery @8 :OwnerQuery;
     crashNotice @9 :CrashNotice;
     hedgeRequest @10 :HedgeRequest;
+    capRequest @11 :CapRequest;
+    capGrant @12 :CapGrant;
+    capHolder @13 :CapHolder;
   }
 }
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.http1.message import Header
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -17,6 +18,9 @@
     "Call",
     "CallFrame",
     "Cancel",
+    "CapGrant",
+    "CapHolder",
+    "CapRequest",
     "ConfigDocument",
     "ConfigRequest",
     "CrashNotice",
@@ -330,6 +334,50 @@
     report: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapRequest:
+    """Requests tokens of teams and returns unused ones.
+
+    Attributes:
+        request_id: Identifier that the answer repeats.
+        epoch: Period of lending to which the returned tokens belong.
+        entries: Teams with the tokens wanted and returned.
+    """
+
+    request_id: int
+    epoch: int
+    entries: tuple[TokenEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapGrant:
+    """Grants tokens of teams, for a short time from the request's sending.
+
+    Attributes:
+        request_id: Request that it answers.
+        epoch: Period of lending of the sender.
+        entries: Teams with the tokens and the time until the next.
+    """
+
+    request_id: int
+    epoch: int
+    entries: tuple[TokenEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapHolder:
+    """Says that the sender lends no tokens.
+
+    Attributes:
+        request_id: Request that it answers.
+        holder: Node that lends in the zone of the sender; empty if the sender
+            knows of none.
+    """
+
+    request_id: int
+    holder: str
+
+
 Message = (
     Hello
     | CallFrame
@@ -342,4 +390,7 @@
     | ConfigDocument
     | TrafficReport
     | CrashNotice
+    | CapRequest
+    | CapGrant
+    | CapHolder
 )
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -20,6 +20,9 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -346,6 +349,18 @@
         if self._link is not None:
             self._link.send(ConfigRequest(after_version))
 
+    def request_tokens(self, request: CapRequest) -> None:
+        """Request tokens of teams from the peer.
+
+        The answer goes to ``PeerCallbacks.on_caps``; no request is sent
+        without a connection.
+
+        Args:
+            request: The request.
+        """
+        if self._link is not None:
+            self._link.send(request)
+
     def _send_request(
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
     ) -> None:
@@ -504,6 +519,8 @@
                 self._callbacks.on_traffic(self.view, message)
             case CrashNotice():
                 self._callbacks.on_crash(message)
+            case CapGrant() | CapHolder():
+                self._callbacks.on_caps(message)
             case _:
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.exception import FrameError
 from kumquatwalk.mesh.codec import FrameReader
 from kumquatwalk.mesh.codec import decode
@@ -18,6 +19,9 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -83,6 +87,9 @@
     ),
     CrashNotice(b"C12345678"),
     Cancel(3),
+    CapRequest(7, 9, (TokenEntry(0xFFFFFFFF, 3, 2), TokenEntry(5, 0xFFFF, 1))),
+    CapGrant(7, 0xFFFFFFFF, (TokenEntry(1, 0, 0xFFFF),)),
+    CapHolder(7, "n"),
     HedgeRequest(3),
     TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
     TargetStatus(is_stopping=True, stop_left_s=3.5, clock_s=7.25),
