Caps of teams in the daemon: allocators, borrowing and refusals

One node in each zone lends the zone's share by a record in the store. A request of a team with a cap takes a token before the ingress admission, or is refused with team_cap or cap_unavailable and a time. Without a cap no task, message or call to the store is made.

--- a/kumquatwalk/caps/client.py
+++ b/kumquatwalk/caps/client.py
@@ -90,6 +90,8 @@
         pool: Unspent tokens.
         results: Waiters that are done, with the refusal or None for a token;
             the owner removes them.
+        silent: Requests that have got no answer in time; the owner removes
+            them.
         granted: Number of tokens granted, by zone of the allocator.
     """
 
@@ -106,6 +108,7 @@
         self._has_responded = False
         self.pool = BorrowerPool()
         self.results: list[tuple[int, CapRefusal | None]] = []
+        self.silent: list[TokenRequest] = []
         self.granted = dict.fromkeys(self._zones, 0)
 
     @property
@@ -185,9 +188,8 @@
             return
         zone = flight.request.zone
         self._end_flight(flight)
-        state = self._states[zone]
-        state.backoff_s, state.backoff_until = 0.0, -math.inf
-        state.responded = self._has_responded = True
+        self.end_backoff(zone)
+        self._states[zone].responded = self._has_responded = True
         granted = {entry.team: entry for entry in entries}
         for wanted in flight.request.entries:
             if not wanted.count:
@@ -213,6 +215,15 @@
             self._end_flight(flight)
             self._back_off(flight.request.zone, now)
 
+    def end_backoff(self, zone: str) -> None:
+        """Ask the allocator of a zone again at once, as another one lends.
+
+        Args:
+            zone: Zone of the allocator.
+        """
+        state = self._states[zone]
+        state.backoff_s, state.backoff_until = 0.0, -math.inf
+
     def poll(self, now: float) -> list[TokenRequest]:
         """Serve, refuse or keep what waits, and return messages to send.
 
@@ -360,6 +371,7 @@
             if not flight.is_late and age_s >= REPLY_TIMEOUT_S:
                 self._end_flight(flight)
                 flight.is_late = True
+                self.silent.append(flight.request)
                 self._back_off(flight.request.zone, now)
             if age_s >= GRANT_LIFETIME_S:
                 del self._in_flight[request_id]
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -26,6 +26,7 @@
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.settings import FleetBounds
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.team_caps import TeamCaps
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.logs import log_event
@@ -85,6 +86,7 @@
         leaving: Targets that have said that they leave.
         stop_admission: Refuses requests that a stop would cut off.
         capped: Number of requests that the end of a stop has ended.
+        caps: Caps of teams; set by ``DaemonCore``. None until then.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
             settings, target_side, own_view, peers, graph, self.stop_admission
         )
         self.capped = 0
+        self.caps: TeamCaps | None = None
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -243,6 +246,12 @@
     async def _serve_admitted(self, request: PendingRequest) -> Reply:
         """Serve a request for whose answer there is memory."""
         route, caller = request.route, request.caller
+        if caller.team is not None and caller.team.rate_max_per_s is not None:
+            refusal = await self.caps.refuse_over_cap(
+                caller, route.name, request.deadline
+            )
+            if refusal is not None:
+                return refusal
         if not request.is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
         ):
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -23,12 +23,15 @@
 from kumquatwalk.daemon.state_publisher import StatePublisher
 from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.team_caps import TeamCaps
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQuery
@@ -159,6 +162,16 @@
         self.roster = RosterSync(
             self.store, settings.node_id, self._make_entry, self.peers
         )
+        self.caps = TeamCaps(
+            settings,
+            self.incarnation,
+            self.store,
+            self.peers,
+            lambda: self.roster.is_known,
+            self.registry,
+        )
+        self.caller_side.caps = self.caps
+        self.link_server.lend_tokens = self.caps.lend_tokens
         self.store.era.on_restore = self._handle_restore
         self.state_publisher = StatePublisher(
             self.own_view,
@@ -188,6 +201,7 @@
             linger_max_s: See ``LinkServer.close``.
         """
         for component in (
+            self.caps,
             self.state_publisher,
             self.config_watcher,
             self.roster,
@@ -215,6 +229,7 @@
             certain_from: See ``StopAdmission.set_end``; for requests of callers
                 on this VM only, as peers choose other targets.
         """
+        self.caps.begin_stop()
         self.caller_side.set_end(ends_at, typical_until, certain_from)
         self.target_side.stop_admission.set_end(ends_at, typical_until)
 
@@ -253,6 +268,7 @@
                 lambda document: self.configs.update(document.document, "peer"),
                 self._handle_traffic_report,
                 self._handle_crash_notice,
+                self._handle_cap_answer,
             ),
             self.partition,
             self.body_budget,
@@ -336,6 +352,9 @@
     def _handle_crash_notice(self, notice: CrashNotice) -> None:
         self._crash_tracker.handle_broadcast(notice.report, read_now())
 
+    def _handle_cap_answer(self, answer: CapGrant | CapHolder) -> None:
+        self.caps.handle_answer(answer)
+
     def _list_crash_notices(self) -> list[CrashNotice]:
         reports = self._crash_tracker.list_reports(read_now())
         return [CrashNotice(report) for report in reports]
@@ -350,11 +369,13 @@
             self.configs.update(event.value, SOURCE_STORE)
 
     def _notify_config(self, config: FleetConfig) -> None:
+        self.caps.set_teams(config.teams)
         self.on_config(config)
         # Other nodes read the version in the status and ask for the document.
         self.state_publisher.publish_status()
 
     def _handle_restore(self) -> None:
+        self.caps.handle_restore()
         self.config_watcher.handle_restore()
         self.roster.handle_restore()
         self.on_restore()
--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -124,16 +124,28 @@
         Returns:
             The link, or None when the node is unknown or not reached in time.
         """
-        link = self._links.get(node_id)
-        if link is None:
-            entry = self._entries.get(node_id)
-            if entry is None:
-                return None
-            link = self._open(entry)
-        if not await link.wait_until_usable(timeout_s):
+        link = self.use(node_id)
+        if link is None or not await link.wait_until_usable(timeout_s):
             return None
         return link
 
+    def use(self, node_id: str) -> PeerLink | None:
+        """Return the link to a node of the roster; open one if need be.
+
+        The link is kept for a while from the last use on.
+
+        Args:
+            node_id: Identifier of the node, inside the subset or not.
+
+        Returns:
+            The link, usable or not; None when the node is unknown.
+        """
+        self._unselected_since.pop(node_id, None)
+        link = self._links.get(node_id)
+        if link is None and node_id in self._entries:
+            link = self._open(self._entries[node_id])
+        return link
+
     def list_views(self, service: str) -> list[TargetView]:
         """Return the known state of the linked targets of a service.
 
@@ -286,6 +298,13 @@
             ids.add(self._own_view.node_id)
         return frozenset(ids)
 
+    def list_ids(self) -> frozenset[str]:
+        """Return the identifiers of all nodes, with this one's own.
+
+        Nodes that are linked to and do not answer are left out.
+        """
+        return frozenset((*self._list_answering_ids(), self._own_view.node_id))
+
     @property
     def has_lowest_reachable_id(self) -> bool:
         """Whether this node's identifier sorts before all others.
--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -107,6 +107,8 @@
         metrics_listener=_read_metrics_listener(table),
         bounds=_decode_bounds(table),
         memory_max_bytes=_read_memory(table),
+        # The names of the zones; their values are regions.
+        zones=tuple(sorted(fields.read_table(table.get("zones", {}), "zones"))),
     )
 
 
--- a/kumquatwalk/platform/tests/test_teams.py
+++ b/kumquatwalk/platform/tests/test_teams.py
@@ -138,6 +138,16 @@
                 self.assertIsNone(caller.team)
                 self.assertEqual((), caller.headers)
 
+    def test_refusals_by_a_cap_name_a_time(self):
+        for code, status in (
+            (codes.TEAM_CAP, 429),
+            (codes.CAP_UNAVAILABLE, 503),
+        ):
+            reply = Reply(Outcome.NOT_RUN, code, retry_after_s=0.25)
+            response = encode_reply(reply, b"id")
+            self.assertEqual(status, response.status)
+            self.assertIn((b"Retry-After", b"0.250"), response.headers)
+
     def test_refusal_has_status_401_and_names_no_time(self):
         reply = Reply(Outcome.NOT_RUN, codes.API_KEY_INVALID)
         response = encode_reply(reply, b"id")
--- a/kumquatwalk/roster/duty.py
+++ b/kumquatwalk/roster/duty.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Collection
 
-__all__ = ["holds_duty"]
+__all__ = ["holds_duty", "list_holders"]
 
 
 def holds_duty(node_id: str, node_ids: Collection[str], holders: int) -> bool:
@@ -24,5 +24,15 @@
     return sum(_hash(other) < own for other in node_ids) < holders
 
 
+def list_holders(node_ids: Collection[str], holders: int) -> list[str]:
+    """Return the nodes that carry a duty, in a fixed order; see ``holds_duty``.
+
+    Args:
+        node_ids: Nodes that share the duty.
+        holders: Number of nodes that carry it.
+    """
+    return sorted(node_ids, key=_hash)[:holders]
+
+
 def _hash(node_id: str) -> bytes:
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -5,6 +5,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.daemon.cap_metrics import CapMetrics
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.platform_interface import PlatformInterface
@@ -51,6 +52,7 @@
     meters.record_request("r", reply, 0.0)
     meters.record_run(reply, 0.0)
     meters.record_unanswered(Stage.READ, End.TIMEOUT)
+    CapMetrics(core.registry, ("z",), lambda: 0.0).record_request("granted")
     return core.registry
 
 
