--- a/kumquatwalk/caps/borrower.py
+++ b/kumquatwalk/caps/borrower.py
@@ -8,7 +8,7 @@
 from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.caps.grants import GRANT_LIFETIME_S
 
-__all__ = ["BorrowerPool"]
+__all__ = ["BorrowerPool", "Token"]
 
 # Time of a team's recent demand for which tokens are borrowed ahead, in
 # seconds: well under the lifetime of a grant, so that few tokens are lost. A
@@ -26,6 +26,23 @@
 EMPTY_MAX_S = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """Token that one request has taken.
+
+    Attributes:
+        team: Number of the team.
+        zone: Zone of the allocator that has lent it.
+        epoch: Period of lending.
+        expires_at: End of its lifetime, in seconds.
+    """
+
+    team: int
+    zone: str
+    epoch: int
+    expires_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Lot:
     """Tokens of one grant."""
@@ -65,8 +82,8 @@
         self.lost = 0
         self.returned = 0
 
-    def take(self, team: int, now: float) -> bool:
-        """Spend a token for one request and return whether there was one.
+    def take(self, team: int, now: float) -> Token | None:
+        """Take a token for one request and return it, if there is one.
 
         Args:
             team: Number of the team.
@@ -76,17 +93,29 @@
         if state is None:
             state = self._teams[team] = _TeamState(now)
         self._count_demand(state, now)
-        return self._spend(state, now)
+        return self._spend(team, state, now)
 
-    def spend(self, team: int, now: float) -> bool:
-        """Spend a token for a request that has waited, if there is one.
+    def spend(self, team: int, now: float) -> Token | None:
+        """Take a token for a request that has waited, if there is one.
 
         Args:
             team: Number of the team.
             now: Current time, in seconds.
         """
         state = self._teams.get(team)
-        return state is not None and self._spend(state, now)
+        return None if state is None else self._spend(team, state, now)
+
+    def give_back(self, token: Token) -> None:
+        """Put back the token of a request that was refused elsewhere.
+
+        Args:
+            token: The token; its lifetime goes on.
+        """
+        state = self._teams.get(token.team)
+        if state is not None:
+            state.lots.append(
+                _Lot(1, token.expires_at, token.zone, token.epoch)
+            )
 
     def plan_request(self, team: int, waiting: int) -> int:
         """Return how many tokens to request.
@@ -227,15 +256,15 @@
         self._teams.clear()
         self._returns.clear()
 
-    def _spend(self, state: _TeamState, now: float) -> bool:
+    def _spend(self, team: int, state: _TeamState, now: float) -> Token | None:
         self._drop_expired(state, now)
         if not state.lots:
-            return False
+            return None
         lot = state.lots[0]
         lot.count -= 1
         if not lot.count:
             del state.lots[0]
-        return True
+        return Token(team, lot.zone, lot.epoch, lot.expires_at)
 
     def _drop_expired(self, state: _TeamState, now: float) -> None:
         # A late grant may end before one that was added earlier.
--- a/kumquatwalk/caps/client.py
+++ b/kumquatwalk/caps/client.py
@@ -9,6 +9,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.caps.borrower import BorrowerPool
+from kumquatwalk.caps.borrower import Token
 from kumquatwalk.caps.entry import COUNT_MAX
 from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.caps.grants import GRANT_LIFETIME_S
@@ -38,6 +39,13 @@
 SWEEP_INTERVAL_S = 0.05
 
 
+# Messages a second that a node of a large fleet sends at most, and how many it
+# may send at once beyond. With 300 nodes it keeps messages about caps under
+# 2 KB a second per node; what is wanted meanwhile goes with the next message.
+PACED_MESSAGES_PER_S = 11.0
+PACED_MESSAGES_BURST = 6.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenRequest:
     """Message to the allocator of a zone.
@@ -88,8 +96,9 @@
 
     Attributes:
         pool: Unspent tokens.
-        results: Waiters that are done, with the refusal or None for a token;
-            the owner removes them.
+        results: Waiters that are done, with the token or the refusal; the
+            owner removes them.
+        is_paced: Whether the number of messages is limited.
         silent: Requests that have got no answer in time; the owner removes
             them.
         granted: Number of tokens granted, by zone of the allocator.
@@ -107,8 +116,11 @@
         self._sweep_at = math.inf
         self._has_responded = False
         self.pool = BorrowerPool()
-        self.results: list[tuple[int, CapRefusal | None]] = []
+        self.results: list[tuple[int, Token | CapRefusal]] = []
         self.silent: list[TokenRequest] = []
+        self.is_paced = False
+        self._messages_left = PACED_MESSAGES_BURST
+        self._paced_at = 0.0
         self.granted = dict.fromkeys(self._zones, 0)
 
     @property
@@ -116,7 +128,7 @@
         """Whether nothing waits and no token is held."""
         return not self._waiters and math.isinf(self._sweep_at)
 
-    def try_take(self, team: int, now: float) -> bool:
+    def try_take(self, team: int, now: float) -> Token | None:
         """Take a token that is held already, if there is one.
 
         ``poll`` is to be called next where ``has_work`` is then true.
@@ -125,11 +137,23 @@
             team: Number of the team.
             now: Current time, in seconds.
         """
-        if not self.pool.take(team, now):
-            return False
+        token = self.pool.take(team, now)
+        if token is None:
+            return None
         if self.pool.wants_more(team, now) and not self._asked[team]:
             self._ahead.add(team)
-        return True
+        return token
+
+    def give_back(self, token: Token, now: float) -> None:
+        """Put back the token of a request that did not use it.
+
+        Args:
+            token: The token.
+            now: Current time, in seconds.
+        """
+        if token.expires_at > now:
+            self.pool.give_back(token)
+            self._sweep_at = min(self._sweep_at, now + SWEEP_INTERVAL_S)
 
     @property
     def has_work(self) -> bool:
@@ -232,16 +256,15 @@
         """
         self._end_late_flights(now)
         wanted: dict[str, dict[int, int]] = {}
+        can_send = not self.is_paced or self._refill_messages(now) >= 1.0
         for team in tuple(self._waiters):
             self._serve_waiters(team, now)
-            self._plan_team(team, wanted, now)
-        for team in self._ahead:
-            zone = self.pool.find_zone(team, self._list_usable(now), now)
-            if zone is not None and not self._asked[team]:
-                wanted.setdefault(zone, {})[team] = self.pool.plan_request(
-                    team, 0
-                )
-        self._ahead.clear()
+            usable = self._list_usable(now)
+            self._refuse_overdue(team, usable, now)
+            if can_send:
+                self._plan_team(team, usable, wanted, now)
+        if can_send:
+            self._plan_ahead(wanted, now)
         if now >= self._sweep_at:
             has_lots = self.pool.sweep(now)
             self._sweep_at = now + SWEEP_INTERVAL_S if has_lots else math.inf
@@ -253,12 +276,24 @@
         for flight in self._in_flight.values():
             timeout_s = GRANT_LIFETIME_S if flight.is_late else REPLY_TIMEOUT_S
             due = min(due, flight.sent_at + timeout_s)
+        send_at = self._find_send_time()
+        if self._ahead:
+            due = min(due, send_at)
         for team, waiters in self._waiters.items():
             due = min(due, *(w.deadline for w in waiters))
             if not self._asked[team]:
-                due = min(due, self._find_next_token(team, self._zones))
+                token_at = self._find_next_token(team, self._zones)
+                due = min(due, max(token_at, send_at))
         return due
 
+    def _find_send_time(self) -> float:
+        """Return the time from which a message may be sent, in seconds."""
+        missing = 1.0 - self._messages_left
+        if not self.is_paced or missing <= 0.0:
+            return -math.inf
+        # The margin is above the rounding of a time since the boot.
+        return self._paced_at + missing / PACED_MESSAGES_PER_S + 1e-4
+
     def _find_next_token(self, team: int, zones: Sequence[str]) -> float:
         """Return when one of some zones can be asked; infinite without one."""
         return min(
@@ -281,25 +316,49 @@
 
     def _serve_waiters(self, team: int, now: float) -> None:
         waiters = self._waiters[team]
-        while waiters and self.pool.spend(team, now):
-            self.results.append((waiters.popleft().key, None))
+        while waiters:
+            token = self.pool.spend(team, now)
+            if token is None:
+                break
+            self.results.append((waiters.popleft().key, token))
         self._set_waiters(team, waiters)
 
     def _plan_team(
-        self, team: int, wanted: dict[str, dict[int, int]], now: float
+        self,
+        team: int,
+        usable: list[str],
+        wanted: dict[str, dict[int, int]],
+        now: float,
     ) -> None:
-        """Ask for the tokens that are missing, or refuse who cannot wait."""
-        usable = self._list_usable(now)
-        self._refuse_overdue(team, usable, now)
-        waiters = self._waiters.get(team)
-        if not waiters:
-            return
-        missing = len(waiters) - self._asked[team]
+        """Ask for the tokens that are missing for those who wait."""
+        missing = len(self._waiters.get(team, ())) - self._asked[team]
         zone = self.pool.find_zone(team, usable, now)
         if missing > 0 and zone is not None:
             count = self.pool.plan_request(team, missing)
             wanted.setdefault(zone, {})[team] = count
 
+    def _plan_ahead(
+        self, wanted: dict[str, dict[int, int]], now: float
+    ) -> None:
+        """Ask for tokens of teams with much demand before theirs run out."""
+        usable = self._list_usable(now)
+        for team in self._ahead:
+            zone = self.pool.find_zone(team, usable, now)
+            if zone is not None and not self._asked[team]:
+                count = self.pool.plan_request(team, 0)
+                wanted.setdefault(zone, {}).setdefault(team, count)
+        self._ahead.clear()
+
+    def _refill_messages(self, now: float) -> float:
+        """Return how many messages may be sent at once now."""
+        elapsed = max(0.0, now - self._paced_at)
+        self._paced_at = max(now, self._paced_at)
+        self._messages_left = min(
+            PACED_MESSAGES_BURST,
+            self._messages_left + elapsed * PACED_MESSAGES_PER_S,
+        )
+        return self._messages_left
+
     def _refuse_overdue(self, team: int, usable: list[str], now: float) -> None:
         """Refuse the requests whose wait is over or is known to be futile."""
         token_at = self._find_next_token(team, usable)
@@ -359,6 +418,7 @@
         )
         request_id = next(self._request_ids) & 0xFFFFFFFF
         request = TokenRequest(request_id, zone, epoch, entries)
+        self._messages_left -= 1.0
         if any(entry.count for entry in entries):
             self._in_flight[request_id] = _InFlight(request, now)
             for entry in entries:
--- a/kumquatwalk/caps/tests/driver.py
+++ b/kumquatwalk/caps/tests/driver.py
@@ -9,6 +9,7 @@
 from kumquatwalk.caps.allocator import Allocator
 from kumquatwalk.caps.client import CapClient
 from kumquatwalk.caps.client import TokenRequest
+from kumquatwalk.caps.refusal import CapRefusal
 from kumquatwalk.caps.team_index import TeamIndex
 from kumquatwalk.config.team import Team
 
@@ -205,14 +206,14 @@
         offset_s = self._offsets[node]
         for request in client.poll(self.now + offset_s):
             self._send(node, request)
-        for key, refusal in client.results:
+        for key, result in client.results:
             team, began_at = self._pending.pop((node, key))
-            if refusal is None:
+            if isinstance(result, CapRefusal):
+                place = team, result.code
+                self.refused[place] = self.refused.get(place, 0) + 1
+            else:
                 self.granted[team].append(self.now)
                 self.waits.append(self.now - began_at)
-            else:
-                place = team, refusal.code
-                self.refused[place] = self.refused.get(place, 0) + 1
         client.results.clear()
         due = client.find_next_due()
         if due < float("inf"):
--- a/kumquatwalk/caps/tests/test_borrowing.py
+++ b/kumquatwalk/caps/tests/test_borrowing.py
@@ -156,6 +156,19 @@
         driver.run(3.0)
         self.assertEqual(len(driver.granted["t"]), 1)
 
+    def test_messages_of_a_large_fleet_are_paced(self):
+        # Small teams are asked for on demand, one message for each request.
+        demands = make_zipf_teams(1000, 1200.0, 1.6, 5.0)
+        driver = CapDriver(30, 3, [d.team for d in demands])
+        for client in driver.clients:
+            client.is_paced = True
+        rng = random.Random(3)
+        for demand in demands:
+            driver.add_poisson(demand, [1.0] * 30, 5.0, rng)
+        driver.run(6.0)
+        self.assertLess(driver.bytes_sent / 5.0 / 30, 2200.0)
+        self.assertLess(max(driver.waits[len(driver.waits) // 2 :]), 0.2)
+
     def test_over_the_cap_the_whole_cap_is_served(self):
         team = Team("t", 0, 30.0, 15.0)
         driver = CapDriver(61, 3, [team])
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -246,15 +246,18 @@
     async def _serve_admitted(self, request: PendingRequest) -> Reply:
         """Serve a request for whose answer there is memory."""
         route, caller = request.route, request.caller
+        token = None
         if caller.team is not None and caller.team.rate_max_per_s is not None:
-            refusal = await self.caps.refuse_over_cap(
+            token = await self.caps.take_token(
                 caller, route.name, request.deadline
             )
-            if refusal is not None:
-                return refusal
+            if isinstance(token, Reply):
+                return token
         if not request.is_nested and not self._admission.admits(
             route, request.is_returning, read_now()
         ):
+            if token is not None:
+                self.caps.give_back(token)
             delay_s = self._admission.draw_retry_delay(
                 route, request.is_returning
             )
--- a/kumquatwalk/daemon/team_caps.py
+++ b/kumquatwalk/daemon/team_caps.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from kumquatwalk.caps.allocator import Allocator
+from kumquatwalk.caps.borrower import Token
 from kumquatwalk.caps.client import REPLY_TIMEOUT_S
 from kumquatwalk.caps.client import CapClient
 from kumquatwalk.caps.client import TokenRequest
@@ -47,6 +48,9 @@
 # Requests that are remembered until their answers come. Those of an allocator
 # that does not respond are forgotten as later ones replace them.
 ASKED_MAX = 1000
+# Number of nodes above which messages to allocators are paced. In a smaller
+# fleet, requests do not wait to be sent together.
+PACED_NODES_MIN = 200
 _EPOCHS = 1 << 32
 
 
@@ -102,7 +106,7 @@
         self._holders: dict[str, str] = {}
         self._failures = dict.fromkeys(self._zones, 0)
         self._asked: dict[int, tuple[TokenRequest, str]] = {}
-        self._waiting: dict[int, asyncio.Future[CapRefusal | None]] = {}
+        self._waiting: dict[int, asyncio.Future[Token | CapRefusal | None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = math.inf
         self._pending_pump: asyncio.Handle | None = None
@@ -174,34 +178,38 @@
         """Write the record again, as the store was restored from a copy."""
         self._keeper.handle_restore()
 
-    async def refuse_over_cap(
+    async def take_token(
         self, caller: CallerRequest, route: str, deadline: float
-    ) -> Reply | None:
-        """Take a token for a request, or return its refusal.
+    ) -> Token | Reply | None:
+        """Take a token for a request.
 
         Args:
             caller: Decoded headers of the request, with a team that has a cap.
             route: Name of the route, for the log.
             deadline: Deadline of the request, in seconds.
+
+        Returns:
+            The token; None if none is needed any more; the reply that refuses
+            the request if there is none.
         """
-        refusal = await self.acquire(caller.team, read_now(), deadline)
-        if refusal is None:
-            return None
-        delay_s = max(RETRY_AFTER_MIN_S, refusal.retry_after_s)
+        result = await self.acquire(caller.team, read_now(), deadline)
+        if not isinstance(result, CapRefusal):
+            return result
+        delay_s = max(RETRY_AFTER_MIN_S, result.retry_after_s)
         delay_s *= self._rng.uniform(*RETRY_AFTER_JITTER)
         log_event(
             "request_refused",
             attempt=caller.attempt_id.decode("latin-1"),
             route=route,
             team=caller.team.name,
-            code=refusal.code,
+            code=result.code,
             retry_after_s=delay_s,
         )
-        return Reply(Outcome.NOT_RUN, refusal.code, retry_after_s=delay_s)
+        return Reply(Outcome.NOT_RUN, result.code, retry_after_s=delay_s)
 
     async def acquire(
         self, team: Team, now: float, deadline: float = math.inf
-    ) -> CapRefusal | None:
+    ) -> Token | CapRefusal | None:
         """Take a token, waiting for one if need be.
 
         Args:
@@ -210,20 +218,29 @@
             deadline: Deadline of the request, in seconds.
 
         Returns:
-            None once there is a token, else the refusal.
+            The token or the refusal; None if the configuration in force has no
+            cap for the team.
         """
         number = self._index.by_name.get(team.name)
         if number is None:
-            return None  # the configuration in force has no cap for it
-        refusal = None
-        if self._client.try_take(number, now):
-            if self._client.has_work:
-                self._schedule_pump()
-        else:
-            refusal = await self._wait(number, now, deadline)
-        result = "granted" if refusal is None else refusal.code
-        self._metrics.record_request(result)
-        return refusal
+            return None
+        result = self._client.try_take(number, now)
+        if result is None:
+            result = await self._wait(number, now, deadline)
+        elif self._client.has_work:
+            self._schedule_pump()
+        is_refused = isinstance(result, CapRefusal)
+        self._metrics.record_request(result.code if is_refused else "granted")
+        return result
+
+    def give_back(self, token: Token) -> None:
+        """Put back the token of a request that is refused for another reason.
+
+        Args:
+            token: The token, as from ``take_token``.
+        """
+        self._client.give_back(token, read_now())
+        self._schedule_pump()
 
     def lend_tokens(self, request: CapRequest) -> CapGrant | CapHolder | None:
         """Return the answer to another node's request.
@@ -281,7 +298,7 @@
 
     async def _wait(
         self, number: int, now: float, deadline: float
-    ) -> CapRefusal | None:
+    ) -> Token | CapRefusal | None:
         future = asyncio.get_running_loop().create_future()
         key = self._client.wait(number, deadline, now)
         self._waiting[key] = future
@@ -301,6 +318,7 @@
 
     def _pump(self) -> None:
         self._pending_pump = None
+        self._client.is_paced = self._peers.count > PACED_NODES_MIN
         while True:
             requests = self._client.poll(read_now())
             self._deliver_results()
@@ -315,10 +333,12 @@
 
     def _deliver_results(self) -> None:
         results = self._client.results
-        for key, refusal in results:
+        for key, result in results:
             future = self._waiting.get(key)
             if future is not None and not future.done():
-                future.set_result(refusal)
+                future.set_result(result)
+            elif isinstance(result, Token):
+                self._client.give_back(result, read_now())
         results.clear()
 
     def _note_silence(self) -> None:
--- a/kumquatwalk/platform/tests/test_decoders.py
+++ b/kumquatwalk/platform/tests/test_decoders.py
@@ -106,6 +106,11 @@
         self.assertEqual(settings_.link_listener, Address("10.1.0.8", 8300))
         self.assertEqual(settings_.bounds.grace_s, 7.0)
         self.assertEqual(settings_.bounds.retry_ratio, 0.1)
+        self.assertEqual(settings_.zones, ())
+
+    def test_zones_are_the_names_in_their_table(self):
+        text = SETTINGS + '\n[zones]\nb = "region-1"\na = "region-1"\n'
+        self.assertEqual(decode_settings(text).zones, ("a", "b"))
 
     def test_truncated_file_is_rejected(self):
         with self.assertRaises(SettingError):
