Queue of a target: teams of one rank share slot-seconds fairly

Start-time fair queueing over expected run times, in a module of its own. Calls without a team keep their order. A full queue evicts the call with the latest start tag in the lowest rank.

--- a/kumquatwalk/admission/target_limiter.py
+++ b/kumquatwalk/admission/target_limiter.py
@@ -1,9 +1,9 @@
 """Concurrency limit and priority queue of one target."""
 
-import bisect
 import dataclasses
 
 from kumquatwalk import codes
+from kumquatwalk.admission.fair_share import FairQueue
 from kumquatwalk.admission.named_rate import NamedRate
 from kumquatwalk.admission.run_times import RunTimes
 
@@ -47,6 +47,7 @@
         start_by: Time by which it should start, in seconds. The call is refused
             on arrival when its expected wait in the queue is longer, and when
             it is still queued then.
+        team: Name of the team of its caller; empty if it has none.
     """
 
     key: int
@@ -55,6 +56,7 @@
     is_preferred: bool
     deadline: float
     start_by: float
+    team: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,19 +74,13 @@
     retry_after_s: float
 
 
-@dataclasses.dataclass(slots=True, order=True)
-class _QueuedCall:
-    order: tuple[int, int, int]
-    call: AdmissionRequest = dataclasses.field(compare=False)
-    run_s: float = dataclasses.field(compare=False)
-
-
 class TargetLimiter:
     """Bounds the concurrency of one target and queues the excess calls.
 
-    The queue is ordered by rank, then preferred calls, then arrival. A call
-    that could not end before its deadline is refused immediately, so that its
-    caller learns early that it has not run.
+    The queue is ordered by rank, then preferred calls, then arrival; calls of
+    teams by rank and the fair shares of teams, see ``FairQueue``. A call that
+    could not end before its deadline is refused immediately, so that its caller
+    learns early that it has not run.
 
     A rate that the target names bounds the calls that start, besides.
 
@@ -99,8 +95,7 @@
         self._decreased_at = -1.0
         self._running: dict[int, tuple[str, float]] = {}
         self._running_estimate_s = 0.0
-        self._queue: list[_QueuedCall] = []
-        self._sequence = 0
+        self._queue = FairQueue()
         self._closed_code = codes.TARGET_ABSENT
         self.run_times = RunTimes()
         self.named_rate = NamedRate()
@@ -162,7 +157,7 @@
             Refusals of the queued calls.
         """
         self._closed_code = code
-        queue, self._queue = self._queue, []
+        queue = self._queue.clear()
         return [Refusal(item.call.key, code, 0.0) for item in queue]
 
     def submit(
@@ -186,17 +181,15 @@
                 return False, [self._refuse(call, codes.DEADLINE_EXCEEDED, now)]
             self._start(call)
             return True, []
-        self._sequence += 1
-        order = (call.rank, 0 if call.is_preferred else 1, self._sequence)
-        item = _QueuedCall(order, call, self.run_times.estimate(call.route))
-        index = bisect.bisect(self._queue, item)
+        item = self._queue.make_item(call, self.run_times.estimate(call.route))
+        index = self._queue.find_index(item)
         wait_s = self._estimate_wait_at(index, now)
         if not self._can_end_in_time(call, wait_s, now):
             return False, [self._refuse(call, codes.OVERLOADED, now)]
         self._queue.insert(index, item)
         if len(self._queue) <= QUEUE_PER_LIMIT * self.limit:
             return False, []
-        last = self._queue.pop()
+        last = self._queue.remove_last()
         return False, [self._refuse(last.call, codes.QUEUE_FULL, now)]
 
     def finish(
@@ -246,10 +239,9 @@
         Returns:
             Whether the call was queued.
         """
-        kept = [item for item in self._queue if item.call.key != key]
-        was_queued = len(kept) < len(self._queue)
-        self._queue = kept
-        return was_queued
+        items = [item for item in self._queue if item.call.key == key]
+        self._queue.remove(items)
+        return bool(items)
 
     def dispatch(self, now: float) -> tuple[list[int], list[Refusal]]:
         """Start queued calls up to the concurrency limit.
@@ -264,11 +256,13 @@
         started: list[int] = []
         refused: list[Refusal] = []
         while self._queue and self._can_start(now):
-            call = self._queue.pop(0).call
+            call = self._queue.get_first().call
             code = self._find_expiry(call, now)
             if code:
+                self._queue.remove_first()
                 refused.append(self._refuse(call, code, now))
                 continue
+            self._queue.start_first()
             self._start(call)
             started.append(call.key)
         return started, refused
@@ -285,15 +279,11 @@
         Returns:
             Refusals of the removed calls.
         """
-        found = [(i.call, self._find_expiry(i.call, now)) for i in self._queue]
-        expired = {call.key: (call, code) for call, code in found if code}
+        found = [(i, self._find_expiry(i.call, now)) for i in self._queue]
+        expired = [(item, code) for item, code in found if code]
         if expired:
-            self._queue = [
-                item for item in self._queue if item.call.key not in expired
-            ]
-        return [
-            self._refuse(call, code, now) for call, code in expired.values()
-        ]
+            self._queue.remove([item for item, _ in expired])
+        return [self._refuse(item.call, code, now) for item, code in expired]
 
     def _find_expiry(self, call: AdmissionRequest, now: float) -> str:
         """Return the code with which a queued call expires; empty if not."""
@@ -328,7 +318,7 @@
         )
 
     def _estimate_slot_wait(self, index: int) -> float:
-        ahead_s = sum(item.run_s for item in self._queue[:index])
+        ahead_s = self._queue.sum_run_times(index)
         running = len(self._running)
         if running < self.limit:
             return ahead_s / self.limit
@@ -346,4 +336,9 @@
         return now + wait_s + run_s + REPLY_MARGIN_S <= call.deadline
 
     def _refuse(self, call: AdmissionRequest, code: str, now: float) -> Refusal:
-        return Refusal(call.key, code, self.estimate_wait(now))
+        if not call.team:
+            return Refusal(call.key, code, self.estimate_wait(now))
+        index = self._queue.estimate_index(call)
+        if not index and self._can_start(now):
+            return Refusal(call.key, code, 0.0)
+        return Refusal(call.key, code, self._estimate_wait_at(index, now))
--- a/kumquatwalk/daemon/admission_waiter.py
+++ b/kumquatwalk/daemon/admission_waiter.py
@@ -68,6 +68,7 @@
             call.is_returning or call.depth > 0,
             call.deadline,
             call.start_by,
+            call.team,
         )
         is_admitted, refused = self.limiter.submit(
             admission_request, read_now()
