--- a/kumquatwalk/admission/fair_share.py
+++ b/kumquatwalk/admission/fair_share.py
@@ -9,9 +9,10 @@
 
 __all__ = ["FairQueue", "QueuedCall"]
 
-# Teams of one rank of which there may be state before it is checked which of
-# them can be forgotten; then twice those that are left.
-TEAMS_CHECKED_MIN = 32
+# Starts of calls in one rank between two checks which teams can be forgotten,
+# at least; else as many as there are teams, so that the cost of a start is the
+# same for any number of teams.
+CHECK_INTERVAL_MIN = 32
 # Second field of the order of a call of a team. Calls without a team have 0
 # or 1 there, so that they precede those of teams of the same rank.
 _TEAM_GROUP = 2
@@ -64,12 +65,12 @@
         virtual_time: Start tag of the call of a team that was started last.
         queued: Number of queued calls of teams.
         teams: Shares by name of the team.
-        checked_above: Number of teams above which idle ones are dropped.
+        starts_left: Starts until idle teams are dropped.
     """
 
     virtual_time: float = 0.0
     queued: int = 0
-    checked_above: int = TEAMS_CHECKED_MIN
+    starts_left: int = CHECK_INTERVAL_MIN
     teams: dict[str, _TeamShare] = dataclasses.field(default_factory=dict)
 
     def drop_idle_teams(self) -> None:
@@ -79,7 +80,7 @@
             for name, share in self.teams.items()
             if share.items or share.start_tag > self.virtual_time
         }
-        self.checked_above = max(TEAMS_CHECKED_MIN, 2 * len(self.teams))
+        self.starts_left = max(CHECK_INTERVAL_MIN, len(self.teams))
 
 
 class FairQueue:
@@ -99,7 +100,8 @@
 
     The state of a rank is dropped when no call of a team is queued in it. Until
     then it has the teams with queued calls, and those that have been started
-    ahead of the virtual time.
+    ahead of the virtual time. A team of which nothing was queued for so long
+    that each other has had as much is forgotten.
     """
 
     def __init__(self):
@@ -191,9 +193,10 @@
         shares.virtual_time = share.start_tag
         share.start_tag += item.run_s
         shares.queued -= 1
+        shares.starts_left -= 1
         if not shares.queued:
             del self._ranks[item.call.rank]
-        elif len(shares.teams) > shares.checked_above:
+        elif not shares.starts_left:
             shares.drop_idle_teams()
 
     def remove_first(self) -> None:
