--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -9,7 +9,7 @@
 from kumquatwalk.admission.probabilities import RouteDemand
 from kumquatwalk.admission.probabilities import compute_admission_probabilities
 
-__all__ = ["IngressLoadShedder", "ServiceLoad"]
+__all__ = ["IngressLoadShedder", "ServiceLoad", "split_between_attempts"]
 
 # Utilization of a service: the fraction of its concurrency limit that requests
 # are admitted for. It is set to the initial value when the service is first
@@ -52,6 +52,22 @@
     limit: float
 
 
+def split_between_attempts(
+    probability: float, retry_share: float, is_returning: bool
+) -> float:
+    """Return the admission probability of first attempts, or of retries.
+
+    Args:
+        probability: Admission probability over both together.
+        retry_share: Share of callers' retries in the requests.
+        is_returning: Whether it is wanted for callers' retries.
+    """
+    if is_returning:
+        return min(1.0, probability / max(retry_share, 0.001))
+    rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
+    return max(rest, FIRST_ATTEMPT_PART * probability)
+
+
 class IngressLoadShedder:
     """Computes the admission probability of requests at the ingress.
 
@@ -132,13 +148,14 @@
         if probability is None:
             return 1.0
         retry_share = self._retry_shares.get(route, 0.0)
-        if is_returning:
-            return min(1.0, probability / max(retry_share, 0.001))
-        rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
-        return max(rest, FIRST_ATTEMPT_PART * probability)
+        return split_between_attempts(probability, retry_share, is_returning)
 
     def draw_retry_delay(
-        self, route: str, is_returning: bool, rng: random.Random
+        self,
+        route: str,
+        is_returning: bool,
+        rng: random.Random,
+        probability: float | None = None,
     ) -> float:
         """Return the time after which a refused caller should retry.
 
@@ -150,11 +167,14 @@
             route: Name of the route.
             is_returning: Whether the request is taken for a caller's retry.
             rng: Random source.
+            probability: Admission probability of the caller's team; None for
+                that of the route.
 
         Returns:
             The time in seconds; 0 for soon.
         """
-        probability = self._probabilities.get(route, 1.0)
+        if probability is None:
+            probability = self._probabilities.get(route, 1.0)
         if not is_returning and rng.random() < probability:
             return 0.0
         return rng.uniform(*LATE_RETRY_RANGE_S)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -244,10 +244,10 @@
         """Serve a request for whose answer there is memory."""
         route, caller = request.route, request.caller
         if not request.is_nested and not self._admission.admits(
-            route, request.is_returning, read_now()
+            route, request.is_returning, read_now(), caller.team
         ):
             delay_s = self._admission.draw_retry_delay(
-                route, request.is_returning
+                route, request.is_returning, caller.team
             )
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -1,11 +1,15 @@
 """Admission control of callers' requests by the load of all services."""
 
+import math
 import random
 
 from kumquatwalk.admission.ingress import IngressLoadShedder
 from kumquatwalk.admission.ingress import ServiceLoad
+from kumquatwalk.admission.ingress import split_between_attempts
 from kumquatwalk.admission.probabilities import RouteDemand
+from kumquatwalk.admission.team_split import TeamSplit
 from kumquatwalk.config.route import Route
+from kumquatwalk.config.team import Team
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.logs import log_event
 from kumquatwalk.routing.call_graph import CallGraph
@@ -13,6 +17,11 @@
 
 __all__ = ["IngressAdmission"]
 
+# Interval at which the teams that are refused most are logged while requests
+# are shed, in seconds, and their number.
+TEAM_LOG_INTERVAL_S = 5.0
+TEAMS_LOGGED_MAX = 8
+
 
 class IngressAdmission:
     """Sheds callers' requests that would overload a downstream service.
@@ -23,6 +32,9 @@
     target makes them on the operators' platform. A call on an internal route
     is part of a request that has been admitted.
 
+    The probability of a route is split among the teams whose requests this node
+    observes, see ``TeamSplit``. Requests without a team get that of the route.
+
     Args:
         peers: Links to other nodes.
         graph: Graph of the calls that routes make to each other.
@@ -35,38 +47,72 @@
         self._rng = rng
         self._shedder = IngressLoadShedder()
         self._ranks: dict[str, int] = {}
-
-    def admits(self, route: Route, is_returning: bool, now: float) -> bool:
+        self._split = TeamSplit()
+        self._teams_logged_at = -math.inf
+
+    def admits(
+        self,
+        route: Route,
+        is_returning: bool,
+        now: float,
+        team: Team | None = None,
+    ) -> bool:
         """Return whether to admit a request.
 
         Args:
             route: Route of the request.
             is_returning: Whether it is taken for a caller's retry.
             now: Current time, in seconds.
+            team: Team that sent it; None without one.
         """
         self._ranks[route.name] = route.rank
         self._shedder.record_arrival(route.name, is_returning)
+        if team is not None:
+            self._split.record_arrival(
+                route.name, team.name, team.rank, is_returning
+            )
         if self._shedder.is_update_due(now):
             self._update_probabilities(now)
         if not self._shedder.admission_probabilities:
             return True
-        probability = self._shedder.get_admission_probability(
-            route.name, is_returning
-        )
+        limit = self._find_team_limit(route, team)
+        if limit is None:
+            probability = self._shedder.get_admission_probability(
+                route.name, is_returning
+            )
+        else:
+            probability = split_between_attempts(*limit, is_returning)
         return self._rng.random() < probability
 
-    def draw_retry_delay(self, route: Route, is_returning: bool) -> float:
+    def draw_retry_delay(
+        self, route: Route, is_returning: bool, team: Team | None = None
+    ) -> float:
         """Return the time after which a refused caller should retry.
 
         Args:
             route: Route of the request.
             is_returning: Whether it is taken for a caller's retry.
+            team: Team that sent it; None without one.
 
         Returns:
             The time in seconds; 0 for soon.
         """
+        limit = self._find_team_limit(route, team)
         return self._shedder.draw_retry_delay(
-            route.name, is_returning, self._rng
+            route.name,
+            is_returning,
+            self._rng,
+            None if limit is None else limit[0],
+        )
+
+    def _find_team_limit(
+        self, route: Route, team: Team | None
+    ) -> tuple[float, float] | None:
+        """Return what ``TeamSplit.get_probability`` returns for a request."""
+        if team is None:
+            return None
+        return self._split.get_probability(
+            route.name, team.name, team.rank, self._rng.random()
         )
 
     def _update_probabilities(self, now: float) -> None:
@@ -74,6 +120,8 @@
         loads = self._sum_loads()
         demands = self._list_demands()
         self._shedder.update(loads, demands, now)
+        self._split.update(self._shedder.admission_probabilities, now)
+        self._log_limited_teams(now)
         if bool(self._shedder.admission_probabilities) != was_shedding:
             # Logged only when shedding begins or ends.
             probabilities = self._shedder.admission_probabilities
@@ -89,6 +137,21 @@
                 demands=",".join(map(_describe_demand, demands)),
             )
 
+    def _log_limited_teams(self, now: float) -> None:
+        """Log at intervals which teams are refused most, if any are."""
+        if now - self._teams_logged_at < TEAM_LOG_INTERVAL_S:
+            return
+        teams = self._split.list_limited(TEAMS_LOGGED_MAX)
+        if teams:
+            self._teams_logged_at = now
+            log_event(
+                "team_shares_set",
+                teams=",".join(
+                    f"{name}:{per_s:.1f}*{share:.3f}"
+                    for name, per_s, share in teams
+                ),
+            )
+
     def _list_demands(self) -> list[RouteDemand]:
         times = collect_run_times(self._peers.list_all_views())
         return [
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -1,10 +1,12 @@
 """Tests of ingress admission with loads and reports of other nodes."""
 
+import collections
 import random
 import unittest
 from unittest import mock
 
 from kumquatwalk.config.tests.samples import make_route
+from kumquatwalk.config.team import Team
 from kumquatwalk.daemon import ingress_admission
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.call_graph import CallGraph
@@ -83,6 +85,41 @@
         self.assertLess(one, 250)
         self.assertEqual(four, 400)
 
+    def test_large_team_is_shed_before_small_ones_and_the_lower_rank(self):
+        # Requests of all teams used to have the same probability.
+        admission = make_admission("r")
+        route = make_route(name="r", rank=2)
+        teams = [Team("large"), Team("small"), Team("low", rank=1)]
+        admitted, sent = collections.Counter(), collections.Counter()
+        with mock.patch.object(ingress_admission, "log_event") as log:
+            for number in range(2000):
+                now = 1.0 + number / 100.0
+                team = teams[{5: 1, 15: 2}.get(number % 20, 0)]
+                is_admitted = admission.admits(route, False, now, team)
+                if now > 5.0:
+                    sent[team.name] += 1
+                    admitted[team.name] += is_admitted
+        shares = {name: admitted[name] / sent[name] for name in sent}
+        self.assertGreater(shares["small"], 0.99)
+        self.assertLess(shares["large"], 0.7)
+        self.assertLess(shares["low"], shares["large"])
+        total = sum(admitted.values()) / sum(sent.values())
+        self.assertGreater(shares["low"], 0.25 * total)
+        events = [call.args[0] for call in log.call_args_list]
+        self.assertIn("team_shares_set", events)
+
+    def test_requests_without_a_team_have_the_probability_of_the_route(self):
+        # Beside teams, they are admitted as without any.
+        alone, beside = make_admission("r"), make_admission("r")
+        route = make_route(name="r", rank=2)
+        for _ in range(50):
+            beside.admits(route, False, 1.0, Team("large"))
+        self.assertAlmostEqual(
+            count_admitted(alone, route),
+            count_admitted(beside, route),
+            delta=40,
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
