--- a/kumquatwalk/admission/team_split.py
+++ b/kumquatwalk/admission/team_split.py
@@ -8,13 +8,18 @@
 
 __all__ = ["TeamDemand", "TeamLimit", "TeamSplit", "split_among_teams"]
 
-# Time constant of the observed rates, in seconds. While the rates lag behind a
-# burst, other teams lose: up to 0.17 of their requests with 4 s, 0.05 with 2 s,
-# 0.02 with 1 s (simulated, 73 teams, 60 requests a second at the node).
-RATE_TIME_S = 1.0
+# Time constant of an observed rate, in seconds: the time in which a team sends
+# some requests, so that the rate of a large team follows a burst and that of a
+# small one is no mere chance. In a simulated burst of the largest of 73 teams,
+# with 60 requests a second at the node, others lost 0.17 of their requests in
+# the seconds after it with 4 s for all teams, 0.05 with 2 s, 0.02 with 1 s and
+# 0.01 so.
+RATE_TIME_MIN_S = 1.0
+RATE_TIME_MAX_S = 8.0
+RATE_REQUESTS = 8.0
 # Rate below which a team is forgotten on a route, in requests per second: some
-# 7 s after a single request.
-RATE_MIN_PER_S = 0.001
+# 26 s after a single request.
+RATE_MIN_PER_S = 0.005
 # Maximum number of pairs of a route and a team of which the rate is known, at
 # about 250 bytes each. 1,000 teams use four routes each at one node.
 FLOWS_MAX = 4096
@@ -149,8 +154,16 @@
     requests_per_s: float = 0.0
     returning_per_s: float = 0.0
 
-    def update(self, elapsed_s: float, weight: float) -> None:
+    @property
+    def time_constant_s(self) -> float:
+        """Time constant of the rates, in seconds."""
+        if self.requests_per_s * RATE_TIME_MAX_S <= RATE_REQUESTS:
+            return RATE_TIME_MAX_S
+        return max(RATE_TIME_MIN_S, RATE_REQUESTS / self.requests_per_s)
+
+    def update(self, elapsed_s: float) -> None:
         """Include the requests since the last update in the rates."""
+        weight = 1.0 - math.exp(-elapsed_s / self.time_constant_s)
         rate = self.arrived / elapsed_s
         self.requests_per_s += weight * (rate - self.requests_per_s)
         rate = self.returned / elapsed_s
@@ -250,11 +263,11 @@
         retry_share = flow.returning_per_s / rate if rate else 0.0
         # The rate at the arrival of a request does not include that request,
         # so for teams that send rarely it is lower than the rates that the
-        # limits are computed from: those are spread over all requests, each of
-        # which weighs between 1 / RATE_TIME_S and 0 according to its age. (The
-        # mean of a Poisson process seen from its points, by Mecke's formula.)
-        # Without this, of 1,000 such teams 0.86 were admitted instead of 0.5.
-        seen_rate = rate + draw / RATE_TIME_S
+        # limits are computed from. There, a request weighs between the inverse
+        # of the time constant and 0, according to its age. (A Poisson process
+        # seen from its points, by Mecke's formula.) Without this, of requests
+        # of 1,000 such teams 0.73 were admitted instead of 0.5 (simulated).
+        seen_rate = rate + draw / flow.time_constant_s
         return limit.compute_probability(rank, seen_rate), retry_share
 
     def list_limited(self, count_max: int) -> list[tuple[str, float, float]]:
@@ -299,11 +312,10 @@
         if elapsed_s <= 0.0:
             return
         self._updated_at = now
-        weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_S)
         for route in list(self._flows):
             flows = self._flows[route]
             for flow in flows.values():
-                flow.update(elapsed_s, weight)
+                flow.update(elapsed_s)
             kept = {
                 team: flow
                 for team, flow in flows.items()
