--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -197,7 +197,10 @@
             self.stop_admission.finish(route.name, key, has_run, read_now())
             if chain is not None:
                 chain.tokens.close()
-        self._metrics.record_request(route.name, reply, read_now() - began_at)
+        team = "" if caller.team is None else caller.team.name
+        self._metrics.record_request(
+            route.name, reply, read_now() - began_at, team
+        )
         return reply
 
     async def _serve(
--- a/kumquatwalk/daemon/metrics.py
+++ b/kumquatwalk/daemon/metrics.py
@@ -3,9 +3,11 @@
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.mesh.message import Reply
+from kumquatwalk.metrics.busiest_labels import BusiestCounters
 from kumquatwalk.metrics.counter import Counter
 from kumquatwalk.metrics.label import Label
 from kumquatwalk.metrics.registry import MetricsRegistry
+from kumquatwalk.outcome import Outcome
 
 __all__ = ["DaemonMetrics"]
 
@@ -33,11 +35,23 @@
             help_text="Requests sent again after they reached a target.",
         )
         self._requests: dict[tuple[str, str, str], Counter] = {}
+        self._team_requests = BusiestCounters(
+            registry,
+            "kumquatwalk_team_requests_total",
+            "team",
+            "Requests from this VM by team, by what became of them.",
+        )
+        self._team_calls = BusiestCounters(
+            registry,
+            "kumquatwalk_team_calls_total",
+            "team",
+            "Calls by team that ran at the target or that its queue refused.",
+        )
         self._unanswered: dict[tuple[Stage, End], Counter] = {}
         self._target_calls: dict[tuple[str, str], Counter] = {}
 
     def record_request(
-        self, route: str, reply: Reply, elapsed_s: float
+        self, route: str, reply: Reply, elapsed_s: float, team: str = ""
     ) -> None:
         """Count a request from this VM and record its latency.
 
@@ -45,6 +59,7 @@
             route: Name of its route.
             reply: Reply to it, which gives the outcome and code.
             elapsed_s: Time from its arrival to the reply, in seconds.
+            team: Name of its team; empty if it has none.
         """
         outcome = reply.outcome.name.lower()
         key = (route, outcome, reply.code)
@@ -60,6 +75,20 @@
             self._requests[key] = counter
         counter.increment()
         self._request_latency.record(elapsed_s)
+        if team:
+            self._team_requests.increment(team, Label("outcome", outcome))
+
+    def record_team_call(self, team: str, outcome: Outcome) -> None:
+        """Count a call of a team that has run or that the queue has refused.
+
+        Args:
+            team: Name of the team; empty if the call has none, then nothing is
+                counted.
+            outcome: What became of the call.
+        """
+        if team:
+            label = Label("outcome", outcome.name.lower())
+            self._team_calls.increment(team, label)
 
     def record_unanswered(self, stage: Stage, end: End) -> None:
         """Count a request that ended without a complete answer.
--- a/kumquatwalk/daemon/node_reply.py
+++ b/kumquatwalk/daemon/node_reply.py
@@ -40,9 +40,11 @@
     """
     delay_s = max(delay_s, RETRY_AFTER_MIN_S)
     delay_s *= rng.uniform(*RETRY_AFTER_JITTER)
+    team = {} if caller.team is None else {"team": caller.team.name}
     log_event(
         "request_refused",
         attempt=caller.attempt_id.decode("latin-1"),
+        **team,
         route=route,
         asked=asked,
         code=code,
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -500,6 +500,7 @@
         began_at = read_now()
         self._metrics.record_queue_time(began_at - arrived_at)
         if isinstance(admission, Refusal):
+            self._metrics.record_team_call(call.team, Outcome.NOT_RUN)
             return self._reply_not_run(admission.code, admission.retry_after_s)
         run_s = None
         try:
@@ -525,6 +526,7 @@
         finally:
             self._waiter.finish(admission, run_s)
         self._metrics.record_run(reply, read_now() - began_at)
+        self._metrics.record_team_call(call.team, reply.outcome)
         return reply
 
     async def _run(self, call: Call, content: RequestContent) -> Reply:
--- a/kumquatwalk/metrics/registry.py
+++ b/kumquatwalk/metrics/registry.py
@@ -109,6 +109,18 @@
             name, Kind.SUMMARY, labels, help_text, LatencyHistogram
         )
 
+    def remove(self, name: str, *labels: Label) -> None:
+        """Remove a series, if it exists.
+
+        Args:
+            name: Name of the metric.
+            *labels: Labels of the series.
+        """
+        with self._lock:
+            family = self._families.get(name)
+            if family is not None:
+                family.series.pop(tuple(sorted(labels)), None)
+
     def list_families(self) -> tuple[Family, ...]:
         """Return copies of all metric families, sorted by name."""
         with self._lock:
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -48,7 +48,8 @@
     add_state_gauges(core)
     meters = DaemonMetrics(core.registry)
     reply = Reply(outcome=Outcome.DONE, code="", status=200)
-    meters.record_request("r", reply, 0.0)
+    meters.record_request("r", reply, 0.0, "a")
+    meters.record_team_call("a", Outcome.DONE)
     meters.record_run(reply, 0.0)
     meters.record_unanswered(Stage.READ, End.TIMEOUT)
     return core.registry
