--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -200,7 +200,10 @@
             self.stop_admission.finish(route.name, key, has_run, read_now())
             if chain is not None:
                 chain.tokens.close()
-        self._metrics.record_request(route.name, reply, read_now() - began_at)
+        team = "" if caller.team is None else caller.team.name
+        self._metrics.record_request(
+            route.name, reply, read_now() - began_at, team
+        )
         return reply
 
     async def _serve(
@@ -254,12 +257,12 @@
             if isinstance(token, Reply):
                 return token
         if not request.is_nested and not self._admission.admits(
-            route, request.is_returning, read_now()
+            route, request.is_returning, read_now(), caller.team
         ):
             if token is not None:
                 self.caps.give_back(token)
             delay_s = self._admission.draw_retry_delay(
-                route, request.is_returning
+                route, request.is_returning, caller.team
             )
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
