Answer not run where a request reached no target by its deadline

A request whose deadline passes before an attempt, between attempts or while it waits for a link, and a call whose queue refuses it a moment after the deadline, get 503 instead of 504. So do calls for which no connection to the target opened, suspects that wait for another one, and calls that never left this process when it closed their link (502 before).

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -59,6 +59,10 @@
 # of the longest timeout that the route's callers have given lately, which
 # stands for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
+# Time beyond the deadline for which the reply to a call that has been passed on
+# is awaited, in seconds. A target side refuses a queued call up to 0.05 s late,
+# and the refusal, which says that it has not run, crosses a link.
+REPLY_WAIT_S = 0.09
 
 
 class CallerSide:
@@ -252,14 +256,14 @@
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
             )
-        timeout = self._request_timeouts.open(request.deadline)
+        timeout = self._request_timeouts.open(request.deadline + REPLY_WAIT_S)
         try:
             async with timeout:
                 return await self._make_attempts(request)
         except TimeoutError:
             if request.deadline > self._request_timeouts.ends_at:
                 return self._end_for_stop(request)
-            if request.has_answer_in_hand:
+            if request.has_answer_in_hand or not request.may_have_run:
                 return self._make_final_reply(request)
             return make_timeout_reply(request)
         finally:
@@ -310,7 +314,7 @@
             return self._make_final_reply(request)
         if request.is_in_flight:
             self._log_awaited_reply(request)
-        if request.is_in_flight or request.last_run is not None:
+        if request.may_have_run:
             return make_unknown_reply(request, codes.NODE_STOPPING)
         return self._refuse_for_stop(request)
 
@@ -357,13 +361,13 @@
                 return self._make_final_reply(request)
 
     async def _attempt_while_possible(self, request: PendingRequest) -> None:
-        while not self._is_quarantined(request):
+        while not request.is_over and not self._is_quarantined(request):
             view = await self._choose_target_or_wait(request)
-            if view is None:
+            if view is None or request.is_over:
                 return
             reply = await self._sender.send(view, request)
             self._record_attempt(request, view, reply)
-            if self._is_final(request, reply, view):
+            if request.is_over or self._is_final(request, reply, view):
                 return
             if not self._can_go_on(request):
                 return
@@ -399,6 +403,8 @@
             return False
         if not request.late_replies or not request.refused_nodes:
             return False
+        if request.is_over:
+            return False
         if request.attempts_at_targets >= request.route.attempts_max:
             return False
         request.late_replies.clear()
@@ -561,7 +567,9 @@
         if reply is None:
             return make_refusal(
                 request.caller,
-                codes.TARGET_ABSENT,
+                codes.DEADLINE_EXCEEDED
+                if request.is_over
+                else codes.TARGET_ABSENT,
                 0.0,
                 self._rng,
                 request.route.name,
@@ -576,6 +584,8 @@
                 request.last_node,
             )
         if reply.outcome is Outcome.UNKNOWN:
+            if request.is_over and reply.code == codes.DEADLINE_EXCEEDED:
+                return make_timeout_reply(request)
             return make_unknown_reply(request, reply.code)
         size = len(request.http.body) + len(reply.body)
         self._sizes.record(request.route.name, size)
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
@@ -81,6 +82,16 @@
             and run.outcome is Outcome.DONE
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or may run or have run."""
+        return self.is_in_flight or self.last_run is not None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether its deadline has passed."""
+        return read_now() >= self.deadline
+
     @property
     def is_nested(self) -> bool:
         """Whether it is a call of a run in progress."""
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -80,13 +80,7 @@
     headers = interface.make_target_headers(
         call, target_id, run_id, remaining_s
     )
-    check: ResponseCheck | None = None
-
-    def accepts(response: HttpResponse) -> bool:
-        nonlocal check
-        check = interface.decode_response(response, call.attempt_id)
-        return check.belongs_to_request
-
+    progress = _Progress(interface, call.attempt_id)
     data = encode_request(call.method, call.url, headers, call.body)
     try:
         async with timeout:
@@ -94,16 +88,40 @@
                 data,
                 call.method == b"HEAD",
                 call.is_idempotent,
-                accepts,
+                progress.accepts,
+                progress.note_sending,
             )
     except TimeoutError:
-        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
+        # Without a connection to the target nothing has been sent.
+        outcome = Outcome.UNKNOWN if progress.is_sent else Outcome.NOT_RUN
+        reply = Reply(outcome, codes.DEADLINE_EXCEEDED)
         return ExchangeResult(reply, Finding.LATE)
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
-    reply, finding = _classify_response(call, response, check, headers)
-    return ExchangeResult(reply, finding, check)
+    return ExchangeResult(
+        *_classify_response(call, response, progress.check, headers),
+        progress.check,
+    )
+
+
+class _Progress:
+    """How far an exchange has come."""
+
+    def __init__(self, interface: ExternalInterface, attempt_id: bytes):
+        self._interface = interface
+        self._attempt_id = attempt_id
+        self.is_sent = False
+        self.check: ResponseCheck | None = None
+
+    def note_sending(self) -> None:
+        """Note that the target may get the request from now on."""
+        self.is_sent = True
+
+    def accepts(self, response: HttpResponse) -> bool:
+        """Check a response and return whether it belongs to the request."""
+        self.check = self._interface.decode_response(response, self._attempt_id)
+        return self.check.belongs_to_request
 
 
 def make_content(call: Call) -> RequestContent:
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -25,6 +25,7 @@
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.daemon.timed_lock import acquire_until
 from kumquatwalk.daemon.unique_calls import CallInProgress
 from kumquatwalk.daemon.unique_calls import UniqueCalls
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -431,8 +432,12 @@
                     return reply
             # Run suspect requests one at a time, so that a crash can be
             # attributed to one of them.
-            async with self._suspect_lock:
+            if not await acquire_until(self._suspect_lock, call.deadline):
+                return self._reply_not_run(codes.DEADLINE_EXCEEDED)
+            try:
                 return await self._admit(call, content, running, True)
+            finally:
+                self._suspect_lock.release()
         finally:
             if route is not None:
                 self._limits.end(route)
--- a/kumquatwalk/daemon/tests/test_caller_side.py
+++ b/kumquatwalk/daemon/tests/test_caller_side.py
@@ -53,6 +53,7 @@
         late_index: Index of that call.
         late_calls: Other calls whose replies still come; None if none do.
         on_call: Called with each attempt.
+        reply_delay_s: Time that each reply takes, in seconds.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.late_calls: LateCalls | None = None
         self.calls: list[tuple[str, Call]] = []
         self.on_call = lambda: None
+        self.reply_delay_s = 0.0
         self.count = 5
         self._script = script
         ready = TargetStatus(TargetState.READY, limit=10)
@@ -99,6 +101,12 @@
         """Return all targets."""
         return self._views
 
+    async def wait_until_linked(self, service: str, timeout_s: float) -> bool:
+        """Wait in vain."""
+        del service
+        await asyncio.sleep(timeout_s)
+        return False
+
     def find(self, node_id: str) -> "ScriptedLink":
         """Return the link to a node."""
         return ScriptedLink(self, node_id)
@@ -122,6 +130,8 @@
         reply = self.peers.reply(self.node_id, call)
         if reply is None:
             await asyncio.get_running_loop().create_future()
+        if self.peers.reply_delay_s:
+            await asyncio.sleep(self.peers.reply_delay_s)
         return reply
 
     def find_late_reply(self, call: Call) -> asyncio.Future | None:
@@ -153,6 +163,7 @@
         self.pool = TokenPool(0)
         self.targets = 4
         self.late_index = 0
+        self.reply_delay_s = 0.0
 
     def _make_side(self) -> CallerSide:
         graph = CallGraph()
@@ -183,6 +194,7 @@
     ) -> Reply:
         self.peers = ScriptedPeers(script, late, self.targets)
         self.peers.late_index = self.late_index
+        self.peers.reply_delay_s = self.reply_delay_s
         self.pool = TokenPool(tokens or 0)
         side = self._make_side()
         fields = {
--- a/kumquatwalk/daemon/tests/test_target_exchange.py
+++ b/kumquatwalk/daemon/tests/test_target_exchange.py
@@ -6,7 +6,9 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
+from kumquatwalk import codes
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.open_runs import DEADLINE_GRACE_S
@@ -14,8 +16,10 @@
 from kumquatwalk.daemon.platform_interface import PlatformInterface
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import run_call
+from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.tests.test_link_silence import make_call
 from kumquatwalk.mesh.tests.test_own_pause import LOOP_FACTORIES
+from kumquatwalk.outcome import Outcome
 from kumquatwalk.targets.client import TargetClient
 
 ANSWER = (
@@ -84,6 +88,31 @@
                         finding = runner.run(pause_in_run(listener))
                 self.assertIs(finding, Finding.SOUND)
 
+    # Guards against 504 for a call that was never sent, as no connection to the
+    # target opened by its deadline.
+    def test_call_without_a_connection_at_its_deadline_is_not_run(self):
+        async def run() -> Reply:
+            client = TargetClient(Address("127.0.0.1", 1))
+            call = make_call()
+            with mock.patch(
+                "kumquatwalk.targets.client.open_connection",
+                lambda *_, **__: asyncio.sleep(HANG_S),
+            ):
+                result = await run_call(
+                    client,
+                    PlatformInterface(),
+                    "web-1",
+                    "run-1",
+                    call,
+                    asyncio.timeout(0.05),
+                    call.deadline,
+                )
+            return result.reply
+
+        reply = asyncio.run(run())
+        self.assertIs(reply.outcome, Outcome.NOT_RUN)
+        self.assertEqual(reply.code, codes.DEADLINE_EXCEEDED)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -87,6 +87,9 @@
         # Positions in the stream of sent bytes.
         self._end = 0
         self._replies_end = 0
+        # Position up to which bytes may have left this process; None until the
+        # connection ends.
+        self._left_end: int | None = None
         self.last_received_at = read_now()
 
     @property
@@ -94,6 +97,24 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def end(self) -> int:
+        """Position of the end of the last message in the stream."""
+        return self._end
+
+    def may_have_left(self, end: int) -> bool:
+        """Return whether a message may have left this process in full.
+
+        Args:
+            end: Position of its end in the stream.
+        """
+        return self._left_end is None or end <= self._left_end
+
+    def _note_left_end(self, unsent_bytes: int) -> None:
+        if self._left_end is None:
+            held_bytes = sum(map(len, self._held_frames))
+            self._left_end = self._end - held_bytes - unsent_bytes
+
     @property
     def has_untaken_reply(self) -> bool:
         """Whether the peer has yet to acknowledge bytes of a reply.
@@ -212,6 +233,8 @@
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
         if self._transport is not None:
+            if self.is_open:
+                self._note_left_end(self._transport.get_write_buffer_size())
             self._transport.abort()
 
     def _apply_partition(self) -> None:
@@ -303,6 +326,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the connection as lost."""
         del exc
+        # The transport does not tell what it had not sent.
+        self._note_left_end(0)
         if self._read_timer is not None:
             self._read_timer.cancel()
         self._count_bytes()
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -58,6 +58,10 @@
 class _PendingRequest:
     request: Call | OwnerQuery
     reply: asyncio.Future
+    # Position of its end in the stream of the present connection.
+    end: int = 0
+    # Whether it may have left this process on a connection before.
+    may_have_left: bool = False
 
     @property
     def fails_on_disconnect(self) -> bool:
@@ -199,6 +203,7 @@
             self._task.cancel()
         if self._link is not None:
             self._link.abort()
+            self._note_unsent(self._link)
         if self._late is not None:
             self._late.fail_all()
         self._close_silent_links()
@@ -348,6 +353,12 @@
 
     def _send_request(
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
+    ) -> None:
+        self._send_frame(call_id, request, is_resent)
+        self._pending[call_id].end = self._link.end
+
+    def _send_frame(
+        self, call_id: int, request: Call | OwnerQuery, is_resent: bool
     ) -> None:
         if isinstance(request, OwnerQuery):
             deadline = request.deadline + self._clock_offset.seconds
@@ -426,12 +437,19 @@
         elif link is not None:
             late.fail_all()
             link.abort()
+            self._note_unsent(link)
         self._fail_pending(lambda p: p.fails_on_disconnect)
 
+    def _note_unsent(self, link: LinkProtocol) -> None:
+        """Note which requests may have left on a connection that has ended."""
+        for pending in self._pending.values():
+            pending.may_have_left |= link.may_have_left(pending.end)
+
     def _set_aside(self, link: LinkProtocol, late: LateCalls) -> None:
         """Keep a silent connection for replies that may still come on it."""
         silent = SilentLink(link, late, read_now())
         for call_id, pending in self._pending.items():
+            pending.may_have_left = True
             if pending.reply.done() or not isinstance(pending.request, Call):
                 continue
             if pending.fails_on_disconnect:
@@ -472,8 +490,12 @@
     ) -> None:
         for pending in tuple(self._pending.values()):
             if should_fail(pending) and not pending.reply.done():
-                reply = Reply(Outcome.UNKNOWN, codes.LINK_FAILED)
-                pending.reply.set_result(reply)
+                outcome = (
+                    Outcome.UNKNOWN
+                    if pending.may_have_left
+                    else Outcome.NOT_RUN
+                )
+                pending.reply.set_result(Reply(outcome, codes.LINK_FAILED))
 
     def _on_link_lost(self, link: LinkProtocol) -> None:
         silent = self._find_silent(link)
--- a/kumquatwalk/mesh/tests/test_link_silence.py
+++ b/kumquatwalk/mesh/tests/test_link_silence.py
@@ -1,6 +1,7 @@
 """Tests of when a link counts as silent."""
 
 import asyncio
+import dataclasses
 import errno
 import unittest
 from unittest import mock
@@ -61,7 +62,8 @@
     )
 
 
-class LinkSilenceTest(unittest.IsolatedAsyncioTestCase):
+class LinkCase(unittest.IsolatedAsyncioTestCase):
+    """Case with a link to a scripted peer."""
 
     async def asyncSetUp(self):
         # Server ends of the link, in the order in which they were opened.
@@ -126,6 +128,32 @@
         frame = self.frames[-1]
         end.send(ReplyFrame(frame.call_id, 0, 0, DONE))
 
+
+class UnsentCallTest(LinkCase):
+
+    # Guards against 502 for a call of which a part never left this process when
+    # its link broke.
+    async def test_call_that_did_not_leave_with_its_link_is_not_run(self):
+        for body, outcome in (
+            (b"x" * 16_000_000, Outcome.NOT_RUN),
+            (b"", Outcome.UNKNOWN),
+        ):
+            await self._wait_for(lambda: self.link.is_usable)
+            call = dataclasses.replace(make_call(), body=body)
+            calling = asyncio.create_task(self.link.call(call))
+            await asyncio.sleep(0)
+            if not body:
+                await self._wait_for(lambda: self.frames)
+            self.link.reconnect()
+            reply = await calling
+            self.assertEqual(
+                (reply.outcome, reply.code), (outcome, codes.LINK_FAILED)
+            )
+        self.assertEqual(len(self.frames), 1)
+
+
+class LinkSilenceTest(LinkCase):
+
     # Guards against LOST: a process that was not scheduled for a while took all
     # its peers for silent, and ended the calls that ran there.
     async def test_bytes_that_wait_unread_are_no_silence(self):
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -1,6 +1,7 @@
 """HTTP client of the target beside the node, with a connection pool."""
 
 import asyncio
+from collections.abc import Callable
 
 from kumquatwalk.address import Address
 from kumquatwalk.clock import read_now
@@ -71,6 +72,7 @@
         is_head: bool,
         is_idempotent: bool,
         accepts,
+        on_send: Callable[[], None] = lambda: None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
@@ -83,6 +85,7 @@
                 only a recently used connection is reused.
             accepts: Predicate that returns whether a response belongs to the
                 request.
+            on_send: Called before the first byte of the request is sent.
 
         Returns:
             The complete response.
@@ -92,6 +95,7 @@
                 or did not belong to the request.
         """
         connection = await self._acquire(is_idempotent)
+        on_send()
         response = await connection.exchange(data, is_head, accepts)
         self._release(connection, response)
         return response
