Admit the requests that the retries left can finish

While targets of a service refuse calls at random, its retry budget is paced and a part reserved for internal routes and rank 0, and the ingress admits the share of each route whose retries fit the budgets, by rank. Nodes publish what they observe at the end of the traffic report. Without refusals nothing is counted, published or limited.

--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -88,6 +88,7 @@
         loads: Mapping[str, ServiceLoad],
         demands: Sequence[RouteDemand],
         now: float,
+        retry_shares: Mapping[str, float] | None = None,
     ) -> None:
         """Recompute the admission probabilities.
 
@@ -95,6 +96,8 @@
             loads: Load of each service.
             demands: Demand on each route that callers use.
             now: Current time, in seconds.
+            retry_shares: Shares of the routes whose retries are scarce, see
+                ``compute_retry_shares``; None if there are none.
         """
         self._updated_at = now
         capacity = {}
@@ -102,7 +105,10 @@
             utilization = self._adjust_utilization(service, load)
             if utilization is not None:
                 capacity[service] = utilization * load.limit
-        self._probabilities = compute_admission_probabilities(demands, capacity)
+        probabilities = compute_admission_probabilities(demands, capacity)
+        for route, share in (retry_shares or {}).items():
+            probabilities[route] = min(probabilities.get(route, 1.0), share)
+        self._probabilities = probabilities
 
     def record_arrival(self, route: str, is_returning: bool) -> None:
         """Count a request in the share of callers' retries of its route.
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -439,8 +439,16 @@
                 reply.crash_mark, request.content, read_now()
             )
         tokens = None if request.chain is None else request.chain.tokens
+        if reply.shed_by_target or reply.outcome is not Outcome.NOT_RUN:
+            self._retry_budgets.record_arrival(
+                request.service,
+                reply.shed_by_target,
+                request.route.attempts_max,
+                read_now(),
+            )
         if reply.outcome is Outcome.NOT_RUN:
             request.attempts_at_targets += reply.shed_by_target
+            request.refusals_by_targets += reply.shed_by_target
             request.refused_nodes.add(view.node_id)
             request.last_refusal = reply
             if tokens is not None:
@@ -515,7 +523,8 @@
             return True
         if reply.code == codes.QUARANTINED:
             return True
-        if len(request.tried_nodes) >= NODES_PER_REQUEST_MAX:
+        nodes = len(request.tried_nodes) - request.refusals_by_targets
+        if nodes >= NODES_PER_REQUEST_MAX:
             return True
         return request.attempts_at_targets >= route.attempts_max
 
@@ -548,8 +557,12 @@
         if tokens is not None and not tokens.available:
             return False
         if not self._retry_budgets.try_spend(
-            request.service, request.route.name, now
+            request.service,
+            request.route.name,
+            now,
+            request.rank == 0 or self._graph.is_internal(request.route.name),
         ):
+            self._metrics.record_retry_denied()
             return False
         self._metrics.record_retry()
         log_event(
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -44,6 +44,7 @@
 from kumquatwalk.platform.store_items import StoreItem
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.quarantine import CrashTracker
+from kumquatwalk.retry.fleet_refusals import FleetRefusals
 from kumquatwalk.roster.duty import holds_duty
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.call_graph import CallGraph
@@ -128,6 +129,7 @@
         self.serve_query = _reply_unknown
         self._traffic = TrafficMeter()
         self._graph = CallGraph()
+        self._refusals = FleetRefusals()
         self._crash_tracker = CrashTracker(
             CrashTable(),
             lambda report: self.link_server.broadcast(CrashNotice(report)),
@@ -167,6 +169,8 @@
             self._graph,
             self.peers,
             self.link_server,
+            self._retry_budgets,
+            self._refusals,
         )
 
     async def start(self) -> None:
@@ -271,6 +275,12 @@
             self.body_budget,
             self._crash_tracker,
         )
+        self._retry_budgets = RetryBudgets(
+            self.settings.bounds, self.peers, self._graph
+        )
+        self.ingress_admission = IngressAdmission(
+            self.peers, self._graph, random.Random(), self._refusals
+        )
         self.caller_side = CallerSide(
             self.settings,
             self.target_side,
@@ -278,8 +288,8 @@
             self.peers,
             self._traffic,
             self._graph,
-            IngressAdmission(self.peers, self._graph, random.Random()),
-            RetryBudgets(self.settings.bounds, self.peers, self._graph),
+            self.ingress_admission,
+            self._retry_budgets,
             metrics,
             self._crash_tracker,
             self.memory,
@@ -331,7 +341,11 @@
     def _handle_traffic_report(
         self, view: TargetView, report: TrafficReport
     ) -> None:
-        self._graph.add_report(view.node_id, view.service, report, read_now())
+        now = read_now()
+        self._graph.add_report(view.node_id, view.service, report, now)
+        self._refusals.add_report(
+            view.node_id, view.service, report.refusals, now
+        )
 
     def _handle_crash_notice(self, notice: CrashNotice) -> None:
         self._crash_tracker.handle_broadcast(notice.report, read_now())
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -5,9 +5,14 @@
 from kumquatwalk.admission.ingress import IngressLoadShedder
 from kumquatwalk.admission.ingress import ServiceLoad
 from kumquatwalk.admission.probabilities import RouteDemand
+from kumquatwalk.admission.retry_shares import compute_retry_shares
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.daemon.retry_demands import count_by_service
+from kumquatwalk.daemon.retry_demands import describe_refusing
+from kumquatwalk.daemon.retry_demands import list_retry_demands
 from kumquatwalk.logs import log_event
+from kumquatwalk.retry.fleet_refusals import FleetRefusals
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.target_choice import collect_run_times
 
@@ -27,14 +32,27 @@
         peers: Links to other nodes.
         graph: Graph of the calls that routes make to each other.
         rng: Random source that picks the requests of a route to admit.
+        refusals: What nodes report of services whose targets refuse calls;
+            None not to limit requests by the retries left.
+
+    Attributes:
+        retry_shares: Shares of the routes that are limited by the retries left.
     """
 
-    def __init__(self, peers: Peers, graph: CallGraph, rng: random.Random):
+    def __init__(
+        self,
+        peers: Peers,
+        graph: CallGraph,
+        rng: random.Random,
+        refusals: FleetRefusals | None = None,
+    ):
         self._peers = peers
         self._graph = graph
         self._rng = rng
         self._shedder = IngressLoadShedder()
         self._ranks: dict[str, int] = {}
+        self._refusals = refusals
+        self.retry_shares: dict[str, float] = {}
 
     def admits(self, route: Route, is_returning: bool, now: float) -> bool:
         """Return whether to admit a request.
@@ -73,7 +91,8 @@
         was_shedding = bool(self._shedder.admission_probabilities)
         loads = self._sum_loads()
         demands = self._list_demands()
-        self._shedder.update(loads, demands, now)
+        self._update_retry_shares(demands, now)
+        self._shedder.update(loads, demands, now, self.retry_shares)
         if bool(self._shedder.admission_probabilities) != was_shedding:
             # Logged only when shedding begins or ends.
             probabilities = self._shedder.admission_probabilities
@@ -89,6 +108,36 @@
                 demands=",".join(map(_describe_demand, demands)),
             )
 
+    def _update_retry_shares(
+        self, demands: list[RouteDemand], now: float
+    ) -> None:
+        """Limit routes to the requests that the retries left can finish."""
+        had_shares = bool(self.retry_shares)
+        if self._refusals is None or not self._refusals.has_reports:
+            refusing = {}
+        else:
+            refusing = self._refusals.list_services(
+                self._peers.count_nodes(),
+                count_by_service(self._peers.list_all_views()),
+                now,
+            )
+        if not refusing and not had_shares:
+            return
+        retry_demands = list_retry_demands(
+            demands, self._graph, self._peers.list_all_views()
+        )
+        self.retry_shares = compute_retry_shares(retry_demands, refusing)
+        if bool(self.retry_shares) != had_shares:
+            # Logged only when it begins or ends.
+            log_event(
+                "retry_shares_set",
+                shares=",".join(
+                    f"{route}:{share:.3f}"
+                    for route, share in self.retry_shares.items()
+                ),
+                refusing=describe_refusing(refusing),
+            )
+
     def _list_demands(self) -> list[RouteDemand]:
         times = collect_run_times(self._peers.list_all_views())
         return [
--- a/kumquatwalk/daemon/metrics.py
+++ b/kumquatwalk/daemon/metrics.py
@@ -32,6 +32,10 @@
             "kumquatwalk_repeats_total",
             help_text="Requests sent again after they reached a target.",
         )
+        self._denied_retries = registry.counter(
+            "kumquatwalk_repeats_denied_total",
+            help_text="Retries that a budget did not allow.",
+        )
         self._requests: dict[tuple[str, str, str], Counter] = {}
         self._unanswered: dict[tuple[Stage, End], Counter] = {}
         self._target_calls: dict[tuple[str, str], Counter] = {}
@@ -83,6 +87,10 @@
         """Count a retry of a request that had reached a target."""
         self._retries.increment()
 
+    def record_retry_denied(self) -> None:
+        """Count a retry that a retry budget did not allow."""
+        self._denied_retries.increment()
+
     def record_queue_time(self, elapsed_s: float) -> None:
         """Record the time that a call was queued for the target.
 
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -35,6 +35,8 @@
         last_node: Identifier of the node of the last attempt; empty before it.
         is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
+        refusals_by_targets: Number of those that the targets refused as not
+            run.
         runs_possible: Number of attempts that ran or may have run, late replies
             aside.
         last_run: Reply to the last attempt that ran or may have run.
@@ -57,6 +59,7 @@
     last_node: str = ""
     is_in_flight: bool = False
     attempts_at_targets: int = 0
+    refusals_by_targets: int = 0
     runs_possible: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
--- a/kumquatwalk/daemon/retry_budgets.py
+++ b/kumquatwalk/daemon/retry_budgets.py
@@ -1,7 +1,11 @@
 """Retry budgets of all services that a retry adds load to."""
 
+import dataclasses
+
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.settings import FleetBounds
+from kumquatwalk.retry.refusals import RefusalCounter
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.retry.service_budget import RetryAllowance
 from kumquatwalk.retry.service_budget import ServiceRetryBudget
 from kumquatwalk.routing.call_graph import CallGraph
@@ -30,6 +34,7 @@
         self._peers = peers
         self._graph = graph
         self._budgets: dict[str, ServiceRetryBudget] = {}
+        self._refusals = RefusalCounter()
         self._calls: dict[tuple[str, str], tuple[float, dict[str, float]]] = {}
 
     def set_bounds(self, bounds: FleetBounds) -> None:
@@ -51,23 +56,72 @@
         """
         self._get_budget(service).record_first_attempt(now)
 
-    def try_spend(self, service: str, route: str, now: float) -> bool:
+    def record_arrival(
+        self, service: str, is_refused: bool, attempts_max: int, now: float
+    ) -> None:
+        """Record that an attempt has reached a target.
+
+        Args:
+            service: Name of the service.
+            is_refused: Whether the target refused it as not run.
+            attempts_max: Attempts that the request may make.
+            now: Current time, in seconds.
+        """
+        self._refusals.record(service, is_refused, attempts_max, now)
+
+    def list_refusals(self, now: float) -> tuple[ServiceRefusals, ...]:
+        """Return the services whose targets refuse calls, with their budgets.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        nodes = self._peers.count
+        return tuple(
+            dataclasses.replace(
+                row,
+                retries_per_s=self._get_budget(row.service).estimate_rate(
+                    nodes,
+                    self._refusals.measure_refusing(row.service, now) or 0.0,
+                    now,
+                ),
+            )
+            for row in self._refusals.list_refusals(now)
+        )
+
+    def try_spend(
+        self,
+        service: str,
+        route: str,
+        now: float,
+        may_use_reserve: bool = True,
+    ) -> bool:
         """Spend budget on a retry if each service it reaches has some left.
 
         Args:
             service: Service of the request.
             route: Route of the request.
             now: Current time, in seconds.
+            may_use_reserve: Whether it may use the part that is reserved while
+                the targets of a service refuse calls.
 
         Returns:
             Whether the request may be retried; nothing is spent if not.
         """
         nodes = self._peers.count
         calls = self._get_calls(service, route, now)
-        budgets = [(self._get_budget(s), weight) for s, weight in calls.items()]
-        if not all(b.allows_retry(nodes, w, now) for b, w in budgets):
+        budgets = [(s, self._get_budget(s), w) for s, w in calls.items()]
+        if not all(
+            budget.allows_retry(
+                nodes,
+                weight,
+                now,
+                self._refusals.measure_refusing(name, now),
+                may_use_reserve,
+            )
+            for name, budget, weight in budgets
+        ):
             return False
-        for budget, weight in budgets:
+        for _, budget, weight in budgets:
             budget.spend(weight, now)
         return True
 
--- a/kumquatwalk/daemon/state_publisher.py
+++ b/kumquatwalk/daemon/state_publisher.py
@@ -1,12 +1,15 @@
 """Publishes target status and traffic reports to other nodes."""
 
 import asyncio
+import dataclasses
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.peers import Peers
+from kumquatwalk.daemon.retry_budgets import RetryBudgets
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.mesh.link_server import LinkServer
+from kumquatwalk.retry.fleet_refusals import FleetRefusals
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.target_choice import TargetView
@@ -45,6 +48,8 @@
         graph: Graph of the calls that routes make to each other.
         peers: Links to other nodes.
         link_server: Links from other nodes, on which messages are published.
+        retry_budgets: Tells which services refuse calls of this node.
+        refusals: Merges that with what other nodes publish.
     """
 
     def __init__(
@@ -55,6 +60,8 @@
         graph: CallGraph,
         peers: Peers,
         link_server: LinkServer,
+        retry_budgets: RetryBudgets,
+        refusals: FleetRefusals,
     ):
         self._own_view = own_view
         self._target_side = target_side
@@ -62,6 +69,9 @@
         self._graph = graph
         self._peers = peers
         self._link_server = link_server
+        self._retry_budgets = retry_budgets
+        self._refusals = refusals
+        self._had_refusals = False
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -88,19 +98,33 @@
             is_initial = windows < INITIAL_WINDOWS
             window_s = INITIAL_WINDOW_S if is_initial else WINDOW_S
             await asyncio.sleep(window_s)
-            report = self._traffic.close_window(self._graph, window_s)
+            report = self._make_report(window_s)
             if report.rates or not is_initial:
                 windows += 1
                 is_for_all = is_initial or not windows % REPORTS_PER_FAR_ONE
+                # All zones learn at once that refusals begin and end.
+                is_for_all |= bool(report.refusals) or self._had_refusals
+                self._had_refusals = bool(report.refusals)
                 self._publish_report(report, is_for_all)
             now = read_now()
             if now >= status_due_at:
                 self.publish_status()
                 status_due_at = now + STATUS_INTERVAL_S - INTERVAL_MARGIN_S
 
+    def _make_report(self, window_s: float) -> TrafficReport:
+        report = self._traffic.close_window(self._graph, window_s)
+        refusals = self._retry_budgets.list_refusals(read_now())
+        if refusals:
+            report = dataclasses.replace(report, refusals=refusals)
+        return report
+
     def _publish_report(self, report: TrafficReport, is_for_all: bool) -> None:
         view = self._own_view
         self._graph.set_populations(self._peers.count_nodes())
-        self._graph.add_report(view.node_id, view.service, report, read_now())
+        now = read_now()
+        self._graph.add_report(view.node_id, view.service, report, now)
+        self._refusals.add_report(
+            view.node_id, view.service, report.refusals, now
+        )
         zone = "" if is_for_all else view.availability_zone
         self._link_server.broadcast(report, zone)
--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -109,6 +109,12 @@
             lambda: len(core.peers.list_reachable_ids()) + 1,
             "Nodes that answer on their links, with this one.",
         ),
+        "retry_share_min": (
+            lambda: min(
+                core.ingress_admission.retry_shares.values(), default=1.0
+            ),
+            "Lowest share of a route that the retries left can finish.",
+        ),
         "store_catalogue_revision": (
             lambda: core.configs.stored_version,
             "Version that the store had when it was read last.",
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -7,6 +7,8 @@
 from kumquatwalk.config.tests.samples import make_route
 from kumquatwalk.daemon import ingress_admission
 from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.retry.fleet_refusals import FleetRefusals
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import RouteRate
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -39,6 +41,10 @@
         """Return the view of the one linked target."""
         return [self._view]
 
+    def count_nodes(self):
+        """Return the number of nodes of each service."""
+        return {"deep": 1}
+
     def list_weighted_views(self):
         """Return the view of the one linked target with its weight."""
         return [WeightedView(self._view, self._weight)]
@@ -83,6 +89,30 @@
         self.assertLess(one, 250)
         self.assertEqual(four, 400)
 
+    # Guards against requests that are begun although the retries that they need
+    # to end well are spent.
+    def test_requests_that_cannot_be_finished_are_refused_and_logged(self):
+        refusals = FleetRefusals()
+        graph = CallGraph()
+        for service in ("deep", "front"):
+            report = TrafficReport((RouteRate("r", 50.0),))
+            graph.add_report(f"{service}-1", service, report, 1.0)
+        # The run of a request counts as a call to its service.
+        peers = OverloadedPeers("r", 4.0)
+        admission = ingress_admission.IngressAdmission(
+            peers, graph, random.Random(1), refusals
+        )
+        route = make_route(name="r", rank=2)
+        row = ServiceRefusals("deep", 100.0, 80.0, 10.0, 4)
+        refusals.add_report("d1", "deep", (row,), 1.0)
+        with mock.patch.object(ingress_admission, "log_event") as log:
+            admitted = count_admitted(admission, route)
+            self.assertEqual(log.call_args_list[0].args, ("retry_shares_set",))
+        self.assertLess(admitted, 100)
+        refusals.add_report("d1", "deep", (), 1.2)
+        self.assertTrue(admission.admits(route, False, 2.0))
+        self.assertEqual(admission.retry_shares, {})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -27,6 +27,7 @@
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import CallShare
 from kumquatwalk.routing.call_graph import RouteRate
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import TrafficReport
 
 __all__ = ["read_frame"]
@@ -199,6 +200,16 @@
             )
             for c in reader.calls
         ),
+        tuple(
+            ServiceRefusals(
+                str(r.service),
+                r.arrivalsMilliPerS / MILLI_PER_UNIT,
+                r.refusedMilliPerS / MILLI_PER_UNIT,
+                r.retriesMilliPerS / MILLI_PER_UNIT,
+                r.attemptsMax,
+            )
+            for r in reader.refusals
+        ),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -2,6 +2,7 @@
 
 import functools
 import math
+from collections.abc import Sequence
 from typing import Any
 
 from kumquatwalk.http1.message import Header
@@ -22,6 +23,7 @@
 from kumquatwalk.mesh.schema import PROTOCOL_VERSION
 from kumquatwalk.mesh.schema import US_PER_S
 from kumquatwalk.mesh.schema import WIRE_STATES
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import TrafficReport
 
 __all__ = ["write_frame"]
@@ -188,6 +190,8 @@
         entry.route = share.route
         entry.called = share.called
         entry.milliCalls = min(round(share.calls * MILLI_PER_UNIT), _U32_MAX)
+    if message.refusals:
+        _write_refusals(builder, message.refusals)
 
 
 @write_frame.register
@@ -195,6 +199,20 @@
     frame.init("crashNotice").report = message.report
 
 
+def _write_refusals(builder: Any, refusals: Sequence[ServiceRefusals]) -> None:
+    entries = builder.init("refusals", len(refusals))
+    for entry, row in zip(entries, refusals):
+        entry.service = row.service
+        entry.arrivalsMilliPerS = _encode_rate(row.arrivals_per_s)
+        entry.refusedMilliPerS = _encode_rate(row.refused_per_s)
+        entry.retriesMilliPerS = _encode_rate(row.retries_per_s)
+        entry.attemptsMax = min(row.attempts_max, _U8_MAX)
+
+
+def _encode_rate(per_s: float) -> int:
+    return min(round(per_s * MILLI_PER_UNIT), _U32_MAX)
+
+
 def _encode_time(time_s: float) -> int:
     return max(0, int(time_s * US_PER_S))
 
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -118,9 +118,19 @@
   milliCalls @2 :UInt32;
 }
 
+struct ServiceRefusals {
+  service @0 :Text;
+  arrivalsMilliPerS @1 :UInt32;
+  refusedMilliPerS @2 :UInt32;
+  retriesMilliPerS @3 :UInt32;
+  attemptsMax @4 :UInt8;
+}
+
 struct TrafficReport {
   rates @0 :List(RouteRate);
   calls @1 :List(CallShare);
+  # Services whose targets refuse calls; older releases ignore it.
+  refusals @2 :List(ServiceRefusals);
 }
 
 struct CrashNotice {
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -29,6 +29,7 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import CallShare
 from kumquatwalk.routing.call_graph import RouteRate
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -106,6 +107,7 @@
         (RouteRate("r", 2.5),),
         (CallShare("r", "s", 4.0), CallShare("r", "t", 0.125)),
     ),
+    TrafficReport(refusals=(ServiceRefusals("s", 40.5, 22.25, 3.125, 4),)),
 )
 
 
--- a/kumquatwalk/retry/service_budget.py
+++ b/kumquatwalk/retry/service_budget.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 __all__ = ["RetryAllowance", "ServiceRetryBudget"]
 
@@ -11,6 +12,23 @@
 # differences between the counts of nodes: a retry may be counted late, and the
 # calls that a repeated run makes again are counted as first attempts.
 BUDGET_FRACTION = 0.6
+# Part of the budget that is reserved, while the targets of the service refuse
+# calls, for calls on internal routes and for requests of the highest rank.
+RESERVED_FRACTION = 0.5
+# Part of the first attempts of the last bucket that is then expected in those
+# that follow: the ingress admits less, and failing runs make fewer calls.
+EXPECTED_PART = 0.15
+# Buckets over which the budget is then paced: as long as refusals go on in the
+# intended deployments; and those that are left at least, if they go on longer.
+PACE_BUCKETS = 8
+PACE_BUCKETS_MIN = 2
+# Factor on the pace for one bucket of one node, as its calls are refused in no
+# regular order.
+BURST = 2.0
+# The same for the time that the ingress needs to reduce its admission, in
+# seconds: most retries of that time are spent on requests that fail later.
+INITIAL_BURST = 0.5
+INITIAL_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +68,14 @@
         """
         self._first_attempts[self._get_bucket(now)] += 1
 
-    def allows_retry(self, nodes: int, weight: float, now: float) -> bool:
+    def allows_retry(
+        self,
+        nodes: int,
+        weight: float,
+        now: float,
+        refusing_s: float | None = None,
+        may_use_reserve: bool = True,
+    ) -> bool:
         """Return whether the budget allows a retry.
 
         Args:
@@ -58,14 +83,68 @@
             weight: Calls to the service that the retry causes; may be a
                 fraction.
             now: Current time, in seconds.
+            refusing_s: Time for which the targets of the service have refused
+                calls, in seconds; the budget is then paced and a part of it
+                reserved. None if they do not.
+            may_use_reserve: Whether the retry may use that part.
         """
+        budget = self._compute_budget(nodes, now)
+        if self._retries.total() + weight > budget:
+            return False
+        if refusing_s is None:
+            return True
+        part = 1.0 if may_use_reserve else 1.0 - RESERVED_FRACTION
+        in_bucket = self._retries[self._get_bucket(now)]
+        factor = INITIAL_BURST if refusing_s < INITIAL_S else BURST
+        pace = part * factor * self._compute_pace(nodes, refusing_s, now)
+        # A small part of a node is rounded up to one retry.
+        return in_bucket + weight <= max(pace, min(1.0, 4.0 * pace))
+
+    def estimate_rate(self, nodes: int, refusing_s: float, now: float) -> float:
+        """Return the retries a second that the budget allows from now on.
+
+        Spent at this rate, the budget holds in all windows that end within one
+        window's length, if first attempts go on as in the last bucket. While
+        the ingress admits less, the budget falls as those before expire.
+
+        Args:
+            nodes: Number of nodes that share the slack.
+            refusing_s: Time for which the targets of the service have refused
+                calls, in seconds.
+            now: Current time, in seconds.
+        """
+        self._evict_expired(self._get_bucket(now))
+        return self._compute_pace(nodes, refusing_s, now) / self._bucket_s
+
+    def _compute_pace(self, nodes: int, refusing_s: float, now: float) -> float:
+        """Return the retries that the present bucket may have in all."""
+        bucket = self._get_bucket(now)
+        allowance = self._allowance
+        slack = allowance.slack / max(1, nodes)
+        counts = self._first_attempts
+        expected = min(
+            counts[bucket - 1], EXPECTED_PART * max(counts.values(), default=0)
+        )
+        first = float(counts.total())
+        spent = self._retries.total() - self._retries[bucket]
+        pace = math.inf
+        elapsed = int(refusing_s / self._bucket_s)
+        for ahead in range(max(PACE_BUCKETS_MIN, PACE_BUCKETS - elapsed)):
+            if ahead:
+                expired = bucket - BUCKETS_PER_WINDOW + ahead
+                first += expected - counts[expired]
+                spent -= self._retries[expired]
+            budget = BUDGET_FRACTION * (allowance.ratio * first + slack)
+            pace = min(pace, max(0.0, budget - spent) / (ahead + 1))
+        return pace
+
+    def _compute_budget(self, nodes: int, now: float) -> float:
         self._evict_expired(self._get_bucket(now))
         allowance = self._allowance
-        budget = BUDGET_FRACTION * (
+        return BUDGET_FRACTION * (
             allowance.ratio * self._first_attempts.total()
             + allowance.slack / max(1, nodes)
         )
-        return self._retries.total() + weight <= budget
 
     def spend(self, weight: float, now: float) -> None:
         """Charge a retry to the budget.
--- a/kumquatwalk/retry/tests/test_service_budget.py
+++ b/kumquatwalk/retry/tests/test_service_budget.py
@@ -55,5 +55,43 @@
         self.assertFalse(budget.allows_retry(1000, 1.0, 30.0))
 
 
+class RefusingServiceTest(unittest.TestCase):
+
+    def setUp(self):
+        self.budget = ServiceRetryBudget(ALLOWANCE)
+        for tenth in range(100):
+            for _ in range(80):
+                self.budget.record_first_attempt(tenth / 10.0)
+
+    def _spend_all(self, refusing_s, may_use_reserve, now) -> int:
+        spent = 0
+        while self.budget.allows_retry(
+            10, 1.0, now, refusing_s, may_use_reserve
+        ):
+            self.budget.spend(1.0, now)
+            spent += 1
+        return spent
+
+    # Guards against a budget that is gone before the ingress admits less.
+    def test_budget_is_paced_while_targets_refuse_calls(self):
+        first_second = self._spend_all(0.0, True, 10.0)
+        self.assertGreater(first_second, 0)
+        rate = self.budget.estimate_rate(10, 0.0, 10.0)
+        self.assertLessEqual(first_second, rate + 1.0)
+        self.assertLess(8.0 * rate, 0.2 * 8000)
+        self.assertGreater(self._spend_all(None, True, 10.0), 8 * first_second)
+
+    def test_a_part_is_reserved(self):
+        others = self._spend_all(3.0, False, 10.0)
+        self.assertGreater(others, 0)
+        self.assertEqual(self._spend_all(3.0, False, 10.0), 0)
+        self.assertGreater(self._spend_all(3.0, True, 10.0), 0)
+
+    def test_nothing_is_reserved_without_refusals(self):
+        self.assertEqual(
+            self._spend_all(None, False, 10.0), int(0.6 * (0.2 * 7200 + 4.8))
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/routing/call_graph.py
+++ b/kumquatwalk/routing/call_graph.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.acyclic_calls import keep_acyclic
 
 __all__ = [
@@ -63,10 +64,12 @@
     Attributes:
         rates: Request rates of the routes in use.
         calls: Calls made by runs at its target.
+        refusals: Services whose targets refuse calls of the node.
     """
 
     rates: tuple[RouteRate, ...] = ()
     calls: tuple[CallShare, ...] = ()
+    refusals: tuple[ServiceRefusals, ...] = ()
 
 
 class CallGraph:
