--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -60,6 +60,10 @@
 # of the longest timeout that the route's callers have given lately, which
 # stands for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
+# Time beyond the deadline for which the reply to a call that has been passed on
+# is awaited, in seconds. A target side refuses a queued call up to 0.05 s late,
+# and the refusal, which says that it has not run, crosses a link.
+REPLY_WAIT_S = 0.09
 
 
 class CallerSide:
@@ -267,14 +271,14 @@
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
             )
-        timeout = self._request_timeouts.open(request.deadline)
+        timeout = self._request_timeouts.open(request.deadline + REPLY_WAIT_S)
         try:
             async with timeout:
                 return await self._make_attempts(request)
         except TimeoutError:
             if request.deadline > self._request_timeouts.ends_at:
                 return self._end_for_stop(request)
-            if request.has_answer_in_hand:
+            if request.has_answer_in_hand or not request.may_have_run:
                 return self._make_final_reply(request)
             return make_timeout_reply(request)
         finally:
@@ -325,7 +329,7 @@
             return self._make_final_reply(request)
         if request.is_in_flight:
             self._log_awaited_reply(request)
-        if request.is_in_flight or request.last_run is not None:
+        if request.may_have_run:
             return make_unknown_reply(request, codes.NODE_STOPPING)
         return self._refuse_for_stop(request)
 
@@ -372,13 +376,13 @@
                 return self._make_final_reply(request)
 
     async def _attempt_while_possible(self, request: PendingRequest) -> None:
-        while not self._is_quarantined(request):
+        while not request.is_over and not self._is_quarantined(request):
             view = await self._choose_target_or_wait(request)
-            if view is None:
+            if view is None or request.is_over:
                 return
             reply = await self._sender.send(view, request)
             self._record_attempt(request, view, reply)
-            if self._is_final(request, reply, view):
+            if request.is_over or self._is_final(request, reply, view):
                 return
             if not self._can_go_on(request):
                 return
@@ -414,6 +418,8 @@
             return False
         if not request.late_replies or not request.refused_nodes:
             return False
+        if request.is_over:
+            return False
         if request.attempts_at_targets >= request.route.attempts_max:
             return False
         request.late_replies.clear()
@@ -448,8 +454,16 @@
                 reply.crash_mark, request.content, read_now()
             )
         tokens = None if request.chain is None else request.chain.tokens
+        if reply.shed_by_target or reply.outcome is not Outcome.NOT_RUN:
+            self._retry_budgets.record_arrival(
+                request.service,
+                reply.shed_by_target,
+                request.route.attempts_max,
+                read_now(),
+            )
         if reply.outcome is Outcome.NOT_RUN:
             request.attempts_at_targets += reply.shed_by_target
+            request.refusals_by_targets += reply.shed_by_target
             request.refused_nodes.add(view.node_id)
             request.last_refusal = reply
             if tokens is not None:
@@ -526,7 +540,8 @@
             return True
         if reply.code == codes.QUARANTINED:
             return True
-        if len(request.tried_nodes) >= NODES_PER_REQUEST_MAX:
+        nodes = len(request.tried_nodes) - request.refusals_by_targets
+        if nodes >= NODES_PER_REQUEST_MAX:
             return True
         return request.attempts_at_targets >= route.attempts_max
 
@@ -559,8 +574,12 @@
         if tokens is not None and not tokens.available:
             return False
         if not self._retry_budgets.try_spend(
-            request.service, request.route.name, now
+            request.service,
+            request.route.name,
+            now,
+            request.rank == 0 or self._graph.is_internal(request.route.name),
         ):
+            self._metrics.record_retry_denied()
             return False
         self._metrics.record_retry()
         log_event(
@@ -578,7 +597,9 @@
         if reply is None:
             return make_refusal(
                 request.caller,
-                codes.TARGET_ABSENT,
+                codes.DEADLINE_EXCEEDED
+                if request.is_over
+                else codes.TARGET_ABSENT,
                 0.0,
                 self._rng,
                 request.route.name,
@@ -593,6 +614,8 @@
                 request.last_node,
             )
         if reply.outcome is Outcome.UNKNOWN:
+            if request.is_over and reply.code == codes.DEADLINE_EXCEEDED:
+                return make_timeout_reply(request)
             return make_unknown_reply(request, reply.code)
         size = len(request.http.body) + len(reply.body)
         self._sizes.record(request.route.name, size)
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
@@ -34,6 +35,8 @@
         last_node: Identifier of the node of the last attempt; empty before it.
         is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
+        refusals_by_targets: Number of those that the targets refused as not
+            run.
         runs_possible: Number of attempts that ran or may have run, late replies
             aside.
         last_run: Reply to the last attempt that ran or may have run.
@@ -56,6 +59,7 @@
     last_node: str = ""
     is_in_flight: bool = False
     attempts_at_targets: int = 0
+    refusals_by_targets: int = 0
     runs_possible: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
@@ -81,6 +85,16 @@
             and run.outcome is Outcome.DONE
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or may run or have run."""
+        return self.is_in_flight or self.last_run is not None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether its deadline has passed."""
+        return read_now() >= self.deadline
+
     @property
     def is_nested(self) -> bool:
         """Whether it is a call of a run in progress."""
