Choose targets by the work left that they are estimated to have

Where a target reports how slow its machine is (fourth figure of Instance-Load), its node forecasts run times, sums the expected rest of its calls and publishes it with the slowness in status messages and replies. Callers then use both in place of the count of calls.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -487,7 +487,10 @@
 
     def _refresh_own_view(self) -> None:
         view = self._own_view
-        view.running, view.queued = self._target_side.get_load()
+        load = self._target_side.get_load()
+        view.running, view.queued = load[:2]
+        if load[2:]:
+            view.update_work(load[2], load[3], read_now())
         view.in_flight_reported = view.in_flight
         view.updated_at = read_now()
 
--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -13,6 +13,7 @@
 from kumquatwalk.logs import log_event
 from kumquatwalk.platform.target_response import read_target_id
 from kumquatwalk.platform.target_response import read_target_slots
+from kumquatwalk.platform.target_response import read_target_slowness
 from kumquatwalk.tasks import keep_running
 
 __all__ = ["TargetProber"]
@@ -105,5 +106,8 @@
                 read_target_slots(response),
                 asked_at,
             )
+            slowness = read_target_slowness(response)
+            if slowness is not None:
+                self._target_side.work.observe_slowness(slowness, read_now())
         else:
             log_event("target_probe_unhealthy", status=response.status)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -24,6 +24,7 @@
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
+from kumquatwalk.daemon.target_work import TargetWork
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.daemon.unique_calls import CallInProgress
 from kumquatwalk.daemon.unique_calls import UniqueCalls
@@ -83,6 +84,8 @@
         is_stopping: Whether this node is stopping, so that other nodes should
             choose other targets.
         stop_admission: Refuses calls that a stop would cut off.
+        work: Work left at the target, where the target reports how slow its
+            machine is.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         self.is_stopping = False
         self.stop_admission = StopAdmission()
         self._waiter = AdmissionWaiter()
+        self.work = TargetWork()
         self.limiter.named_rate.expect_response(read_now())
         # A service that the target announces is not probed.
         self.record = TargetRecord(is_probed=bool(settings.service))
@@ -188,7 +192,7 @@
         """Return the status of the target that is published to other nodes."""
         limiter = self.limiter
         now = read_now()
-        return TargetStatus(
+        status = TargetStatus(
             state=self._get_published_state(),
             limit=limiter.effective_limit,
             running=limiter.running,
@@ -205,10 +209,15 @@
             stop_left_s=max(0.0, self.stop_admission.ends_at - now),
             clock_s=now,
         )
+        return self.work.add_to_status(status, PUBLISHED_ROUTES_MAX)
 
-    def get_load(self) -> tuple[int, int]:
-        """Return the numbers of running and of queued calls."""
-        return self.limiter.running, self.limiter.queued
+    def get_load(self) -> tuple[float, ...]:
+        """Return the numbers of running and of queued calls.
+
+        The work left and the slowness follow where the target reports it.
+        """
+        limiter = self.limiter
+        return limiter.running, limiter.queued, *self.work.measure()
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Update the target's state from a heartbeat.
@@ -369,6 +378,7 @@
             # Callers would avoid it for the run times and the failures of the
             # start before.
             self.limiter.run_times.clear()
+            self.work.clear()
             self._failure_share = 0.0
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
@@ -424,6 +434,7 @@
         code, route = self._check_and_acquire(call, content)
         if code:
             return self._reply_not_run(code)
+        self.work.enter(call)
         try:
             if self._classify(content) is CrashStatus.CLEAR:
                 reply = await self._admit(call, content, running)
@@ -434,6 +445,7 @@
             async with self._suspect_lock:
                 return await self._admit(call, content, running, True)
         finally:
+            self.work.leave(call)
             if route is not None:
                 self._limits.end(route)
 
@@ -513,6 +525,7 @@
                 return self._reply_not_run(codes.TARGET_LEAVING)
             if running is not None:
                 running.is_admitted = True
+            self.work.start(call)
             key = self.stop_admission.begin(call.route, read_now())
             try:
                 reply = await self._run(call, content)
@@ -523,6 +536,7 @@
                     call.route, key, run_s is not None, read_now()
                 )
         finally:
+            self.work.end(call, run_s is not None)
             self._waiter.finish(admission, run_s)
         self._metrics.record_run(reply, read_now() - began_at)
         return reply
@@ -539,6 +553,10 @@
             reply, finding = result.reply, result.finding
             if result.check is not None and target_id == self.record.target_id:
                 self._observe_response(result.check)
+                if result.check.slowness and not result.check.is_replaced:
+                    self.work.observe_slowness(
+                        result.check.slowness, read_now()
+                    )
                 if result.check.is_leaving and not result.check.is_replaced:
                     reply = dataclasses.replace(reply, is_leaving=True)
                     self._set_record(self.record.mark_leaving())
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -19,9 +19,11 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.schema import CS_PER_S
 from kumquatwalk.mesh.schema import MILLI_PER_UNIT
 from kumquatwalk.mesh.schema import MS_PER_S
 from kumquatwalk.mesh.schema import PROTOCOL_VERSION
+from kumquatwalk.mesh.schema import TWENTIETHS_PER_UNIT
 from kumquatwalk.mesh.schema import US_PER_S
 from kumquatwalk.mesh.schema import WIRE_STATES
 from kumquatwalk.outcome import Outcome
@@ -128,6 +130,8 @@
         running=int(reader.running),
         queued=int(reader.queued),
         reply=_read_reply(reader),
+        work_left_s=reader.workLeftCs / CS_PER_S,
+        slowness=reader.slownessTwentieths / TWENTIETHS_PER_UNIT,
     )
 
 
@@ -172,6 +176,8 @@
         is_leaving=bool(reader.isLeaving),
         stop_left_s=(reader.stopLeftMs or math.inf) / MS_PER_S,
         clock_s=reader.clockUs / US_PER_S,
+        work_left_s=reader.workLeftCs / CS_PER_S,
+        slowness=reader.slownessTwentieths / TWENTIETHS_PER_UNIT,
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -17,9 +17,11 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.schema import CS_PER_S
 from kumquatwalk.mesh.schema import MILLI_PER_UNIT
 from kumquatwalk.mesh.schema import MS_PER_S
 from kumquatwalk.mesh.schema import PROTOCOL_VERSION
+from kumquatwalk.mesh.schema import TWENTIETHS_PER_UNIT
 from kumquatwalk.mesh.schema import US_PER_S
 from kumquatwalk.mesh.schema import WIRE_STATES
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -114,6 +116,8 @@
     builder.running = min(message.running, _U16_MAX)
     builder.queued = min(message.queued, _U16_MAX)
     _write_reply(builder, message.reply)
+    if message.slowness:
+        _write_work(builder, message)
 
 
 def _write_reply(builder: Any, message: Reply) -> None:
@@ -156,6 +160,8 @@
     builder.clockUs = int(message.clock_s * US_PER_S)
     if message.stop_left_s < math.inf:
         builder.stopLeftMs = max(1, int(message.stop_left_s * MS_PER_S))
+    if message.slowness:
+        _write_work(builder, message)
     times = builder.init("routeTimes", len(message.route_times))
     for entry, (route, run_s) in zip(times, message.route_times):
         entry.route = route
@@ -195,6 +201,13 @@
     frame.init("crashNotice").report = message.report
 
 
+def _write_work(builder: Any, message: ReplyFrame | TargetStatus) -> None:
+    builder.workLeftCs = min(round(message.work_left_s * CS_PER_S), _U16_MAX)
+    # 0 would say that the target does not report it.
+    steps = max(1, round(message.slowness * TWENTIETHS_PER_UNIT))
+    builder.slownessTwentieths = min(steps, _U8_MAX)
+
+
 def _encode_time(time_s: float) -> int:
     return max(0, int(time_s * US_PER_S))
 
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -98,7 +98,7 @@
         release_reply: Callable[[int], None],
         serve_query: Callable[[OwnerQuery], Awaitable[Reply]],
         get_status: Callable[[], TargetStatus],
-        get_load: Callable[[], tuple[int, int]],
+        get_load: Callable[[], tuple[float, ...]],
         get_config: Callable[[], ConfigDocument | None],
         list_notices: Callable[[], Iterable[CrashNotice]],
         on_hello: Callable[[Hello], None],
@@ -313,8 +313,10 @@
         self._reply(session, call_id, reply)
 
     def _reply(self, session: _Session, call_id: int, reply: Reply) -> None:
-        running, queued = self._get_load()
-        session.link.send_reply(ReplyFrame(call_id, running, queued, reply))
+        load = self._get_load()
+        session.link.send_reply(
+            ReplyFrame(call_id, load[0], load[1], reply, *load[2:])
+        )
 
     def _end_calls(self, session: _Session) -> None:
         """Reply to all calls and queries in progress, and cancel them."""
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -65,6 +65,9 @@
   tokens @10 :UInt16;
   crashMark @11 :Data;
   isLeaving @12 :Bool;
+  # As in TargetStatus.
+  workLeftCs @13 :UInt16;
+  slownessTwentieths @14 :UInt8;
 }
 
 struct Cancel {
@@ -96,6 +99,11 @@
   # Rest of the sender's stop, over 0; 0 while it does not stop.
   stopLeftMs @12 :UInt32;
   clockUs @13 :UInt64;
+  # Expected remaining time of all calls, and time of a run that starts now over
+  # that in routeTimes; both 0 if the target does not report its slowness. The
+  # small types fit into padding, so that messages without them keep their size.
+  workLeftCs @14 :UInt16;
+  slownessTwentieths @15 :UInt8;
 }
 
 struct ConfigRequest {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -221,12 +221,16 @@
         running: Number of calls running at the target.
         queued: Number of calls queued for the target.
         reply: The reply.
+        work_left_s: As in ``TargetStatus``.
+        slowness: As in ``TargetStatus``.
     """
 
     call_id: int
     running: int
     queued: int
     reply: Reply
+    work_left_s: float = 0.0
+    slowness: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,6 +281,11 @@
         stop_left_s: Time until all calls must have ended, as the sending node
             is stopping, in seconds; infinite while it is not.
         clock_s: Sender's clock, in seconds; 0 when it does not tell.
+        work_left_s: Expected remaining time of the running and queued calls,
+            summed, in seconds.
+        slowness: Expected time of a run that starts now, over the time in
+            ``route_times``; 0 if the target does not report how slow its
+            machine is.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -293,6 +302,8 @@
     is_leaving: bool = False
     stop_left_s: float = math.inf
     clock_s: float = 0.0
+    work_left_s: float = 0.0
+    slowness: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -573,6 +573,8 @@
         view = self.view
         view.running = frame.running
         view.queued = frame.queued
+        if frame.slowness or view.slowness:
+            view.update_work(frame.work_left_s, frame.slowness, read_now())
         view.in_flight_reported = max(0, view.in_flight - 1)
         pending.reply.set_result(frame.reply)
         if not pending.fails_on_disconnect and frame.reply.status:
--- a/kumquatwalk/mesh/schema.py
+++ b/kumquatwalk/mesh/schema.py
@@ -7,9 +7,11 @@
 from kumquatwalk.targets.heartbeat import TargetState
 
 __all__ = [
+    "CS_PER_S",
     "MILLI_PER_UNIT",
     "MS_PER_S",
     "PROTOCOL_VERSION",
+    "TWENTIETHS_PER_UNIT",
     "US_PER_S",
     "WIRE_STATES",
     "load_schema",
@@ -19,6 +21,8 @@
 PROTOCOL_VERSION = 3
 US_PER_S = 1_000_000
 MS_PER_S = 1000
+CS_PER_S = 100
+TWENTIETHS_PER_UNIT = 20
 MILLI_PER_UNIT = 1000
 
 # Target states; the index of a state is its number on the wire.
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -34,6 +34,10 @@
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.targets.heartbeat import TargetState
 
+# Sizes of a reply and of a status without content before the work left had
+# fields.
+REPLY_BYTES = 96
+STATUS_BYTES = 96
 _MESSAGES = (
     Hello("n", 5, "z", "s", "10.0.0.1", 80, 12.5),
     CallFrame(
@@ -86,6 +90,8 @@
     HedgeRequest(3),
     TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
     TargetStatus(is_stopping=True, stop_left_s=3.5, clock_s=7.25),
+    TargetStatus(work_left_s=1.25, slowness=2.5),
+    ReplyFrame(8, 3, 4, Reply(Outcome.NOT_RUN, "overloaded"), 0.5, 0.75),
     Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
     TargetStatus(
         TargetState.DRAINING,
@@ -117,6 +123,25 @@
                 frames = FrameReader().feed(make_frame(encode(message)))
                 self.assertEqual([decode(f) for f in frames], [message])
 
+    # Guards against a reported slowness that callers take for none.
+    def test_work_left_is_bounded_by_its_fields(self):
+        message = TargetStatus(work_left_s=1e9, slowness=1e9)
+        decoded = decode(encode(message))
+        self.assertEqual(decoded.work_left_s, 655.35)
+        self.assertEqual(decoded.slowness, 12.75)
+        message = TargetStatus(slowness=0.001)
+        self.assertEqual(decode(encode(message)).slowness, 0.05)
+
+    # Guards against a cost for deployments whose targets do not report it.
+    def test_fields_of_the_work_left_add_no_bytes(self):
+        reply = Reply(Outcome.DONE, status=200)
+        plain = encode(ReplyFrame(8, 3, 4, reply))
+        self.assertEqual(
+            len(encode(ReplyFrame(8, 3, 4, reply, 1, 1))), len(plain)
+        )
+        self.assertEqual(len(plain), REPLY_BYTES)
+        self.assertEqual(len(encode(TargetStatus())), STATUS_BYTES)
+
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(st.lists(st.integers(1, 5000), max_size=8))
     def test_frames_are_split_at_any_read_boundary(self, sizes):
--- a/kumquatwalk/platform/names.py
+++ b/kumquatwalk/platform/names.py
@@ -7,7 +7,8 @@
 # Identifier of one start of a target, not of its service or address.
 HEADER_TARGET_ID_EXPECTED = b"expect-instance"
 HEADER_TARGET_ID = b"instance-id"
-# Numbers of running requests, queued requests and slots, comma-separated.
+# Numbers of running requests, queued requests and slots, and optionally how
+# long work takes now, normally 100; comma-separated.
 HEADER_TARGET_LOAD = b"instance-load"
 # Requests a second that a target takes from all nodes together.
 HEADER_RATE_LIMIT = b"server-limit"
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -16,8 +16,15 @@
     "list_response_headers",
     "read_target_id",
     "read_target_slots",
+    "read_target_slowness",
 ]
 
+# Numbers of running and waiting requests, slots and, optionally, how long work
+# takes now, normally 100. Only the last two are used.
+_LOAD_PATTERN = re.compile(
+    rb"[^,]*,[^,]*,\s*(\d{1,9})\s*(?:,\s*(\d{1,6}(?:\.\d{1,6})?)\s*)?", re.ASCII
+)
+_SLOWNESS_NORMAL = 100.0
 _RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Statuses with which the not-run header of a target counts.
 _NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
@@ -61,6 +68,7 @@
         is_replaced=was_not_run and response.status == 421,
         is_leaving=names.HEADER_LEAVING in values,
         rate_limit=_read_rate_limit(values.get(names.HEADER_RATE_LIMIT)),
+        slowness=_read_slowness(values.get(names.HEADER_TARGET_LOAD)),
     )
 
 
@@ -92,10 +100,26 @@
 def read_target_slots(response: HttpResponse) -> int:
     """Return the number of slots in a response; 0 if missing or malformed."""
     value = response.find_header(names.HEADER_TARGET_LOAD) or b""
-    parts = value.split(b",")
-    if len(parts) != 3 or not parts[2].strip().isdigit():
-        return 0
-    return int(parts[2])
+    match = _LOAD_PATTERN.fullmatch(value)
+    return int(match[1]) if match else 0
+
+
+def read_target_slowness(response: HttpResponse) -> float | None:
+    """Return how long work takes at the target, over the normal time.
+
+    Returns:
+        The slowness, above 0; None if the response does not say it, or says it
+        in a header that is malformed.
+    """
+    return _read_slowness(response.find_header(names.HEADER_TARGET_LOAD))
+
+
+def _read_slowness(value: bytes | None) -> float | None:
+    # Most targets report three figures; counting is cheaper than matching.
+    if value is None or value.count(b",") != 3:
+        return None
+    match = _LOAD_PATTERN.fullmatch(value)
+    return (float(match[2]) / _SLOWNESS_NORMAL or None) if match else None
 
 
 def _read_rate_limit(value: bytes | None) -> RateLimit:
--- a/kumquatwalk/platform/tests/test_target_response.py
+++ b/kumquatwalk/platform/tests/test_target_response.py
@@ -4,6 +4,8 @@
 
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.platform.target_response import decode_target_response
+from kumquatwalk.platform.target_response import read_target_slots
+from kumquatwalk.platform.target_response import read_target_slowness
 from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
 from kumquatwalk.targets.rate_limit import RateLimit
 
@@ -58,5 +60,51 @@
                 self.assertEqual(check.rate_limit, RateLimit(True, None))
 
 
+class LoadTest(unittest.TestCase):
+
+    def check(self, text, slots, slowness):
+        """Check what is read from a load header, on runs and probes."""
+        with self.subTest(text):
+            response = HttpResponse(200, ((b"INSTANCE-load", text),), b"")
+            self.assertEqual(read_target_slots(response), slots)
+            self.assertEqual(read_target_slowness(response), slowness)
+            check = decode((b"instance-LOAD", text), status=503)
+            self.assertEqual(check.slowness, slowness)
+
+    # Guards against a target that gets the default number of slots because it
+    # reports a figure more.
+    def test_three_or_four_figures_are_read(self):
+        self.check(b"3,0,16", 16, None)
+        self.check(b"3, 0, 16 ", 16, None)
+        self.check(b"3,0,16,100", 16, 1.0)
+        self.check(b"3,0,16, 250", 16, 2.5)
+        self.check(b"3,0,16,62.5", 16, 0.625)
+        self.check(b"3,0,16,0", 16, None)
+
+    def test_other_text_says_nothing(self):
+        for text in (
+            b"",
+            b"16",
+            b"3,16",
+            b"3,0,x",
+            b"3,0,-1",
+            b"3,0,",
+            b"3,0,16,",
+            b"3,0,16,x",
+            b"3,0,16,-5",
+            b"3,0,16,1e9",
+            b"3,0,16,nan",
+            b"3,0,16,9999999",
+            b"3,0,,100",
+            b"3,0,16,100,1",
+            b"3,0," + b"1" * 5000,
+        ):
+            self.check(text, 0, None)
+
+    def test_response_without_the_header_says_nothing(self):
+        self.assertIsNone(decode().slowness)
+        self.assertIsNone(read_target_slowness(HttpResponse(200)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/routing/target_choice.py
+++ b/kumquatwalk/routing/target_choice.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.routing.slowness import fade_slowness
 from kumquatwalk.targets.heartbeat import TargetState
 
 __all__ = [
@@ -38,6 +39,14 @@
 FAILURE_COST = 2.0
 # Fraction of failed runs that is normal and costs nothing.
 FAILURE_SHARE_NORMAL = 0.02
+# Cost of a refusal: it takes a round trip, and the request may find no target
+# within its few attempts. Counted where targets report their work only.
+REFUSAL_COST = 0.3
+# Expected waits, as fractions of the objective, from which on a refusal is
+# possible and certain. Targets refuse what waits longer than 0.35 of it; the
+# expected wait is wrong by about a third.
+REFUSAL_POSSIBLE = 0.25
+REFUSAL_CERTAIN = 0.45
 # Factor on the run time of a target during its cold start.
 COLD_START_FACTOR = 2.0
 # Age of the last status after which a target is used only as a last resort, in
@@ -69,6 +78,11 @@
         running: Running calls, as last reported.
         queued: Queued calls, as last reported.
         updated_at: Time of the last status, in seconds.
+        work_left_s: Work left there, as last reported, in seconds; see
+            ``TargetStatus``.
+        slowness: Slowness of its machine, as last reported; see
+            ``TargetStatus``. 0 if it is not reported.
+        work_at: Time of the report of both, in seconds.
         in_flight: Calls from this node that have no reply yet.
         in_flight_reported: Calls from this node that the last reported load
             already includes.
@@ -91,6 +105,9 @@
     is_reachable: bool = False
     backoff_until: float = 0.0
     ends_at: float = math.inf
+    work_left_s: float = 0.0
+    slowness: float = 0.0
+    work_at: float = 0.0
 
     @property
     def is_ready(self) -> bool:
@@ -120,6 +137,21 @@
         sent_at = now if sent_at is None else sent_at
         self.ends_at = sent_at + status.stop_left_s
         self.in_flight_reported = self.in_flight
+        self.update_work(status.work_left_s, status.slowness, now)
+
+    def update_work(
+        self, work_left_s: float, slowness: float, now: float
+    ) -> None:
+        """Replace the work left and the slowness with newly reported ones.
+
+        Args:
+            work_left_s: See ``TargetStatus``.
+            slowness: See ``TargetStatus``.
+            now: Current time, in seconds.
+        """
+        self.work_left_s = work_left_s
+        self.slowness = slowness
+        self.work_at = now
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,9 +287,16 @@
     limit = max(1, status.limit)
     unreported = max(0, view.in_flight - view.in_flight_reported)
     load = view.running + view.queued + unreported
-    wait_s = (
-        max(0, load + 1 - limit) / limit * _estimate_mean_run_s(status, run_s)
-    )
+    if view.slowness:
+        slowness = fade_slowness(view.slowness, context.now - view.work_at)
+        run_s *= slowness
+        wait_s = _estimate_wait_s(view, run_s, slowness, load, limit)
+    else:
+        wait_s = (
+            max(0, load + 1 - limit)
+            / limit
+            * _estimate_mean_run_s(status, run_s)
+        )
     used_fraction = (run_s + wait_s) / max(context.objective_s, 0.001)
     time_cost = TIME_COST_INTERNAL if context.is_internal else TIME_COST
     cost = (
@@ -266,10 +305,41 @@
     )
     if view.availability_zone != context.availability_zone:
         cost += COST_PER_KB * context.size_kb
+    if view.slowness and wait_s:
+        cost += _estimate_refusal_cost(wait_s / max(context.objective_s, 0.001))
     excess_failures = max(0.0, status.failure_share - FAILURE_SHARE_NORMAL)
     return cost + FAILURE_COST * excess_failures
 
 
+def _estimate_wait_s(
+    view: TargetView, run_s: float, slowness: float, load: int, limit: int
+) -> float:
+    """Return the expected wait for a slot at a target that reports its work.
+
+    Args:
+        view: The target.
+        run_s: Expected time of a run there, in seconds.
+        slowness: Slowness that is expected now.
+        load: Calls there, with those that are not reported yet.
+        limit: Concurrency limit of the target.
+    """
+    excess = load + 1 - limit
+    if excess <= 0:
+        return 0.0
+    reported = view.running + view.queued
+    work_s = view.work_left_s * slowness / view.slowness
+    work_s += (load - reported) * run_s
+    # Without calls the excess is that of a limit of 1, which is free.
+    return excess / limit * work_s / max(1, load)
+
+
+def _estimate_refusal_cost(wait_fraction: float) -> float:
+    """Return the expected cost of a refusal for a wait, over the objective."""
+    excess = wait_fraction - REFUSAL_POSSIBLE
+    probability = excess / (REFUSAL_CERTAIN - REFUSAL_POSSIBLE)
+    return REFUSAL_COST * min(1.0, max(0.0, probability))
+
+
 def collect_run_times(
     views: Iterable[TargetView],
 ) -> dict[str, dict[str, float]]:
--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -9,6 +9,7 @@
 from kumquatwalk.routing.target_choice import ChoiceContext
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.routing.target_choice import choose_target
+from kumquatwalk.routing.target_choice import estimate_cost
 from kumquatwalk.targets.heartbeat import TargetState
 
 
@@ -160,6 +161,74 @@
         )
         self.assertEqual(counts[None], 200)
 
+    def test_target_with_less_work_left_is_preferred(self):
+        # Both have as many calls; those of one are about to end.
+        busy = {"running": 10, "queued": 4, "slowness": 1.0}
+        views = [
+            make_view("long", work_left_s=4.0, **busy),
+            make_view("short", work_left_s=1.0, **busy),
+        ]
+        self.assertEqual(count_choices(views)["short"], 200)
+
+    def test_target_on_a_slow_machine_is_avoided_while_the_report_is_new(self):
+        slow = make_view("slow", slowness=2.5)
+        usual = make_view("usual", slowness=1.0)
+        counts = count_choices([slow, usual], now=100.01)
+        self.assertEqual(counts["usual"], 200)
+        # A second later the machine is as likely to be slow as any other.
+        counts = count_choices([slow, usual], now=101.4)
+        self.assertGreater(min(counts["slow"], counts["usual"]), 60)
+
+    def test_calls_sent_since_the_report_count_as_work(self):
+        near = make_view("near", slowness=1.0, work_left_s=0.1)
+        near.in_flight = 40
+        far = make_view("far", "b", slowness=1.0, work_left_s=0.1)
+        self.assertEqual(count_choices([near, far])["far"], 200)
+
+    # Guards against a change for targets that report three figures: a work
+    # left without a slowness is no report.
+    def test_target_without_a_report_is_chosen_by_its_count_of_calls(self):
+        fields = {"running": 12, "queued": 6}
+        plain = make_view("one", **fields)
+        other = make_view("one", work_left_s=9.0, **fields)
+        context = ChoiceContext("a", "r", 1.0, 1.0, frozenset(), 100.1)
+        self.assertEqual(
+            estimate_cost(plain, context), estimate_cost(other, context)
+        )
+        wait_s = (18 + 1 - 10) / 10 * 0.1
+        used = 0.1 + wait_s
+        self.assertEqual(estimate_cost(plain, context), 0.15 * used)
+
+    # Guards against a zone that refuses calls while another has room: bytes
+    # between zones are cheaper than a wait that makes answers late.
+    def test_far_zone_with_room_is_preferred_to_a_queue_in_the_zone(self):
+        report = {"slowness": 1.0, "work_left_s": 20.0}
+        for size_kb, fields in ((4.0, {}), (8.0, report)):
+            full = [
+                make_view(
+                    f"near-{n}", running=10, queued=30, run_s=0.2, **fields
+                )
+                for n in range(6)
+            ]
+            fields = {**fields, "work_left_s": 0.0}
+            free = [
+                make_view(f"far-{n}", "b", run_s=0.2, **fields)
+                for n in range(3)
+            ]
+            counts = count_choices(full + free, size_kb=size_kb)
+            self.assertEqual(
+                sum(n for k, n in counts.items() if k.startswith("far")), 200
+            )
+
+    def test_large_answer_waits_a_little_in_the_zone(self):
+        # The wait is far from what a target refuses.
+        near = make_view(
+            "near", running=10, queued=2, work_left_s=1.2, slowness=1.0
+        )
+        far = make_view("far", "b", slowness=1.0)
+        counts = count_choices([near, far], size_kb=8.0)
+        self.assertEqual(counts["near"], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/targets/response.py
+++ b/kumquatwalk/targets/response.py
@@ -19,6 +19,8 @@
         is_replaced: Whether another target now serves at the address.
         is_leaving: Whether the target says that it leaves.
         rate_limit: What the response says of the rate that the target takes.
+        slowness: Time that work takes at the target now over the normal time;
+            None if the response does not say it.
     """
 
     belongs_to_request: bool
@@ -27,3 +29,4 @@
     is_replaced: bool
     is_leaving: bool = False
     rate_limit: RateLimit = NO_RATE_LIMIT
+    slowness: float | None = None
