--- a/kumquatwalk/routing/slowness.py
+++ b/kumquatwalk/routing/slowness.py
@@ -53,12 +53,12 @@
             now: Current time, in seconds.
         """
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
+        self._progress_s = self.measure_progress(now)
         if not self.is_reported:
             self.is_reported = True
             self._smoothed = slowness
         else:
             elapsed_s = max(0.0, now - self._observed_at)
-            self._progress_s = self.measure_progress(now)
             weight = 1.0 - math.exp(-elapsed_s / SMOOTHING_S)
             self._smoothed += weight * (slowness - self._smoothed)
             weight = 1.0 - math.exp(-elapsed_s / USUAL_S)
--- a/kumquatwalk/routing/tests/test_work_left.py
+++ b/kumquatwalk/routing/tests/test_work_left.py
@@ -44,6 +44,13 @@
         later = meter.measure_progress(61.0) - meter.measure_progress(31.0)
         self.assertAlmostEqual(later, 30.0 / meter.usual, delta=0.01)
 
+    # Guards against runs of negative length, begun before the first figure.
+    def test_progress_goes_on_at_the_first_figure(self):
+        meter = SlownessMeter()
+        before = meter.measure_progress(50.0)
+        meter.observe(2.0, 50.0)
+        self.assertAlmostEqual(meter.measure_progress(50.0), before)
+
     # Guards against an overflow or a negative progress at extreme figures.
     def test_extreme_figures_are_bounded(self):
         meter = SlownessMeter()
