Work left: status, metrics, log; fleet load by the sizes of zones

Where targets report their work, the ingress counts the targets of each zone by the size of the zone: two thirds of the linked nodes are in the own one, so a full zone made its nodes shed although the fleet had room.

--- a/kumquatwalk/daemon/peers.py
+++ b/kumquatwalk/daemon/peers.py
@@ -19,6 +19,7 @@
 from kumquatwalk.routing.sampled_views import WeightedView
 from kumquatwalk.routing.sampled_views import estimate_targets
 from kumquatwalk.routing.sampled_views import weigh_views
+from kumquatwalk.routing.sampled_views import weigh_views_by_zone
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.subset import RankedNodes
 from kumquatwalk.subset import SUBSET_SIZES
@@ -183,8 +184,17 @@
 
         Sums over the fleet are estimated from the linked targets of a service,
         each of which stands for as many as the roster has for each linked one.
+        Where targets report their work, the zones are counted by their sizes.
         """
-        return weigh_views(self.list_all_views(), self.count_nodes())
+        views = self.list_all_views()
+        if any(view.slowness for view in views):
+            own = self._own_view
+            nodes = {(own.service, own.availability_zone): 1}
+            for entry in self._entries.values():
+                part = entry.service, entry.availability_zone
+                nodes[part] = nodes.get(part, 0) + 1
+            return weigh_views_by_zone(views, nodes, own.availability_zone)
+        return weigh_views(views, self.count_nodes())
 
     async def wait_until_linked(self, service: str, timeout_s: float) -> bool:
         """Wait until a target of a service is reachable.
--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -72,7 +72,7 @@
                 service: core.peers.count_targets(service)
                 for service in sorted(services)
             },
-        }
+        } | core.target_side.work.describe()
 
     def _describe_members(self) -> dict[str, object]:
         core = self._core
@@ -97,10 +97,23 @@
         core: Components of the daemon.
     """
     limiter = core.target_side.limiter
+    work = core.target_side.work
     readers = {
         "running": (lambda: limiter.running, "Calls that run at the target."),
         "queued": (lambda: limiter.queued, "Calls that wait for the target."),
         "limit": (lambda: limiter.limit, "Calls that may run at once."),
+        "target_work_left_seconds": (
+            work.measure_work_left,
+            "Expected remaining time of all calls at the target.",
+        ),
+        "target_slowness": (
+            work.measure_slowness,
+            "Time that work takes at the target over the normal time.",
+        ),
+        "run_forecast_error": (
+            work.measure_forecast_error,
+            "Mean absolute error of forecasts of runs over the mean run time.",
+        ),
         "catalogue_revision": (
             lambda: core.configs.version,
             "Version of the configuration in force.",
@@ -167,6 +180,16 @@
         # The concurrency limit, which is lower than the target's slots.
         "slots": status.limit,
         "catalogue_revision": status.config_version,
+    } | _describe_work(view)
+
+
+def _describe_work(view: TargetView) -> dict[str, object]:
+    """Return what a target reports of its work; empty if it does not."""
+    if not view.slowness:
+        return {}
+    return {
+        "work_left_s": round(view.work_left_s, 2),
+        "slowness": round(view.slowness, 2),
     }
 
 
--- a/kumquatwalk/daemon/target_work.py
+++ b/kumquatwalk/daemon/target_work.py
@@ -127,11 +127,11 @@
         slowness = self._left.slowness
         return {
             "work_left_s": round(self._left.measure(now), 3),
-            "calls": self._left.calls,
+            "work_calls": self._left.calls,
             "slowness": round(slowness.estimate(now), 3),
             "usual_slowness": round(slowness.usual, 3),
             "forecast_error": round(self._forecast.measure_error(), 3),
-            "keys": sorted(f"{r}:{k}" for r, k in self._used_keys),
+            "forecast_keys": sorted(f"{r}:{k}" for r, k in self._used_keys),
         }
 
     def measure_work_left(self) -> float:
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -1,5 +1,6 @@
 """Tests of ingress admission with loads and reports of other nodes."""
 
+import dataclasses
 import random
 import unittest
 from unittest import mock
@@ -11,6 +12,8 @@
 from kumquatwalk.routing.call_graph import RouteRate
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.routing.sampled_views import WeightedView
+from kumquatwalk.routing.sampled_views import weigh_views
+from kumquatwalk.routing.sampled_views import weigh_views_by_zone
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.targets.heartbeat import TargetState
 
@@ -83,6 +86,33 @@
         self.assertLess(one, 250)
         self.assertEqual(four, 400)
 
+    # Guards against requests that are shed although the fleet has room for
+    # them: the linked targets of the own zone are full, those of others free.
+    def test_full_zone_alone_does_not_shed(self):
+        peers = OverloadedPeers("r")
+        near = peers.list_all_views()[0]
+        status = dataclasses.replace(near.status, running=2, queued=0)
+        far = TargetView("d2", "z2", "deep", is_reachable=True)
+        far.update_status(status, 0.0)
+        views = [near, far]
+        nodes = {("deep", z): 1 for z in ("z1", "z2", "z3", "z4")}
+        for by_zone, is_shed in ((True, False), (False, True)):
+            weighted = (
+                weigh_views_by_zone(views, nodes, "z1")
+                if by_zone
+                else weigh_views(views, {"deep": 4})
+            )
+            peers.list_weighted_views = lambda w=weighted: w
+            graph = CallGraph()
+            for service in ("deep", "front"):
+                report = TrafficReport((RouteRate("r", 100.0),))
+                graph.add_report(f"{service}-1", service, report, 1.0)
+            admission = ingress_admission.IngressAdmission(
+                peers, graph, random.Random(1)
+            )
+            admitted = count_admitted(admission, make_route(name="r", rank=2))
+            self.assertEqual(admitted < 400, is_shed)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/routing/tests/test_sampled_views.py
+++ b/kumquatwalk/routing/tests/test_sampled_views.py
@@ -6,6 +6,7 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.sampled_views import estimate_targets
 from kumquatwalk.routing.sampled_views import weigh_views
+from kumquatwalk.routing.sampled_views import weigh_views_by_zone
 from kumquatwalk.routing.target_choice import TargetView
 from kumquatwalk.targets.heartbeat import TargetState
 
@@ -46,6 +47,31 @@
         self.assertEqual(estimate_targets(views, 45), 30)
         self.assertEqual(estimate_targets([], 45), 0)
 
+    # Guards against an ingress that sheds by the load of its own zone while
+    # other zones have room.
+    def test_zones_count_by_their_sizes(self):
+        # Pattern: four zones of 12 targets; one is overloaded, and its nodes
+        # are linked to six targets of it and three of the others.
+        near = [make_view(n, 14) for n in range(6)]
+        far = [make_view(n, 4) for n in range(6, 9)]
+        for view in far:
+            view.availability_zone = "y"
+        nodes = {("s", zone): 12 for zone in ("z", "y", "x", "w")}
+        weighted = weigh_views_by_zone(near + far, nodes, "z")
+        total = sum(w.weight * w.view.running for w in weighted)
+        limit = sum(w.weight * w.view.status.limit for w in weighted)
+        self.assertAlmostEqual(total, 12 * 14 + 36 * 4)
+        self.assertAlmostEqual(limit, 48 * 8)
+        equal = weigh_views(near + far, {"s": 48})
+        total = sum(w.weight * w.view.running for w in equal)
+        self.assertGreater(total, 1.3 * 48 * 8)
+
+    def test_zones_that_are_not_linked_are_taken_for_the_linked_ones(self):
+        near = [make_view(n, 4) for n in range(6)]
+        nodes = {("s", "z"): 12, ("s", "y"): 12}
+        weighted = weigh_views_by_zone(near, nodes, "z")
+        self.assertEqual([w.weight for w in weighted], [4.0] * 6)
+
 
 if __name__ == "__main__":
     unittest.main()
