--- a/kumquatwalk/standin/platform_fleet.py
+++ b/kumquatwalk/standin/platform_fleet.py
@@ -57,6 +57,9 @@
     start_timeout_s = 30.0
     # Paths of requests that show that a node serves.
     probes = (b"/look/0/1", b"/pay-pay/0/1")
+    # Memory, in megabytes, and descriptors of each process.
+    memory_mb = 300
+    fds_max = 4096
 
     def __init__(
         self,
@@ -225,6 +228,8 @@
             self._folder / f"{name}.toml",
             target.address,
             slots=place.slots,
+            memory_mb=self.memory_mb,
+            fds_max=self.fds_max,
         )
         target.choose_script = node.choose_script
         node.write_settings(self.store.address)
--- a/kumquatwalk/standin/platform_node.py
+++ b/kumquatwalk/standin/platform_node.py
@@ -52,6 +52,8 @@
         is_killed: Whether the daemon got SIGKILL since.
         reloads: Number of changes of the settings.
         slots: Number of requests that the target runs at once.
+        memory_mb: Memory of the process, in megabytes.
+        fds_max: Descriptors of the process.
     """
 
     name: str
@@ -72,6 +74,8 @@
     is_killed: bool = False
     reloads: int = 0
     slots: int = 64
+    memory_mb: int = 300
+    fds_max: int = 4096
 
     @property
     def pid(self) -> int:
@@ -181,7 +185,8 @@
             "[listen]",
             *listen,
             "[limits]",
-            "memoryMb = 300",
+            f"memoryMb = {self.memory_mb}",
+            f"maxFds = {self.fds_max}",
             "[platform]",
             f'address = "{store}"',
         ]
