Bound what uncontrolled clients hold: connections, heads, parts, pipelines

The daemon counts callers' connections, heads and unparsed bytes in an account of an eighth of memoryMb, keeps a reserve of maxFds, parses pipelined requests in slices and handles 32 of a connection at once, and refuses bodies in tiny chunks. Incomplete requests are closed first, the one of the oldest progress first.

--- a/kumquatwalk/composition.py
+++ b/kumquatwalk/composition.py
@@ -1,6 +1,7 @@
 """Composition root: creates a daemon from its settings."""
 
 import functools
+import resource
 
 from kumquatwalk.address import Address
 from kumquatwalk.config.fleet_config import CallerLimits
@@ -16,6 +17,9 @@
 from kumquatwalk.daemon.target_prober import TargetProber
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import Handler
+from kumquatwalk.http1.connection_account import ConnectionAccount
+from kumquatwalk.http1.connection_account import count_connections_max
+from kumquatwalk.http1.connection_account import count_reserved_descriptors
 from kumquatwalk.http1.server import HttpServer
 from kumquatwalk.native.settings import NodeSettings
 from kumquatwalk.platform.request_headers import find_attempt_id
@@ -31,6 +35,12 @@
 AUXILIARY_LIMITS = CallerLimits(body_bytes_max=64 * 1024)
 # Fraction of the memory of the process that each of their listeners may take.
 AUXILIARY_MEMORY_FRACTION = 1 / 64
+# Fraction of the memory of the process for callers' connections, their heads
+# and what is received and not parsed yet.
+CONNECTION_MEMORY_FRACTION = 0.125
+# Fraction of the reserved descriptors for the connections of each auxiliary
+# listener.
+AUXILIARY_DESCRIPTORS_FRACTION = 0.125
 
 
 @functools.singledispatch
@@ -47,12 +57,39 @@
     raise TypeError(f"not the settings of a daemon: {type(settings).__name__}")
 
 
+def _find_descriptors_max(settings: DaemonSettings) -> int:
+    """Return the descriptors that settings and kernel allow."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return settings.fds_max
+    return min(settings.fds_max, soft)
+
+
+def _make_caller_account(core: DaemonCore) -> ConnectionAccount:
+    """Return the account of the connections of all callers."""
+    settings = core.settings
+    return ConnectionAccount(
+        int(settings.memory_max_bytes * CONNECTION_MEMORY_FRACTION),
+        count_connections_max(_find_descriptors_max(settings)),
+        core.metrics.record_closed,
+    )
+
+
 def _make_auxiliary_server(
-    settings: DaemonSettings, address: Address, handler: Handler
+    core: DaemonCore, address: Address, handler: Handler
 ) -> HttpServer:
     """Return a server whose memory does not depend on that of others."""
+    settings = core.settings
     size = int(settings.memory_max_bytes * AUXILIARY_MEMORY_FRACTION)
-    return HttpServer(address, handler, AUXILIARY_LIMITS, ByteBudget(size))
+    reserved = count_reserved_descriptors(_find_descriptors_max(settings))
+    account = ConnectionAccount(
+        size,
+        max(2, int(reserved * AUXILIARY_DESCRIPTORS_FRACTION)),
+        core.metrics.record_closed,
+    )
+    return HttpServer(
+        address, handler, AUXILIARY_LIMITS, ByteBudget(size), account=account
+    )
 
 
 @make_daemon.register
@@ -64,13 +101,13 @@
     auxiliary_services = [
         TargetProber(settings, core.target_side, core.configs),
         _make_auxiliary_server(
-            settings, settings.readiness_listener, readiness.handle
+            core, settings.readiness_listener, readiness.handle
         ),
     ]
     if settings.metrics_listener is not None:
         status = StatusHandler(core)
         metrics_server = _make_auxiliary_server(
-            settings, settings.metrics_listener, status.handle
+            core, settings.metrics_listener, status.handle
         )
         auxiliary_services.append(OptionalServer(metrics_server))
     server = HttpServer(
@@ -82,9 +119,10 @@
         estimate_answer=callers.estimate_answer,
         identify=find_attempt_id,
         on_unanswered=core.metrics.record_unanswered,
+        account=_make_caller_account(core),
     )
     target_server = _make_auxiliary_server(
-        settings, settings.heartbeat_listener, heartbeats.handle
+        core, settings.heartbeat_listener, heartbeats.handle
     )
     daemon = Daemon(core, server, target_server, tuple(auxiliary_services))
     return daemon
@@ -142,6 +180,7 @@
         core.partition if settings.enable_faults else None,
     )
     limits = settings.make_caller_limits()
+    account = _make_caller_account(core)
     server = HttpServer(
         Address(settings.host, settings.http_port),
         entries.handle,
@@ -150,6 +189,7 @@
         core.answer_budget,
         entries.refuse,
         on_unanswered=core.metrics.record_unanswered,
+        account=account,
     )
     local_server = HttpServer(
         Address(settings.local_host, settings.local_port),
@@ -158,6 +198,7 @@
         core.body_budget,
         core.answer_budget,
         on_unanswered=core.metrics.record_unanswered,
+        account=account,
     )
     restorer = CatalogueRestorer(core.store, core.configs, core.has_watch_duty)
     claim_restorer = ClaimRestorer(core.store, claim_store.held)
--- a/kumquatwalk/daemon/metrics.py
+++ b/kumquatwalk/daemon/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a daemon's request path."""
 
+from kumquatwalk.http1.connection_account import CloseReason
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.mesh.message import Reply
@@ -34,6 +35,14 @@
         )
         self._requests: dict[tuple[str, str, str], Counter] = {}
         self._unanswered: dict[tuple[Stage, End], Counter] = {}
+        self._closed = {
+            reason: registry.counter(
+                "kumquatwalk_connections_closed_total",
+                Label("reason", reason.value),
+                help_text="Clients' connections closed, by what ran short.",
+            )
+            for reason in CloseReason
+        }
         self._target_calls: dict[tuple[str, str], Counter] = {}
 
     def record_request(
@@ -79,6 +88,14 @@
             self._unanswered[stage, end] = counter
         counter.increment()
 
+    def record_closed(self, reason: CloseReason) -> None:
+        """Count a client's connection that was closed for a shortage.
+
+        Args:
+            reason: What ran short.
+        """
+        self._closed[reason].increment()
+
     def record_retry(self) -> None:
         """Count a retry of a request that had reached a target."""
         self._retries.increment()
--- a/kumquatwalk/daemon/settings.py
+++ b/kumquatwalk/daemon/settings.py
@@ -52,6 +52,7 @@
         metrics_listener: Address for metrics and status; None to disable it.
         bounds: Bounds that the operators set for the fleet.
         memory_max_bytes: Memory that the process may take, in bytes.
+        fds_max: File descriptors that the process may open.
     """
 
     node_id: str
@@ -66,3 +67,4 @@
     metrics_listener: Address | None
     bounds: FleetBounds
     memory_max_bytes: int = 256 * 1024 * 1024
+    fds_max: int = 4096
--- a/kumquatwalk/http1/body_buffer.py
+++ b/kumquatwalk/http1/body_buffer.py
@@ -1,6 +1,6 @@
 """Parts of a body that is being received."""
 
-__all__ = ["PARTS_MAX", "BodyBuffer"]
+__all__ = ["PARTS_MAX", "PART_BYTES_MIN", "BodyBuffer"]
 
 # Parts below this size are copied into blocks of about this size.
 _BLOCK_BYTES = 16 * 1024
@@ -17,18 +17,19 @@
 
     Attributes:
         size: Number of bytes collected.
+        parts: Number of parts collected.
     """
 
     def __init__(self):
         self._blocks: list[bytes | bytearray] = []
-        self._parts = 0
+        self.parts = 0
         self.size = 0
 
     @property
     def is_fragmented(self) -> bool:
         """Whether the body has come in too many parts for its size."""
         return (
-            self._parts > PARTS_MAX and self.size < PART_BYTES_MIN * self._parts
+            self.parts > PARTS_MAX and self.size < PART_BYTES_MIN * self.parts
         )
 
     def add(self, part: bytes) -> None:
@@ -38,7 +39,7 @@
             part: Received bytes.
         """
         self.size += len(part)
-        self._parts += 1
+        self.parts += 1
         if len(part) >= _BLOCK_BYTES:
             self._blocks.append(part)
             return
--- a/kumquatwalk/http1/byte_budget.py
+++ b/kumquatwalk/http1/byte_budget.py
@@ -1,5 +1,7 @@
 """Bound on the bytes of bodies that a process holds at once."""
 
+from collections.abc import Callable
+
 __all__ = ["ByteBudget"]
 
 
@@ -13,12 +15,15 @@
         limit: Maximum of the bytes reserved at once.
         used: Bytes reserved or held at present.
         refusals: Number of reservations refused so far for what others hold.
+        reclaim: Called with the bytes that a reservation lacks, to free some;
+            it does nothing unless it is set.
     """
 
     def __init__(self, limit: int):
         self.limit = limit
         self.used = 0
         self.refusals = 0
+        self.reclaim: Callable[[int], None] = _reclaim_nothing
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes and return True, unless they exceed the limit.
@@ -26,6 +31,8 @@
         Args:
             size: Number of bytes, at least 0.
         """
+        if size <= self.limit < self.used + size:
+            self.reclaim(self.used + size - self.limit)
         if self.used + size > self.limit:
             self.note_refusal(size)
             return False
@@ -55,3 +62,7 @@
             size: Number of bytes that were reserved or held.
         """
         self.used -= size
+
+
+def _reclaim_nothing(_size: int) -> None:
+    pass
--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -9,10 +9,13 @@
 from kumquatwalk.exception import AnswerWithheldError
 from kumquatwalk.exception import RequestError
 from kumquatwalk.http1.answer_writer import AnswerWriter
+from kumquatwalk.http1.connection_account import CloseReason
+from kumquatwalk.http1.connection_account import ConnectionState
 from kumquatwalk.http1.exchange_queue import Exchange
 from kumquatwalk.http1.exchange_queue import ExchangeQueue
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.received_input import ReceivedInput
 from kumquatwalk.http1.refusals import make_error_response
 from kumquatwalk.http1.request_parser import RequestParser
 from kumquatwalk.http1.sockets import count_unread_bytes
@@ -30,8 +33,12 @@
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
-# Number of requests in progress on one connection at which reading pauses.
+# Number of requests in progress on one connection at which reading pauses, and
+# of answers that the client has not taken.
 PIPELINED_REQUESTS_MAX = 64
+# Number of requests of one connection that are handled at once; those behind
+# wait for answers. Callers pipeline a few requests.
+PIPELINED_RUNS_MAX = 32
 # Time for which data is still read after the last response has been taken, in
 # seconds. Closing with unread data could reset the connection before the client
 # has read it.
@@ -75,8 +82,13 @@
         self._server = server
         limits = server.limits
         self._parser = RequestParser(
-            limits.header_bytes_max, limits.body_bytes_max, server.budget
+            limits.header_bytes_max,
+            limits.body_bytes_max,
+            server.budget,
+            server.part_budget,
         )
+        self._input = ReceivedInput(self._parser)
+        self._parse_handle: asyncio.Handle | None = None
         self._transport: asyncio.Transport | None = None
         self._exchanges = ExchangeQueue(
             server.budget, server.answer_budget, server.report_unanswered
@@ -196,6 +208,7 @@
         limits = self._server.limits
         self._writer.update(now)
         self._pass_on_deferred(now)
+        self._update_backpressure()
         unused_s = now - max(self.idle_since, self._writer.progress_at)
         if self._writer.untaken:
             untaken_s = now - self._writer.progress_at
@@ -243,6 +256,47 @@
             self._end(end)
             self._transport.abort()
 
+    # Methods for the account of the server.
+
+    def find_state(self, now: float) -> ConnectionState:
+        """Return what the connection holds, as of the last update.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if self._exchanges or self._writer.untaken:
+            return ConnectionState.BUSY
+        if self._is_in_request or not self._writer.has_written:
+            return ConnectionState.INCOMPLETE
+        if now - self.find_progress_at() <= LINGER_S:
+            return ConnectionState.BUSY
+        return ConnectionState.IDLE
+
+    def find_progress_at(self) -> float:
+        """Return the time at which bytes last came or were taken."""
+        return max(self._last_data_at, self._writer.progress_at)
+
+    def count_body_bytes(self) -> int:
+        """Return the bytes reserved for a body received in part."""
+        return self._parser.reserved_bytes
+
+    def trim_input(self) -> int:
+        """Drop requests not parsed yet, and take no more; return the bytes."""
+        size = len(self._input)
+        if size:
+            self._end_requests(End.SHORTAGE)
+            self._update_account()
+        return size
+
+    def close_for_shortage(self, reason: CloseReason) -> None:
+        """Close the connection immediately.
+
+        Args:
+            reason: What runs short.
+        """
+        del reason
+        self.abort(End.SHORTAGE)
+
     # Methods of asyncio.Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -257,19 +311,47 @@
         peer = transport.get_extra_info("peername")
         self._parser.peer_host = peer[0] if peer else ""
         self._server.connections.add(self)
+        if not self._server.account.open(self):
+            self.abort(End.SHORTAGE)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start handling completed requests."""
         if self._is_ending:
             return
         self._last_data_at = read_now()
-        try:
-            requests = self._parser.feed(data, self._last_data_at)
-        except RequestError as error:
-            self._start_exchanges(self._parser.take_completed())
-            self._handle_request_error(error)
-            return
-        self._start_exchanges(requests)
+        self._input.add(data)
+        self._parse_input()
+
+    def _parse_input(self) -> None:
+        """Take the requests received, as far as there is room for them."""
+        self._parse_handle = None
+        while self._input and self._has_room and not self._is_ending:
+            is_behind = bool(self._exchanges)
+            try:
+                requests = self._input.parse_next(self._last_data_at, is_behind)
+            except RequestError as error:
+                self._start_exchanges(self._parser.take_completed())
+                self._handle_request_error(error)
+                break
+            self._start_exchanges(requests)
+        if self._is_ending:
+            self._input.clear()
+        self._update_backpressure()
+        self._update_account()
+
+    @property
+    def _has_room(self) -> bool:
+        """Whether a further request may be parsed."""
+        waiting = len(self._exchanges)
+        if max(waiting, self._writer.untaken) >= PIPELINED_REQUESTS_MAX:
+            return False
+        return not waiting or not self._server.account.is_short
+
+    def _update_account(self) -> None:
+        size = len(self._input) + self._exchanges.head_bytes
+        if self._is_in_request:
+            size += self._parser.head_bytes
+        self._server.account.update(self, size, len(self._exchanges))
 
     def eof_received(self) -> bool:
         """Close the connection, or answer first what is in progress.
@@ -299,7 +381,10 @@
         del exc
         if self._left_check is not None:
             self._left_check.cancel()
+        if self._parse_handle is not None:
+            self._parse_handle.cancel()
         self._server.connections.discard(self)
+        self._server.account.close(self)
         self._end(End.CONNECTION_LOST)
         self._writer.release()
 
@@ -444,6 +529,7 @@
             self.idle_since = read_now()
             self._ask_for_body()
         self._update_backpressure()
+        self._update_account()
 
     def _ask_for_body(self) -> None:
         """Tell a client to continue that sends no body before."""
@@ -470,9 +556,12 @@
         # What comes after the last request is read and discarded. Otherwise
         # keep reading while few requests are in progress, to detect when the
         # caller closes the connection.
+        has_room = self._has_room
+        if self._input and has_room and self._parse_handle is None:
+            loop = asyncio.get_running_loop()
+            self._parse_handle = loop.call_soon(self._parse_input)
         should_read = self._is_ending or (
-            self._writer.can_write
-            and len(self._exchanges) < PIPELINED_REQUESTS_MAX
+            self._writer.can_write and has_room and not self._input
         )
         if should_read and not self._is_reading:
             self._transport.resume_reading()
@@ -482,7 +571,8 @@
 
     @property
     def _is_in_request(self) -> bool:
-        return self._parser.is_in_message and not self._is_ending
+        is_received = self._parser.is_in_message or len(self._input) > 0
+        return is_received and not self._is_ending
 
     @property
     def _is_late(self) -> bool:
@@ -500,6 +590,11 @@
             return False
         if not self._writer.can_write:
             return True
+        before = self._exchanges.count_before(exchange)
+        if before and (
+            before >= PIPELINED_RUNS_MAX or self._server.account.is_crowded
+        ):
+            return True
         if self._may_have_deferred:
             first = self._exchanges.first_deferred
             if first is not None and first is not exchange:
@@ -566,7 +661,7 @@
     @property
     def _has_unread_bytes(self) -> bool:
         """Whether bytes have come that this process has yet to read."""
-        return count_unread_bytes(self._transport) > 0
+        return len(self._input) > 0 or count_unread_bytes(self._transport) > 0
 
     def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
@@ -574,6 +669,7 @@
             request = self._make_placeholder()
             self._server.report_unanswered(request, Stage.READING, end)
         self._is_ending = True
+        self._input.clear()
         self._parser.release()
 
     def _make_placeholder(self) -> HttpRequest:
@@ -598,6 +694,7 @@
     def _end_with(self, response: HttpResponse) -> None:
         """Take no further request, and answer the present one without it."""
         self._is_ending = True
+        self._input.clear()
         self._parser.release()
         self._exchanges.add(Exchange(self._make_placeholder(), response))
         self._send_ready_responses()
--- a/kumquatwalk/http1/exchange_queue.py
+++ b/kumquatwalk/http1/exchange_queue.py
@@ -90,6 +90,22 @@
         """Return whether no answer is sent before that of an exchange."""
         return bool(self._exchanges) and self._exchanges[0] is exchange
 
+    @property
+    def head_bytes(self) -> int:
+        """Bytes held for the heads of the requests."""
+        return sum(e.request.head_bytes for e in self._exchanges)
+
+    def count_before(self, end: Exchange) -> int:
+        """Return the number of exchanges before another.
+
+        Args:
+            end: The other exchange; all are before it if it is not added.
+        """
+        for index, exchange in enumerate(self._exchanges):
+            if exchange is end:
+                return index
+        return len(self._exchanges)
+
     @property
     def has_run(self) -> bool:
         """Whether a request has been passed to its handler and is not over."""
--- a/kumquatwalk/http1/message.py
+++ b/kumquatwalk/http1/message.py
@@ -56,6 +56,7 @@
         is_keep_alive: Whether the connection persists after the response.
         received_at: Time at which the first byte was read, in seconds.
         peer_host: IP address of the caller; empty if unknown.
+        head_bytes: Memory of its head, in bytes; not part of comparisons.
         progress: How far the request has come; not part of comparisons.
     """
 
@@ -66,6 +67,7 @@
     is_keep_alive: bool
     received_at: float
     peer_host: str = ""
+    head_bytes: int = dataclasses.field(default=0, compare=False, repr=False)
     progress: RequestProgress = dataclasses.field(
         default_factory=RequestProgress, compare=False, repr=False
     )
--- /dev/null
+++ b/kumquatwalk/http1/received_input.py
@@ -0,0 +1,70 @@
+"""Bytes received from a client that are not parsed yet."""
+
+from kumquatwalk.http1.message import HttpRequest
+from kumquatwalk.http1.request_parser import RequestParser
+
+__all__ = ["ReceivedInput"]
+
+# Bytes parsed at once outside of a body, the first time and while requests are
+# in progress. They bound how many small requests one step takes in.
+FIRST_SLICE_BYTES = 4096
+NEXT_SLICE_BYTES = 1024
+
+
+class ReceivedInput:
+    """Passes received bytes on to a parser in slices.
+
+    A client may send thousands of small requests in one piece; those that are
+    not taken yet stay here as plain bytes.
+
+    Args:
+        parser: Parser of the connection's requests.
+    """
+
+    def __init__(self, parser: RequestParser):
+        self._parser = parser
+        self._data = b""
+        self._start = 0
+
+    def __len__(self) -> int:
+        """Return the number of bytes that are not parsed."""
+        return len(self._data) - self._start
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes.
+
+        Args:
+            data: The bytes.
+        """
+        self._data = self._data[self._start :] + data if self else data
+        self._start = 0
+
+    def clear(self) -> None:
+        """Drop the bytes."""
+        self._data, self._start = b"", 0
+
+    def parse_next(self, now: float, is_behind: bool) -> list[HttpRequest]:
+        """Parse the next slice and return the requests now complete.
+
+        Args:
+            now: Time at which the bytes were received, in seconds.
+            is_behind: Whether other requests are in progress.
+
+        Raises:
+            RequestError: See ``RequestParser.feed``.
+        """
+        size = len(self)
+        if not self._parser.is_in_body:
+            size = min(
+                size, NEXT_SLICE_BYTES if is_behind else FIRST_SLICE_BYTES
+            )
+        if size == len(self._data):
+            data = self._data
+            self.clear()
+        else:
+            end = self._start + size
+            data = self._data[self._start : end]
+            self._start = end
+            if end == len(self._data):
+                self.clear()
+        return self._parser.feed(data, now)
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -3,6 +3,7 @@
 import httptools
 
 from kumquatwalk.exception import RequestError
+from kumquatwalk.http1.body_buffer import PART_BYTES_MIN
 from kumquatwalk.http1.body_buffer import BodyBuffer
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.message import Header
@@ -19,6 +20,13 @@
 # Bytes beyond the maximum of a head that are taken in at once with it, as the
 # parser reports a header line only when it is complete.
 _UNREPORTED_BYTES_MAX = 16384
+# Memory that a header line takes beside its name and value, in bytes.
+_HEADER_OVERHEAD_BYTES = 160
+# Parts of a body with under ``PART_BYTES_MIN`` bytes on average that are always
+# taken: a body of 24 KB may come in single bytes.
+PARTS_MAX = 32 * 1024
+# Parts after which they are counted, each time; fewer do not count.
+_PARTS_STEP = 1024
 
 
 class RequestParser:
@@ -34,6 +42,8 @@
         budget: Bytes of bodies that the process may hold; None for no bound. A
             body that announces its size is reserved for before it is read. What
             a completed request has reserved is its receiver's to release.
+        part_budget: Small parts that unfinished bodies may have come in
+            together, in steps of 1,024 for each body; None for no bound.
 
     Attributes:
         peer_host: IP address of the caller, copied into each request; empty
@@ -47,11 +57,14 @@
         header_bytes_max: int,
         body_bytes_max: int,
         budget: ByteBudget | None = None,
+        part_budget: ByteBudget | None = None,
     ):
         self._header_bytes_max = header_bytes_max
         self._body_bytes_max = body_bytes_max
         self._budget = budget
         self._reserved_bytes = 0
+        self._part_budget = part_budget
+        self._reserved_parts = 0
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[HttpRequest] = []
         self._now = 0.0
@@ -68,6 +81,23 @@
         """Whether a request head has been received only in part."""
         return self._has_started and not self._is_head_complete
 
+    @property
+    def is_in_body(self) -> bool:
+        """Whether a head has been received, and its body only in part."""
+        return self._has_started and self._is_head_complete
+
+    @property
+    def head_bytes(self) -> int:
+        """Memory of the head of the request received in part, in bytes."""
+        lines = len(self._headers)
+        size = max(self._head_bytes, self._unreported_bytes)
+        return size + lines * _HEADER_OVERHEAD_BYTES
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Bytes reserved for the body of the request received in part."""
+        return self._reserved_bytes
+
     @property
     def is_in_message(self) -> bool:
         """Whether a request has been received only in part."""
@@ -144,6 +174,7 @@
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
+        self._release_parts()
 
     def _reset(self) -> None:
         self._url: list[bytes] = []
@@ -226,6 +257,8 @@
         self._check_body_size(size)
         self._reserve(size)
         self._body.add(chunk)
+        if not self._body.parts % _PARTS_STEP:
+            self._check_parts()
 
     def on_message_complete(self) -> None:
         """Store the completed request."""
@@ -245,13 +278,37 @@
             is_keep_alive=self._parser.should_keep_alive(),
             received_at=self._started_at,
             peer_host=self.peer_host,
+            head_bytes=self.head_bytes,
         )
         if self._parser.get_http_version() == "1.0":
             self.accepts_interim = False
         self._completed.append(request)
         self._reserved_bytes = 0
+        self._release_parts()
         self._reset()
 
+    def _check_parts(self) -> None:
+        """Bound the small parts, which take processor time."""
+        parts = self._body.parts
+        if self._body.size >= PART_BYTES_MIN * parts:
+            return
+        if parts > PARTS_MAX:
+            self._fail(
+                "body_fragmented",
+                f"parts of the body have under {PART_BYTES_MIN} bytes",
+            )
+        if self._part_budget is None:
+            return
+        missing = parts - self._reserved_parts
+        if not self._part_budget.try_reserve(missing):
+            self._fail("memory_exhausted", "too many small parts of bodies")
+        self._reserved_parts = parts
+
+    def _release_parts(self) -> None:
+        if self._reserved_parts:
+            self._part_budget.release(self._reserved_parts)
+        self._reserved_parts = 0
+
     def _check_body_size(self, size: int) -> None:
         if size > self._body_bytes_max:
             self._fail(
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -17,9 +17,11 @@
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import CallerConnection
 from kumquatwalk.http1.caller_connection import Handler
+from kumquatwalk.http1.connection_account import ConnectionAccount
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.refusals import make_stopping_response
+from kumquatwalk.http1.request_parser import PARTS_MAX
 from kumquatwalk.http1.unanswered import End
 from kumquatwalk.http1.unanswered import Stage
 from kumquatwalk.http1.unanswered import find_level
@@ -77,6 +79,8 @@
             has none.
         on_unanswered: Called with the stage of each request that ended without
             a complete answer, and what ended it.
+        account: Bounds what the connections hold; None for one of the default
+            size.
 
     Attributes:
         handler: Handler of the requests.
@@ -84,6 +88,8 @@
             connections keep their size limits and use the new timeouts.
         budget: Bytes of requests' bodies that the process may hold.
         answer_budget: Bytes of answers not sent that it may hold.
+        account: Bounds what the connections hold.
+        part_budget: Small parts that unfinished bodies may have come in.
         refuse: Returns the answer to a request that begins after the stop.
         estimate_answer: Returns the largest size expected of an answer.
         answers_by: Time by which clients must have taken their answers, in
@@ -106,12 +112,20 @@
         estimate_answer: Callable[[HttpRequest], float] = lambda _: math.inf,
         identify: Callable[[HttpRequest], str] = lambda _: "",
         on_unanswered: Callable[[Stage, End], None] = lambda *_: None,
+        account: ConnectionAccount | None = None,
     ):
         self._listener = Listener(address)
         self.handler = handler
         self.limits = limits
         self.budget = budget
         self.answer_budget = budget if answer_budget is None else answer_budget
+        self.account = account or ConnectionAccount()
+        # Small parts of bodies that take processor time; for 16 clients as many
+        # as one may send.
+        self.part_budget = ByteBudget(16 * PARTS_MAX)
+        if budget is not None:
+            budget.reclaim = self.account.reclaim_bodies
+        self.part_budget.reclaim = self.account.reclaim_bodies
         self.refuse = refuse
         self.estimate_answer = estimate_answer
         self.answers_by = math.inf
@@ -182,6 +196,8 @@
             request: Request whose body is reserved.
         """
         answers = self.answer_budget
+        if self.account.is_exhausted:
+            return False
         if answers is None:
             return True
         own_bytes = len(request.body) if answers is self.budget else 0
--- a/kumquatwalk/http1/unanswered.py
+++ b/kumquatwalk/http1/unanswered.py
@@ -25,6 +25,7 @@
     CONNECTION_LOST = "connection_lost"
     HANDLER = "handler"  # The handler asked to close the connection.
     PROCESS_END = "process_end"
+    SHORTAGE = "shortage"  # Descriptors or memory ran short.
     TIMEOUT = "timeout"  # The client took nothing of an answer in time.
 
 
--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -107,6 +107,7 @@
         metrics_listener=_read_metrics_listener(table),
         bounds=_decode_bounds(table),
         memory_max_bytes=_read_memory(table),
+        fds_max=_read_descriptors(table),
     )
 
 
@@ -140,6 +141,12 @@
     return int(fields.read_number(limits, "memoryMb", 256) * _BYTES_PER_MB)
 
 
+def _read_descriptors(table: Mapping[str, Any]) -> int:
+    """Return the descriptors that the process may open; 4096 by default."""
+    limits = fields.read_table(table.get("limits", {}), "limits")
+    return int(fields.read_number(limits, "maxFds", 4096))
+
+
 def _decode_bounds(table: Mapping[str, Any]) -> FleetBounds:
     texts = fields.read_list({"bounds": []} | dict(table), "bounds")
     pairs = [str(text).partition("=") for text in texts]
