--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -8,6 +8,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.client_connection import STATUS_INVALID
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
@@ -124,6 +125,9 @@
         sent=error.sent,
         content=abbreviate(make_content(call).fingerprint),
     )
+    if error.code == STATUS_INVALID:
+        reply = Reply(Outcome.UNKNOWN, codes.ANSWER_SPOILED)
+        return ExchangeResult(reply, Finding.FAILED)
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
         is_lost = error.code == "connection_lost"
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -16,7 +16,10 @@
 from kumquatwalk.http1.response_parser import ResponseParser
 from kumquatwalk.http1.sockets import set_liveness_options
 
-__all__ = ["ClientConnection", "open_connection"]
+__all__ = ["STATUS_INVALID", "ClientConnection", "open_connection"]
+
+# Code of an error: the status of a response is none of HTTP's.
+STATUS_INVALID = "status_invalid"
 
 # Number of responses to other requests that are skipped in one exchange before
 # the connection is closed; faulty servers send one.
@@ -179,6 +182,8 @@
             self._deliver(parser.take_completed(), has_extra=True)
             if parser.is_too_long:
                 self._fail_as_too_long()
+            if parser.has_invalid_status:
+                self._fail(STATUS_INVALID, "response has an invalid status")
             self._fail("response_malformed", str(error)[:200])
             return
         self._deliver(parser.take_completed(), parser.has_partial)
--- a/kumquatwalk/http1/response_parser.py
+++ b/kumquatwalk/http1/response_parser.py
@@ -21,6 +21,11 @@
 _HEADER_OVERHEAD_BYTES = 200
 _USUAL_HEADERS = 50
 _NO_BODY_STATUSES = frozenset((204, 304))
+# Statuses outside of these, and one that switches protocols, which no request
+# asks for, are invalid (RFC 9110, section 15).
+STATUS_MIN = 100
+STATUS_MAX = 599
+SWITCHING_PROTOCOLS = 101
 
 
 class ResponseParser:
@@ -35,6 +40,7 @@
     Attributes:
         is_too_long: Whether a body, a head or the trailers have exceeded their
             limit, or a body has come in too many parts.
+        has_invalid_status: Whether a response has a status that is none.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         self._reserved_bytes = 0
         self._completed: list[HttpResponse] = []
         self.is_too_long = False
+        self.has_invalid_status = False
         # Bytes received that are not of a body, since the last that were.
         self._head_bytes = 0
         self._has_body_data = False
@@ -68,7 +75,8 @@
             data: Received bytes.
 
         Raises:
-            httptools.HttpParserError: A response is malformed or too long.
+            httptools.HttpParserError: A response is malformed or too long, or
+                its status is invalid.
                 Responses completed before it can still be taken.
         """
         self._has_body_data = self._has_header = False
@@ -153,6 +161,10 @@
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited (RFC 9112, section 6.3)."""
         status = self._parser.get_status_code()
+        is_in_range = STATUS_MIN <= status <= STATUS_MAX
+        if not is_in_range or status == SWITCHING_PROTOCOLS:
+            self.has_invalid_status = True
+            raise ValueError(f"status {status:03}")
         if status < 200:
             return
         self._status = status
