--- a/kumquatwalk/daemon/settings.py
+++ b/kumquatwalk/daemon/settings.py
@@ -53,6 +53,7 @@
         bounds: Bounds that the operators set for the fleet.
         memory_max_bytes: Memory that the process may take, in bytes.
         zones: Names of all zones of the deployment; empty if not known.
+        fds_max: File descriptors that the process may open.
     """
 
     node_id: str
@@ -68,3 +69,4 @@
     bounds: FleetBounds
     memory_max_bytes: int = 256 * 1024 * 1024
     zones: tuple[str, ...] = ()
+    fds_max: int = 4096
