Judge the rank of a retry by its route, as in the queue time

Cause: the rank of a team's request includes the rank of the team, so that no request of a team below the first would count as of the highest rank. Change: the rank of the route decides.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -580,7 +580,8 @@
             request.service,
             request.route.name,
             now,
-            request.rank == 0 or self._graph.is_internal(request.route.name),
+            request.own_rank == 0
+            or self._graph.is_internal(request.route.name),
         ):
             self._metrics.record_retry_denied()
             return False
