--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -51,6 +51,11 @@
     outstanding: float
     limit: float
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether calls wait for its slots."""
+        return self.outstanding > LOAD_OVERLOADED * max(1, self.limit)
+
 
 class IngressLoadShedder:
     """Computes the admission probability of requests at the ingress.
--- a/kumquatwalk/admission/retry_shares.py
+++ b/kumquatwalk/admission/retry_shares.py
@@ -17,7 +17,12 @@
 UNAIDED_CHANCE_MIN = 0.3
 # Part of the retries that the budgets allow which is planned for, as requests
 # come and calls are refused in no regular order.
-USABLE_PART = 0.8
+USABLE_PART = 0.65
+# Timeout of the routes of the highest limited rank from which requests are
+# limited, in seconds. A refused caller comes back after a third of its time at
+# most; with less, it cannot outlast the refusals, and a start that mostly fails
+# is worth more than a refusal.
+TIMEOUT_MIN_S = 3.0
 # Lower bound for each route, so that no kind of request is shut out: a part of
 # the share of all limited requests that is admitted. The highest rank has the
 # second one too: by its calls the nodes learn that the refusals have ended.
@@ -36,12 +41,14 @@
         rank: Priority; 0 is the highest.
         requests_per_s: Requests per second.
         calls: Expected calls of one request and its runs, by service.
+        timeout_s: Timeout of the route, in seconds.
     """
 
     route: str
     rank: int
     requests_per_s: float
     calls: Mapping[str, float]
+    timeout_s: float = math.inf
 
 
 def estimate_chance(
@@ -74,7 +81,7 @@
     request needs as many as its calls make on average. It is given to the ranks
     in order; the routes of one rank get equal shares. Routes that mostly finish
     without retries are not limited, and neither are routes that call none of
-    the services.
+    the services. Nothing is limited where callers have no time to come back.
 
     Args:
         demands: Demand on each route.
@@ -90,6 +97,10 @@
     ]
     if not limited:
         return {}
+    rank_min = min(d.rank for d in limited)
+    highest = [d for d in limited if d.rank == rank_min]
+    if max(d.timeout_s for d in highest) < TIMEOUT_MIN_S:
+        return {}
     needs = {d.route: _estimate_needs(d, refusing) for d in limited}
     total = sum(d.requests_per_s for d in limited)
     floor = 0.0
@@ -101,10 +112,8 @@
         shares = _fill_by_rank(limited, needs, spare, floor)
         admitted = sum(d.requests_per_s * shares[d.route] for d in limited)
         floor = SHARE_MIN_PART * admitted / max(total, 0.001)
-    rank_min = min(d.rank for d in limited)
-    for demand in limited:
-        if demand.rank == rank_min:
-            shares[demand.route] = max(SHARE_MIN, shares[demand.route])
+    for demand in highest:
+        shares[demand.route] = max(SHARE_MIN, shares[demand.route])
     return {route: share for route, share in shares.items() if share < 1.0}
 
 
--- a/kumquatwalk/admission/tests/retry_load.py
+++ b/kumquatwalk/admission/tests/retry_load.py
@@ -55,6 +55,7 @@
         rate_per_s: Requests a second.
         attempts_max: Attempts of a call.
         nodes: Nodes that make the calls to the service.
+        timeout_factor: Factor on the timeouts of the callers.
 
     Attributes:
         counts: Requests asked for in the time of the refusals, by kind and
@@ -73,11 +74,13 @@
         rate_per_s: float = 200.0,
         attempts_max: int = 4,
         nodes: int = 8,
+        timeout_factor: float = 1.0,
     ):
         self._random = random.Random(seed)
         self._is_limited = is_limited
         self._rate_per_s = rate_per_s
         self._attempts_max = attempts_max
+        self._timeout_factor = timeout_factor
         self._budgets = [ServiceRetryBudget(ALLOWANCE) for _ in range(nodes)]
         self._counters = [RefusalCounter() for _ in range(nodes)]
         self._fleet = FleetRefusals()
@@ -128,7 +131,8 @@
         kind = self._random.choices(kinds, [KINDS[k][1] for k in kinds])[0]
         number = next(self._numbers) if self._is_refusing(now) else -1
         self.counts[kind, "asked"] += number >= 0
-        request = _Request(kind, now + KINDS[kind][2], number)
+        timeout_s = self._timeout_factor * KINDS[kind][2]
+        request = _Request(kind, now + timeout_s, number)
         self._enter(request, now)
 
     def _enter(self, request: _Request, now: float) -> None:
@@ -219,8 +223,9 @@
                 rank,
                 float(sum(t > now - 1.0 for t in self._arrivals[kind][-5000:])),
                 {"deep": float(CALLS)},
+                self._timeout_factor * timeout_s,
             )
-            for kind, (rank, _, _) in KINDS.items()
+            for kind, (rank, _, timeout_s) in KINDS.items()
         ]
         refusing = self._fleet.list_services(nodes, nodes, now)
         if self._is_limited:
--- a/kumquatwalk/admission/tests/test_retry_shares.py
+++ b/kumquatwalk/admission/tests/test_retry_shares.py
@@ -1,5 +1,6 @@
 """Tests of the shares of routes that the retries left can finish."""
 
+import dataclasses
 import unittest
 
 from kumquatwalk.admission.retry_shares import SHARE_MIN
@@ -60,6 +61,13 @@
         shares = compute_retry_shares(DEMANDS, make_refusing(0.0))
         self.assertEqual(shares["booking"], SHARE_MIN)
 
+    # Guards against refusals to callers that have no time to come back.
+    def test_short_requests_are_not_limited(self):
+        for timeout_s, is_limited in ((1.5, False), (5.0, True)):
+            demand = dataclasses.replace(BOOKING, timeout_s=timeout_s)
+            shares = compute_retry_shares((demand, LOOKUP), make_refusing(10.0))
+            self.assertEqual(bool(shares), is_limited)
+
     def test_chance_to_finish(self):
         refusing = make_refusing(50.0)
         unaided = estimate_chance(LOOKUP, refusing, False)
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -51,6 +51,7 @@
         self._rng = rng
         self._shedder = IngressLoadShedder()
         self._ranks: dict[str, int] = {}
+        self._timeouts_s: dict[str, float] = {}
         self._refusals = refusals
         self.retry_shares: dict[str, float] = {}
 
@@ -63,6 +64,7 @@
             now: Current time, in seconds.
         """
         self._ranks[route.name] = route.rank
+        self._timeouts_s[route.name] = route.timeout_s
         self._shedder.record_arrival(route.name, is_returning)
         if self._shedder.is_update_due(now):
             self._update_probabilities(now)
@@ -91,7 +93,7 @@
         was_shedding = bool(self._shedder.admission_probabilities)
         loads = self._sum_loads()
         demands = self._list_demands()
-        self._update_retry_shares(demands, now)
+        self._update_retry_shares(loads, demands, now)
         self._shedder.update(loads, demands, now, self.retry_shares)
         if bool(self._shedder.admission_probabilities) != was_shedding:
             # Logged only when shedding begins or ends.
@@ -109,9 +111,15 @@
             )
 
     def _update_retry_shares(
-        self, demands: list[RouteDemand], now: float
+        self,
+        loads: dict[str, ServiceLoad],
+        demands: list[RouteDemand],
+        now: float,
     ) -> None:
-        """Limit routes to the requests that the retries left can finish."""
+        """Limit routes to the requests that the retries left can finish.
+
+        Of a service that is full, slots are scarce and not retries.
+        """
         had_shares = bool(self.retry_shares)
         if self._refusals is None or not self._refusals.has_reports:
             refusing = {}
@@ -121,10 +129,18 @@
                 count_by_service(self._peers.list_all_views()),
                 now,
             )
+        refusing = {
+            name: service
+            for name, service in refusing.items()
+            if name not in loads or not loads[name].is_overloaded
+        }
         if not refusing and not had_shares:
             return
         retry_demands = list_retry_demands(
-            demands, self._graph, self._peers.list_all_views()
+            demands,
+            self._timeouts_s,
+            self._graph,
+            self._peers.list_all_views(),
         )
         self.retry_shares = compute_retry_shares(retry_demands, refusing)
         if bool(self.retry_shares) != had_shares:
--- a/kumquatwalk/daemon/retry_demands.py
+++ b/kumquatwalk/daemon/retry_demands.py
@@ -16,6 +16,7 @@
 
 def list_retry_demands(
     demands: Sequence[RouteDemand],
+    timeouts_s: Mapping[str, float],
     graph: CallGraph,
     views: Iterable[TargetView],
 ) -> list[RetryDemand]:
@@ -23,6 +24,7 @@
 
     Args:
         demands: Demand on each route that callers use.
+        timeouts_s: Timeouts of these routes, in seconds.
         graph: Graph of the calls that routes make to each other.
         views: Linked targets, whose run times tell which services run a route.
     """
@@ -36,7 +38,13 @@
                 share = runs / len(by_service)
                 calls[service] = calls.get(service, 0.0) + share
         found.append(
-            RetryDemand(demand.route, demand.rank, demand.requests_per_s, calls)
+            RetryDemand(
+                demand.route,
+                demand.rank,
+                demand.requests_per_s,
+                calls,
+                timeouts_s[demand.route],
+            )
         )
     return found
 
--- a/kumquatwalk/daemon/tests/test_ingress_admission.py
+++ b/kumquatwalk/daemon/tests/test_ingress_admission.py
@@ -23,14 +23,15 @@
     Args:
         route: Route whose run time its targets report.
         weight: Targets that the one linked target stands for.
+        outstanding: Calls that it runs or has queued.
     """
 
-    def __init__(self, route: str, weight: float = 1.0):
+    def __init__(self, route: str, weight: float = 1.0, outstanding: int = 20):
         status = TargetStatus(
             TargetState.READY,
             limit=10,
-            running=10,
-            queued=10,
+            running=min(10, outstanding),
+            queued=max(0, outstanding - 10),
             route_times=((route, 0.2),),
         )
         self._view = TargetView("d1", "z1", "deep", is_reachable=True)
@@ -89,22 +90,32 @@
         self.assertLess(one, 250)
         self.assertEqual(four, 400)
 
-    # Guards against requests that are begun although the retries that they need
-    # to end well are spent.
-    def test_requests_that_cannot_be_finished_are_refused_and_logged(self):
-        refusals = FleetRefusals()
+    def _make_refusing(self, peers, refusals):
         graph = CallGraph()
         for service in ("deep", "front"):
             report = TrafficReport((RouteRate("r", 50.0),))
             graph.add_report(f"{service}-1", service, report, 1.0)
         # The run of a request counts as a call to its service.
-        peers = OverloadedPeers("r", 4.0)
-        admission = ingress_admission.IngressAdmission(
+        row = ServiceRefusals("deep", 100.0, 80.0, 10.0, 4)
+        refusals.add_report("d1", "deep", (row,), 1.0)
+        return ingress_admission.IngressAdmission(
             peers, graph, random.Random(1), refusals
         )
+
+    # Guards against a limit by retries where slots are scarce: targets that are
+    # full refuse calls too.
+    def test_service_that_is_full_is_not_limited_by_retries(self):
+        peers = OverloadedPeers("r", 4.0, 20)
+        admission = self._make_refusing(peers, FleetRefusals())
+        count_admitted(admission, make_route(name="r", rank=2))
+        self.assertEqual(admission.retry_shares, {})
+
+    # Guards against requests that are begun although the retries that they need
+    # to end well are spent.
+    def test_requests_that_cannot_be_finished_are_refused_and_logged(self):
+        refusals = FleetRefusals()
+        admission = self._make_refusing(OverloadedPeers("r", 4.0, 5), refusals)
         route = make_route(name="r", rank=2)
-        row = ServiceRefusals("deep", 100.0, 80.0, 10.0, 4)
-        refusals.add_report("d1", "deep", (row,), 1.0)
         with mock.patch.object(ingress_admission, "log_event") as log:
             admitted = count_admitted(admission, route)
             self.assertEqual(log.call_args_list[0].args, ("retry_shares_set",))
--- a/kumquatwalk/logs/timeline.py
+++ b/kumquatwalk/logs/timeline.py
@@ -17,6 +17,7 @@
         "front_shares_set",
         "link_silent",
         "peer_dropped",
+        "retry_shares_set",
         "store_lost",
         "store_reached",
         "target_changed",
--- a/kumquatwalk/retry/fleet_refusals.py
+++ b/kumquatwalk/retry/fleet_refusals.py
@@ -4,17 +4,17 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+from kumquatwalk.retry.refusals import REFUSED_SHARE_MIN
 from kumquatwalk.retry.refusals import ServiceRefusals
 
 __all__ = ["FleetRefusals", "RefusingService"]
 
 # Age at which a report expires, in seconds: two intervals and a delay.
 REPORT_TTL_S = 2.2
-# Arrivals a second below which the share of refused ones is not known.
+# Arrivals a second below which the share of refused ones is not known, and the
+# same once it has been known, as few requests are admitted then.
 ARRIVALS_MIN_PER_S = 8.0
-# Share of refused arrivals from which a service counts as refusing calls. With
-# less, nearly all requests end well within the budget.
-REFUSED_SHARE_MIN = 0.15
+ARRIVALS_KNOWN_MIN_PER_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +43,7 @@
         self._reports: dict[
             str, tuple[float, str, Sequence[ServiceRefusals]]
         ] = {}
+        self._known: frozenset[str] = frozenset()
 
     @property
     def has_reports(self) -> bool:
@@ -80,6 +81,7 @@
             now: Current time, in seconds.
         """
         if not self._reports:
+            self._known = frozenset()
             return {}
         sums: dict[str, list[float]] = {}
         for node_id, report in tuple(self._reports.items()):
@@ -96,9 +98,15 @@
                 total[1] += scale * row.refused_per_s
                 total[2] += scale * row.retries_per_s
                 total[3] = max(total[3], row.attempts_max)
-        return {
+        found = {
             service: RefusingService(refused / arrivals, retries, attempts)
             for service, (arrivals, refused, retries, attempts) in sums.items()
-            if arrivals >= ARRIVALS_MIN_PER_S
+            if arrivals >= self._get_arrivals_min(service)
             and refused >= REFUSED_SHARE_MIN * arrivals
         }
+        self._known = frozenset(found)
+        return found
+
+    def _get_arrivals_min(self, service: str) -> float:
+        is_known = service in self._known
+        return ARRIVALS_KNOWN_MIN_PER_S if is_known else ARRIVALS_MIN_PER_S
--- a/kumquatwalk/retry/refusals.py
+++ b/kumquatwalk/retry/refusals.py
@@ -12,12 +12,17 @@
     "estimate_success",
 ]
 
-# Span of the counts, in seconds: short, so that the end of the refusals shows
-# in the next traffic report.
-SPAN_S = 0.5
-# Time without a refusal after which the arrivals of a service are not counted
-# any more, in seconds.
-IDLE_S = 2.0
+# Span of the published rates, in seconds: short, so that the end of the
+# refusals shows in the next traffic report.
+RATE_SPAN_S = 0.5
+# Span of the arrivals from which a service is judged, in seconds: some arrivals
+# of one node also while the ingress admits few requests.
+SPAN_S = 2.0
+# Share of refused arrivals from which a service counts as refusing calls, and
+# the number of them that rules out chance. With less, nearly all requests end
+# well within the budget.
+REFUSED_SHARE_MIN = 0.15
+REFUSED_MIN = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,18 +46,40 @@
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
-    refused_at: float
-    attempts_max: int
-    began_at: float
+    """Arrivals of the last ``SPAN_S`` with whether they were refused."""
+
+    attempts_max: int = 1
+    refused: int = 0
+    refusing_since: float | None = None
     arrivals: collections.deque[tuple[float, bool]] = dataclasses.field(
         default_factory=collections.deque
     )
 
+    def add(self, is_refused: bool, now: float) -> None:
+        """Add an arrival and judge anew whether the service refuses calls."""
+        self.arrivals.append((now, is_refused))
+        self.refused += is_refused
+        self.forget_old(now)
+
+    def forget_old(self, now: float) -> None:
+        """Forget old arrivals and judge anew."""
+        arrivals = self.arrivals
+        while arrivals and arrivals[0][0] < now - SPAN_S:
+            self.refused -= arrivals.popleft()[1]
+        # While the ingress admits few requests, one refusal shows enough.
+        refused_min = REFUSED_MIN if self.refusing_since is None else 1
+        share_min = REFUSED_SHARE_MIN * len(self.arrivals)
+        if self.refused < max(refused_min, share_min):
+            self.refusing_since = None
+        elif self.refusing_since is None:
+            self.refusing_since = now
+
 
 class RefusalCounter:
     """Counts arrivals at the services whose targets refuse some of them.
 
-    Nothing is counted for a service until one of its targets refuses a call.
+    Nothing is counted for a service until one of its targets refuses a call,
+    nor once all those refusals are old.
     """
 
     def __init__(self):
@@ -70,18 +97,15 @@
             now: Current time, in seconds.
         """
         counts = self._counts.get(service)
-        if counts is not None and now - counts.refused_at > IDLE_S:
-            del self._counts[service]
-            counts = None
         if counts is None:
             if not is_refused:
                 return
-            counts = self._counts[service] = _Counts(now, attempts_max, now)
+            counts = self._counts[service] = _Counts()
         if is_refused:
-            counts.refused_at = now
             counts.attempts_max = attempts_max
-        counts.arrivals.append((now, is_refused))
-        self._forget(counts, now)
+        counts.add(is_refused, now)
+        if not counts.refused:
+            del self._counts[service]
 
     def measure_refusing(self, service: str, now: float) -> float | None:
         """Return for how long targets of a service have refused calls.
@@ -91,42 +115,40 @@
             now: Current time, in seconds.
 
         Returns:
-            The time in seconds; None if they have not lately.
+            The time in seconds; None if they refuse no considerable share.
         """
         counts = self._counts.get(service)
-        if counts is None or now - counts.refused_at > IDLE_S:
+        if counts is None:
             return None
-        return now - counts.began_at
+        counts.forget_old(now)
+        since = counts.refusing_since
+        return None if since is None else now - since
 
     def list_refusals(self, now: float) -> list[ServiceRefusals]:
-        """Return the rates of the services that refuse calls.
+        """Return the rates of the services that refuse a considerable share.
 
         Args:
             now: Current time, in seconds.
         """
         found = []
         for service, counts in tuple(self._counts.items()):
-            if now - counts.refused_at > IDLE_S:
+            refusing_s = self.measure_refusing(service, now)
+            if not counts.refused:
                 del self._counts[service]
+            if refusing_s is None:
                 continue
-            self._forget(counts, now)
-            span_s = min(SPAN_S, max(now - counts.began_at, SPAN_S / 4))
-            refused = sum(is_refused for _, is_refused in counts.arrivals)
+            span_s = min(RATE_SPAN_S, max(refusing_s, RATE_SPAN_S / 4))
+            recent = [r for at, r in counts.arrivals if at >= now - span_s]
             found.append(
                 ServiceRefusals(
                     service,
-                    len(counts.arrivals) / span_s,
-                    refused / span_s,
+                    len(recent) / span_s,
+                    sum(recent) / span_s,
                     attempts_max=counts.attempts_max,
                 )
             )
         return found
 
-    def _forget(self, counts: _Counts, now: float) -> None:
-        arrivals = counts.arrivals
-        while arrivals and arrivals[0][0] < now - SPAN_S:
-            arrivals.popleft()
-
 
 def estimate_retries(refused_share: float, attempts_max: int) -> float:
     """Return the retries that one call makes on average.
--- a/kumquatwalk/retry/tests/test_refusals.py
+++ b/kumquatwalk/retry/tests/test_refusals.py
@@ -4,7 +4,7 @@
 
 from kumquatwalk.retry.fleet_refusals import REPORT_TTL_S
 from kumquatwalk.retry.fleet_refusals import FleetRefusals
-from kumquatwalk.retry.refusals import IDLE_S
+from kumquatwalk.retry.refusals import RATE_SPAN_S
 from kumquatwalk.retry.refusals import SPAN_S
 from kumquatwalk.retry.refusals import RefusalCounter
 from kumquatwalk.retry.refusals import ServiceRefusals
@@ -17,25 +17,33 @@
 
     def _record(self, counter, refused, arrivals, since):
         for number in range(arrivals):
-            now = since + SPAN_S * number / arrivals
+            now = since + RATE_SPAN_S * number / arrivals
             counter.record("deep", number < refused, 4, now)
 
     def test_nothing_is_counted_before_a_refusal(self):
         counter = RefusalCounter()
         self._record(counter, 0, 100, 0.0)
-        self.assertEqual(counter.list_refusals(SPAN_S), [])
-        self.assertIsNone(counter.measure_refusing("deep", SPAN_S))
+        self.assertEqual(counter.list_refusals(RATE_SPAN_S), [])
+        self.assertIsNone(counter.measure_refusing("deep", RATE_SPAN_S))
+
+    # Guards against paced retries and more messages for a refusal now and then.
+    def test_few_refusals_change_nothing(self):
+        for refused, arrivals in ((2, 3), (10, 100)):
+            counter = RefusalCounter()
+            self._record(counter, refused, arrivals, 0.0)
+            self.assertEqual(counter.list_refusals(RATE_SPAN_S), [])
+            self.assertIsNone(counter.measure_refusing("deep", RATE_SPAN_S))
 
     def test_rates_and_their_end(self):
         counter = RefusalCounter()
         self._record(counter, 30, 40, 0.0)
-        row = counter.list_refusals(SPAN_S)[0]
-        self.assertAlmostEqual(row.arrivals_per_s, 40 / SPAN_S)
-        self.assertAlmostEqual(row.refused_per_s, 30 / SPAN_S)
-        self._record(counter, 0, 40, 2.0 * SPAN_S)
-        row = counter.list_refusals(3.0 * SPAN_S)[0]
+        row = counter.list_refusals(RATE_SPAN_S)[0]
+        self.assertAlmostEqual(row.arrivals_per_s, 40 / RATE_SPAN_S, delta=10)
+        self.assertAlmostEqual(row.refused_per_s, 30 / RATE_SPAN_S, delta=10)
+        self._record(counter, 0, 40, 2.0 * RATE_SPAN_S)
+        row = counter.list_refusals(3.0 * RATE_SPAN_S)[0]
         self.assertEqual(row.refused_per_s, 0.0)
-        end = SPAN_S + IDLE_S + 0.1
+        end = RATE_SPAN_S + SPAN_S + 0.1
         self.assertEqual(counter.list_refusals(end), [])
         self.assertIsNone(counter.measure_refusing("deep", end))
 
