--- a/kumquatwalk/admission/tests/retry_load.py
+++ b/kumquatwalk/admission/tests/retry_load.py
@@ -9,6 +9,7 @@
 
 from kumquatwalk.admission.retry_shares import RetryDemand
 from kumquatwalk.admission.retry_shares import compute_retry_shares
+from kumquatwalk.daemon.retry_budgets import UNDECIDED_S
 from kumquatwalk.retry.fleet_refusals import FleetRefusals
 from kumquatwalk.retry.refusals import RefusalCounter
 from kumquatwalk.retry.service_budget import RetryAllowance
@@ -191,6 +192,7 @@
             1.0,
             now,
             refusing_s if self._is_limited else None,
+            is_paced=bool(self._shares) or (refusing_s or 0.0) < UNDECIDED_S,
         ):
             budget.spend(1.0, now)
             self.retries.append(now)
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -281,6 +281,9 @@
         self.ingress_admission = IngressAdmission(
             self.peers, self._graph, random.Random(), self._refusals
         )
+        self._retry_budgets.limits_requests = lambda: bool(
+            self.ingress_admission.retry_shares
+        )
         self.caller_side = CallerSide(
             self.settings,
             self.target_side,
--- a/kumquatwalk/daemon/retry_budgets.py
+++ b/kumquatwalk/daemon/retry_budgets.py
@@ -1,6 +1,7 @@
 """Retry budgets of all services that a retry adds load to."""
 
 import dataclasses
+from collections.abc import Callable
 
 from kumquatwalk.daemon.peers import Peers
 from kumquatwalk.daemon.settings import FleetBounds
@@ -15,6 +16,9 @@
 
 # Time for which the calls that a retry adds are kept, in seconds.
 CALLS_TTL_S = 0.5
+# Time for which retries are paced from the begin of refusals on, in seconds,
+# though the ingress does not limit requests: by then it has decided.
+UNDECIDED_S = 2.5
 
 
 class RetryBudgets:
@@ -27,6 +31,10 @@
         bounds: Bounds for the whole fleet, of which each node gets a share.
         peers: Links to other nodes.
         graph: Graph of the calls that routes make to each other.
+
+    Attributes:
+        limits_requests: Returns whether the ingress limits requests by the
+            retries left. Only then is it worth while to save them.
     """
 
     def __init__(self, bounds: FleetBounds, peers: Peers, graph: CallGraph):
@@ -35,6 +43,7 @@
         self._graph = graph
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._refusals = RefusalCounter()
+        self.limits_requests: Callable[[], bool] = lambda: True
         self._calls: dict[tuple[str, str], tuple[float, dict[str, float]]] = {}
 
     def set_bounds(self, bounds: FleetBounds) -> None:
@@ -110,17 +119,15 @@
         nodes = self._peers.count
         calls = self._get_calls(service, route, now)
         budgets = [(s, self._get_budget(s), w) for s, w in calls.items()]
-        if not all(
-            budget.allows_retry(
-                nodes,
-                weight,
-                now,
-                self._refusals.measure_refusing(name, now),
-                may_use_reserve,
+        for name, budget, weight in budgets:
+            refusing_s = self._refusals.measure_refusing(name, now)
+            is_paced = refusing_s is not None and (
+                refusing_s < UNDECIDED_S or self.limits_requests()
             )
-            for name, budget, weight in budgets
-        ):
-            return False
+            if not budget.allows_retry(
+                nodes, weight, now, refusing_s, may_use_reserve, is_paced
+            ):
+                return False
         for _, budget, weight in budgets:
             budget.spend(weight, now)
         return True
--- a/kumquatwalk/daemon/tests/test_retry_budgets.py
+++ b/kumquatwalk/daemon/tests/test_retry_budgets.py
@@ -33,6 +33,17 @@
         self.assertGreater(self._spend_all(False), 0)
         self.assertGreater(self._spend_all(True), 0)
 
+    # Guards against retries that are saved for nobody.
+    def test_retries_are_paced_only_while_requests_are_limited(self):
+        counts = []
+        for is_limited in (True, False):
+            self.setUp()
+            self.budgets.limits_requests = lambda limited=is_limited: limited
+            for tenth in range(70, 101):
+                self.budgets.record_arrival("deep", True, 3, tenth / 10.0)
+            counts.append(self._spend_all(True))
+        self.assertGreater(counts[1], 3 * counts[0])
+
     def test_all_may_spend_the_whole_budget_without_refusals(self):
         self.assertGreater(self._spend_all(False), 100)
         self.assertEqual(self._spend_all(True), 0)
--- a/kumquatwalk/retry/service_budget.py
+++ b/kumquatwalk/retry/service_budget.py
@@ -75,6 +75,7 @@
         now: float,
         refusing_s: float | None = None,
         may_use_reserve: bool = True,
+        is_paced: bool = True,
     ) -> bool:
         """Return whether the budget allows a retry.
 
@@ -84,9 +85,10 @@
                 fraction.
             now: Current time, in seconds.
             refusing_s: Time for which the targets of the service have refused
-                calls, in seconds; the budget is then paced and a part of it
-                reserved. None if they do not.
+                calls, in seconds; a part of the budget is then reserved. None
+                if they do not.
             may_use_reserve: Whether the retry may use that part.
+            is_paced: Whether the budget is paced then.
         """
         budget = self._compute_budget(nodes, now)
         if self._retries.total() + weight > budget:
@@ -94,6 +96,10 @@
         if refusing_s is None:
             return True
         part = 1.0 if may_use_reserve else 1.0 - RESERVED_FRACTION
+        if self._retries.total() + weight > part * budget:
+            return False
+        if not is_paced:
+            return True
         in_bucket = self._retries[self._get_bucket(now)]
         factor = INITIAL_BURST if refusing_s < INITIAL_S else BURST
         pace = part * factor * self._compute_pace(nodes, refusing_s, now)
@@ -103,9 +109,9 @@
     def estimate_rate(self, nodes: int, refusing_s: float, now: float) -> float:
         """Return the retries a second that the budget allows from now on.
 
-        Spent at this rate, the budget holds in all windows that end within one
-        window's length, if first attempts go on as in the last bucket. While
-        the ingress admits less, the budget falls as those before expire.
+        Spent at this rate, the budget holds in all windows that end in the time
+        for which refusals are expected to go on. First attempts expire in that
+        time, and fewer follow, because the ingress admits less.
 
         Args:
             nodes: Number of nodes that share the slack.
