--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -51,6 +51,11 @@
     outstanding: float
     limit: float
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether calls wait for its slots."""
+        return self.outstanding > LOAD_OVERLOADED * max(1, self.limit)
+
 
 def split_between_attempts(
     probability: float, retry_share: float, is_returning: bool
--- a/kumquatwalk/daemon/ingress_admission.py
+++ b/kumquatwalk/daemon/ingress_admission.py
@@ -65,6 +65,7 @@
         self._ranks: dict[str, int] = {}
         self._split = TeamSplit()
         self._teams_logged_at = -math.inf
+        self._timeouts_s: dict[str, float] = {}
         self._refusals = refusals
         self.retry_shares: dict[str, float] = {}
 
@@ -84,6 +85,7 @@
             team: Team that sent it; None without one.
         """
         self._ranks[route.name] = route.rank
+        self._timeouts_s[route.name] = route.timeout_s
         self._shedder.record_arrival(route.name, is_returning)
         if team is not None:
             self._split.record_arrival(
@@ -137,7 +139,7 @@
         was_shedding = bool(self._shedder.admission_probabilities)
         loads = self._sum_loads()
         demands = self._list_demands()
-        self._update_retry_shares(demands, now)
+        self._update_retry_shares(loads, demands, now)
         self._shedder.update(loads, demands, now, self.retry_shares)
         self._split.update(self._shedder.admission_probabilities, now)
         self._log_limited_teams(now)
@@ -172,9 +174,15 @@
             )
 
     def _update_retry_shares(
-        self, demands: list[RouteDemand], now: float
+        self,
+        loads: dict[str, ServiceLoad],
+        demands: list[RouteDemand],
+        now: float,
     ) -> None:
-        """Limit routes to the requests that the retries left can finish."""
+        """Limit routes to the requests that the retries left can finish.
+
+        Of a service that is full, slots are scarce and not retries.
+        """
         had_shares = bool(self.retry_shares)
         if self._refusals is None or not self._refusals.has_reports:
             refusing = {}
@@ -184,10 +192,18 @@
                 count_by_service(self._peers.list_all_views()),
                 now,
             )
+        refusing = {
+            name: service
+            for name, service in refusing.items()
+            if name not in loads or not loads[name].is_overloaded
+        }
         if not refusing and not had_shares:
             return
         retry_demands = list_retry_demands(
-            demands, self._graph, self._peers.list_all_views()
+            demands,
+            self._timeouts_s,
+            self._graph,
+            self._peers.list_all_views(),
         )
         self.retry_shares = compute_retry_shares(retry_demands, refusing)
         if bool(self.retry_shares) != had_shares:
