--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -253,6 +253,7 @@
             clock_s=read_now(),
             left_target_key=left_key,
             left_target_start_ms=left_start_ms,
+            takes_cap_requests=True,
         )
 
     def _hedge_call(self, call: Call) -> None:
--- a/kumquatwalk/daemon/team_caps.py
+++ b/kumquatwalk/daemon/team_caps.py
@@ -389,7 +389,8 @@
                 del self._asked[next(iter(self._asked))]
         link = self._peers.use(node_id)
         if link is not None and link.is_usable:
-            link.request_tokens(_make_message(request))
+            if not link.request_tokens(_make_message(request)):
+                self._drop_asked(request, node_id)
             return
         task = start_task(self._connect(request, node_id), "cap_connect")
         self._tasks.add(task)
@@ -397,9 +398,12 @@
 
     async def _connect(self, request: TokenRequest, node_id: str) -> None:
         link = await self._peers.connect(node_id, REPLY_TIMEOUT_S)
-        if link is not None:
-            link.request_tokens(_make_message(request))
-        elif self._asked.pop(request.request_id, None) is not None:
+        if link is None or not link.request_tokens(_make_message(request)):
+            self._drop_asked(request, node_id)
+
+    def _drop_asked(self, request: TokenRequest, node_id: str) -> None:
+        """Ask elsewhere, as a request could not be sent."""
+        if self._asked.pop(request.request_id, None) is not None:
             self._fail(request, node_id)
             self._schedule_pump()
 
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -82,6 +82,7 @@
         clock_s=reader.clockUs / US_PER_S,
         left_target_key=int(reader.leftTargetKey),
         left_target_start_ms=int(reader.leftTargetStartMs),
+        takes_cap_requests=bool(reader.takesCapRequests),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -64,6 +64,7 @@
     builder.clockUs = int(message.clock_s * US_PER_S)
     builder.leftTargetKey = message.left_target_key
     builder.leftTargetStartMs = message.left_target_start_ms
+    builder.takesCapRequests = message.takes_cap_requests
 
 
 @write_frame.register
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -11,6 +11,7 @@
   clockUs @7 :UInt64;
   leftTargetKey @8 :UInt32;
   leftTargetStartMs @9 :UInt64;
+  takesCapRequests @10 :Bool;
 }
 
 struct Call {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -54,6 +54,8 @@
             of which the sender knows that it has said that it leaves; 0 if it
             knows of none.
         left_target_start_ms: Start of that target in Unix milliseconds.
+        takes_cap_requests: Whether the sender takes ``CapRequest``, on which
+            an earlier release closes the link.
     """
 
     node_id: str
@@ -65,6 +67,7 @@
     clock_s: float
     left_target_key: int = 0
     left_target_start_ms: int = 0
+    takes_cap_requests: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -122,6 +122,7 @@
         self._late: LateCalls | None = None
         self._clock_offset = ClockOffset()
         self._own_zone = ""
+        self._takes_cap_requests = False
         self._pending: dict[int, _PendingRequest] = {}
         self._last_call_id = 0
         self._reconnect_pause_s = 0.0
@@ -349,17 +350,22 @@
         if self._link is not None:
             self._link.send(ConfigRequest(after_version))
 
-    def request_tokens(self, request: CapRequest) -> None:
+    def request_tokens(self, request: CapRequest) -> bool:
         """Request tokens of teams from the peer.
 
-        The answer goes to ``PeerCallbacks.on_caps``; no request is sent
-        without a connection.
+        The answer goes to ``PeerCallbacks.on_caps``.
 
         Args:
             request: The request.
+
+        Returns:
+            Whether it was sent; not without a connection, or to a peer of an
+            earlier release.
         """
-        if self._link is not None:
-            self._link.send(request)
+        if self._link is None or not self._takes_cap_requests:
+            return False
+        self._link.send(request)
+        return True
 
     def _send_request(
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
@@ -553,6 +559,7 @@
     def _complete_handshake(self, hello: Hello) -> None:
         is_same_process = hello.incarnation == self.incarnation
         self.incarnation = hello.incarnation
+        self._takes_cap_requests = hello.takes_cap_requests
         if not is_same_process:
             self._clock_offset.reset()
         now = read_now()
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -93,7 +93,7 @@
     HedgeRequest(3),
     TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
     TargetStatus(is_stopping=True, stop_left_s=3.5, clock_s=7.25),
-    Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
+    Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9, True),
     TargetStatus(
         TargetState.DRAINING,
         8,
