--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -101,6 +101,7 @@
     TargetStatus(work_left_s=1.25, slowness=2.5),
     ReplyFrame(8, 3, 4, Reply(Outcome.NOT_RUN, "overloaded"), 0.5, 0.75),
     Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
+    Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9, True),
     TargetStatus(
         TargetState.DRAINING,
         8,
