Fair queue: calls of several teams of one rank may expire at once

It raised KeyError when this left no call in the rank. The lower bound of a team at the ingress is a quarter, as promised: more takes from others.

--- a/kumquatwalk/admission/fair_share.py
+++ b/kumquatwalk/admission/fair_share.py
@@ -238,8 +238,9 @@
                 share.items.remove(item)
                 shares.queued -= 1
                 changed[item.call.rank, item.call.team] = share
-        for (rank, _), share in changed.items():
+        for share in changed.values():
             self._update_tags(share)
+        for rank in {rank for rank, _ in changed}:
             if not self._ranks[rank].queued:
                 del self._ranks[rank]
         if changed:
--- a/kumquatwalk/admission/team_split.py
+++ b/kumquatwalk/admission/team_split.py
@@ -24,10 +24,12 @@
 # about 250 bytes each. 1,000 teams use four routes each at one node.
 FLOWS_MAX = 4096
 # Lower bound for each team on each route, as a part of the share of all
-# requests that is admitted. No team may be served less than a quarter as often
-# as all; the rest is a margin for chance. It is below the lower bound of a
+# requests that is admitted: no team may be served less than a quarter as often
+# as all. More than this takes from teams near their fair share: in a simulated
+# burst of the largest of 73 teams for 40 s, the others keep 0.95 of what they
+# are served with 0.3, and 0.97 with 0.25. It is below the lower bound of a
 # route (``PROBABILITY_MIN_PART``), so that a route can always carry it.
-TEAM_MIN_PART = 0.3
+TEAM_MIN_PART = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/admission/tests/team_path.py
+++ b/kumquatwalk/admission/tests/team_path.py
@@ -11,6 +11,7 @@
 from kumquatwalk.admission.tests.team_load import RETRIES
 from kumquatwalk.admission.tests.team_load import RETRY_DELAY_S
 from kumquatwalk.admission.tests.team_load import TeamLoad
+from kumquatwalk.routing.rank import combine_ranks
 
 
 class TeamPath(TeamLoad):
@@ -23,10 +24,13 @@
         nodes: Number of nodes.
         slots: Slots of the target.
         mean_run_s: Mean run time, in seconds.
+        team_ranks: Rank of the team, by team; 0 if not given.
     """
 
-    def __init__(self, nodes, slots, mean_run_s):
-        super().__init__(slots, mean_run_s)
+    def __init__(self, nodes, slots, mean_run_s, team_ranks=None):
+        self._team_ranks = team_ranks or {}
+        ranks = {t: combine_ranks(r, 2) for t, r in self._team_ranks.items()}
+        super().__init__(slots, mean_run_s, ranks)
         self._splits = [TeamSplit() for _ in range(nodes)]
         self._shedder = IngressLoadShedder()
         self._node_rng = random.Random(3)
@@ -51,10 +55,10 @@
         self._arrived += 1
         is_returning = retries > 0
         split = self._node_rng.choice(self._splits)
-        split.record_arrival("r", f"team-{team}", 0, is_returning)
+        name, rank = f"team-{team}", self._team_ranks.get(team, 0)
+        split.record_arrival("r", name, rank, is_returning)
         self._shedder.record_arrival("r", is_returning)
-        draw = self._node_rng.random()
-        found = split.get_probability("r", f"team-{team}", 0, draw)
+        found = split.get_probability("r", name, rank, self._node_rng.random())
         if found is None:
             share = self._shedder.get_admission_probability("r", is_returning)
         else:
--- a/kumquatwalk/admission/tests/test_fair_share.py
+++ b/kumquatwalk/admission/tests/test_fair_share.py
@@ -84,6 +84,15 @@
         add(queue, make_call(5, "b"))
         self.assertEqual(start_all(queue), [4, 5])
 
+    def test_calls_of_several_teams_may_expire_at_once(self):
+        # Guards against KeyError when this empties the rank of all of them.
+        queue = FairQueue()
+        for key, team in enumerate(("a", "b", "a", "")):
+            add(queue, make_call(key, team))
+        queue.remove([item for item in queue if item.call.team])
+        self.assertEqual(queue.teams_known, 0)
+        self.assertEqual(start_all(queue), [3])
+
     def test_full_queue_evicts_from_the_team_that_exceeds_its_share(self):
         limiter = TargetLimiter()
         limiter.open(1)
@@ -162,15 +171,22 @@
             if queue and rng.random() < 0.55:
                 item = queue.get_first()
                 if rng.random() < 0.1:
-                    queue.remove_first()
+                    expired = rng.sample(
+                        list(queue), rng.randint(1, len(queue))
+                    )
+                    queue.remove(expired)
                 else:
+                    expired = [item]
                     queue.start_first()
                     given_s[item.call.team] += item.run_s
-                queued[item.call.team] -= 1
+                queued.subtract(i.call.team for i in expired)
             else:
                 team = rng.choices(teams, (8, 4, 2, 1))[0]
-                call = make_call(key, team, 2, rng.random() < 0.3)
-                add(queue, call, run_max_s[team] * rng.uniform(0.1, 1.0))
+                add(
+                    queue,
+                    make_call(key, team, 2, rng.random() < 0.3),
+                    run_max_s[team] * rng.uniform(0.1, 1.0),
+                )
                 queued[team] += 1
             for a in teams:
                 for b in teams:
--- a/kumquatwalk/admission/tests/test_team_load.py
+++ b/kumquatwalk/admission/tests/test_team_load.py
@@ -96,6 +96,21 @@
         total = sum(burst.served.values()) / sum(burst.offered.values())
         self.assertGreater(shares[0], 0.25 * total)
 
+    def test_lower_rank_of_team_is_not_shut_out_behind_the_ingress(self):
+        # Teams of the higher rank alone offer more than the target can serve;
+        # the order of the queue alone leaves the others a tenth or less.
+        rates = make_zipf_rates(10, 1.2 * CAPACITY_PER_S)
+        rates += make_zipf_rates(30, 0.5 * CAPACITY_PER_S)
+        ranks = {team: int(team >= 10) for team in range(40)}
+        load = TeamPath(10, SLOTS, MEAN_RUN_S, ranks)
+        shares = load.run(rates, 20.0)
+        total = sum(load.served.values()) / sum(load.offered.values())
+        self.assertGreater(min(shares.values()), 0.25 * total)
+        # A higher rank goes first.
+        low = sum(load.served[t] for t in range(10, 40))
+        offered = sum(load.offered[t] for t in range(10, 40))
+        self.assertLess(low / offered, total)
+
 
 if __name__ == "__main__":
     unittest.main()
