--- a/benchmarks/fleet_model/unlike_targets.py
+++ b/benchmarks/fleet_model/unlike_targets.py
@@ -169,6 +169,12 @@
         calls_per_s: Calls of each node, per second.
         seed: Seed of all random choices.
         noise: Slowing down of the machines.
+
+    Attributes:
+        nodes: The nodes by identifier.
+        targets: Their targets by the same identifiers.
+        runs: Runs that have ended: target, its slowness as estimated at the
+            start, and time, in seconds.
     """
 
     def __init__(
@@ -192,6 +198,7 @@
         self._order = itertools.count()
         self._now = 0.0
         self._times: list[float] = []
+        self.runs: list[tuple[str, float, float]] = []
         self._far = 0
         self._arrivals: dict[int, collections.Counter] = {}
         for node in self.nodes.values():
@@ -281,13 +288,15 @@
             target.running += 1
             target.left.start(call[0], self._now)
             end = target.compute_end(self._now, call[3])
-            self._schedule(
-                end - self._now, self._end_run, target, call, self._now
-            )
+            start = self._now, target.left.slowness.estimate(self._now)
+            self._schedule(end - self._now, self._end_run, target, call, start)
 
-    def _end_run(self, target: _Target, call, began_at: float) -> None:
+    def _end_run(self, target: _Target, call, start) -> None:
         key, sent_at, view, _ = call
+        began_at, slowness = start
         now = self._now
+        if began_at > WARM_UP_S:
+            self.runs.append((view.node_id, slowness, now - began_at))
         target.running -= 1
         target.times.record("call", now - began_at)
         target.left.slowness.observe(target.find_slowness(now), now)
--- a/benchmarks/work_left_experiment.py
+++ b/benchmarks/work_left_experiment.py
@@ -6,8 +6,14 @@
 times of calls, late calls, and the busiest target over the mean. Each row adds
 one part of the report to the count of calls. Runs with the same seed give
 identical results.
+
+    python -m benchmarks.work_left_experiment --predictors
+
+prints what part of the variance of run times is explained by what a node knows
+when a run starts.
 """
 
+import collections
 import dataclasses
 
 import click
@@ -16,7 +22,12 @@
 from benchmarks.fleet_model.unlike_targets import UnlikeResult
 from benchmarks.fleet_model.unlike_targets import UnlikeSimulation
 
-__all__ = ["main", "measure_report"]
+__all__ = ["explain_runs", "main", "measure_report"]
+
+# Multiple of the mean at which run times are cut, as in the product's gains.
+OUTLIER_FACTOR = 4.0
+# Width of the classes of slowness.
+CLASS_WIDTH = 0.25
 
 
 def measure_report(
@@ -43,6 +54,42 @@
     )
 
 
+def explain_runs(
+    runs: list[tuple[str, float, float]],
+) -> dict[str, float]:
+    """Return the part of the variance of run times that keys explain.
+
+    Args:
+        runs: Target, slowness as estimated at the start, and time of each run.
+    """
+    mean_s = sum(run[2] for run in runs) / len(runs)
+    runs = [(t, s, min(r, OUTLIER_FACTOR * mean_s)) for t, s, r in runs]
+    keys = {
+        "target": lambda t, _: t,
+        "slowness": lambda _, s: round(s / CLASS_WIDTH),
+        "target and slowness": lambda t, s: (t, round(s / CLASS_WIDTH)),
+    }
+    total = _sum_squares([run[2] for run in runs])
+    explained = {}
+    for name, find_key in keys.items():
+        groups = collections.defaultdict(list)
+        for target, slowness, run_s in runs:
+            groups[find_key(target, slowness)].append(run_s)
+        # Each group has a mean of its own, which takes away a little by chance.
+        rest = sum(
+            _sum_squares(g) * len(g) / (len(g) - 1)
+            for g in groups.values()
+            if len(g) > 1
+        )
+        explained[name] = 1.0 - rest / total
+    return explained
+
+
+def _sum_squares(values: list[float]) -> float:
+    mean = sum(values) / len(values)
+    return sum((value - mean) ** 2 for value in values)
+
+
 @click.command()
 @click.option("--nodes", type=int, default=195, show_default=True)
 @click.option("--seconds", type=float, default=14.0, show_default=True)
@@ -55,8 +102,15 @@
     help="Calls of a node, per second.",
 )
 @click.option("--seeds", type=int, default=3, show_default=True)
-def main(nodes, seconds, rates, seeds) -> None:
+@click.option("--predictors", is_flag=True, help="Explain run times instead.")
+def main(nodes, seconds, rates, seeds, predictors) -> None:
     """Compare the reports at several rates."""
+    if predictors:
+        simulation = UnlikeSimulation(nodes, "work", rates[0], 1)
+        simulation.play(seconds)
+        for name, part in explain_runs(simulation.runs).items():
+            click.echo(f"{name}: {100.0 * part:.1f}%")
+        return
     fields = [f.name for f in dataclasses.fields(UnlikeResult)]
     click.echo("| rate | report | " + " | ".join(fields) + " |")
     click.echo("| --- " * (2 + len(fields)) + "|")
