--- a/kumquatwalk/routing/tests/test_target_choice.py
+++ b/kumquatwalk/routing/tests/test_target_choice.py
@@ -199,6 +199,28 @@
         used = 0.1 + wait_s
         self.assertEqual(estimate_cost(plain, context), 0.15 * used)
 
+    # The choices of the release before work was reported, which those among
+    # targets that report three figures must equal.
+    def test_choices_without_reports_are_those_of_the_release_before(self):
+        rng = random.Random(9)
+        views = [
+            make_view(
+                f"{n}",
+                "a" if n < 6 else "b",
+                run_s=rng.uniform(0.1, 0.4),
+                running=rng.randrange(11),
+                queued=rng.randrange(6),
+            )
+            for n in range(9)
+        ]
+        context = ChoiceContext("a", "r", 1.0, 1.0, frozenset(), 100.1)
+        rng = random.Random(7)
+        chosen = [choose_target(views, context, rng) for _ in range(40)]
+        self.assertEqual(
+            "".join(v.node_id for v in chosen),
+            "1302113230133030312131001113333211131323",
+        )
+
     # Guards against a zone that refuses calls while another has room: bytes
     # between zones are cheaper than a wait that makes answers late.
     def test_far_zone_with_room_is_preferred_to_a_queue_in_the_zone(self):
