--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -434,8 +434,8 @@
         code, route = self._check_and_acquire(call, content)
         if code:
             return self._reply_not_run(code)
-        self.work.enter(call)
         try:
+            self.work.enter(call)
             if self._classify(content) is CrashStatus.CLEAR:
                 reply = await self._admit(call, content, running)
                 if reply is not None:
@@ -536,8 +536,8 @@
                     call.route, key, run_s is not None, read_now()
                 )
         finally:
-            self.work.end(call, run_s is not None)
             self._waiter.finish(admission, run_s)
+            self.work.end(call, run_s is not None)
         self._metrics.record_run(reply, read_now() - began_at)
         return reply
 
@@ -553,10 +553,7 @@
             reply, finding = result.reply, result.finding
             if result.check is not None and target_id == self.record.target_id:
                 self._observe_response(result.check)
-                if result.check.slowness and not result.check.is_replaced:
-                    self.work.observe_slowness(
-                        result.check.slowness, read_now()
-                    )
+                self.work.observe_response(result.check, read_now())
                 if result.check.is_leaving and not result.check.is_replaced:
                     reply = dataclasses.replace(reply, is_leaving=True)
                     self._set_record(self.record.mark_leaving())
--- a/kumquatwalk/daemon/target_work.py
+++ b/kumquatwalk/daemon/target_work.py
@@ -8,6 +8,7 @@
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.routing.run_forecast import RunForecast
 from kumquatwalk.routing.work_left import WorkLeft
+from kumquatwalk.targets.response import ResponseCheck
 
 __all__ = ["TargetWork"]
 
@@ -36,6 +37,17 @@
         """Whether the target has reported how slow its machine is."""
         return self._left.slowness.is_reported
 
+    def observe_response(self, check: ResponseCheck, now: float) -> None:
+        """Take in what a response of the target says of its slowness.
+
+        Args:
+            check: Result of checking the response, of a run or a refusal.
+            now: Time of the response, in seconds.
+        """
+        is_own = check.is_complete and not check.is_replaced
+        if is_own and check.slowness is not None:
+            self.observe_slowness(check.slowness, now)
+
     def observe_slowness(self, slowness: float, now: float) -> None:
         """Take in the slowness that the target has reported.
 
