--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -2,7 +2,9 @@
 
 import json
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.mesh.peer_link import PeerLink
@@ -90,6 +92,24 @@
         }
 
 
+def measure_config_age(watcher: StoreWatcher, now: float) -> float:
+    """Return the time since the store last answered a read, in seconds.
+
+    Keys and limits that the node knows may be as old, but for what other nodes
+    have told since.
+
+    Args:
+        watcher: Reads the configuration.
+        now: Current time, in seconds.
+
+    Returns:
+        The time; -1 before the first answer.
+    """
+    if watcher.last_success < 0.0:
+        return -1.0
+    return now - watcher.last_success
+
+
 def add_state_gauges(core: DaemonCore) -> None:
     """Register gauges that read the daemon's state when metrics are scraped.
 
@@ -132,6 +152,10 @@
             lambda: core.configs.stored_version,
             "Version that the store had when it was read last.",
         ),
+        "config_age_seconds": (
+            lambda: measure_config_age(core.config_watcher, read_now()),
+            "Time since the store last answered a read of the configuration.",
+        ),
         "store_era": (
             lambda: core.store.era.number,
             "Era of the store; it rises when the store is restored.",
--- a/kumquatwalk/daemon/store_watcher.py
+++ b/kumquatwalk/daemon/store_watcher.py
@@ -175,13 +175,15 @@
     def _set_reached(
         self, is_reached: bool, error: PlatformError | None = None
     ) -> None:
+        before = self.last_success
         if is_reached:
             self.last_success = read_now()
         if is_reached == self.is_reached:
             return
         self.is_reached = is_reached
         if is_reached:
-            log_event("store_reached", prefix=self._prefix)
+            away_s = self.last_success - before if before >= 0.0 else None
+            log_event("store_reached", prefix=self._prefix, away_s=away_s)
         else:
             log_event(
                 "store_lost",
