Links decode large replies of one read one after another

Compressed replies of one read of 256 KB were decoded at once, before any of them was counted, so that no pause for want of memory came in between. Two checks of the new tests fail without this.

--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -1,6 +1,8 @@
 """Protocol of one TCP connection between nodes, for both ends."""
 
 import asyncio
+import collections
+import math
 from collections.abc import Callable
 
 from kumquatwalk.clock import read_now
@@ -36,6 +38,11 @@
 # Time for which a link then pauses, in seconds. It reads one piece after each
 # pause, so that neither end takes it for dead and each frame ends.
 READ_PAUSE_S = 0.25
+# Bytes of decoded messages after which a link pauses, and for how long, in
+# seconds. A read of 256 KB may hold a hundred times as much in compressed
+# replies, and their receivers count them only some turns of the loop later.
+DECODED_BYTES_MAX = 1024 * 1024
+DECODE_PAUSE_S = 0.001
 
 
 class LinkProtocol(asyncio.Protocol):
@@ -76,6 +83,8 @@
         self._read_timer: asyncio.TimerHandle | None = None
         self._counted_bytes = 0
         self._frame_reader = FrameReader(first_frame_bytes_max)
+        # Payloads of complete frames that are not decoded yet.
+        self._payloads: collections.deque[bytes] = collections.deque()
         self._compressor: PayloadCompressor | None = None
         self._decompressor: PayloadDecompressor | None = None
         self._transport: asyncio.Transport | None = None
@@ -115,6 +124,8 @@
         They are not there for long unless the process was not scheduled or
         reads slowly.
         """
+        if self._payloads:
+            return True
         return (
             self.is_open
             and not self._is_partitioned
@@ -231,17 +242,18 @@
             self._transport.resume_reading()
         self._count_bytes()
 
-    def _pause_reading(self) -> None:
+    def _pause_reading(self, pause_s: float) -> None:
         if self._read_timer is None and self.is_open:
             self._transport.pause_reading()
             loop = asyncio.get_running_loop()
-            self._read_timer = loop.call_later(
-                READ_PAUSE_S, self._resume_reading
-            )
+            self._read_timer = loop.call_later(pause_s, self._resume_reading)
 
     def _resume_reading(self) -> None:
         self._read_timer = None
-        if self.is_open and not self._is_partitioned:
+        if self._payloads:
+            self._handle_payloads()
+        is_paused = self._read_timer is not None or self._is_partitioned
+        if self.is_open and not is_paused:
             self._transport.resume_reading()
 
     def _count_bytes(self) -> None:
@@ -255,6 +267,7 @@
                 size = 0
             size += sum(map(len, self._held_frames))
             size += self._frame_reader.pending_bytes
+            size += sum(map(len, self._payloads))
         if size > self._counted_bytes:
             self._budget.hold(size - self._counted_bytes)
         else:
@@ -276,25 +289,53 @@
     def data_received(self, data: bytes) -> None:
         """Decode received frames and pass on their messages."""
         self.last_received_at = read_now()
-        largest = 0
         try:
-            for payload in self._frame_reader.feed(data):
+            self._payloads.extend(self._frame_reader.feed(data))
+        except FrameError as error:
+            self._reject(error)
+        if self._read_timer is None:
+            self._handle_payloads()
+
+    def _handle_payloads(self) -> None:
+        """Pass on messages, and pause when they or memory ask for it."""
+        self.last_received_at = read_now()
+        largest = self._decode_payloads(DECODED_BYTES_MAX)
+        self._count_bytes()
+        largest = max(largest, self._frame_reader.pending_bytes)
+        if largest > SMALL_FRAME_BYTES and self._is_memory_short():
+            self._pause_reading(READ_PAUSE_S)
+        elif self._payloads:
+            self._pause_reading(DECODE_PAUSE_S)
+
+    def _decode_payloads(self, size_max: float) -> int:
+        """Pass on messages; return the size of the largest.
+
+        Args:
+            size_max: Bytes after which the others wait, if the link is open.
+        """
+        largest = decoded = 0
+        try:
+            while self._payloads and (decoded < size_max or not self.is_open):
+                payload = self._payloads.popleft()
                 if self._decompressor is not None:
                     payload = self._decompressor.decompress(payload)
                 largest = max(largest, len(payload))
+                decoded += len(payload)
                 self._on_message(self, decode(payload))
         except FrameError as error:
-            log_event(
-                "link_frame_rejected",
-                Level.WARNING,
-                code=error.code,
-                error=error.message,
-            )
-            self.abort()
-        self._count_bytes()
-        largest = max(largest, self._frame_reader.pending_bytes)
-        if largest > SMALL_FRAME_BYTES and self._is_memory_short():
-            self._pause_reading()
+            # What follows cannot be read without it.
+            self._payloads.clear()
+            self._reject(error)
+        return largest
+
+    def _reject(self, error: FrameError) -> None:
+        log_event(
+            "link_frame_rejected",
+            Level.WARNING,
+            code=error.code,
+            error=error.message,
+        )
+        self.abort()
 
     def resume_writing(self) -> None:
         """Stop counting the bytes that have been sent."""
@@ -305,6 +346,8 @@
         del exc
         if self._read_timer is not None:
             self._read_timer.cancel()
+            self._read_timer = None
+        self._decode_payloads(math.inf)
         self._count_bytes()
         if self._partition is not None:
             self._partition.remove_listener(self._apply_partition)
