Account of connections: slow readers, refusal of stopped bodies

Connections whose answers are read slowly are closed last when descriptors run short, since they would keep all callers out. A body that has stopped is refused with 503 in place of a reset.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -264,6 +264,12 @@
         Args:
             now: Current time, in seconds.
         """
+        if self._writer.untaken and not self._exchanges.has_run:
+            untaken_s = now - self._writer.progress_at
+            is_slow = self._writer.slowly_taken_bytes or (
+                untaken_s > TAKING_S_MAX
+            )
+            return ConnectionState.UNTAKEN if is_slow else ConnectionState.BUSY
         if self._exchanges or self._writer.untaken:
             return ConnectionState.BUSY
         if self._is_in_request or not self._writer.has_written:
@@ -289,13 +295,15 @@
         return size
 
     def close_for_shortage(self, reason: CloseReason) -> None:
-        """Close the connection immediately.
+        """Refuse the body received in part, or close immediately.
 
         Args:
             reason: What runs short.
         """
-        del reason
-        self.abort(End.SHORTAGE)
+        if reason is CloseReason.BODIES:
+            self._end_with(make_error_response("memory_exhausted"))
+        else:
+            self.abort(End.SHORTAGE)
 
     # Methods of asyncio.Protocol.
 
--- a/kumquatwalk/http1/connection_account.py
+++ b/kumquatwalk/http1/connection_account.py
@@ -61,7 +61,8 @@
 
     INCOMPLETE = 0  # No request, or a part of one; nothing is owed.
     IDLE = 1  # Its requests have been answered, or it is closing.
-    BUSY = 2  # A request is handled or its answer is not taken.
+    UNTAKEN = 2  # Its answers are made, and the client reads them slowly.
+    BUSY = 3  # A request is handled or its answer is being taken.
 
 
 class AccountedConnection(Protocol):
@@ -80,16 +81,17 @@
         """Drop requests that are not parsed yet; return the bytes freed."""
 
     def close_for_shortage(self, reason: CloseReason) -> None:
-        """Close the connection immediately."""
+        """Close the connection; it releases a body at once."""
 
 
 class ConnectionAccount:
     """Bounds what the connections of clients hold, and closes some if need be.
 
     Connections without a complete request are closed first, in the order of
-    their last progress, then idle ones. Those with a request in progress are
-    not closed; a connection that would exceed the limits all the same is closed
-    when it opens, and its requests are refused as not run.
+    their last progress, then idle ones, then those whose clients read slowly.
+    Those with a request in progress are not closed; a connection that would
+    exceed the limits all the same is closed when it opens, and requests are
+    refused as not run.
 
     Args:
         bytes_max: Bytes for connections, heads and bytes not parsed yet.
@@ -183,7 +185,7 @@
         self.pipelined -= pipelined
 
     def reclaim_bodies(self, size: int) -> None:
-        """Close connections whose bodies have stopped to come.
+        """Refuse requests whose bodies have stopped to come.
 
         Args:
             size: Bytes of bodies to free, if so many have stopped.
@@ -199,7 +201,8 @@
             if held:
                 size -= held
                 closed += 1
-                self._close(connection, CloseReason.BODIES)
+                connection.close_for_shortage(CloseReason.BODIES)
+                self._on_closed(CloseReason.BODIES)
         self._note_search(now, closed, CloseReason.BODIES)
 
     def _close_connections(self, excess: int) -> int:
@@ -209,9 +212,9 @@
             return 0
         batch = max(excess, int(self._connections_max * BATCH_FRACTION))
         chosen = self._list(ConnectionState.INCOMPLETE, now)[:batch]
-        if len(chosen) < excess:
-            idle = self._list(ConnectionState.IDLE, now)
-            chosen += idle[: excess - len(chosen)]
+        for state in (ConnectionState.IDLE, ConnectionState.UNTAKEN):
+            if len(chosen) < excess:
+                chosen += self._list(state, now)[: excess - len(chosen)]
         for connection in chosen:
             self._close(connection, CloseReason.DESCRIPTORS)
         self._note_search(now, len(chosen), CloseReason.DESCRIPTORS)
@@ -230,10 +233,8 @@
                     break
                 closed += 1
                 self._on_closed(CloseReason.MEMORY)
-        if self.used > self._bytes_max:
-            closed += self._close_until(
-                self._bytes_max, ConnectionState.IDLE, keeper
-            )
+        for state in (ConnectionState.IDLE, ConnectionState.UNTAKEN):
+            closed += self._close_until(self._bytes_max, state, keeper)
         self._note_search(now, closed, CloseReason.MEMORY)
 
     def _close_until(
