Request parser: a refused request keeps no bytes by its traceback

The error was kept on the parser, which is part of a reference cycle, and its traceback held the last 256 KB of each refused client.

--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -68,7 +68,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[HttpRequest] = []
         self._now = 0.0
-        self._error: RequestError | None = None
+        # Code and message of the error. An exception would keep, by its
+        # traceback, the bytes that were fed, until the parser is collected.
+        self._failure: tuple[str, str] | None = None
         # Head that is parsed again without its offer to upgrade.
         self._plain_head = b""
         self._plain_started_at = 0.0
@@ -130,11 +132,10 @@
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
-            raise self._error or RequestError(
-                "request_malformed", str(error)[:200]
-            ) from error
-        if self._error:
-            raise self._error
+            if self._failure is None:
+                self._failure = ("request_malformed", str(error)[:200])
+        if self._failure is not None:
+            raise RequestError(*self._failure)
         if was_in_head and self.is_in_head and not self._completed:
             self._count_unreported_bytes(len(data))
         return self.take_completed()
@@ -192,9 +193,9 @@
         self._is_expecting = False
 
     def _fail(self, code: str, message: str) -> None:
-        if self._error is None:
-            self._error = RequestError(code, message)
-        raise self._error
+        if self._failure is None:
+            self._failure = (code, message)
+        raise RequestError(code, message)
 
     # Callbacks of httptools.
 
