Links: nothing leaves after an abort that counts as unsent

uvloop goes on to write the buffer of a transport between abort and the close of its handle. A call whose frame was counted as unsent was then answered as not run, though it had reached the peer. The socket takes no more bytes once the unsent ones have been counted.

--- a/kumquatwalk/http1/sockets.py
+++ b/kumquatwalk/http1/sockets.py
@@ -14,6 +14,7 @@
     "end_stream",
     "is_closed",
     "set_liveness_options",
+    "shut_down_sending",
 ]
 
 # Idle time before the first keep-alive probe and interval between probes, in
@@ -152,6 +153,37 @@
         return
 
 
+def shut_down_sending(transport: asyncio.BaseTransport) -> bool:
+    """Have the kernel take no more bytes of a connection.
+
+    An event loop may go on to write its buffer for a turn after ``abort``, as
+    libuv does.
+
+    Args:
+        transport: Transport of a TCP connection.
+
+    Returns:
+        Whether it is certain that no bytes of the buffer will be sent.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    try:
+        # The wrapper of the event loop cannot shut down its socket.
+        raw = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, 0, sock.fileno()
+        )
+    except (OSError, ValueError):
+        return False
+    try:
+        raw.shutdown(socket.SHUT_WR)
+    except OSError:
+        return False
+    finally:
+        raw.detach()
+    return True
+
+
 def _ask_kernel(transport: asyncio.BaseTransport, request: int) -> int:
     sock = transport.get_extra_info("socket")
     if sock is None:
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -10,6 +10,7 @@
 from kumquatwalk.http1.sockets import count_untaken_bytes
 from kumquatwalk.http1.sockets import end_stream
 from kumquatwalk.http1.sockets import set_liveness_options
+from kumquatwalk.http1.sockets import shut_down_sending
 from kumquatwalk.logs import log_event
 from kumquatwalk.logs.level import Level
 from kumquatwalk.mesh.codec import FRAME_BYTES_MAX
@@ -234,7 +235,10 @@
         """Close the connection immediately and discard unsent bytes."""
         if self._transport is not None:
             if self.is_open:
-                self._note_left_end(self._transport.get_write_buffer_size())
+                unsent = 0
+                if shut_down_sending(self._transport):
+                    unsent = self._transport.get_write_buffer_size()
+                self._note_left_end(unsent)
             self._transport.abort()
 
     def _apply_partition(self) -> None:
