--- a/kumquatwalk/daemon/tests/test_timed_lock.py
+++ b/kumquatwalk/daemon/tests/test_timed_lock.py
@@ -18,6 +18,18 @@
         lock.release()
         self.assertTrue(await acquire_until(lock, read_now() + 0.05))
 
+    # Guards against a wait without bound for a lock that has been released and
+    # that a waiter before gets.
+    async def test_wait_for_a_lock_on_its_way_to_another_is_bounded(self):
+        lock = asyncio.Lock()
+        await lock.acquire()
+        other = asyncio.create_task(lock.acquire())
+        await asyncio.sleep(0)
+        lock.release()
+        async with asyncio.timeout(1.0):
+            self.assertFalse(await acquire_until(lock, read_now() + 0.05))
+        self.assertTrue(await other)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/kumquatwalk/daemon/timed_lock.py
+++ b/kumquatwalk/daemon/timed_lock.py
@@ -17,8 +17,8 @@
     Returns:
         Whether it was acquired.
     """
-    if not lock.locked():
-        return await lock.acquire()
+    # A lock that has just been released may be due to another waiter, so the
+    # wait is bounded whether it is held or not.
     try:
         async with asyncio.timeout(deadline - read_now()):
             return await lock.acquire()
