Team split: a team within its share is admitted whatever its retry share

A team whose observed requests were all callers' retries has a retry share of 1, and its first attempts were then admitted with a probability of 0.25 though the team was to be admitted in full. Routes are not affected: those admitted in full are not limited.

--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -67,6 +67,8 @@
         retry_share: Share of callers' retries in the requests.
         is_returning: Whether it is wanted for callers' retries.
     """
+    if probability >= 1.0:
+        return 1.0
     if is_returning:
         return min(1.0, probability / max(retry_share, 0.001))
     rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
--- a/kumquatwalk/admission/tests/test_team_split.py
+++ b/kumquatwalk/admission/tests/test_team_split.py
@@ -94,6 +94,20 @@
         retries = split_between_attempts(probability, retry_share, True)
         self.assertEqual(retries, 1.0)
 
+    # Guards against refusals of three in four first attempts of a team within
+    # its share whose requests before were all callers' retries.
+    def test_first_attempt_of_a_team_within_its_share_is_admitted(self):
+        split = TeamSplit()
+        for half in range(20):
+            split.record_arrival("r", "small", 0, True)
+            for _ in range(30):
+                split.record_arrival("r", "large", 0, False)
+            split.update({"r": 0.6}, half / 2.0)
+        probability, retry_share = split.get_probability("r", "small", 0, 0.5)
+        self.assertEqual(probability, 1.0)
+        first = split_between_attempts(probability, retry_share, False)
+        self.assertEqual(first, 1.0)
+
 
 def list_arrivals(rates, until):
     """Return Poisson arrivals as pairs of a time and a team, by time."""
