Idempotent request whose only link broke before the call had left waits for it

Such a call counts as not run now and no longer as an attempt, so that the wait for the link to reconnect was skipped: a request that was answered before was refused. It waits once, as a link that is paused refuses at once.

--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -386,10 +386,11 @@
                 return
             if not self._can_go_on(request):
                 return
-            if request.attempts_at_targets and not await self._prepare_retry(
-                request, reply, view
-            ):
-                return
+            if request.attempts_at_targets:
+                if not await self._prepare_retry(request, reply, view):
+                    return
+            elif reply.code == codes.LINK_FAILED:
+                await self._await_only_link(request, view)
 
     async def _await_late_replies(self, request: PendingRequest) -> None:
         """Wait for replies that may still come, unless there is an answer."""
@@ -559,12 +560,8 @@
         other = self._choose_target(request)
         if other is None and reply.code == codes.LINK_FAILED:
             # No other target is left: retry at this one once it reconnects.
-            link = self._peers.find(view.node_id)
-            if link is None or not await link.wait_until_usable(
-                RELINK_TIMEOUT_S
-            ):
+            if not await self._wait_for_link(request, view):
                 return False
-            request.tried_nodes.discard(view.node_id)
             other = view
         if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
             return False
@@ -572,6 +569,36 @@
             return False
         return self._spend_on_retry(request, read_now())
 
+    async def _await_only_link(
+        self, request: PendingRequest, view: TargetView
+    ) -> None:
+        """Wait for a link that broke before a call had left on it.
+
+        Only once, only without another target, and only for idempotent routes,
+        as for calls that had left. A link that is paused refuses calls at once
+        and looks usable, so more waits would not end.
+        """
+        if (
+            request.route.is_idempotent
+            and not request.has_awaited_link
+            and self._choose_target(request) is None
+        ):
+            request.has_awaited_link = True
+            await self._wait_for_link(request, view)
+
+    async def _wait_for_link(
+        self, request: PendingRequest, view: TargetView
+    ) -> bool:
+        """Return whether the link to a tried target is usable again soon.
+
+        The target may then be tried once more.
+        """
+        link = self._peers.find(view.node_id)
+        if link is None or not await link.wait_until_usable(RELINK_TIMEOUT_S):
+            return False
+        request.tried_nodes.discard(view.node_id)
+        return True
+
     def _spend_on_retry(self, request: PendingRequest, now: float) -> bool:
         tokens = None if request.chain is None else request.chain.tokens
         if tokens is not None and not tokens.available:
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -43,6 +43,8 @@
         last_refusal: Reply to the last attempt that was refused.
         late_replies: Replies that may still come to attempts whose link has
             gone silent or that are hedged.
+        has_awaited_link: Whether it has waited for the link to its only target,
+            on which its call had not left.
         crash_marks: Marks of target crashes during its attempts.
         content: Content by which its repeats are recognized.
     """
@@ -66,6 +68,7 @@
     late_replies: list[asyncio.Future[Reply]] = dataclasses.field(
         default_factory=list
     )
+    has_awaited_link: bool = False
     crash_marks: bytes = b""
     content: RequestContent = dataclasses.field(init=False)
 
--- a/kumquatwalk/daemon/tests/test_broken_links.py
+++ b/kumquatwalk/daemon/tests/test_broken_links.py
@@ -67,6 +67,22 @@
         self.assertEqual((await task).status, 200)
         self.assertEqual(self.pay.target.count_runs("id-1"), 2)
 
+    # Guards against a refusal where the link to the only target broke before
+    # the call had left, though the link was back at once.
+    async def test_unsent_request_is_sent_on_the_new_link_of_an_only_target(
+        self,
+    ):
+        self._set_partition(True)
+        task = asyncio.create_task(
+            self.fleet.call("web-1", "/pay/", "id-1", 5000)
+        )
+        await asyncio.sleep(0.1)
+        self._break_link()
+        await asyncio.sleep(0.02)
+        self._set_partition(False)
+        self.assertEqual((await task).status, 200)
+        self.assertEqual(self.pay.target.count_runs("id-1"), 1)
+
     async def test_links_outlive_a_pause_of_their_own_process(self):
         # Guards against runs that a node breaks off as its links look silent
         # after a pause, though what has come only waits to be read.
