Retry shares: the lower bound follows the minimum of the highest rank

Without retries left, routes of lower ranks had a share of 0 while those of the highest had the minimum, so that no request of theirs was admitted at all.

--- a/kumquatwalk/admission/retry_shares.py
+++ b/kumquatwalk/admission/retry_shares.py
@@ -114,6 +114,11 @@
         floor = SHARE_MIN_PART * admitted / max(total, 0.001)
     for demand in highest:
         shares[demand.route] = max(SHARE_MIN, shares[demand.route])
+    # What the highest rank gets beyond the retries raises the lower bound too.
+    for _ in range(FLOOR_ITERATIONS):
+        admitted = sum(d.requests_per_s * shares[d.route] for d in limited)
+        floor = SHARE_MIN_PART * admitted / max(total, 0.001)
+        shares = {route: max(floor, share) for route, share in shares.items()}
     return {route: share for route, share in shares.items() if share < 1.0}
 
 
--- a/kumquatwalk/admission/tests/test_retry_shares.py
+++ b/kumquatwalk/admission/tests/test_retry_shares.py
@@ -62,6 +62,21 @@
         self.assertEqual(shares["booking"], SHARE_MIN)
 
     # Guards against refusals to callers that have no time to come back.
+    # Guards against a kind of request of which none is admitted while no
+    # retries are left, though some of the highest rank are.
+    def test_no_kind_is_shut_out_however_few_retries_are_left(self):
+        demands = [
+            RetryDemand(f"r{rank}", rank, 100.0, {"deep": 3.0}, 5.0)
+            for rank in range(3)
+        ]
+        for retries_per_s in (0.0, 1.0, 10.0, 50.0):
+            shares = compute_retry_shares(
+                demands, {"deep": RefusingService(0.55, retries_per_s, 3)}
+            )
+            mean = sum(shares.values()) / len(demands)
+            for share in shares.values():
+                self.assertGreaterEqual(share, 0.99 * SHARE_MIN_PART * mean)
+
     def test_short_requests_are_not_limited(self):
         for timeout_s, is_limited in ((1.5, False), (5.0, True)):
             demand = dataclasses.replace(BOOKING, timeout_s=timeout_s)
