--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -511,10 +511,16 @@
     ) -> None:
         for pending in tuple(self._pending.values()):
             if should_fail(pending) and not pending.reply.done():
+                # A second run of a call that is not idempotent costs more than
+                # an unknown outcome, so for those the count is not relied on.
+                request = pending.request
+                is_idempotent = (
+                    isinstance(request, Call) and request.is_idempotent
+                )
                 outcome = (
-                    Outcome.UNKNOWN
-                    if pending.may_have_left
-                    else Outcome.NOT_RUN
+                    Outcome.NOT_RUN
+                    if is_idempotent and not pending.may_have_left
+                    else Outcome.UNKNOWN
                 )
                 pending.reply.set_result(Reply(outcome, codes.LINK_FAILED))
 
