Bound the requests parsed at once behind a body

A client whose body was received in part could send thousands of small requests in one piece with its end. They were all parsed in one step: 9,700 requests in 252 KB took 3.0 s in the event loop and 41 MB by the account.

--- a/kumquatwalk/http1/received_input.py
+++ b/kumquatwalk/http1/received_input.py
@@ -5,8 +5,9 @@
 
 __all__ = ["ReceivedInput"]
 
-# Bytes parsed at once outside of a body, the first time and while requests are
-# in progress. They bound how many small requests one step takes in.
+# Bytes parsed at once beyond the end of a body of known size, the first time
+# and while requests are in progress. They bound how many small requests one
+# step takes in.
 FIRST_SLICE_BYTES = 4096
 NEXT_SLICE_BYTES = 1024
 
@@ -53,11 +54,12 @@
         Raises:
             RequestError: See ``RequestParser.feed``.
         """
-        size = len(self)
-        if not self._parser.is_in_body:
-            size = min(
-                size, NEXT_SLICE_BYTES if is_behind else FIRST_SLICE_BYTES
-            )
+        # Of a body in chunks it is not known where it ends. Requests of the
+        # same piece may follow any body.
+        slice_bytes = NEXT_SLICE_BYTES
+        if self._parser.is_in_body or not is_behind:
+            slice_bytes = FIRST_SLICE_BYTES
+        size = min(len(self), max(slice_bytes, self._parser.missing_body_bytes))
         if size == len(self._data):
             data = self._data
             self.clear()
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -98,6 +98,13 @@
         """Bytes reserved for the body of the request received in part."""
         return self._reserved_bytes
 
+    @property
+    def missing_body_bytes(self) -> int:
+        """Bytes of an announced body to come; 0 if its size is not known."""
+        if not self.is_in_body:
+            return 0
+        return max(0, self._announced_bytes - self._body.size)
+
     @property
     def is_in_message(self) -> bool:
         """Whether a request has been received only in part."""
--- a/kumquatwalk/http1/tests/test_connection_account.py
+++ b/kumquatwalk/http1/tests/test_connection_account.py
@@ -161,6 +161,19 @@
         self.assertLess(self.account.used, 1 << 20)
         self.release("/a")
 
+    # Guards against FAULT: all requests that came in one piece with the end of
+    # a body were parsed at once.
+    async def test_few_requests_behind_a_body_are_parsed_at_once(self):
+        self.hold("/p")
+        _, writer = await self.open_counted(
+            _POST + b"Content-Length: 2\r\n\r\nx"
+        )
+        connection = next(iter(self.server.connections))
+        connection.data_received(b"x" + make_get("/a") * 5000)
+        self.assertLess(connection.count_owed(0.0), 300)
+        writer.transport.abort()
+        self.release("/p")
+
 
 class ShortPipelineTest(AccountCase):
     bytes_max = CONNECTION_BYTES * 64
