Reject any malformed team without naming a key

A key with a single surrogate, or a whole number beyond the range of floating point, raised an error that the holder of the configuration does not handle: it ended the work of the watcher again and again instead of rejecting the document with a log line. The error of a misplaced value could name a key.

--- a/kumquatwalk/platform/fields.py
+++ b/kumquatwalk/platform/fields.py
@@ -48,7 +48,7 @@
     """
     value = table.get(name, default)
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value < 0:
+    if not is_number or not _is_finite(value) or value < 0:
         raise _make_error(name, "a number of at least 0", value)
     return float(value)
 
@@ -121,6 +121,14 @@
     return value
 
 
+def _is_finite(value: float) -> bool:
+    try:
+        return math.isfinite(value)
+    except OverflowError:
+        # JSON can hold whole numbers beyond the range of floating point.
+        return False
+
+
 def _make_error(name: str, expected: str, value: Any) -> PlatformFormatError:
     value_text = repr(value)[:80]
     return PlatformFormatError(
--- a/kumquatwalk/platform/teams.py
+++ b/kumquatwalk/platform/teams.py
@@ -54,19 +54,35 @@
 
 
 def _decode_team(entry: Mapping[str, Any]) -> Team:
-    name = fields.read_text(entry, "name")
+    name = entry.get("name")
+    if not isinstance(name, str) or not name:
+        raise _make_error("name", "must be non-empty text")
     if not name.isprintable():
         # Targets get the name in a header.
         raise _make_error("name", f"{name!r:.80} has control characters")
-    rate = fields.read_number(entry, "ratePerS", 0.0)
+    rank = _read_number(entry, "priority", _DEFAULT_RANK, name)
+    if rank != int(rank):
+        raise _make_error("priority", f"of {name!r:.80} must be whole")
     return Team(
         name=name,
-        rank=fields.read_int(entry, "priority", _DEFAULT_RANK),
-        rate_max_per_s=rate or None,
-        burst=fields.read_number(entry, "burst", 0.0),
+        rank=int(rank),
+        rate_max_per_s=_read_number(entry, "ratePerS", 0.0, name) or None,
+        burst=_read_number(entry, "burst", 0.0, name),
     )
 
 
+def _read_number(
+    entry: Mapping[str, Any], field: str, default: float, name: str
+) -> float:
+    try:
+        return fields.read_number(entry, field, default)
+    except PlatformFormatError:
+        # Its message holds the value, which may be a key.
+        raise _make_error(
+            field, f"of {name!r:.80} must be a number of at least 0"
+        ) from None
+
+
 def _decode_keys(entry: Mapping[str, Any], name: str) -> list[bytes]:
     keys = entry.get("apiKeys", [])
     is_valid = isinstance(keys, list) and all(
@@ -74,7 +90,13 @@
     )
     if not is_valid:
         raise _make_error("apiKeys", f"of {name!r:.80} must be a list of texts")
-    return [key.encode() for key in keys]
+    try:
+        return [key.encode() for key in keys]
+    except UnicodeEncodeError:
+        # JSON can hold single surrogates. The error itself holds the key.
+        raise _make_error(
+            "apiKeys", f"of {name!r:.80} must be valid Unicode"
+        ) from None
 
 
 def _make_error(field: str, message: str) -> PlatformFormatError:
