Resume reading soon after a client has taken its answers

Reading stops at 64 answers that the client has yet to acknowledge. Only the check of time-outs, once a second, let it go on: 200 pipelined requests took 0.85 s instead of 0.09 s.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -55,6 +55,13 @@
 # has left, in seconds.
 LEFT_CHECK_INTERVAL_S = 0.05
 
+# Bounds of the interval in which the kernel is asked whether a client has taken
+# answers that keep further requests from being read, in seconds. Clients may
+# acknowledge up to 0.04 s late; it doubles for those that read slowly, up to
+# the interval of the checks of time-outs.
+ROOM_CHECK_MIN_S = 0.01
+ROOM_CHECK_MAX_S = 0.5
+
 # Interim answer to a request with ``Expect: 100-continue``, and to the end of a
 # caller's stream.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -106,6 +113,8 @@
         self._has_eof = False
         self._has_probed = False
         self._left_check: asyncio.TimerHandle | None = None
+        self._room_check: asyncio.TimerHandle | None = None
+        self._room_check_s = ROOM_CHECK_MIN_S
         self._writer: AnswerWriter | None = None
         self._is_reading = True
         self._opened_at = read_now()
@@ -383,6 +392,8 @@
             self._left_check.cancel()
         if self._parse_handle is not None:
             self._parse_handle.cancel()
+        if self._room_check is not None:
+            self._room_check.cancel()
         self._server.connections.discard(self)
         self._server.account.close(self)
         self._end(End.CONNECTION_LOST)
@@ -557,6 +568,10 @@
         # keep reading while few requests are in progress, to detect when the
         # caller closes the connection.
         has_room = self._has_room
+        if has_room:
+            self._room_check_s = ROOM_CHECK_MIN_S
+        elif not self._exchanges and not self._is_ending:
+            self._check_room_later()
         if self._input and has_room and self._parse_handle is None:
             loop = asyncio.get_running_loop()
             self._parse_handle = loop.call_soon(self._parse_input)
@@ -569,6 +584,20 @@
             self._transport.pause_reading()
         self._is_reading = should_read
 
+    def _check_room_later(self) -> None:
+        """Ask the kernel soon, as no event tells that answers were taken."""
+        if self._room_check is None and self._room_check_s < ROOM_CHECK_MAX_S:
+            self._room_check = asyncio.get_running_loop().call_later(
+                self._room_check_s, self._check_room
+            )
+            self._room_check_s *= 2.0
+
+    def _check_room(self) -> None:
+        self._room_check = None
+        if not self._transport.is_closing():
+            self._writer.update(read_now())
+            self._update_backpressure()
+
     @property
     def _is_in_request(self) -> bool:
         is_received = self._parser.is_in_message or len(self._input) > 0
--- a/kumquatwalk/http1/tests/test_connection_account.py
+++ b/kumquatwalk/http1/tests/test_connection_account.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from kumquatwalk.address import Address
 from kumquatwalk.config.fleet_config import CallerLimits
 from kumquatwalk.http1 import connection_account
+from kumquatwalk.http1 import server
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.connection_account import CONNECTION_BYTES
 from kumquatwalk.http1.connection_account import CloseReason
@@ -175,6 +177,26 @@
         self.release("/p")
 
 
+class UntakenPipelineTest(ConnectionCase):
+
+    def make_server(self):
+        patch = mock.patch.object(server, "TIMEOUT_CHECK_INTERVAL_S", 3600.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return super().make_server()
+
+    # Guards against FAULT: a client that had yet to acknowledge 64 answers had
+    # to wait for the next check of time-outs.
+    async def test_reading_goes_on_once_answers_are_taken(self):
+        reader, writer = await self.open()
+        for _ in range(3):
+            writer.write(make_get("/a") * 200)
+            data = b""
+            async with asyncio.timeout(HANG_S):
+                while data.count(b"200 OK") < 200:
+                    data += await reader.read(10_000)
+
+
 class ShortPipelineTest(AccountCase):
     bytes_max = CONNECTION_BYTES * 64
 
