Close bodies in small parts when parts run short

The shortage counted bytes: it could close an upload in few parts that paused for a second, which freed no part, and refuse the other request all the same.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -289,6 +289,10 @@
         """Return the bytes reserved for a body received in part."""
         return self._parser.reserved_bytes
 
+    def count_body_parts(self) -> int:
+        """Return the small parts reserved for a body received in part."""
+        return self._parser.reserved_parts
+
     def trim_input(self) -> int:
         """Drop requests not parsed yet, and take no more; return the bytes."""
         size = len(self._input)
--- a/kumquatwalk/http1/connection_account.py
+++ b/kumquatwalk/http1/connection_account.py
@@ -76,6 +76,9 @@
     def count_body_bytes(self) -> int:
         """Return the bytes reserved for a body received in part."""
 
+    def count_body_parts(self) -> int:
+        """Return the small parts reserved for a body received in part."""
+
     def trim_input(self) -> int:
         """Drop requests that are not parsed yet; return the bytes freed."""
 
@@ -188,6 +191,19 @@
         Args:
             size: Bytes of bodies to free, if so many have stopped.
         """
+        self._reclaim_bodies(size, lambda c: c.count_body_bytes())
+
+    def reclaim_parts(self, count: int) -> None:
+        """Close connections whose bodies in small parts have stopped to come.
+
+        Args:
+            count: Parts to free, if so many have stopped.
+        """
+        self._reclaim_bodies(count, lambda c: c.count_body_parts())
+
+    def _reclaim_bodies(
+        self, size: int, count_held: Callable[[AccountedConnection], int]
+    ) -> None:
         now = read_now()
         if not self._may_search(now):
             return
@@ -195,7 +211,7 @@
         for connection in self._list(ConnectionState.INCOMPLETE, now):
             if size <= 0 or now - connection.find_progress_at() < STALLED_S:
                 break
-            held = connection.count_body_bytes()
+            held = count_held(connection)
             if held:
                 size -= held
                 closed += 1
--- a/kumquatwalk/http1/request_parser.py
+++ b/kumquatwalk/http1/request_parser.py
@@ -98,6 +98,11 @@
         """Bytes reserved for the body of the request received in part."""
         return self._reserved_bytes
 
+    @property
+    def reserved_parts(self) -> int:
+        """Small parts reserved for the body of the request received in part."""
+        return self._reserved_parts
+
     @property
     def missing_body_bytes(self) -> int:
         """Bytes of an announced body to come; 0 if its size is not known."""
--- a/kumquatwalk/http1/server.py
+++ b/kumquatwalk/http1/server.py
@@ -125,7 +125,7 @@
         self.part_budget = ByteBudget(16 * PARTS_MAX)
         if budget is not None:
             budget.reclaim = self.account.reclaim_bodies
-        self.part_budget.reclaim = self.account.reclaim_bodies
+        self.part_budget.reclaim = self.account.reclaim_parts
         self.refuse = refuse
         self.estimate_answer = estimate_answer
         self.answers_by = math.inf
--- a/kumquatwalk/http1/tests/test_connection_account.py
+++ b/kumquatwalk/http1/tests/test_connection_account.py
@@ -142,6 +142,26 @@
         self.assertEqual(await self.read(stalled), b"")
 
 
+class PartsTest(AccountCase):
+    connections_max = 100
+
+    # Guards against FAULT: a shortage of parts closed a body that had come in
+    # few parts, and freed none.
+    async def test_body_in_small_parts_makes_room_for_another(self):
+        self.server.part_budget.limit = 1500
+        whole = _POST + b"Content-Length: 5000\r\n\r\n" + bytes(4000)
+        _, writer = await self.open_counted(whole)
+        await asyncio.sleep(0.05)
+        parts = _CHUNKED + b"1\r\nx\r\n" * 1100
+        stalled, _ = await self.open_counted(parts)
+        await asyncio.sleep(connection_account.STALLED_S + 0.1)
+        reader, _ = await self.open(parts + b"0\r\n\r\n")
+        self.assertIn(b" 200 ", await self.read(reader))
+        self.assertEqual(await self.read(stalled), b"")
+        self.assertFalse(writer.transport.is_closing())
+        self.assertEqual(self.account.connections, 2)
+
+
 class PipelineTest(AccountCase):
 
     # Guards against requests that are lost where reading stops.
