Hand the record over also after a renewal that the stop cut off

The write of the hand-over then failed, as the record had moved on. Its zone had no allocator for 30 s, and one with half of the share for 600 s after.

--- a/kumquatwalk/daemon/cap_record_keeper.py
+++ b/kumquatwalk/daemon/cap_record_keeper.py
@@ -135,7 +135,15 @@
             released: The record, which names no holder.
         """
         try:
-            await self._commit(released)
+            try:
+                await self._commit(released)
+            except CompareFailedError:
+                # A renewal that was cut off may have taken effect.
+                self._must_be_fresh = True
+                await self._read()
+                if self.is_running or not self._observer.holds_record:
+                    return
+                await self._commit(released)
         except PlatformError as error:
             # Another node takes the record after its lifetime.
             self._log_failure(error)
--- a/kumquatwalk/daemon/tests/test_team_caps.py
+++ b/kumquatwalk/daemon/tests/test_team_caps.py
@@ -117,6 +117,18 @@
         answers = [await call(fleet, "n1", n) for n in range(3)]
         self.assertEqual({answer.status for answer in answers}, {200})
 
+    # Guards against FAULT: after a renewal that the stop had cut off, the
+    # record stayed and its zone had no allocator for 30 s.
+    async def test_a_stop_hands_over_a_record_that_was_just_renewed(self):
+        fleet = await self._start(ratePerS=60, burst=60)
+        await self._wait_for_allocators(fleet)
+        record = await self._read_record(fleet, "z2")
+        fleet.store.put(RECORD_PREFIX + "z2", encode_record(record))
+        fleet.nodes["n1"].daemon.core.caps.begin_stop()
+        async with asyncio.timeout(5.0):
+            while (await self._read_record(fleet, "z2")).holder:
+                await asyncio.sleep(0.02)
+
     async def test_a_dead_holder_in_the_record_does_not_stop_requests(self):
         fleet = ZonedFleet()
         self.addAsyncCleanup(fleet.close)
