--- a/kumquatwalk/http1/tests/test_connection_account.py
+++ b/kumquatwalk/http1/tests/test_connection_account.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from kumquatwalk.address import Address
 from kumquatwalk.config.fleet_config import CallerLimits
 from kumquatwalk.http1 import connection_account
+from kumquatwalk.http1 import server
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.http1.caller_connection import TAKING_S_MAX
 from kumquatwalk.http1.connection_account import CONNECTION_BYTES
@@ -157,6 +159,26 @@
         self.assertIn(b" 503 ", await self.read(stalled))
 
 
+class PartsTest(AccountCase):
+    connections_max = 100
+
+    # Guards against FAULT: a shortage of parts closed a body that had come in
+    # few parts, and freed none.
+    async def test_body_in_small_parts_makes_room_for_another(self):
+        self.server.part_budget.limit = 1500
+        whole = _POST + b"Content-Length: 5000\r\n\r\n" + bytes(4000)
+        _, writer = await self.open_counted(whole)
+        await asyncio.sleep(0.05)
+        parts = _CHUNKED + b"1\r\nx\r\n" * 1100
+        stalled, _ = await self.open_counted(parts)
+        await asyncio.sleep(connection_account.STALLED_S + 0.1)
+        reader, _ = await self.open(parts + b"0\r\n\r\n")
+        self.assertIn(b" 200 ", await self.read(reader))
+        self.assertEqual(await self.read(stalled), b"")
+        self.assertFalse(writer.transport.is_closing())
+        self.assertEqual(self.account.connections, 2)
+
+
 class PipelineTest(AccountCase):
 
     # Guards against requests that are lost where reading stops.
@@ -178,6 +200,39 @@
         self.assertLess(self.account.used, 1 << 20)
         self.release("/a")
 
+    # Guards against FAULT: all requests that came in one piece with the end of
+    # a body were parsed at once.
+    async def test_few_requests_behind_a_body_are_parsed_at_once(self):
+        self.hold("/p")
+        _, writer = await self.open_counted(
+            _POST + b"Content-Length: 2\r\n\r\nx"
+        )
+        connection = next(iter(self.server.connections))
+        connection.data_received(b"x" + make_get("/a") * 5000)
+        self.assertLess(connection.count_owed(0.0), 300)
+        writer.transport.abort()
+        self.release("/p")
+
+
+class UntakenPipelineTest(ConnectionCase):
+
+    def make_server(self):
+        patch = mock.patch.object(server, "TIMEOUT_CHECK_INTERVAL_S", 3600.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return super().make_server()
+
+    # Guards against FAULT: a client that had yet to acknowledge 64 answers had
+    # to wait for the next check of time-outs.
+    async def test_reading_goes_on_once_answers_are_taken(self):
+        reader, writer = await self.open()
+        for _ in range(3):
+            writer.write(make_get("/a") * 200)
+            data = b""
+            async with asyncio.timeout(HANG_S):
+                while data.count(b"200 OK") < 200:
+                    data += await reader.read(10_000)
+
 
 class ShortPipelineTest(AccountCase):
     bytes_max = CONNECTION_BYTES * 64
