Retries by value: off unless the settings ask for it

Change: budgets are reserved and paced, refusals published and requests limited only with admitByRetries in the settings file. Result: tests of budgets, published refusals and the ingress; a deployment without the setting spends its retries as before.

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -293,7 +293,10 @@
             self._crash_tracker,
         )
         self._retry_budgets = RetryBudgets(
-            self.settings.bounds, self.peers, self._graph
+            self.settings.bounds,
+            self.peers,
+            self._graph,
+            self.settings.admits_by_retries,
         )
         self.ingress_admission = IngressAdmission(
             self.peers, self._graph, random.Random(), self._refusals
--- a/kumquatwalk/daemon/retry_budgets.py
+++ b/kumquatwalk/daemon/retry_budgets.py
@@ -31,14 +31,24 @@
         bounds: Bounds for the whole fleet, of which each node gets a share.
         peers: Links to other nodes.
         graph: Graph of the calls that routes make to each other.
+        saves_retries: Whether budgets are reserved and paced while the targets
+            of a service refuse calls, and the refusals are published. It pays
+            only where the ingress limits requests by the retries left.
 
     Attributes:
         limits_requests: Returns whether the ingress limits requests by the
             retries left. Only then is it worth while to save them.
     """
 
-    def __init__(self, bounds: FleetBounds, peers: Peers, graph: CallGraph):
+    def __init__(
+        self,
+        bounds: FleetBounds,
+        peers: Peers,
+        graph: CallGraph,
+        saves_retries: bool = False,
+    ):
         self._bounds = bounds
+        self._saves_retries = saves_retries
         self._peers = peers
         self._graph = graph
         self._budgets: dict[str, ServiceRetryBudget] = {}
@@ -76,7 +86,8 @@
             attempts_max: Attempts that the request may make.
             now: Current time, in seconds.
         """
-        self._refusals.record(service, is_refused, attempts_max, now)
+        if self._saves_retries:
+            self._refusals.record(service, is_refused, attempts_max, now)
 
     def list_refusals(self, now: float) -> tuple[ServiceRefusals, ...]:
         """Return the services whose targets refuse calls, with their budgets.
--- a/kumquatwalk/daemon/settings.py
+++ b/kumquatwalk/daemon/settings.py
@@ -54,6 +54,9 @@
         memory_max_bytes: Memory that the process may take, in bytes.
         zones: Names of all zones of the deployment; empty if not known.
         fds_max: File descriptors that the process may open.
+        admits_by_retries: Whether the ingress limits requests to those that
+            the retries left can finish while targets refuse calls, and the
+            retry budgets are reserved and paced for them.
     """
 
     node_id: str
@@ -70,3 +73,4 @@
     memory_max_bytes: int = 256 * 1024 * 1024
     zones: tuple[str, ...] = ()
     fds_max: int = 4096
+    admits_by_retries: bool = False
--- a/kumquatwalk/daemon/tests/test_published_refusals.py
+++ b/kumquatwalk/daemon/tests/test_published_refusals.py
@@ -16,6 +16,7 @@
 
     async def asyncSetUp(self):
         self.fleet = DaemonFleet()
+        self.fleet.admits_by_retries = True
         await self.fleet.start(make_config(("web", "deep"), maxAttempts=2))
         self.addAsyncCleanup(self.fleet.close)
         for name, service in (
--- a/kumquatwalk/daemon/tests/test_retry_budgets.py
+++ b/kumquatwalk/daemon/tests/test_retry_budgets.py
@@ -13,7 +13,7 @@
     def setUp(self):
         peers = mock.Mock(count=10)
         peers.list_all_views.return_value = []
-        self.budgets = RetryBudgets(FleetBounds(), peers, CallGraph())
+        self.budgets = RetryBudgets(FleetBounds(), peers, CallGraph(), True)
         for number in range(1000):
             self.budgets.record_first_attempt("deep", number / 100.0)
 
@@ -44,6 +44,17 @@
             counts.append(self._spend_all(True))
         self.assertGreater(counts[1], 3 * counts[0])
 
+    # Guards against a change for deployments that have not asked for it.
+    def test_nothing_is_saved_unless_the_settings_ask_for_it(self):
+        peers = mock.Mock(count=10)
+        peers.list_all_views.return_value = []
+        self.budgets = RetryBudgets(FleetBounds(), peers, CallGraph())
+        for number in range(1000):
+            self.budgets.record_first_attempt("deep", number / 100.0)
+            self.budgets.record_arrival("deep", True, 3, 10.0)
+        self.assertEqual(self.budgets.list_refusals(10.0), ())
+        self.assertGreater(self._spend_all(False), 100)
+
     def test_all_may_spend_the_whole_budget_without_refusals(self):
         self.assertGreater(self._spend_all(False), 100)
         self.assertEqual(self._spend_all(True), 0)
--- a/kumquatwalk/platform/settings.py
+++ b/kumquatwalk/platform/settings.py
@@ -110,6 +110,8 @@
         # The names of the zones; their values are regions.
         zones=tuple(sorted(fields.read_table(table.get("zones", {}), "zones"))),
         fds_max=_read_descriptors(table),
+        # A key of this project; the platform writes it if an operator adds it.
+        admits_by_retries=fields.read_bool(table, "admitByRetries", False),
     )
 
 
--- a/kumquatwalk/standin/daemon_fleet.py
+++ b/kumquatwalk/standin/daemon_fleet.py
@@ -92,6 +92,7 @@
     def __init__(self):
         self.store = KvStore()
         self.nodes: dict[str, FleetNode] = {}
+        self.admits_by_retries = False
 
     async def start(self, config: bytes) -> None:
         """Start the store and write a fleet configuration to it.
@@ -251,6 +252,7 @@
             store=self.store.address,
             metrics_listener=None,
             bounds=FleetBounds(**bounds),
+            admits_by_retries=self.admits_by_retries,
         )
 
 
