--- a/kumquatwalk/admission/ingress.py
+++ b/kumquatwalk/admission/ingress.py
@@ -9,7 +9,7 @@
 from kumquatwalk.admission.probabilities import RouteDemand
 from kumquatwalk.admission.probabilities import compute_admission_probabilities
 
-__all__ = ["IngressLoadShedder", "ServiceLoad"]
+__all__ = ["IngressLoadShedder", "ServiceLoad", "split_between_attempts"]
 
 # Utilization of a service: the fraction of its concurrency limit that requests
 # are admitted for. It is set to the initial value when the service is first
@@ -51,6 +51,29 @@
     outstanding: float
     limit: float
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether calls wait for its slots."""
+        return self.outstanding > LOAD_OVERLOADED * max(1, self.limit)
+
+
+def split_between_attempts(
+    probability: float, retry_share: float, is_returning: bool
+) -> float:
+    """Return the admission probability of first attempts, or of retries.
+
+    Args:
+        probability: Admission probability over both together.
+        retry_share: Share of callers' retries in the requests.
+        is_returning: Whether it is wanted for callers' retries.
+    """
+    if probability >= 1.0:
+        return 1.0
+    if is_returning:
+        return min(1.0, probability / max(retry_share, 0.001))
+    rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
+    return max(rest, FIRST_ATTEMPT_PART * probability)
+
 
 class IngressLoadShedder:
     """Computes the admission probability of requests at the ingress.
@@ -88,6 +111,7 @@
         loads: Mapping[str, ServiceLoad],
         demands: Sequence[RouteDemand],
         now: float,
+        retry_shares: Mapping[str, float] | None = None,
     ) -> None:
         """Recompute the admission probabilities.
 
@@ -95,6 +119,8 @@
             loads: Load of each service.
             demands: Demand on each route that callers use.
             now: Current time, in seconds.
+            retry_shares: Shares of the routes whose retries are scarce, see
+                ``compute_retry_shares``; None if there are none.
         """
         self._updated_at = now
         capacity = {}
@@ -102,7 +128,10 @@
             utilization = self._adjust_utilization(service, load)
             if utilization is not None:
                 capacity[service] = utilization * load.limit
-        self._probabilities = compute_admission_probabilities(demands, capacity)
+        probabilities = compute_admission_probabilities(demands, capacity)
+        for route, share in (retry_shares or {}).items():
+            probabilities[route] = min(probabilities.get(route, 1.0), share)
+        self._probabilities = probabilities
 
     def record_arrival(self, route: str, is_returning: bool) -> None:
         """Count a request in the share of callers' retries of its route.
@@ -132,13 +161,14 @@
         if probability is None:
             return 1.0
         retry_share = self._retry_shares.get(route, 0.0)
-        if is_returning:
-            return min(1.0, probability / max(retry_share, 0.001))
-        rest = (probability - retry_share) / max(1.0 - retry_share, 0.001)
-        return max(rest, FIRST_ATTEMPT_PART * probability)
+        return split_between_attempts(probability, retry_share, is_returning)
 
     def draw_retry_delay(
-        self, route: str, is_returning: bool, rng: random.Random
+        self,
+        route: str,
+        is_returning: bool,
+        rng: random.Random,
+        probability: float | None = None,
     ) -> float:
         """Return the time after which a refused caller should retry.
 
@@ -150,11 +180,14 @@
             route: Name of the route.
             is_returning: Whether the request is taken for a caller's retry.
             rng: Random source.
+            probability: Admission probability of the caller's team; None for
+                that of the route.
 
         Returns:
             The time in seconds; 0 for soon.
         """
-        probability = self._probabilities.get(route, 1.0)
+        if probability is None:
+            probability = self._probabilities.get(route, 1.0)
         if not is_returning and rng.random() < probability:
             return 0.0
         return rng.uniform(*LATE_RETRY_RANGE_S)
--- a/kumquatwalk/daemon/caller_side.py
+++ b/kumquatwalk/daemon/caller_side.py
@@ -26,6 +26,7 @@
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.settings import FleetBounds
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.team_caps import TeamCaps
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.logs import log_event
@@ -59,6 +60,10 @@
 # of the longest timeout that the route's callers have given lately, which
 # stands for the timeout of a first attempt.
 RETRY_TIMEOUT_SHARE = 0.95
+# Time beyond the deadline for which the reply to a call that has been passed on
+# is awaited, in seconds. A target side refuses a queued call up to 0.05 s late,
+# and the refusal, which says that it has not run, crosses a link.
+REPLY_WAIT_S = 0.09
 
 
 class CallerSide:
@@ -85,6 +90,7 @@
         leaving: Targets that have said that they leave.
         stop_admission: Refuses requests that a stop would cut off.
         capped: Number of requests that the end of a stop has ended.
+        caps: Caps of teams; set by ``DaemonCore``. None until then.
     """
 
     def __init__(
@@ -124,6 +130,7 @@
             settings, target_side, own_view, peers, graph, self.stop_admission
         )
         self.capped = 0
+        self.caps: TeamCaps | None = None
 
     def set_bounds(self, bounds: FleetBounds) -> None:
         """Replace the bounds on retries.
@@ -197,7 +204,10 @@
             self.stop_admission.finish(route.name, key, has_run, read_now())
             if chain is not None:
                 chain.tokens.close()
-        self._metrics.record_request(route.name, reply, read_now() - began_at)
+        team = "" if caller.team is None else caller.team.name
+        self._metrics.record_request(
+            route.name, reply, read_now() - began_at, team
+        )
         return reply
 
     async def _serve(
@@ -243,23 +253,32 @@
     async def _serve_admitted(self, request: PendingRequest) -> Reply:
         """Serve a request for whose answer there is memory."""
         route, caller = request.route, request.caller
+        token = None
+        if caller.team is not None and caller.team.rate_max_per_s is not None:
+            token = await self.caps.take_token(
+                caller, route.name, request.deadline
+            )
+            if isinstance(token, Reply):
+                return token
         if not request.is_nested and not self._admission.admits(
-            route, request.is_returning, read_now()
+            route, request.is_returning, read_now(), caller.team
         ):
+            if token is not None:
+                self.caps.give_back(token)
             delay_s = self._admission.draw_retry_delay(
-                route, request.is_returning
+                route, request.is_returning, caller.team
             )
             return make_refusal(
                 caller, codes.OVERLOADED, delay_s, self._rng, route.name
             )
-        timeout = self._request_timeouts.open(request.deadline)
+        timeout = self._request_timeouts.open(request.deadline + REPLY_WAIT_S)
         try:
             async with timeout:
                 return await self._make_attempts(request)
         except TimeoutError:
             if request.deadline > self._request_timeouts.ends_at:
                 return self._end_for_stop(request)
-            if request.has_answer_in_hand:
+            if request.has_answer_in_hand or not request.may_have_run:
                 return self._make_final_reply(request)
             return make_timeout_reply(request)
         finally:
@@ -310,7 +329,7 @@
             return self._make_final_reply(request)
         if request.is_in_flight:
             self._log_awaited_reply(request)
-        if request.is_in_flight or request.last_run is not None:
+        if request.may_have_run:
             return make_unknown_reply(request, codes.NODE_STOPPING)
         return self._refuse_for_stop(request)
 
@@ -357,20 +376,21 @@
                 return self._make_final_reply(request)
 
     async def _attempt_while_possible(self, request: PendingRequest) -> None:
-        while not self._is_quarantined(request):
+        while not request.is_over and not self._is_quarantined(request):
             view = await self._choose_target_or_wait(request)
-            if view is None:
+            if view is None or request.is_over:
                 return
             reply = await self._sender.send(view, request)
             self._record_attempt(request, view, reply)
-            if self._is_final(request, reply, view):
+            if request.is_over or self._is_final(request, reply, view):
                 return
             if not self._can_go_on(request):
                 return
-            if request.attempts_at_targets and not await self._prepare_retry(
-                request, reply, view
-            ):
-                return
+            if request.attempts_at_targets:
+                if not await self._prepare_retry(request, reply, view):
+                    return
+            elif reply.code == codes.LINK_FAILED:
+                await self._await_only_link(request, view)
 
     async def _await_late_replies(self, request: PendingRequest) -> None:
         """Wait for replies that may still come, unless there is an answer."""
@@ -399,6 +419,8 @@
             return False
         if not request.late_replies or not request.refused_nodes:
             return False
+        if request.is_over:
+            return False
         if request.attempts_at_targets >= request.route.attempts_max:
             return False
         request.late_replies.clear()
@@ -433,8 +455,16 @@
                 reply.crash_mark, request.content, read_now()
             )
         tokens = None if request.chain is None else request.chain.tokens
+        if reply.shed_by_target or reply.outcome is not Outcome.NOT_RUN:
+            self._retry_budgets.record_arrival(
+                request.service,
+                reply.shed_by_target,
+                request.route.attempts_max,
+                read_now(),
+            )
         if reply.outcome is Outcome.NOT_RUN:
             request.attempts_at_targets += reply.shed_by_target
+            request.refusals_by_targets += reply.shed_by_target
             request.refused_nodes.add(view.node_id)
             request.last_refusal = reply
             if tokens is not None:
@@ -478,16 +508,21 @@
             is_internal=self._graph.is_internal(route.name),
             pinned_by=request.content.fingerprint if is_suspect else b"",
         )
-        views = [
-            view
-            for view in self._peers.list_views(request.service)
-            if not self.leaving.has(view.node_id, view.status)
-        ]
+        views = self._peers.list_views(request.service)
+        if self.leaving:
+            views = [
+                view
+                for view in views
+                if not self.leaving.has(view.node_id, view.status)
+            ]
         return choose_target(views, context, self._rng)
 
     def _refresh_own_view(self) -> None:
         view = self._own_view
-        view.running, view.queued = self._target_side.get_load()
+        load = self._target_side.get_load()
+        view.running, view.queued = load[:2]
+        if load[2:]:
+            view.update_work(load[2], load[3], read_now())
         view.in_flight_reported = view.in_flight
         view.updated_at = read_now()
 
@@ -509,7 +544,8 @@
             return True
         if reply.code == codes.QUARANTINED:
             return True
-        if len(request.tried_nodes) >= NODES_PER_REQUEST_MAX:
+        nodes = len(request.tried_nodes) - request.refusals_by_targets
+        if nodes >= NODES_PER_REQUEST_MAX:
             return True
         return request.attempts_at_targets >= route.attempts_max
 
@@ -524,12 +560,8 @@
         other = self._choose_target(request)
         if other is None and reply.code == codes.LINK_FAILED:
             # No other target is left: retry at this one once it reconnects.
-            link = self._peers.find(view.node_id)
-            if link is None or not await link.wait_until_usable(
-                RELINK_TIMEOUT_S
-            ):
+            if not await self._wait_for_link(request, view):
                 return False
-            request.tried_nodes.discard(view.node_id)
             other = view
         if other is None or other.status.failure_share > FAILURE_SHARE_MAX:
             return False
@@ -537,13 +569,48 @@
             return False
         return self._spend_on_retry(request, read_now())
 
+    async def _await_only_link(
+        self, request: PendingRequest, view: TargetView
+    ) -> None:
+        """Wait for a link that broke before a call had left on it.
+
+        Only once, only without another target, and only for idempotent routes,
+        as for calls that had left. A link that is paused refuses calls at once
+        and looks usable, so more waits would not end.
+        """
+        if (
+            request.route.is_idempotent
+            and not request.has_awaited_link
+            and self._choose_target(request) is None
+        ):
+            request.has_awaited_link = True
+            await self._wait_for_link(request, view)
+
+    async def _wait_for_link(
+        self, request: PendingRequest, view: TargetView
+    ) -> bool:
+        """Return whether the link to a tried target is usable again soon.
+
+        The target may then be tried once more.
+        """
+        link = self._peers.find(view.node_id)
+        if link is None or not await link.wait_until_usable(RELINK_TIMEOUT_S):
+            return False
+        request.tried_nodes.discard(view.node_id)
+        return True
+
     def _spend_on_retry(self, request: PendingRequest, now: float) -> bool:
         tokens = None if request.chain is None else request.chain.tokens
         if tokens is not None and not tokens.available:
             return False
         if not self._retry_budgets.try_spend(
-            request.service, request.route.name, now
+            request.service,
+            request.route.name,
+            now,
+            request.own_rank == 0
+            or self._graph.is_internal(request.route.name),
         ):
+            self._metrics.record_retry_denied()
             return False
         self._metrics.record_retry()
         log_event(
@@ -561,7 +628,9 @@
         if reply is None:
             return make_refusal(
                 request.caller,
-                codes.TARGET_ABSENT,
+                codes.DEADLINE_EXCEEDED
+                if request.is_over
+                else codes.TARGET_ABSENT,
                 0.0,
                 self._rng,
                 request.route.name,
@@ -576,6 +645,8 @@
                 request.last_node,
             )
         if reply.outcome is Outcome.UNKNOWN:
+            if request.is_over and reply.code == codes.DEADLINE_EXCEEDED:
+                return make_timeout_reply(request)
             return make_unknown_reply(request, reply.code)
         size = len(request.http.body) + len(reply.body)
         self._sizes.record(request.route.name, size)
--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -23,12 +23,15 @@
 from kumquatwalk.daemon.state_publisher import StatePublisher
 from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.daemon.target_side import TargetSide
+from kumquatwalk.daemon.team_caps import TeamCaps
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
 from kumquatwalk.http1.byte_budget import ByteBudget
 from kumquatwalk.mesh.callbacks import PeerCallbacks
 from kumquatwalk.mesh.link_server import LINGER_MAX_S
 from kumquatwalk.mesh.link_server import LinkServer
 from kumquatwalk.mesh.message import Call
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
 from kumquatwalk.mesh.message import CrashNotice
 from kumquatwalk.mesh.message import Hello
 from kumquatwalk.mesh.message import OwnerQuery
@@ -44,6 +47,7 @@
 from kumquatwalk.platform.store_items import StoreItem
 from kumquatwalk.quarantine import CrashTable
 from kumquatwalk.quarantine import CrashTracker
+from kumquatwalk.retry.fleet_refusals import FleetRefusals
 from kumquatwalk.roster.duty import holds_duty
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.call_graph import CallGraph
@@ -128,6 +132,7 @@
         self.serve_query = _reply_unknown
         self._traffic = TrafficMeter()
         self._graph = CallGraph()
+        self._refusals = FleetRefusals()
         self._crash_tracker = CrashTracker(
             CrashTable(),
             lambda report: self.link_server.broadcast(CrashNotice(report)),
@@ -159,6 +164,16 @@
         self.roster = RosterSync(
             self.store, settings.node_id, self._make_entry, self.peers
         )
+        self.caps = TeamCaps(
+            settings,
+            self.incarnation,
+            self.store,
+            self.peers,
+            lambda: self.roster.is_known,
+            self.registry,
+        )
+        self.caller_side.caps = self.caps
+        self.link_server.lend_tokens = self.caps.lend_tokens
         self.store.era.on_restore = self._handle_restore
         self.state_publisher = StatePublisher(
             self.own_view,
@@ -167,6 +182,8 @@
             self._graph,
             self.peers,
             self.link_server,
+            self._retry_budgets,
+            self._refusals,
         )
 
     async def start(self) -> None:
@@ -188,6 +205,7 @@
             linger_max_s: See ``LinkServer.close``.
         """
         for component in (
+            self.caps,
             self.state_publisher,
             self.config_watcher,
             self.roster,
@@ -215,6 +233,7 @@
             certain_from: See ``StopAdmission.set_end``; for requests of callers
                 on this VM only, as peers choose other targets.
         """
+        self.caps.begin_stop()
         self.caller_side.set_end(ends_at, typical_until, certain_from)
         self.target_side.stop_admission.set_end(ends_at, typical_until)
 
@@ -238,6 +257,7 @@
             clock_s=read_now(),
             left_target_key=left_key,
             left_target_start_ms=left_start_ms,
+            takes_cap_requests=True,
         )
 
     def _hedge_call(self, call: Call) -> None:
@@ -253,6 +273,7 @@
                 lambda document: self.configs.update(document.document, "peer"),
                 self._handle_traffic_report,
                 self._handle_crash_notice,
+                self._handle_cap_answer,
             ),
             self.partition,
             self.body_budget,
@@ -271,6 +292,18 @@
             self.body_budget,
             self._crash_tracker,
         )
+        self._retry_budgets = RetryBudgets(
+            self.settings.bounds,
+            self.peers,
+            self._graph,
+            self.settings.admits_by_retries,
+        )
+        self.ingress_admission = IngressAdmission(
+            self.peers, self._graph, random.Random(), self._refusals
+        )
+        self._retry_budgets.limits_requests = lambda: bool(
+            self.ingress_admission.retry_shares
+        )
         self.caller_side = CallerSide(
             self.settings,
             self.target_side,
@@ -278,8 +311,8 @@
             self.peers,
             self._traffic,
             self._graph,
-            IngressAdmission(self.peers, self._graph, random.Random()),
-            RetryBudgets(self.settings.bounds, self.peers, self._graph),
+            self.ingress_admission,
+            self._retry_budgets,
             metrics,
             self._crash_tracker,
             self.memory,
@@ -331,11 +364,18 @@
     def _handle_traffic_report(
         self, view: TargetView, report: TrafficReport
     ) -> None:
-        self._graph.add_report(view.node_id, view.service, report, read_now())
+        now = read_now()
+        self._graph.add_report(view.node_id, view.service, report, now)
+        self._refusals.add_report(
+            view.node_id, view.service, report.refusals, now
+        )
 
     def _handle_crash_notice(self, notice: CrashNotice) -> None:
         self._crash_tracker.handle_broadcast(notice.report, read_now())
 
+    def _handle_cap_answer(self, answer: CapGrant | CapHolder) -> None:
+        self.caps.handle_answer(answer)
+
     def _list_crash_notices(self) -> list[CrashNotice]:
         reports = self._crash_tracker.list_reports(read_now())
         return [CrashNotice(report) for report in reports]
@@ -350,11 +390,13 @@
             self.configs.update(event.value, SOURCE_STORE)
 
     def _notify_config(self, config: FleetConfig) -> None:
+        self.caps.set_teams(config.teams)
         self.on_config(config)
         # Other nodes read the version in the status and ask for the document.
         self.state_publisher.publish_status()
 
     def _handle_restore(self) -> None:
+        self.caps.handle_restore()
         self.config_watcher.handle_restore()
         self.roster.handle_restore()
         self.on_restore()
--- a/kumquatwalk/daemon/pending_request.py
+++ b/kumquatwalk/daemon/pending_request.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.config.route import Route
 from kumquatwalk.daemon.caller_request import CallerRequest
 from kumquatwalk.daemon.chain import ChainContext
@@ -34,12 +35,16 @@
         last_node: Identifier of the node of the last attempt; empty before it.
         is_in_flight: Whether an attempt has been passed on and has no reply.
         attempts_at_targets: Number of attempts that have reached a target.
+        refusals_by_targets: Number of those that the targets refused as not
+            run.
         runs_possible: Number of attempts that ran or may have run, late replies
             aside.
         last_run: Reply to the last attempt that ran or may have run.
         last_refusal: Reply to the last attempt that was refused.
         late_replies: Replies that may still come to attempts whose link has
             gone silent or that are hedged.
+        has_awaited_link: Whether it has waited for the link to its only target,
+            on which its call had not left.
         crash_marks: Marks of target crashes during its attempts.
         content: Content by which its repeats are recognized.
     """
@@ -56,12 +61,14 @@
     last_node: str = ""
     is_in_flight: bool = False
     attempts_at_targets: int = 0
+    refusals_by_targets: int = 0
     runs_possible: int = 0
     last_run: Reply | None = None
     last_refusal: Reply | None = None
     late_replies: list[asyncio.Future[Reply]] = dataclasses.field(
         default_factory=list
     )
+    has_awaited_link: bool = False
     crash_marks: bytes = b""
     content: RequestContent = dataclasses.field(init=False)
 
@@ -81,6 +88,16 @@
             and run.outcome is Outcome.DONE
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or may run or have run."""
+        return self.is_in_flight or self.last_run is not None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether its deadline has passed."""
+        return read_now() >= self.deadline
+
     @property
     def is_nested(self) -> bool:
         """Whether it is a call of a run in progress."""
--- a/kumquatwalk/daemon/settings.py
+++ b/kumquatwalk/daemon/settings.py
@@ -52,6 +52,11 @@
         metrics_listener: Address for metrics and status; None to disable it.
         bounds: Bounds that the operators set for the fleet.
         memory_max_bytes: Memory that the process may take, in bytes.
+        zones: Names of all zones of the deployment; empty if not known.
+        fds_max: File descriptors that the process may open.
+        admits_by_retries: Whether the ingress limits requests to those that
+            the retries left can finish while targets refuse calls, and the
+            retry budgets are reserved and paced for them.
     """
 
     node_id: str
@@ -66,3 +71,6 @@
     metrics_listener: Address | None
     bounds: FleetBounds
     memory_max_bytes: int = 256 * 1024 * 1024
+    zones: tuple[str, ...] = ()
+    fds_max: int = 4096
+    admits_by_retries: bool = False
--- a/kumquatwalk/daemon/status.py
+++ b/kumquatwalk/daemon/status.py
@@ -2,7 +2,9 @@
 
 import json
 
+from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.core import DaemonCore
+from kumquatwalk.daemon.store_watcher import StoreWatcher
 from kumquatwalk.http1.message import HttpRequest
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.mesh.peer_link import PeerLink
@@ -72,7 +74,7 @@
                 service: core.peers.count_targets(service)
                 for service in sorted(services)
             },
-        }
+        } | core.target_side.work.describe()
 
     def _describe_members(self) -> dict[str, object]:
         core = self._core
@@ -90,6 +92,24 @@
         }
 
 
+def measure_config_age(watcher: StoreWatcher, now: float) -> float:
+    """Return the time since the store last answered a read, in seconds.
+
+    Keys and limits that the node knows may be as old, but for what other nodes
+    have told since.
+
+    Args:
+        watcher: Reads the configuration.
+        now: Current time, in seconds.
+
+    Returns:
+        The time; -1 before the first answer.
+    """
+    if watcher.last_success < 0.0:
+        return -1.0
+    return now - watcher.last_success
+
+
 def add_state_gauges(core: DaemonCore) -> None:
     """Register gauges that read the daemon's state when metrics are scraped.
 
@@ -97,10 +117,23 @@
         core: Components of the daemon.
     """
     limiter = core.target_side.limiter
+    work = core.target_side.work
     readers = {
         "running": (lambda: limiter.running, "Calls that run at the target."),
         "queued": (lambda: limiter.queued, "Calls that wait for the target."),
         "limit": (lambda: limiter.limit, "Calls that may run at once."),
+        "target_work_left_seconds": (
+            work.measure_work_left,
+            "Expected remaining time of all calls at the target.",
+        ),
+        "target_slowness": (
+            work.measure_slowness,
+            "Time that work takes at the target over the normal time.",
+        ),
+        "run_forecast_error": (
+            work.measure_forecast_error,
+            "Mean absolute error of forecasts of runs over the mean run time.",
+        ),
         "catalogue_revision": (
             lambda: core.configs.version,
             "Version of the configuration in force.",
@@ -109,10 +142,20 @@
             lambda: len(core.peers.list_reachable_ids()) + 1,
             "Nodes that answer on their links, with this one.",
         ),
+        "retry_share_min": (
+            lambda: min(
+                core.ingress_admission.retry_shares.values(), default=1.0
+            ),
+            "Lowest share of a route that the retries left can finish.",
+        ),
         "store_catalogue_revision": (
             lambda: core.configs.stored_version,
             "Version that the store had when it was read last.",
         ),
+        "config_age_seconds": (
+            lambda: measure_config_age(core.config_watcher, read_now()),
+            "Time since the store last answered a read of the configuration.",
+        ),
         "store_era": (
             lambda: core.store.era.number,
             "Era of the store; it rises when the store is restored.",
@@ -167,6 +210,16 @@
         # The concurrency limit, which is lower than the target's slots.
         "slots": status.limit,
         "catalogue_revision": status.config_version,
+    } | _describe_work(view)
+
+
+def _describe_work(view: TargetView) -> dict[str, object]:
+    """Return what a target reports of its work; empty if it does not."""
+    if not view.slowness:
+        return {}
+    return {
+        "work_left_s": round(view.work_left_s, 2),
+        "slowness": round(view.slowness, 2),
     }
 
 
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -8,6 +8,7 @@
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.external_interface import ExternalInterface
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.client_connection import STATUS_INVALID
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
@@ -80,13 +81,7 @@
     headers = interface.make_target_headers(
         call, target_id, run_id, remaining_s
     )
-    check: ResponseCheck | None = None
-
-    def accepts(response: HttpResponse) -> bool:
-        nonlocal check
-        check = interface.decode_response(response, call.attempt_id)
-        return check.belongs_to_request
-
+    progress = _Progress(interface, call.attempt_id)
     data = encode_request(call.method, call.url, headers, call.body)
     try:
         async with timeout:
@@ -94,16 +89,40 @@
                 data,
                 call.method == b"HEAD",
                 call.is_idempotent,
-                accepts,
+                progress.accepts,
+                progress.note_sending,
             )
     except TimeoutError:
-        reply = Reply(Outcome.UNKNOWN, codes.DEADLINE_EXCEEDED)
+        # Without a connection to the target nothing has been sent.
+        outcome = Outcome.UNKNOWN if progress.is_sent else Outcome.NOT_RUN
+        reply = Reply(outcome, codes.DEADLINE_EXCEEDED)
         return ExchangeResult(reply, Finding.LATE)
     except ExchangeError as error:
         return _classify_error(call, error)
     headers = interface.list_response_headers(response, call.attempt_id)
-    reply, finding = _classify_response(call, response, check, headers)
-    return ExchangeResult(reply, finding, check)
+    return ExchangeResult(
+        *_classify_response(call, response, progress.check, headers),
+        progress.check,
+    )
+
+
+class _Progress:
+    """How far an exchange has come."""
+
+    def __init__(self, interface: ExternalInterface, attempt_id: bytes):
+        self._interface = interface
+        self._attempt_id = attempt_id
+        self.is_sent = False
+        self.check: ResponseCheck | None = None
+
+    def note_sending(self) -> None:
+        """Note that the target may get the request from now on."""
+        self.is_sent = True
+
+    def accepts(self, response: HttpResponse) -> bool:
+        """Check a response and return whether it belongs to the request."""
+        self.check = self._interface.decode_response(response, self._attempt_id)
+        return self.check.belongs_to_request
 
 
 def make_content(call: Call) -> RequestContent:
@@ -124,6 +143,9 @@
         sent=error.sent,
         content=abbreviate(make_content(call).fingerprint),
     )
+    if error.code == STATUS_INVALID:
+        reply = Reply(Outcome.UNKNOWN, codes.ANSWER_SPOILED)
+        return ExchangeResult(reply, Finding.FAILED)
     if error.sent:
         reply = Reply(Outcome.UNKNOWN, codes.TARGET_FAILED)
         is_lost = error.code == "connection_lost"
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -24,7 +24,9 @@
 from kumquatwalk.daemon.target_exchange import Finding
 from kumquatwalk.daemon.target_exchange import make_content
 from kumquatwalk.daemon.target_exchange import run_call
+from kumquatwalk.daemon.target_work import TargetWork
 from kumquatwalk.daemon.traffic_meter import TrafficMeter
+from kumquatwalk.daemon.timed_lock import acquire_until
 from kumquatwalk.daemon.unique_calls import CallInProgress
 from kumquatwalk.daemon.unique_calls import UniqueCalls
 from kumquatwalk.http1.byte_budget import ByteBudget
@@ -83,6 +85,8 @@
         is_stopping: Whether this node is stopping, so that other nodes should
             choose other targets.
         stop_admission: Refuses calls that a stop would cut off.
+        work: Work left at the target, where the target reports how slow its
+            machine is.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         self.is_stopping = False
         self.stop_admission = StopAdmission()
         self._waiter = AdmissionWaiter()
+        self.work = TargetWork()
         self.limiter.named_rate.expect_response(read_now())
         # A service that the target announces is not probed.
         self.record = TargetRecord(is_probed=bool(settings.service))
@@ -188,7 +193,7 @@
         """Return the status of the target that is published to other nodes."""
         limiter = self.limiter
         now = read_now()
-        return TargetStatus(
+        status = TargetStatus(
             state=self._get_published_state(),
             limit=limiter.effective_limit,
             running=limiter.running,
@@ -205,10 +210,15 @@
             stop_left_s=max(0.0, self.stop_admission.ends_at - now),
             clock_s=now,
         )
+        return self.work.add_to_status(status, PUBLISHED_ROUTES_MAX)
 
-    def get_load(self) -> tuple[int, int]:
-        """Return the numbers of running and of queued calls."""
-        return self.limiter.running, self.limiter.queued
+    def get_load(self) -> tuple[float, ...]:
+        """Return the numbers of running and of queued calls.
+
+        The work left and the slowness follow where the target reports it.
+        """
+        limiter = self.limiter
+        return limiter.running, limiter.queued, *self.work.measure()
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Update the target's state from a heartbeat.
@@ -369,6 +379,7 @@
             # Callers would avoid it for the run times and the failures of the
             # start before.
             self.limiter.run_times.clear()
+            self.work.clear()
             self._failure_share = 0.0
         if record.unconfirmed not in (None, before.unconfirmed):
             self._request_confirmation(record.unconfirmed)
@@ -425,15 +436,21 @@
         if code:
             return self._reply_not_run(code)
         try:
+            self.work.enter(call)
             if self._classify(content) is CrashStatus.CLEAR:
                 reply = await self._admit(call, content, running)
                 if reply is not None:
                     return reply
             # Run suspect requests one at a time, so that a crash can be
             # attributed to one of them.
-            async with self._suspect_lock:
+            if not await acquire_until(self._suspect_lock, call.deadline):
+                return self._reply_not_run(codes.DEADLINE_EXCEEDED)
+            try:
                 return await self._admit(call, content, running, True)
+            finally:
+                self._suspect_lock.release()
         finally:
+            self.work.leave(call)
             if route is not None:
                 self._limits.end(route)
 
@@ -457,7 +474,10 @@
         route = config and config.routes_by_name.get(call.route)
         if route is None:
             return "", None
-        targets = self._count_targets(self.service)
+        # Counting targets costs more than the rest of this check.
+        targets = (
+            self._count_targets(self.service) if route.has_fleet_limits else 1
+        )
         code = self._limits.begin(route, targets, read_now())
         return code, None if code else route
 
@@ -500,6 +520,7 @@
         began_at = read_now()
         self._metrics.record_queue_time(began_at - arrived_at)
         if isinstance(admission, Refusal):
+            self._metrics.record_team_call(call.team, Outcome.NOT_RUN)
             return self._reply_not_run(admission.code, admission.retry_after_s)
         run_s = None
         try:
@@ -513,6 +534,7 @@
                 return self._reply_not_run(codes.TARGET_LEAVING)
             if running is not None:
                 running.is_admitted = True
+            self.work.start(call)
             key = self.stop_admission.begin(call.route, read_now())
             try:
                 reply = await self._run(call, content)
@@ -524,7 +546,9 @@
                 )
         finally:
             self._waiter.finish(admission, run_s)
+            self.work.end(call, run_s is not None)
         self._metrics.record_run(reply, read_now() - began_at)
+        self._metrics.record_team_call(call.team, reply.outcome)
         return reply
 
     async def _run(self, call: Call, content: RequestContent) -> Reply:
@@ -539,6 +563,7 @@
             reply, finding = result.reply, result.finding
             if result.check is not None and target_id == self.record.target_id:
                 self._observe_response(result.check)
+                self.work.observe_response(result.check, read_now())
                 if result.check.is_leaving and not result.check.is_replaced:
                     reply = dataclasses.replace(reply, is_leaving=True)
                     self._set_record(self.record.mark_leaving())
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -3,11 +3,16 @@
 import math
 from typing import Any
 
+from kumquatwalk.caps.entry import COUNT_MAX
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.exception import FrameError
 from kumquatwalk.http1.message import Header
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -19,18 +24,23 @@
 from kumquatwalk.mesh.message import Reply
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
+from kumquatwalk.mesh.schema import CS_PER_S
 from kumquatwalk.mesh.schema import MILLI_PER_UNIT
 from kumquatwalk.mesh.schema import MS_PER_S
 from kumquatwalk.mesh.schema import PROTOCOL_VERSION
+from kumquatwalk.mesh.schema import TWENTIETHS_PER_UNIT
 from kumquatwalk.mesh.schema import US_PER_S
 from kumquatwalk.mesh.schema import WIRE_STATES
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import CallShare
 from kumquatwalk.routing.call_graph import RouteRate
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import TrafficReport
 
 __all__ = ["read_frame"]
 
+_U32_MAX = 0xFFFFFFFF
+
 
 def read_frame(frame: Any) -> Message:
     """Read the message in a frame of the schema.
@@ -75,6 +85,7 @@
         clock_s=reader.clockUs / US_PER_S,
         left_target_key=int(reader.leftTargetKey),
         left_target_start_ms=int(reader.leftTargetStartMs),
+        takes_cap_requests=bool(reader.takesCapRequests),
     )
 
 
@@ -128,6 +139,8 @@
         running=int(reader.running),
         queued=int(reader.queued),
         reply=_read_reply(reader),
+        work_left_s=reader.workLeftCs / CS_PER_S,
+        slowness=reader.slownessTwentieths / TWENTIETHS_PER_UNIT,
     )
 
 
@@ -172,6 +185,8 @@
         is_leaving=bool(reader.isLeaving),
         stop_left_s=(reader.stopLeftMs or math.inf) / MS_PER_S,
         clock_s=reader.clockUs / US_PER_S,
+        work_left_s=reader.workLeftCs / CS_PER_S,
+        slowness=reader.slownessTwentieths / TWENTIETHS_PER_UNIT,
     )
 
 
@@ -199,6 +214,16 @@
             )
             for c in reader.calls
         ),
+        tuple(
+            ServiceRefusals(
+                str(r.service),
+                r.arrivalsMilliPerS / MILLI_PER_UNIT,
+                r.refusedMilliPerS / MILLI_PER_UNIT,
+                r.retriesMilliPerS / MILLI_PER_UNIT,
+                r.attemptsMax,
+            )
+            for r in reader.refusals
+        ),
     )
 
 
@@ -206,6 +231,29 @@
     return CrashNotice(bytes(reader.report))
 
 
+def _read_cap_request(reader: Any) -> CapRequest:
+    return CapRequest(
+        int(reader.requestId), int(reader.epoch), _read_entries(reader)
+    )
+
+
+def _read_cap_grant(reader: Any) -> CapGrant:
+    return CapGrant(
+        int(reader.requestId), int(reader.epoch), _read_entries(reader)
+    )
+
+
+def _read_cap_holder(reader: Any) -> CapHolder:
+    return CapHolder(int(reader.requestId), str(reader.holder))
+
+
+def _read_entries(reader: Any) -> tuple[TokenEntry, ...]:
+    return tuple(
+        TokenEntry(n & _U32_MAX, n >> 32 & COUNT_MAX, n >> 48)
+        for n in reader.entries
+    )
+
+
 _READ_FUNCTIONS = {
     "hello": _read_hello,
     "call": _read_call_frame,
@@ -218,4 +266,7 @@
     "trafficReport": _read_traffic_report,
     "ownerQuery": _read_owner_query,
     "crashNotice": _read_crash_notice,
+    "capRequest": _read_cap_request,
+    "capGrant": _read_cap_grant,
+    "capHolder": _read_cap_holder,
 }
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -11,6 +11,7 @@
   clockUs @7 :UInt64;
   leftTargetKey @8 :UInt32;
   leftTargetStartMs @9 :UInt64;
+  takesCapRequests @10 :Bool;
 }
 
 struct Call {
@@ -65,6 +66,9 @@
   tokens @10 :UInt16;
   crashMark @11 :Data;
   isLeaving @12 :Bool;
+  # As in TargetStatus.
+  workLeftCs @13 :UInt16;
+  slownessTwentieths @14 :UInt8;
 }
 
 struct Cancel {
@@ -96,6 +100,11 @@
   # Rest of the sender's stop, over 0; 0 while it does not stop.
   stopLeftMs @12 :UInt32;
   clockUs @13 :UInt64;
+  # Expected remaining time of all calls, and time of a run that starts now over
+  # that in routeTimes; both 0 if the target does not report its slowness. The
+  # small types fit into padding, so that messages without them keep their size.
+  workLeftCs @14 :UInt16;
+  slownessTwentieths @15 :UInt8;
 }
 
 struct ConfigRequest {
@@ -118,15 +127,45 @@
   milliCalls @2 :UInt32;
 }
 
+struct ServiceRefusals {
+  service @0 :Text;
+  arrivalsMilliPerS @1 :UInt32;
+  refusedMilliPerS @2 :UInt32;
+  retriesMilliPerS @3 :UInt32;
+  attemptsMax @4 :UInt8;
+}
+
 struct TrafficReport {
   rates @0 :List(RouteRate);
   calls @1 :List(CallShare);
+  # Services whose targets refuse calls; older releases ignore it.
+  refusals @2 :List(ServiceRefusals);
 }
 
 struct CrashNotice {
   report @0 :Data;
 }
 
+struct CapRequest {
+  requestId @0 :UInt32;
+  epoch @1 :UInt32;
+  # Each: team in the low 32 bits, tokens wanted in 16, tokens returned in 16.
+  entries @2 :List(UInt64);
+}
+
+struct CapGrant {
+  requestId @0 :UInt32;
+  epoch @1 :UInt32;
+  # Each: team in the low 32 bits, tokens in 16, ms until the next in 16.
+  entries @2 :List(UInt64);
+}
+
+struct CapHolder {
+  requestId @0 :UInt32;
+  # Empty where the sender knows of none.
+  holder @1 :Text;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -140,5 +179,8 @@
     ownerQuery @8 :OwnerQuery;
     crashNotice @9 :CrashNotice;
     hedgeRequest @10 :HedgeRequest;
+    capRequest @11 :CapRequest;
+    capGrant @12 :CapGrant;
+    capHolder @13 :CapHolder;
   }
 }
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.http1.message import Header
 from kumquatwalk.outcome import Outcome
 from kumquatwalk.routing.call_graph import TrafficReport
@@ -17,6 +18,9 @@
     "Call",
     "CallFrame",
     "Cancel",
+    "CapGrant",
+    "CapHolder",
+    "CapRequest",
     "ConfigDocument",
     "ConfigRequest",
     "CrashNotice",
@@ -50,6 +54,8 @@
             of which the sender knows that it has said that it leaves; 0 if it
             knows of none.
         left_target_start_ms: Start of that target in Unix milliseconds.
+        takes_cap_requests: Whether the sender takes ``CapRequest``, on which
+            an earlier release closes the link.
     """
 
     node_id: str
@@ -61,6 +67,7 @@
     clock_s: float
     left_target_key: int = 0
     left_target_start_ms: int = 0
+    takes_cap_requests: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,12 +228,16 @@
         running: Number of calls running at the target.
         queued: Number of calls queued for the target.
         reply: The reply.
+        work_left_s: As in ``TargetStatus``.
+        slowness: As in ``TargetStatus``.
     """
 
     call_id: int
     running: int
     queued: int
     reply: Reply
+    work_left_s: float = 0.0
+    slowness: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,6 +288,11 @@
         stop_left_s: Time until all calls must have ended, as the sending node
             is stopping, in seconds; infinite while it is not.
         clock_s: Sender's clock, in seconds; 0 when it does not tell.
+        work_left_s: Expected remaining time of the running and queued calls,
+            summed, in seconds.
+        slowness: Expected time of a run that starts now, over the time in
+            ``route_times``; 0 if the target does not report how slow its
+            machine is.
     """
 
     state: TargetState = TargetState.UNKNOWN
@@ -293,6 +309,8 @@
     is_leaving: bool = False
     stop_left_s: float = math.inf
     clock_s: float = 0.0
+    work_left_s: float = 0.0
+    slowness: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -330,6 +348,50 @@
     report: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapRequest:
+    """Requests tokens of teams and returns unused ones.
+
+    Attributes:
+        request_id: Identifier that the answer repeats.
+        epoch: Period of lending to which the returned tokens belong.
+        entries: Teams with the tokens wanted and returned.
+    """
+
+    request_id: int
+    epoch: int
+    entries: tuple[TokenEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapGrant:
+    """Grants tokens of teams, for a short time from the request's sending.
+
+    Attributes:
+        request_id: Request that it answers.
+        epoch: Period of lending of the sender.
+        entries: Teams with the tokens and the time until the next.
+    """
+
+    request_id: int
+    epoch: int
+    entries: tuple[TokenEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapHolder:
+    """Says that the sender lends no tokens.
+
+    Attributes:
+        request_id: Request that it answers.
+        holder: Node that lends in the zone of the sender; empty if the sender
+            knows of none.
+    """
+
+    request_id: int
+    holder: str
+
+
 Message = (
     Hello
     | CallFrame
@@ -342,4 +404,7 @@
     | ConfigDocument
     | TrafficReport
     | CrashNotice
+    | CapRequest
+    | CapGrant
+    | CapHolder
 )
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -20,6 +20,9 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -58,6 +61,10 @@
 class _PendingRequest:
     request: Call | OwnerQuery
     reply: asyncio.Future
+    # Position of its end in the stream of the present connection.
+    end: int = 0
+    # Whether it may have left this process on a connection before.
+    may_have_left: bool = False
 
     @property
     def fails_on_disconnect(self) -> bool:
@@ -119,6 +126,7 @@
         self._late: LateCalls | None = None
         self._clock_offset = ClockOffset()
         self._own_zone = ""
+        self._takes_cap_requests = False
         self._pending: dict[int, _PendingRequest] = {}
         self._last_call_id = 0
         self._reconnect_pause_s = 0.0
@@ -184,8 +192,8 @@
         link = self._link
         return (
             link is not None
-            and self._handshake_done.is_set()
             and now - link.last_received_at < RECEIVE_TIMEOUT_S
+            and self._handshake_done.is_set()
             and not link.is_congested
         )
 
@@ -199,6 +207,7 @@
             self._task.cancel()
         if self._link is not None:
             self._link.abort()
+            self._note_unsent(self._link)
         if self._late is not None:
             self._late.fail_all()
         self._close_silent_links()
@@ -346,8 +355,31 @@
         if self._link is not None:
             self._link.send(ConfigRequest(after_version))
 
+    def request_tokens(self, request: CapRequest) -> bool:
+        """Request tokens of teams from the peer.
+
+        The answer goes to ``PeerCallbacks.on_caps``.
+
+        Args:
+            request: The request.
+
+        Returns:
+            Whether it was sent; not without a connection, or to a peer of an
+            earlier release.
+        """
+        if self._link is None or not self._takes_cap_requests:
+            return False
+        self._link.send(request)
+        return True
+
     def _send_request(
         self, call_id: int, request: Call | OwnerQuery, is_resent: bool
+    ) -> None:
+        self._send_frame(call_id, request, is_resent)
+        self._pending[call_id].end = self._link.end
+
+    def _send_frame(
+        self, call_id: int, request: Call | OwnerQuery, is_resent: bool
     ) -> None:
         if isinstance(request, OwnerQuery):
             deadline = request.deadline + self._clock_offset.seconds
@@ -426,12 +458,19 @@
         elif link is not None:
             late.fail_all()
             link.abort()
+            self._note_unsent(link)
         self._fail_pending(lambda p: p.fails_on_disconnect)
 
+    def _note_unsent(self, link: LinkProtocol) -> None:
+        """Note which requests may have left on a connection that has ended."""
+        for pending in self._pending.values():
+            pending.may_have_left |= link.may_have_left(pending.end)
+
     def _set_aside(self, link: LinkProtocol, late: LateCalls) -> None:
         """Keep a silent connection for replies that may still come on it."""
         silent = SilentLink(link, late, read_now())
         for call_id, pending in self._pending.items():
+            pending.may_have_left = True
             if pending.reply.done() or not isinstance(pending.request, Call):
                 continue
             if pending.fails_on_disconnect:
@@ -472,8 +511,18 @@
     ) -> None:
         for pending in tuple(self._pending.values()):
             if should_fail(pending) and not pending.reply.done():
-                reply = Reply(Outcome.UNKNOWN, codes.LINK_FAILED)
-                pending.reply.set_result(reply)
+                # A second run of a call that is not idempotent costs more than
+                # an unknown outcome, so for those the count is not relied on.
+                request = pending.request
+                is_idempotent = (
+                    isinstance(request, Call) and request.is_idempotent
+                )
+                outcome = (
+                    Outcome.NOT_RUN
+                    if is_idempotent and not pending.may_have_left
+                    else Outcome.UNKNOWN
+                )
+                pending.reply.set_result(Reply(outcome, codes.LINK_FAILED))
 
     def _on_link_lost(self, link: LinkProtocol) -> None:
         silent = self._find_silent(link)
@@ -504,6 +553,8 @@
                 self._callbacks.on_traffic(self.view, message)
             case CrashNotice():
                 self._callbacks.on_crash(message)
+            case CapGrant() | CapHolder():
+                self._callbacks.on_caps(message)
             case _:
                 kind = type(message).__name__
                 log_event("link_message_unexpected", kind=kind)
@@ -536,6 +587,7 @@
     def _complete_handshake(self, hello: Hello) -> None:
         is_same_process = hello.incarnation == self.incarnation
         self.incarnation = hello.incarnation
+        self._takes_cap_requests = hello.takes_cap_requests
         if not is_same_process:
             self._clock_offset.reset()
         now = read_now()
@@ -573,6 +625,8 @@
         view = self.view
         view.running = frame.running
         view.queued = frame.queued
+        if frame.slowness or view.slowness:
+            view.update_work(frame.work_left_s, frame.slowness, read_now())
         view.in_flight_reported = max(0, view.in_flight - 1)
         pending.reply.set_result(frame.reply)
         if not pending.fails_on_disconnect and frame.reply.status:
--- a/kumquatwalk/mesh/tests/test_codec.py
+++ b/kumquatwalk/mesh/tests/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from kumquatwalk.caps.entry import TokenEntry
 from kumquatwalk.exception import FrameError
 from kumquatwalk.mesh.codec import FrameReader
 from kumquatwalk.mesh.codec import decode
@@ -18,6 +19,9 @@
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import CallFrame
 from kumquatwalk.mesh.message import Cancel
+from kumquatwalk.mesh.message import CapGrant
+from kumquatwalk.mesh.message import CapHolder
+from kumquatwalk.mesh.message import CapRequest
 from kumquatwalk.mesh.message import ConfigDocument
 from kumquatwalk.mesh.message import ConfigRequest
 from kumquatwalk.mesh.message import CrashNotice
@@ -29,11 +33,16 @@
 from kumquatwalk.mesh.message import ReplyFrame
 from kumquatwalk.mesh.message import TargetStatus
 from kumquatwalk.outcome import Outcome
+from kumquatwalk.retry.refusals import ServiceRefusals
 from kumquatwalk.routing.call_graph import CallShare
 from kumquatwalk.routing.call_graph import RouteRate
 from kumquatwalk.routing.call_graph import TrafficReport
 from kumquatwalk.targets.heartbeat import TargetState
 
+# Sizes of a reply and of a status without content before the work left had
+# fields. Empty headers and bodies are not written, which saves 8 bytes.
+REPLY_BYTES = 88
+STATUS_BYTES = 96
 _MESSAGES = (
     Hello("n", 5, "z", "s", "10.0.0.1", 80, 12.5),
     CallFrame(
@@ -83,10 +92,16 @@
     ),
     CrashNotice(b"C12345678"),
     Cancel(3),
+    CapRequest(7, 9, (TokenEntry(0xFFFFFFFF, 3, 2), TokenEntry(5, 0xFFFF, 1))),
+    CapGrant(7, 0xFFFFFFFF, (TokenEntry(1, 0, 0xFFFF),)),
+    CapHolder(7, "n"),
     HedgeRequest(3),
     TargetStatus(is_leaving=True, target_key=7, target_start_ms=9),
     TargetStatus(is_stopping=True, stop_left_s=3.5, clock_s=7.25),
+    TargetStatus(work_left_s=1.25, slowness=2.5),
+    ReplyFrame(8, 3, 4, Reply(Outcome.NOT_RUN, "overloaded"), 0.5, 0.75),
     Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9),
+    Hello("n", 1, "z", "web", "10.0.0.1", 80, 2.0, 7, 9, True),
     TargetStatus(
         TargetState.DRAINING,
         8,
@@ -106,6 +121,7 @@
         (RouteRate("r", 2.5),),
         (CallShare("r", "s", 4.0), CallShare("r", "t", 0.125)),
     ),
+    TrafficReport(refusals=(ServiceRefusals("s", 40.5, 22.25, 3.125, 4),)),
 )
 
 
@@ -117,6 +133,25 @@
                 frames = FrameReader().feed(make_frame(encode(message)))
                 self.assertEqual([decode(f) for f in frames], [message])
 
+    # Guards against a reported slowness that callers take for none.
+    def test_work_left_is_bounded_by_its_fields(self):
+        message = TargetStatus(work_left_s=1e9, slowness=1e9)
+        decoded = decode(encode(message))
+        self.assertEqual(decoded.work_left_s, 655.35)
+        self.assertEqual(decoded.slowness, 12.75)
+        message = TargetStatus(slowness=0.001)
+        self.assertEqual(decode(encode(message)).slowness, 0.05)
+
+    # Guards against a cost for deployments whose targets do not report it.
+    def test_fields_of_the_work_left_add_no_bytes(self):
+        reply = Reply(Outcome.DONE, status=200)
+        plain = encode(ReplyFrame(8, 3, 4, reply))
+        self.assertEqual(
+            len(encode(ReplyFrame(8, 3, 4, reply, 1, 1))), len(plain)
+        )
+        self.assertEqual(len(plain), REPLY_BYTES)
+        self.assertEqual(len(encode(TargetStatus())), STATUS_BYTES)
+
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(st.lists(st.integers(1, 5000), max_size=8))
     def test_frames_are_split_at_any_read_boundary(self, sizes):
--- a/kumquatwalk/platform/tests/test_teams.py
+++ b/kumquatwalk/platform/tests/test_teams.py
@@ -84,6 +84,10 @@
             "fraction for a rank": [RED | {"priority": 0.5}],
             "key is a number": [RED | {"apiKeys": [KEY, 7]}],
             "keys are a text": [RED | {"apiKeys": KEY}],
+            "key that is no Unicode text": [RED | {"apiKeys": [KEY, "\ud800"]}],
+            "rate beyond all numbers": [RED | {"ratePerS": 10**400}],
+            "table for a name": [RED | {"name": {"apiKeys": [KEY]}}],
+            "key for a rank": [RED | {"priority": KEY}],
             "entry is a key": [KEY],
             "table of keys": {KEY: RED},
             "number": 0,
@@ -138,6 +142,16 @@
                 self.assertIsNone(caller.team)
                 self.assertEqual((), caller.headers)
 
+    def test_refusals_by_a_cap_name_a_time(self):
+        for code, status in (
+            (codes.TEAM_CAP, 429),
+            (codes.CAP_UNAVAILABLE, 503),
+        ):
+            reply = Reply(Outcome.NOT_RUN, code, retry_after_s=0.25)
+            response = encode_reply(reply, b"id")
+            self.assertEqual(status, response.status)
+            self.assertIn((b"Retry-After", b"0.250"), response.headers)
+
     def test_refusal_has_status_401_and_names_no_time(self):
         reply = Reply(Outcome.NOT_RUN, codes.API_KEY_INVALID)
         response = encode_reply(reply, b"id")
--- a/kumquatwalk/tests/test_pages.py
+++ b/kumquatwalk/tests/test_pages.py
@@ -5,6 +5,7 @@
 
 from kumquatwalk import codes
 from kumquatwalk.cli.exit_codes import ExitCode
+from kumquatwalk.daemon.cap_metrics import CapMetrics
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.core import DaemonCore
 from kumquatwalk.daemon.platform_interface import PlatformInterface
@@ -48,9 +49,11 @@
     add_state_gauges(core)
     meters = DaemonMetrics(core.registry)
     reply = Reply(outcome=Outcome.DONE, code="", status=200)
-    meters.record_request("r", reply, 0.0)
+    meters.record_request("r", reply, 0.0, "a")
+    meters.record_team_call("a", Outcome.DONE)
     meters.record_run(reply, 0.0)
     meters.record_unanswered(Stage.READ, End.TIMEOUT)
+    CapMetrics(core.registry, ("z",), lambda: 0.0).record_request("granted")
     return core.registry
 
 
