--- a/kumquatwalk/http1/connection_account.py
+++ b/kumquatwalk/http1/connection_account.py
@@ -196,7 +196,7 @@
         self._reclaim_bodies(size, lambda c: c.count_body_bytes())
 
     def reclaim_parts(self, count: int) -> None:
-        """Close connections whose bodies in small parts have stopped to come.
+        """Refuse requests whose bodies in small parts have stopped to come.
 
         Args:
             count: Parts to free, if so many have stopped.
