Benchmarks: one reader of a response for both callers

Cause: the caller of call_cost parsed heads and lengths again. Change: read_response of http_caller is public and serves both.

--- a/benchmarks/http_caller.py
+++ b/benchmarks/http_caller.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-__all__ = ["HttpCaller", "HttpResponse"]
+__all__ = ["HttpCaller", "HttpResponse", "read_response"]
 
 # Time to wait for a response after the deadline, in seconds.
 RESPONSE_GRACE_S = 0.2
@@ -92,8 +92,7 @@
         is_reusable = False
         try:
             writer.write(request)
-            head = await reader.readuntil(b"\r\n\r\n")
-            response, is_keep_alive = await _read_response(reader, head)
+            response, is_keep_alive = await read_response(reader)
             is_reusable = is_keep_alive
             return response
         finally:
@@ -103,9 +102,18 @@
                 writer.close()
 
 
-async def _read_response(
-    reader: asyncio.StreamReader, head: bytes
+async def read_response(
+    reader: asyncio.StreamReader,
 ) -> tuple[HttpResponse, bool]:
+    """Read one response and return it, and whether the connection persists.
+
+    Args:
+        reader: Stream of the connection.
+
+    Raises:
+        EOFError: The connection was closed before the end of the response.
+    """
+    head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     pairs = [line.partition(":") for line in lines[1:] if line]
     headers = {name.lower(): value.strip() for name, _, value in pairs}
--- a/benchmarks/http_load.py
+++ b/benchmarks/http_load.py
@@ -1,8 +1,10 @@
 """Caller on the platform's interface that keeps its connection."""
 
 import asyncio
+import collections
 import os
 
+from benchmarks.http_caller import read_response
 from kumquatwalk.address import Address
 
 __all__ = ["KeptCaller"]
@@ -19,7 +21,7 @@
     def __init__(self, address: Address, path: bytes):
         self._address = address
         self._path = path
-        self.statuses: dict[int, int] = {}
+        self.statuses: collections.Counter[int] = collections.Counter()
 
     async def run(self, requests: int) -> None:
         """Send requests and count their answers by status.
@@ -37,12 +39,6 @@
                 b"Accept: */*\r\nUser-Agent: benchmark\r\n\r\n"
                 % (self._path, os.urandom(8).hex().encode())
             )
-            head = await reader.readuntil(b"\r\n\r\n")
-            status = int(head.split(b" ", 2)[1])
-            self.statuses[status] = self.statuses.get(status, 0) + 1
-            size = 0
-            for line in head.lower().split(b"\r\n"):
-                if line.startswith(b"content-length:"):
-                    size = int(line.partition(b":")[2])
-            await reader.readexactly(size)
+            response, _ = await read_response(reader)
+            self.statuses[response.status] += 1
         writer.close()
