Unparsed input keeps its size; one table of refusal statuses

Change: the size is kept in place of the start, the time is read once, and the table holds all refusals. Behaviour is the same.

--- a/kumquatwalk/http1/caller_connection.py
+++ b/kumquatwalk/http1/caller_connection.py
@@ -301,7 +301,7 @@
 
     def trim_input(self) -> int:
         """Drop requests not parsed yet, and take no more; return the bytes."""
-        size = len(self._input)
+        size = self._input.size
         if size:
             self._end_requests(End.SHORTAGE)
             self._update_account()
@@ -346,7 +346,7 @@
     def _parse_input(self) -> None:
         """Take the requests received, as far as there is room for them."""
         self._parse_handle = None
-        while self._input and self._has_room and not self._is_ending:
+        while self._input.size and self._has_room and not self._is_ending:
             is_behind = bool(self._exchanges)
             try:
                 requests = self._input.parse_next(self._last_data_at, is_behind)
@@ -369,7 +369,7 @@
         return not waiting or not self._server.account.is_short
 
     def _update_account(self) -> None:
-        size = len(self._input) + self._exchanges.head_bytes
+        size = self._input.size + self._exchanges.head_bytes
         if self._is_in_request:
             size += self._parser.head_bytes
         self._server.account.update(self, size, len(self._exchanges))
@@ -584,11 +584,11 @@
             self._room_check_s = ROOM_CHECK_MIN_S
         elif not self._exchanges and not self._is_ending:
             self._check_room_later()
-        if self._input and has_room and self._parse_handle is None:
+        if self._input.size and has_room and self._parse_handle is None:
             loop = asyncio.get_running_loop()
             self._parse_handle = loop.call_soon(self._parse_input)
         should_read = self._is_ending or (
-            self._writer.can_write and has_room and not self._input
+            self._writer.can_write and has_room and not self._input.size
         )
         if should_read and not self._is_reading:
             self._transport.resume_reading()
@@ -612,7 +612,7 @@
 
     @property
     def _is_in_request(self) -> bool:
-        is_received = self._parser.is_in_message or len(self._input) > 0
+        is_received = self._parser.is_in_message or self._input.size > 0
         return is_received and not self._is_ending
 
     @property
@@ -702,7 +702,7 @@
     @property
     def _has_unread_bytes(self) -> bool:
         """Whether bytes have come that this process has yet to read."""
-        return len(self._input) > 0 or count_unread_bytes(self._transport) > 0
+        return self._input.size > 0 or count_unread_bytes(self._transport) > 0
 
     def _end_requests(self, end: End = End.CLOSING_ANSWER) -> None:
         """Take no further request, nor the one received only in part."""
--- a/kumquatwalk/http1/received_input.py
+++ b/kumquatwalk/http1/received_input.py
@@ -20,16 +20,15 @@
 
     Args:
         parser: Parser of the connection's requests.
+
+    Attributes:
+        size: Number of bytes that are not parsed, the last of those received.
     """
 
     def __init__(self, parser: RequestParser):
         self._parser = parser
         self._data = b""
-        self._start = 0
-
-    def __len__(self) -> int:
-        """Return the number of bytes that are not parsed."""
-        return len(self._data) - self._start
+        self.size = 0
 
     def add(self, data: bytes) -> None:
         """Add received bytes.
@@ -37,12 +36,12 @@
         Args:
             data: The bytes.
         """
-        self._data = self._data[self._start :] + data if self else data
-        self._start = 0
+        self._data = self._data[-self.size :] + data if self.size else data
+        self.size = len(self._data)
 
     def clear(self) -> None:
         """Drop the bytes."""
-        self._data, self._start = b"", 0
+        self._data, self.size = b"", 0
 
     def parse_next(self, now: float, is_behind: bool) -> list[HttpRequest]:
         """Parse the next slice and return the requests now complete.
@@ -59,14 +58,10 @@
         slice_bytes = NEXT_SLICE_BYTES
         if self._parser.is_in_body or not is_behind:
             slice_bytes = FIRST_SLICE_BYTES
-        size = min(len(self), max(slice_bytes, self._parser.missing_body_bytes))
-        if size == len(self._data):
-            data = self._data
+        size = min(self.size, max(slice_bytes, self._parser.missing_body_bytes))
+        start = len(self._data) - self.size
+        data = self._data[start : start + size]
+        self.size -= size
+        if not self.size:
             self.clear()
-        else:
-            end = self._start + size
-            data = self._data[self._start : end]
-            self._start = end
-            if end == len(self._data):
-                self.clear()
         return self._parser.feed(data, now)
--- a/kumquatwalk/mesh/link_protocol.py
+++ b/kumquatwalk/mesh/link_protocol.py
@@ -278,6 +278,7 @@
     def _resume_reading(self) -> None:
         self._read_timer = None
         if self._payloads:
+            self.last_received_at = read_now()
             self._handle_payloads()
         is_paused = self._read_timer is not None or self._is_partitioned
         if self.is_open and not is_paused:
@@ -325,7 +326,6 @@
 
     def _handle_payloads(self) -> None:
         """Pass on messages, and pause when they or memory ask for it."""
-        self.last_received_at = read_now()
         largest = self._decode_payloads(DECODED_BYTES_MAX)
         self._count_bytes()
         largest = max(largest, self._frame_reader.pending_bytes)
--- a/kumquatwalk/platform/caller_response.py
+++ b/kumquatwalk/platform/caller_response.py
@@ -11,14 +11,15 @@
 # 504 it may have run.
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
-# The same for a caller that has sent too many requests.
-_STATUS_TOO_MANY = 429
-# Statuses of refusals that no retry would change.
+# Statuses of refusals with these codes.
 _STATUS_REFUSED = {
     codes.API_KEY_INVALID: 401,
     codes.ATTEMPT_ID_MISSING: 400,
     codes.ENTRY_UNKNOWN: 404,
+    codes.TEAM_CAP: 429,
 }
+# Statuses after which the caller may send the request again.
+_RETRYABLE_STATUSES = (429, _STATUS_NOT_RUN)
 _STATUS_BY_CODE = {
     codes.DEADLINE_EXCEEDED: 504,
 }
@@ -44,9 +45,7 @@
     headers = (_CONTENT_TYPE,)
     if reply.outcome is Outcome.NOT_RUN:
         status = _STATUS_REFUSED.get(reply.code, _STATUS_NOT_RUN)
-        if reply.code == codes.TEAM_CAP:
-            status = _STATUS_TOO_MANY
-        if status in (_STATUS_NOT_RUN, _STATUS_TOO_MANY):
+        if status in _RETRYABLE_STATUSES:
             headers += ((b"Retry-After", b"%.3f" % reply.retry_after_s),)
     else:
         status = _STATUS_BY_CODE.get(reply.code, _STATUS_UNKNOWN)
