Verify refusals of targets that name no request

Cause: a target may send a response once more, late, when the next request has come on the connection. A refusal need not echo the attempt identifier, and the exchange took any error without one for the answer to its request. All of the 64 payments had come just after such a repeat.

Ruled out: a pool that reuses a connection with unread bytes (the repeat is written after the payment has come), and a repeat by the caller side (the second run begins 2 ms after the first, as not run).

Change: a response names the request, another one or none. One that names none is verified where a mistake would do harm: a health check is sent behind the request on the same connection, and responses come in order. If the next one names the request, it is the answer; otherwise the refusal stands. Refused idempotent calls are not verified; connections on which such a refusal came are not reused for other calls.

The tests of TargetClient.exchange pass match_any in place of a predicate that returned True, as the parameter has a new type.

--- a/kumquatwalk/daemon/external_interface.py
+++ b/kumquatwalk/daemon/external_interface.py
@@ -58,6 +58,13 @@
             attempt_id: Attempt identifier of the request.
         """
 
+    def is_health_answer(self, response: HttpResponse) -> bool:
+        """Return whether a response surely answers a health check.
+
+        Args:
+            response: Response of a target.
+        """
+
     def list_response_headers(
         self, response: HttpResponse, attempt_id: bytes
     ) -> tuple[Header, ...]:
--- a/kumquatwalk/daemon/platform_interface.py
+++ b/kumquatwalk/daemon/platform_interface.py
@@ -9,6 +9,7 @@
 from kumquatwalk.platform.names import PREFIX_OPERATORS
 from kumquatwalk.platform.request_headers import make_target_headers
 from kumquatwalk.platform.target_response import decode_target_response
+from kumquatwalk.platform.target_response import is_health_answer
 from kumquatwalk.platform.target_response import list_response_headers
 from kumquatwalk.targets.response import ResponseCheck
 
@@ -40,6 +41,10 @@
         """Decode what the headers of a target's answer say about it."""
         return decode_target_response(response, attempt_id)
 
+    def is_health_answer(self, response: HttpResponse) -> bool:
+        """Return whether a response bears what only health checks return."""
+        return is_health_answer(response)
+
     def list_response_headers(
         self, response: HttpResponse, attempt_id: bytes
     ) -> tuple[Header, ...]:
--- a/kumquatwalk/daemon/target_exchange.py
+++ b/kumquatwalk/daemon/target_exchange.py
@@ -12,6 +12,8 @@
 from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.response_match import ResponseMatch
+from kumquatwalk.http1.response_match import Verification
 from kumquatwalk.logs import log_event
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.mesh.message import Reply
@@ -60,6 +62,7 @@
     call: Call,
     timeout: asyncio.Timeout,
     target_deadline: float,
+    health_check: bytes = b"",
 ) -> ExchangeResult:
     """Send a call to the target and wait for its answer.
 
@@ -73,6 +76,8 @@
         timeout: Timeout of the run.
         target_deadline: Time by which the target has to stop work, in seconds;
             the deadline of the call or, during a stop, earlier.
+        health_check: Encoded health check of the target, which verifies
+            responses that name no request; empty if none is known.
 
     Returns:
         The result, whether the exchange succeeded or not.
@@ -81,7 +86,7 @@
     headers = interface.make_target_headers(
         call, target_id, run_id, remaining_s
     )
-    progress = _Progress(interface, call.attempt_id)
+    progress = _Progress(interface, call)
     data = encode_request(call.method, call.url, headers, call.body)
     try:
         async with timeout:
@@ -89,8 +94,9 @@
                 data,
                 call.method == b"HEAD",
                 call.is_idempotent,
-                progress.accepts,
+                progress.match,
                 progress.note_sending,
+                progress.make_verification(health_check),
             )
     except TimeoutError:
         # Without a connection to the target nothing has been sent.
@@ -109,20 +115,50 @@
 class _Progress:
     """How far an exchange has come."""
 
-    def __init__(self, interface: ExternalInterface, attempt_id: bytes):
+    def __init__(self, interface: ExternalInterface, call: Call):
         self._interface = interface
-        self._attempt_id = attempt_id
+        self._call = call
         self.is_sent = False
+        # Of the first response that names no request, until one names this.
         self.check: ResponseCheck | None = None
 
     def note_sending(self) -> None:
         """Note that the target may get the request from now on."""
         self.is_sent = True
 
-    def accepts(self, response: HttpResponse) -> bool:
-        """Check a response and return whether it belongs to the request."""
-        self.check = self._interface.decode_response(response, self._attempt_id)
-        return self.check.belongs_to_request
+    def match(self, response: HttpResponse) -> ResponseMatch:
+        """Return which request a response names, and keep what it says."""
+        check = self._interface.decode_response(response, self._call.attempt_id)
+        if check.match is ResponseMatch.OWN:
+            if self.check is not None:
+                log_event(
+                    "repeated_answer_skipped",
+                    attempt=self._call.attempt_id.decode("latin-1"),
+                    was_not_run=self.check.was_not_run,
+                )
+            self.check = check
+        elif check.match is ResponseMatch.UNNAMED and self.check is None:
+            self.check = check
+        return check.match
+
+    def make_verification(self, health_check: bytes) -> Verification | None:
+        """Return how to verify responses that name no request, if possible."""
+        if not health_check or self._call.method == b"HEAD":
+            return None
+        return Verification(
+            health_check, self._needs_verification, self._is_health_answer
+        )
+
+    def _needs_verification(self, _response: HttpResponse) -> bool:
+        """Return whether a mistake about the response would do harm.
+
+        If an idempotent call is taken for refused, it runs once more.
+        """
+        is_refusal = self.check.was_not_run and not self.check.is_replaced
+        return not (self._call.is_idempotent and is_refusal)
+
+    def _is_health_answer(self, response: HttpResponse) -> bool:
+        return self._interface.is_health_answer(response)
 
 
 def make_content(call: Call) -> RequestContent:
--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -4,12 +4,12 @@
 
 from kumquatwalk.clock import read_now
 from kumquatwalk.daemon.config_holder import ConfigHolder
+from kumquatwalk.daemon.health_check import make_health_check
 from kumquatwalk.daemon.settings import DaemonSettings
 from kumquatwalk.daemon.target_side import TargetSide
 from kumquatwalk.event_loop import limit_time
 from kumquatwalk.exception import ExchangeError
 from kumquatwalk.http1.client_connection import open_connection
-from kumquatwalk.http1.encoder import encode_request
 from kumquatwalk.logs import log_event
 from kumquatwalk.platform.target_response import read_target_id
 from kumquatwalk.platform.target_response import read_target_slots
@@ -78,20 +78,17 @@
                 pass  # a probe may be needed for another reason
 
     async def _probe(self) -> None:
-        service = self._configs.config.services.get(self._settings.service)
-        if service is None:
-            return
-        data = encode_request(
-            b"GET",
-            service.health_path.encode(),
-            ((b"Host", str(self._settings.target).encode()),),
-            b"",
+        settings = self._settings
+        data = make_health_check(
+            self._configs.config, settings.service, settings.target
         )
+        if not data:
+            return
         asked_at = read_now()
         try:
             async with limit_time(PROBE_TIMEOUT_S):
                 connection = await open_connection(
-                    self._settings.target, PROBE_TIMEOUT_S, _ANSWER_BYTES_MAX
+                    settings.target, PROBE_TIMEOUT_S, _ANSWER_BYTES_MAX
                 )
                 try:
                     response = await connection.exchange(data)
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -16,6 +16,7 @@
 from kumquatwalk.daemon.admission_waiter import AdmissionWaiter
 from kumquatwalk.daemon.config_holder import ConfigHolder
 from kumquatwalk.daemon.external_interface import ExternalInterface
+from kumquatwalk.daemon.health_check import make_health_check
 from kumquatwalk.daemon.metrics import DaemonMetrics
 from kumquatwalk.daemon.open_runs import OpenRuns
 from kumquatwalk.daemon.own_calls import OwnCalls
@@ -592,6 +593,9 @@
                 call,
                 timeout,
                 self.stop_admission.bound_deadline(call.deadline, now),
+                make_health_check(
+                    self._configs.config, self.service, self._client.address
+                ),
             )
         finally:
             self._open_runs.close(timeout)
--- a/kumquatwalk/http1/client_connection.py
+++ b/kumquatwalk/http1/client_connection.py
@@ -13,6 +13,9 @@
 from kumquatwalk.http1.read_limiter import ReadLimiter
 from kumquatwalk.http1.read_limiter import ReadShare
 from kumquatwalk.http1.receive_buffer import limit_received_bytes
+from kumquatwalk.http1.response_match import ResponseMatch
+from kumquatwalk.http1.response_match import Verification
+from kumquatwalk.http1.response_match import match_any
 from kumquatwalk.http1.response_parser import ResponseParser
 from kumquatwalk.http1.sockets import set_liveness_options
 
@@ -78,6 +81,8 @@
         idle_since: Start of the idle time, in seconds; set by connection pools.
         keep_alive_s: Keep-alive timeout announced by the server, in seconds;
             None if unknown. Set by connection pools.
+        is_in_step: Whether a repeat of the last response can be told from the
+            response to the next request.
     """
 
     def __init__(self, body_bytes_max: int, limiter: ReadLimiter | None = None):
@@ -87,11 +92,15 @@
         self._transport: asyncio.Transport | None = None
         self._parser: ResponseParser | None = None
         self._waiter: asyncio.Future[HttpResponse] | None = None
-        self._is_match: Callable[[HttpResponse], bool] = _match_any
+        self._match: Callable[[HttpResponse], ResponseMatch] = match_any
+        self._verification: Verification | None = None
+        # Response that waits to be verified.
+        self._unverified: HttpResponse | None = None
         self._mismatched_count = 0
         self._is_usable = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
+        self.is_in_step = True
 
     @property
     def is_open(self) -> bool:
@@ -107,7 +116,8 @@
         self,
         data: bytes,
         is_head: bool = False,
-        is_match: Callable[[HttpResponse], bool] | None = None,
+        match: Callable[[HttpResponse], ResponseMatch] = match_any,
+        verification: Verification | None = None,
     ) -> HttpResponse:
         """Send a request and wait for its response.
 
@@ -117,8 +127,11 @@
         Args:
             data: The encoded request.
             is_head: Whether the method is HEAD.
-            is_match: Returns whether a response belongs to this request;
-                other responses are skipped. None matches any response.
+            match: Returns which request a response names; responses to other
+                requests are skipped.
+            verification: Request that is sent after an unnamed response that
+                must be verified; None to take any unnamed response. Not for
+                HEAD, as the framing of its response differs.
 
         Returns:
             The response.
@@ -138,7 +151,9 @@
         self._parser = ResponseParser(
             is_head, self._body_bytes_max, self._share
         )
-        self._is_match = is_match or _match_any
+        self._match = match
+        self._verification = verification
+        self._unverified = None
         self._mismatched_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
@@ -219,10 +234,25 @@
 
     def _deliver(self, responses: list[HttpResponse], has_extra: bool) -> None:
         for index, response in enumerate(responses):
-            if self._is_match(response):
-                is_last = index == len(responses) - 1
-                self._finish(response, has_extra or not is_last)
+            is_followed = has_extra or index < len(responses) - 1
+            match = self._match(response)
+            if match is ResponseMatch.OWN:
+                self.is_in_step = True
+                # The response to the verification, if any, is still due.
+                is_followed |= self._unverified is not None
+                self._finish(response, is_followed)
                 return
+            if self._unverified is not None:
+                if self._verify(response, match, is_followed):
+                    return
+            elif match is ResponseMatch.UNNAMED:
+                if not self._needs_verification(response):
+                    self.is_in_step = False
+                    self._finish(response, is_followed)
+                    return
+                self._unverified = response
+                self._transport.write(self._verification.request)
+                continue
             self._mismatched_count += 1
             if (
                 response.closes_connection
@@ -233,6 +263,39 @@
                 )
                 return
 
+    def _needs_verification(self, response: HttpResponse) -> bool:
+        # An earlier response that closed the connection would have ended it, so
+        # one that does is no repeat.
+        return (
+            self._verification is not None
+            and not response.closes_connection
+            and self._verification.is_required(response)
+        )
+
+    def _verify(
+        self, response: HttpResponse, match: ResponseMatch, is_followed: bool
+    ) -> bool:
+        """Finish the exchange if a response verifies the one before.
+
+        Args:
+            response: Response that does not name the request.
+            match: Which request it names.
+            is_followed: Whether further bytes have been received after it.
+
+        Returns:
+            Whether the exchange has ended.
+        """
+        is_answer = self._verification.is_answer(response)
+        if match is ResponseMatch.OTHER and not is_answer:
+            return False
+        self.is_in_step = True
+        # If it may be the request's own refusal after a repeat, the response to
+        # the verification is still due.
+        is_last = is_answer and not is_followed
+        is_last &= not response.closes_connection
+        self._finish(self._unverified, not is_last)
+        return True
+
     def _finish(self, response: HttpResponse, has_extra: bool) -> None:
         if response.closes_connection or has_extra:
             self._is_usable = False
@@ -248,7 +311,3 @@
         if waiter is not None and not waiter.done():
             waiter.set_exception(ExchangeError(code, message, sent=True))
         self.abort()
-
-
-def _match_any(_response: HttpResponse) -> bool:
-    return True
--- a/kumquatwalk/native/interface.py
+++ b/kumquatwalk/native/interface.py
@@ -6,6 +6,7 @@
 from kumquatwalk.http1.headers import remove_hop_by_hop
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
+from kumquatwalk.http1.response_match import ResponseMatch
 from kumquatwalk.mesh.message import Call
 from kumquatwalk.native import names
 from kumquatwalk.native.fleet_config import decode_fleet_config
@@ -63,12 +64,17 @@
             response.find_header(names.HEADER_NOT_RUN) is not None
         )
         return ResponseCheck(
-            belongs_to_request=True,
+            match=ResponseMatch.OWN,
             is_complete=True,
             was_not_run=is_unavailable and has_not_run_header,
             is_replaced=False,
         )
 
+    def is_health_answer(self, response: HttpResponse) -> bool:
+        """Return that none does: targets have no health check."""
+        del response
+        return False
+
     def list_response_headers(
         self, response: HttpResponse, attempt_id: bytes
     ) -> tuple[Header, ...]:
--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -6,6 +6,7 @@
 from kumquatwalk.http1.message import Header
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.message import index_headers
+from kumquatwalk.http1.response_match import ResponseMatch
 from kumquatwalk.platform import names
 from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
 from kumquatwalk.targets.rate_limit import RateLimit
@@ -13,6 +14,7 @@
 
 __all__ = [
     "decode_target_response",
+    "is_health_answer",
     "list_response_headers",
     "read_target_id",
     "read_target_slots",
@@ -36,14 +38,14 @@
     """Decode what a target's response says of a request.
 
     A success must echo the attempt identifier to count as the response to this
-    request. An error may leave it out, but must not echo another one.
+    request. An error may leave it out; it then names no request.
 
     Args:
         response: Response read from the connection of the request.
         attempt_id: Attempt identifier with which the request was sent.
 
     Returns:
-        Whether the response belongs to the request, is unaltered, says that
+        Which request the response names, whether it is unaltered, says that
         the request was not run, comes from another target, and what the target
         says of itself.
     """
@@ -53,16 +55,18 @@
     )
     echoed = values.get(names.HEADER_ATTEMPT_ID)
     is_success = 200 <= response.status < 300
-    belongs_to_request = (
-        echoed == attempt_id if echoed is not None else not is_success
-    )
+    if echoed is None:
+        match = ResponseMatch.OTHER if is_success else ResponseMatch.UNNAMED
+    else:
+        is_own = echoed == attempt_id
+        match = ResponseMatch.OWN if is_own else ResponseMatch.OTHER
     # A success that lacks the signature or has a content encoding was altered
     # on its way.
     is_complete = not is_success or (
         names.HEADER_SIGNATURE in values and b"content-encoding" not in values
     )
     return ResponseCheck(
-        belongs_to_request=belongs_to_request,
+        match=match,
         is_complete=is_complete,
         was_not_run=was_not_run,
         is_replaced=was_not_run and response.status == 421,
@@ -91,6 +95,22 @@
     )
 
 
+def is_health_answer(response: HttpResponse) -> bool:
+    """Return whether a response is surely one to a health check.
+
+    It names the target and no request. The refusal of a request that is meant
+    for another target may do so too, with a status of its own.
+
+    Args:
+        response: Response of a target.
+    """
+    return (
+        response.status != 421
+        and bool(read_target_id(response))
+        and response.find_header(names.HEADER_ATTEMPT_ID) is None
+    )
+
+
 def read_target_id(response: HttpResponse) -> str:
     """Return the target identifier in a response; empty if it has none."""
     value = response.find_header(names.HEADER_TARGET_ID) or b""
--- a/kumquatwalk/targets/client.py
+++ b/kumquatwalk/targets/client.py
@@ -11,6 +11,8 @@
 from kumquatwalk.http1.client_connection import open_connection
 from kumquatwalk.http1.message import HttpResponse
 from kumquatwalk.http1.read_limiter import ReadLimiter
+from kumquatwalk.http1.response_match import ResponseMatch
+from kumquatwalk.http1.response_match import Verification
 
 __all__ = ["TargetClient"]
 
@@ -56,23 +58,28 @@
         self.address = address
         self._limiter = limiter
         self._idle: list[ClientConnection] = []
+        # Those on which a repeat of the last response could be taken for the
+        # next one.
+        self._idle_out_of_step: list[ClientConnection] = []
         self._connections: list[ClientConnection] = []
         self.connections_opened = 0
         self._listening_check: asyncio.Task | None = None
 
     def close(self) -> None:
         """Close the idle connections."""
-        for connection in self._idle:
-            connection.abort()
-        self._idle.clear()
+        for idle in (self._idle, self._idle_out_of_step):
+            for connection in idle:
+                connection.abort()
+            idle.clear()
 
     async def exchange(
         self,
         data: bytes,
         is_head: bool,
         is_idempotent: bool,
-        accepts,
+        match: Callable[[HttpResponse], ResponseMatch],
         on_send: Callable[[], None] = lambda: None,
+        verification: Verification | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
@@ -82,10 +89,11 @@
             data: Encoded request.
             is_head: Whether the method is HEAD, whose response has no body.
             is_idempotent: Whether the request may run more than once; otherwise
-                only a recently used connection is reused.
-            accepts: Predicate that returns whether a response belongs to the
-                request.
+                only a recently used connection is reused, on which a repeat of
+                the last response can be told from the next one.
+            match: Returns which request a response names.
             on_send: Called before the first byte of the request is sent.
+            verification: See ``ClientConnection.exchange``.
 
         Returns:
             The complete response.
@@ -96,7 +104,7 @@
         """
         connection = await self._acquire(is_idempotent)
         on_send()
-        response = await connection.exchange(data, is_head, accepts)
+        response = await connection.exchange(data, is_head, match, verification)
         self._release(connection, response)
         return response
 
@@ -134,20 +142,15 @@
 
     async def _acquire(self, is_idempotent: bool) -> ClientConnection:
         now = read_now()
-        while self._idle:
-            connection = self._idle.pop()
-            idle_s = now - connection.idle_since
-            keep_alive_s = connection.keep_alive_s
-            idle_max_s = (
-                DEFAULT_IDLE_MAX_S
-                if keep_alive_s is None
-                else keep_alive_s * KEEP_ALIVE_FRACTION
-            )
-            if not is_idempotent:
-                idle_max_s = min(idle_max_s, NON_IDEMPOTENT_IDLE_MAX_S)
-            if connection.is_usable and idle_s < idle_max_s:
-                return connection
-            connection.abort()
+        connection = None
+        if is_idempotent:
+            connection = _take_fresh(self._idle_out_of_step, True, now)
+        connection = connection or _take_fresh(self._idle, is_idempotent, now)
+        if connection is not None:
+            return connection
+        if self._idle_out_of_step:
+            # The new connection takes its place at the target.
+            self._idle_out_of_step.pop().abort()
         self.connections_opened += 1
         connection = await open_connection(
             self.address,
@@ -168,7 +171,31 @@
         timeout_s = _read_keep_alive(response)
         if timeout_s is not None:
             connection.keep_alive_s = timeout_s
-        self._idle.append(connection)
+        if connection.is_in_step:
+            self._idle.append(connection)
+        else:
+            self._idle_out_of_step.append(connection)
+
+
+def _take_fresh(
+    idle: list[ClientConnection], is_idempotent: bool, now: float
+) -> ClientConnection | None:
+    """Remove and return the connection used last; None if all are too old."""
+    while idle:
+        connection = idle.pop()
+        idle_s = now - connection.idle_since
+        keep_alive_s = connection.keep_alive_s
+        idle_max_s = (
+            DEFAULT_IDLE_MAX_S
+            if keep_alive_s is None
+            else keep_alive_s * KEEP_ALIVE_FRACTION
+        )
+        if not is_idempotent:
+            idle_max_s = min(idle_max_s, NON_IDEMPOTENT_IDLE_MAX_S)
+        if connection.is_usable and idle_s < idle_max_s:
+            return connection
+        connection.abort()
+    return None
 
 
 def _read_keep_alive(response: HttpResponse) -> float | None:
--- a/kumquatwalk/targets/response.py
+++ b/kumquatwalk/targets/response.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from kumquatwalk.http1.response_match import ResponseMatch
 from kumquatwalk.targets.rate_limit import NO_RATE_LIMIT
 from kumquatwalk.targets.rate_limit import RateLimit
 
@@ -13,7 +14,7 @@
     """Result of checking a target's response against the request.
 
     Attributes:
-        belongs_to_request: Whether the response belongs to the request.
+        match: Whether the response names the request, another one or none.
         is_complete: Whether the response is complete and unchanged.
         was_not_run: Whether the target reports that it did not run the request.
         is_replaced: Whether another target now serves at the address.
@@ -23,7 +24,7 @@
             None if the response does not say it.
     """
 
-    belongs_to_request: bool
+    match: ResponseMatch
     is_complete: bool
     was_not_run: bool
     is_replaced: bool
--- a/kumquatwalk/targets/tests/test_client.py
+++ b/kumquatwalk/targets/tests/test_client.py
@@ -4,6 +4,7 @@
 import unittest
 
 from kumquatwalk.http1.encoder import encode_request
+from kumquatwalk.http1.response_match import match_any
 from kumquatwalk.standin.scripted_target import Script
 from kumquatwalk.standin.scripted_target import ScriptedTarget
 from kumquatwalk.targets.client import TargetClient
@@ -23,7 +24,7 @@
         """Start exchanges that do not end by themselves."""
         tasks = [
             asyncio.create_task(
-                self.client.exchange(REQUEST, False, True, lambda _: True)
+                self.client.exchange(REQUEST, False, True, match_any)
             )
             for _ in range(count)
         ]
--- a/kumquatwalk/targets/tests/test_own_pause.py
+++ b/kumquatwalk/targets/tests/test_own_pause.py
@@ -9,6 +9,7 @@
 
 from kumquatwalk.address import Address
 from kumquatwalk.exception import ExchangeError
+from kumquatwalk.http1.response_match import match_any
 from kumquatwalk.targets.client import CONNECT_TIMEOUT_S
 from kumquatwalk.targets.client import LISTENING_TIMEOUT_S
 from kumquatwalk.targets.client import LISTENING_WATCH_S
@@ -53,7 +54,7 @@
                 b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
                 False,
                 True,
-                lambda _: True,
+                match_any,
             )
         )
         try:
@@ -106,7 +107,7 @@
         if has_run:
             request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
             run = asyncio.create_task(
-                client.exchange(request, False, True, lambda _: True)
+                client.exchange(request, False, True, match_any)
             )
             loop = asyncio.get_running_loop()
             peer, _ = await loop.sock_accept(self.listener)
