Open targets by a health check only if they are of the node's service

Cause: after a 421, or at the start of a process, a health check opened whatever target answered it. It names an identifier, but no service; that identifier then stood in Expect-Instance, so no further 421 could come. The log shows the other target as ready 14 ms after the 421 and 1.2 s before its first heartbeat.

Ruled out: a late heartbeat (those of the other service are ignored, a line each) and settings that take effect in part (they came 0.3 s later).

Change: a health check opens a target only under an identifier that a heartbeat for the node's service has named, or that a peer remembers as the last ready target beside this node. Peers tell it in their first message on a link, from both ends. A heartbeat of another service takes its identifier out of use. A health check is sent as soon as a target becomes known, in place of up to 0.7 s later, and none before.

--- a/kumquatwalk/daemon/core.py
+++ b/kumquatwalk/daemon/core.py
@@ -52,7 +52,9 @@
 from kumquatwalk.roster.entry import RosterEntry
 from kumquatwalk.routing.call_graph import CallGraph
 from kumquatwalk.routing.call_graph import TrafficReport
+from kumquatwalk.routing.known_targets import KnownTargets
 from kumquatwalk.routing.target_choice import TargetView
+from kumquatwalk.targets.heartbeat import TargetState
 from kumquatwalk.tasks import log_errors
 
 __all__ = ["DaemonCore"]
@@ -133,6 +135,7 @@
         self._traffic = TrafficMeter()
         self._graph = CallGraph()
         self._refusals = FleetRefusals()
+        self._known_targets = KnownTargets()
         self._crash_tracker = CrashTracker(
             CrashTable(),
             lambda report: self.link_server.broadcast(CrashNotice(report)),
@@ -242,11 +245,12 @@
 
         Args:
             receiver: Identifier of the node that it is for. The message says
-                which target of that node has left, as a node that has been
-                restarted does not know it.
+                which target of that node has left, and which was last ready, as
+                a node that has been restarted does not know it.
         """
         settings = self.settings
         left_key, left_start_ms = self.caller_side.leaving.find(receiver)
+        known_key, known_service = self._known_targets.find(receiver)
         return Hello(
             node_id=settings.node_id,
             incarnation=self.incarnation,
@@ -258,6 +262,8 @@
             left_target_key=left_key,
             left_target_start_ms=left_start_ms,
             takes_cap_requests=True,
+            known_target_key=known_key,
+            known_target_service=known_service,
         )
 
     def _hedge_call(self, call: Call) -> None:
@@ -274,6 +280,7 @@
                 self._handle_traffic_report,
                 self._handle_crash_notice,
                 self._handle_cap_answer,
+                self._recall_target,
             ),
             self.partition,
             self.body_budget,
@@ -341,15 +348,27 @@
 
     def _add_peer(self, hello: Hello) -> None:
         self.roster.add_peer(hello)
+        self._recall_target(hello)
+
+    def _recall_target(self, hello: Hello) -> None:
+        """Apply what a peer remembers of the target beside this node."""
         if hello.left_target_key:
             self.target_side.recall_departure(
                 hello.left_target_key, hello.left_target_start_ms
             )
+        if hello.known_target_key:
+            self.target_side.recall_target(
+                hello.known_target_key, hello.known_target_service
+            )
 
     def _handle_status(self, view: TargetView, status: TargetStatus) -> None:
         # Without its start, it could not be told from its next one.
         if status.is_leaving and status.target_start_ms:
             self.caller_side.leaving.record(view.node_id, status)
+        if status.state is TargetState.READY and status.target_key:
+            self._known_targets.record(
+                view.node_id, status.target_key, view.service
+            )
         is_due = self._config_pull.is_due(
             status.config_version,
             self.configs.version,
--- a/kumquatwalk/daemon/target_prober.py
+++ b/kumquatwalk/daemon/target_prober.py
@@ -18,8 +18,8 @@
 
 __all__ = ["TargetProber"]
 
-# Minimum interval between probes, and interval of the checks whether one is
-# needed, in seconds.
+# Interval between probes while one is needed, and of the checks whether one is,
+# in seconds. A request brings the next one forward.
 PROBE_INTERVAL_S = 0.7
 # Interval of the checks whether the configuration is known yet, in seconds.
 CONFIG_POLL_S = 0.05
@@ -69,8 +69,6 @@
             requested.clear()
             if self._target_side.needs_probe:
                 await self._probe()
-                await asyncio.sleep(PROBE_INTERVAL_S)
-                continue
             try:
                 async with asyncio.timeout(PROBE_INTERVAL_S):
                     await requested.wait()
--- a/kumquatwalk/daemon/target_side.py
+++ b/kumquatwalk/daemon/target_side.py
@@ -134,6 +134,10 @@
         self.record = TargetRecord(is_probed=bool(settings.service))
         self.probe_requested = asyncio.Event()
         self._departures: dict[int, int] = {}
+        # Keys of targets of this node's service that peers remember.
+        self._recalled_keys: set[int] = set()
+        # Last target that has answered a probe and was not known; logged once.
+        self._unknown_target_id = ""
 
     @property
     def limiter(self) -> TargetLimiter:
@@ -150,10 +154,11 @@
         """Whether a probe is needed to learn if the target accepts calls.
 
         It is while the state is unknown or a heartbeat is unconfirmed, and
-        while a ready target gets no calls because it could not be reached.
+        while a ready target gets no calls because it could not be reached. Not
+        before a target of this node's service is known, as no other is used.
         """
         if self.record.state is TargetState.UNKNOWN:
-            return True
+            return bool(self.record.known or self._recalled_keys)
         if self.record.unconfirmed is not None:
             return True
         return (
@@ -241,6 +246,10 @@
                 service=heartbeat.service,
                 expected=self._settings.service,
             )
+            self._recalled_keys.discard(_hash_identifier(heartbeat.target_id))
+            record = self.record.remove_known(heartbeat.target_id)
+            if record is not self.record:
+                self._set_record(record)
             return True
         record = self.record.handle_heartbeat(heartbeat, read_now())
         if record is not self.record and not self._settings.service:
@@ -271,6 +280,19 @@
         if record is not self.record:
             self._set_record(record)
 
+    def recall_target(self, target_key: int, service: str) -> None:
+        """Record what a peer remembers: that a target was ready here.
+
+        Args:
+            target_key: Hash of its identifier, as this node published it.
+            service: Service of the target; another one than that of this node
+                is ignored, as the VM has got another target since.
+        """
+        is_new = target_key not in self._recalled_keys
+        if is_new and service and service == self._settings.service:
+            self._recalled_keys.add(target_key)
+            self.probe_requested.set()
+
     def handle_probe(self, target_id: str, slots: int, asked_at: float) -> None:
         """Update the target's state from a successful health probe.
 
@@ -280,9 +302,13 @@
                 reported none.
             asked_at: Time at which the probe was sent, in seconds.
         """
-        record = self.record.handle_probe(
-            target_id, slots, asked_at, read_now()
-        )
+        record = self.record
+        if _hash_identifier(target_id) in self._recalled_keys:
+            record = record.add_known(target_id)
+        if target_id not in (*record.known, self._unknown_target_id):
+            self._unknown_target_id = target_id
+            log_event("target_of_unknown_service", target=target_id)
+        record = record.handle_probe(target_id, slots, asked_at, read_now())
         if record.target_id == target_id:
             self._set_record(record)
 
--- a/kumquatwalk/mesh/decoder.py
+++ b/kumquatwalk/mesh/decoder.py
@@ -86,6 +86,8 @@
         left_target_key=int(reader.leftTargetKey),
         left_target_start_ms=int(reader.leftTargetStartMs),
         takes_cap_requests=bool(reader.takesCapRequests),
+        known_target_key=int(reader.knownTargetKey),
+        known_target_service=str(reader.knownTargetService),
     )
 
 
--- a/kumquatwalk/mesh/encoder.py
+++ b/kumquatwalk/mesh/encoder.py
@@ -69,6 +69,9 @@
     builder.leftTargetKey = message.left_target_key
     builder.leftTargetStartMs = message.left_target_start_ms
     builder.takesCapRequests = message.takes_cap_requests
+    if message.known_target_key:
+        builder.knownTargetKey = message.known_target_key
+        builder.knownTargetService = message.known_target_service
 
 
 @write_frame.register
--- a/kumquatwalk/mesh/link_server.py
+++ b/kumquatwalk/mesh/link_server.py
@@ -73,7 +73,7 @@
 
     Args:
         address: Address to listen on.
-        make_hello: Returns this node's handshake message.
+        make_hello: Returns this node's handshake message to a peer.
         serve_call: Serves one call; its second argument is whether the peer
             sent it before. Cancelled when the caller cancels the call or, with
             message ``LINK_LOST``, when the link is lost.
@@ -101,7 +101,7 @@
     def __init__(
         self,
         address: Address,
-        make_hello: Callable[[], Hello],
+        make_hello: Callable[[str], Hello],
         serve_call: Callable[[Call, bool], Awaitable[Reply]],
         release_reply: Callable[[int], None],
         serve_query: Callable[[OwnerQuery], Awaitable[Reply]],
@@ -243,7 +243,7 @@
             return
         match message:
             case Hello():
-                hello = self._make_hello()
+                hello = self._make_hello(message.node_id)
                 session.peer = message
                 link.attach_partition(self._partition, message.host)
                 link.send(hello)
--- a/kumquatwalk/mesh/mesh.capnp
+++ b/kumquatwalk/mesh/mesh.capnp
@@ -12,6 +12,8 @@
   leftTargetKey @8 :UInt32;
   leftTargetStartMs @9 :UInt64;
   takesCapRequests @10 :Bool;
+  knownTargetKey @11 :UInt32;
+  knownTargetService @12 :Text;
 }
 
 struct Call {
--- a/kumquatwalk/mesh/message.py
+++ b/kumquatwalk/mesh/message.py
@@ -56,6 +56,10 @@
         left_target_start_ms: Start of that target in Unix milliseconds.
         takes_cap_requests: Whether the sender takes ``CapRequest``, on which
             an earlier release closes the link.
+        known_target_key: Hash of the identifier of the last target beside the
+            receiver that the sender knows to have been ready; 0 if it knows of
+            none.
+        known_target_service: Service of that target.
     """
 
     node_id: str
@@ -68,6 +72,8 @@
     left_target_key: int = 0
     left_target_start_ms: int = 0
     takes_cap_requests: bool = False
+    known_target_key: int = 0
+    known_target_service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kumquatwalk/mesh/peer_link.py
+++ b/kumquatwalk/mesh/peer_link.py
@@ -575,6 +575,7 @@
             if hello.availability_zone != self._own_zone:
                 link.enable_compression()
             self._complete_handshake(hello)
+            self._callbacks.on_hello(hello)
 
     def _handle_status(self, status: TargetStatus, now: float) -> None:
         sent_at = None
--- a/kumquatwalk/mesh/tests/test_link_server.py
+++ b/kumquatwalk/mesh/tests/test_link_server.py
@@ -58,7 +58,7 @@
         self.served = []
         self.server = LinkServer(
             Address("127.0.0.1", 0),
-            lambda: HELLO,
+            lambda _: HELLO,
             self._serve_call,
             lambda _: None,
             self._serve_query,
--- a/kumquatwalk/targets/record.py
+++ b/kumquatwalk/targets/record.py
@@ -23,6 +23,9 @@
     until its heartbeats have gone on for ``LATE_HEARTBEAT_MAX_S``. Only the
     latter confirms it if a start of the target that is not known leaves.
 
+    Whatever process has the address answers health checks. Only heartbeats name
+    a service, so a health check opens only targets that one has named.
+
     Attributes:
         target_id: Identifier of the target; empty while unknown.
         incarnation: Start time of the target in Unix milliseconds; 0 when
@@ -33,6 +36,8 @@
         cold_until: Time at which its cold start ends, in seconds.
         superseded: Identifiers of the targets that it has replaced.
         departed: Identifiers of other targets that have said that they leave.
+        known: Identifiers of targets that are known to be of the service of
+            this node.
         is_probed: Whether the target is probed, so that heartbeats can be
             confirmed; otherwise all are taken as they come.
         is_confirmed: Whether any target has been confirmed since the start.
@@ -49,6 +54,7 @@
     cold_until: float = 0.0
     superseded: frozenset[str] = frozenset()
     departed: frozenset[str] = frozenset()
+    known: frozenset[str] = frozenset()
     is_probed: bool = False
     is_confirmed: bool = False
     unconfirmed: Heartbeat | None = None
@@ -89,12 +95,15 @@
         same incarnation.
 
         Args:
-            heartbeat: Received heartbeat.
+            heartbeat: Received heartbeat of a target of this node's service.
             now: Current time, in seconds.
 
         Returns:
             The new record, or this one when the heartbeat is ignored.
         """
+        if self.is_probed and heartbeat.target_id not in self.known:
+            known = self.add_known(heartbeat.target_id)
+            return known.handle_heartbeat(heartbeat, now)
         if self._is_older(heartbeat):
             return self
         if heartbeat.state is TargetState.DRAINING:
@@ -110,7 +119,7 @@
     ) -> "TargetRecord":
         """Return the record updated by a successful health check.
 
-        A target in state ``UNKNOWN`` becomes ready, and an unconfirmed
+        A known target in state ``UNKNOWN`` becomes ready, and an unconfirmed
         heartbeat of the target that answered is accepted if it came before the
         health check was sent, or if the target becomes ready anyway. Otherwise
         heartbeats take precedence over health checks.
@@ -134,6 +143,8 @@
             record = dataclasses.replace(self, unconfirmed=None)
         if self.state is not TargetState.UNKNOWN or target_id in self.departed:
             return record
+        if target_id not in self.known:
+            return record
         if unconfirmed is not None and unconfirmed.target_id == target_id:
             # The target is ready in any case; the heartbeat tells its start.
             return self._accept(unconfirmed, now, is_confirmed=True)
@@ -142,6 +153,7 @@
             record = TargetRecord(
                 target_id=target_id,
                 departed=self.departed,
+                known=self.known,
                 is_probed=self.is_probed,
             )
         return dataclasses.replace(
@@ -168,6 +180,29 @@
             state=TargetState.GONE,
         )
 
+    def add_known(self, target_id: str) -> "TargetRecord":
+        """Return the record with a target that is of the node's service.
+
+        Args:
+            target_id: Identifier of the target.
+        """
+        return dataclasses.replace(self, known=self.known | {target_id})
+
+    def remove_known(self, target_id: str) -> "TargetRecord":
+        """Return the record after a target was found to be of another service.
+
+        Args:
+            target_id: Identifier of the target; if it is in use, the state
+                becomes unknown.
+        """
+        if target_id not in self.known:
+            return self
+        record = dataclasses.replace(
+            self._drop_unconfirmed(target_id), known=self.known - {target_id}
+        )
+        is_in_use = target_id == self.target_id and not self.is_leaving
+        return record.mark_replaced() if is_in_use else record
+
     def mark_leaving(self) -> "TargetRecord":
         """Return the record after the target said that it leaves."""
         if self.state is TargetState.GONE:
--- a/kumquatwalk/targets/tests/test_record.py
+++ b/kumquatwalk/targets/tests/test_record.py
@@ -33,6 +33,12 @@
     return record
 
 
+def find_by_probe(**fields) -> TargetRecord:
+    """Return a record whose target is known and has answered a probe."""
+    record = TargetRecord(**fields).add_known("i-1")
+    return record.handle_probe("i-1", 8, 9.0, 9.1)
+
+
 class TargetRecordTest(unittest.TestCase):
 
     def test_older_sequence_is_ignored(self):
@@ -88,13 +94,40 @@
         self.assertEqual(record.target_id, "i-2")
 
     def test_probe_changes_only_the_unknown_state(self):
-        record = TargetRecord().handle_probe("i-1", 8, 10.0, 10.0)
+        record = find_by_probe()
         self.assertIs(record.state, TargetState.READY)
         record = apply(make_heartbeat(state=TargetState.DRAINING)).handle_probe(
             "i-1", 8, 10.0, 10.0
         )
         self.assertIs(record.state, TargetState.DRAINING)
 
+    # Guards against ROUTE: the address of a target that had ended went to one
+    # of another service, which answered the health check and was used.
+    def test_probe_opens_no_target_of_an_unknown_service(self):
+        new = TargetRecord(is_probed=True)
+        replaced = find_by_probe(is_probed=True).mark_replaced()
+        for record in (new, new.handle_departure("i-2"), replaced):
+            record = record.handle_probe("i-2", 8, 9.3, 9.4)
+            self.assertIsNot(record.state, TargetState.READY)
+            self.assertNotEqual(record.known, {"i-2"})
+
+    def test_target_that_a_heartbeat_has_named_is_opened_by_a_probe(self):
+        replaced = find_by_probe(is_probed=True).mark_replaced()
+        named = make_heartbeat(target_id="i-2", incarnation=0)
+        record = replaced.handle_heartbeat(named, 9.3)
+        record = record.handle_probe("i-2", 8, 9.4, 9.5)
+        self.assertEqual(
+            (record.target_id, record.state), ("i-2", TargetState.READY)
+        )
+
+    def test_target_of_another_service_is_not_used_again(self):
+        ready = find_by_probe(is_probed=True)
+        record = ready.remove_known("i-1")
+        self.assertIs(record.state, TargetState.UNKNOWN)
+        record = record.handle_probe("i-1", 8, 9.3, 9.4)
+        self.assertIs(record.state, TargetState.UNKNOWN)
+        self.assertIs(ready.remove_known("i-2"), ready)
+
     # Guards against a sound target staying out because its health check fails.
     def test_heartbeats_that_go_on_count_without_a_probe(self):
         record = TargetRecord(is_probed=True)
@@ -135,8 +168,7 @@
     # Guards against a target that is started again under its identifier staying
     # out: the start before was known from health checks only.
     def test_target_of_unknown_start_that_left_is_used_after_a_restart(self):
-        record = TargetRecord(is_probed=True)
-        left = record.handle_probe("i-1", 8, 9.0, 9.1).mark_leaving()
+        left = find_by_probe(is_probed=True).mark_leaving()
         first = make_heartbeat(incarnation=2000, sequence=1)
         record = left.handle_heartbeat(first, 10.0)
         self.assertIs(record.state, TargetState.DRAINING)
@@ -152,8 +184,7 @@
     # Guards against DRAIN: a late heartbeat of a target that leaves, of a start
     # that is not known and still answers health checks, brings it back.
     def test_probe_does_not_bring_back_a_target_that_leaves(self):
-        record = TargetRecord(is_probed=True)
-        record = record.handle_probe("i-1", 8, 9.0, 9.1).mark_leaving()
+        record = find_by_probe(is_probed=True).mark_leaving()
         record = record.handle_heartbeat(make_heartbeat(), 10.0)
         record = record.handle_probe("i-1", 8, 10.1, 10.2)
         self.assertIs(record.state, TargetState.DRAINING)
@@ -167,8 +198,7 @@
         self.assertIs(record.state, TargetState.DRAINING)
 
     def test_departure_that_others_remember_ends_with_another_start(self):
-        record = TargetRecord(is_probed=True)
-        record = record.handle_probe("i-1", 8, 9.0, 9.1).apply_departure(1000)
+        record = find_by_probe(is_probed=True).apply_departure(1000)
         self.assertIs(record.state, TargetState.DRAINING)
         record = record.handle_heartbeat(make_heartbeat(sequence=7), 9.2)
         self.assertIs(record.state, TargetState.DRAINING)
@@ -177,11 +207,11 @@
         self.assertIs(record.state, TargetState.READY)
 
     def test_other_start_is_told_from_another_report_of_the_same(self):
-        probed = TargetRecord().handle_probe("i-1", 8, 9.0, 9.1)
+        probed = find_by_probe()
         ready = probed.handle_heartbeat(make_heartbeat(), 9.2)
         left = ready.mark_leaving()
         again = make_heartbeat(incarnation=2000)
-        replaced = ready.mark_replaced()
+        replaced = ready.mark_replaced().add_known("i-2")
         for before, record, expected in (
             (TargetRecord(), probed, False),
             (probed, ready, False),
@@ -204,8 +234,7 @@
         self.assertTrue(ready.is_of_other_start(waiting))
 
     def test_unplaced_heartbeat_does_not_replace_the_target(self):
-        record = TargetRecord(is_probed=True)
-        record = record.handle_probe("i-1", 8, 9.0, 9.1)
+        record = find_by_probe(is_probed=True)
         record = record.handle_heartbeat(make_heartbeat(sequence=5), 9.2)
         for state in (TargetState.READY, TargetState.DRAINING):
             other = make_heartbeat(target_id="i-2", incarnation=0, state=state)
@@ -222,8 +251,7 @@
     # Guards against the departure of a target being forgotten because another
     # one was current when it came.
     def test_late_heartbeat_after_a_departure_does_not_make_it_current(self):
-        record = TargetRecord(is_probed=True)
-        record = record.handle_probe("i-1", 8, 9.0, 9.1)
+        record = find_by_probe(is_probed=True)
         record = record.handle_heartbeat(make_heartbeat(), 9.2)
         record = record.handle_departure("i-2")
         late = make_heartbeat(target_id="i-2", incarnation=2000)
