Stop by the grace period of the settings in force

Cause: Daemon.apply_settings did not pass the grace period on, and Daemon.drain read that of the start. Ruled out: a change that is not read (settings_in_force is logged).

Change: a change sets the grace period of the next stop, and a stop first reads the settings, as the file is polled each second only.

--- a/kumquatwalk/cli/daemon.py
+++ b/kumquatwalk/cli/daemon.py
@@ -59,6 +59,7 @@
         watcher = SettingsWatcher(
             settings_path, settings, process.apply_settings
         )
+        process.check_settings = watcher.check
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, watcher.check)
         watcher.start()
--- a/kumquatwalk/daemon/process.py
+++ b/kumquatwalk/daemon/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 from kumquatwalk.clock import read_now
@@ -65,6 +66,8 @@
     Attributes:
         core: Components that do not depend on the formats of the callers.
         is_stopping: Whether the graceful stop has begun.
+        check_settings: Called as the stop begins, to apply settings that have
+            changed and have not been noticed yet.
     """
 
     def __init__(
@@ -76,6 +79,8 @@
     ):
         self.core = core
         self.is_stopping = False
+        self.check_settings: Callable[[], None] = _do_nothing
+        self._grace_s = core.settings.bounds.grace_s
         self._closes_by = math.inf
         self._caller_server = caller_server
         self._target_server = target_server
@@ -145,14 +150,17 @@
         Callers are still accepted for a while, until they are sent elsewhere,
         and requests of theirs that can end in time. Requests that cannot end
         before SIGKILL is due have got an answer that says so. An error in a
-        step is logged, and the others are taken.
+        step is logged, and the others are taken. The grace period is that of
+        the settings as the stop begins.
 
         Args:
             signalled_at: Time of the signal, from which SIGKILL is due, in
                 seconds; the current time if that is earlier.
         """
         began_at = read_now()
-        grace_s = self.core.settings.bounds.grace_s
+        with log_errors("drain_settings"):
+            self.check_settings()
+        grace_s = self._grace_s
         # A process that still runs was signalled within the grace period.
         signalled_at = max(began_at - grace_s, min(signalled_at, began_at))
         killed_at = signalled_at + grace_s
@@ -251,15 +259,19 @@
     def apply_settings(self, settings: DaemonSettings) -> None:
         """Apply changed settings.
 
-        Applies the retry bounds and the address of the store. The identity of
-        the process (its node, service and addresses) is fixed until it ends.
+        Applies the retry bounds, the grace period of the next stop and the
+        address of the store. The identity of the process (its node, service and
+        addresses) is fixed until it ends.
 
         Args:
             settings: New settings, already validated.
         """
         self.core.caller_side.set_bounds(settings.bounds)
         self.core.store.set_address(settings.store)
-        log_event("settings_in_force", store=settings.store)
+        self._grace_s = settings.bounds.grace_s
+        log_event(
+            "settings_in_force", store=settings.store, grace_s=self._grace_s
+        )
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets; log errors."""
@@ -288,3 +300,7 @@
 
     def _apply_config(self, config: FleetConfig) -> None:
         self._caller_server.limits = config.limits
+
+
+def _do_nothing() -> None:
+    pass
