Take a 421 of a target as not run without a header

Cause: decode_target_response asked for the header with each status.

Change: the status alone says so.

Tests: platform.test_target_response.ReplacedTest; its first test fails on the commit before. Not shown with a process.

--- a/kumquatwalk/platform/target_response.py
+++ b/kumquatwalk/platform/target_response.py
@@ -29,7 +29,10 @@
 _SLOWNESS_NORMAL = 100.0
 _RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # Statuses with which the not-run header of a target counts.
-_NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
+_NOT_RUN_STATUSES = frozenset((400, 429, 503))
+# Status that says, without that header too, that the request was meant for
+# another target and was not run.
+_STATUS_REPLACED = 421
 
 
 def decode_target_response(
@@ -50,7 +53,8 @@
         says of itself.
     """
     values = index_headers(response.headers)
-    was_not_run = (
+    is_replaced = response.status == _STATUS_REPLACED
+    was_not_run = is_replaced or (
         response.status in _NOT_RUN_STATUSES and names.HEADER_NOT_RUN in values
     )
     echoed = values.get(names.HEADER_ATTEMPT_ID)
@@ -69,7 +73,7 @@
         match=match,
         is_complete=is_complete,
         was_not_run=was_not_run,
-        is_replaced=was_not_run and response.status == 421,
+        is_replaced=is_replaced,
         is_leaving=names.HEADER_LEAVING in values,
         rate_limit=_read_rate_limit(values.get(names.HEADER_RATE_LIMIT)),
         slowness=_read_slowness(values.get(names.HEADER_TARGET_LOAD)),
@@ -105,7 +109,7 @@
         response: Response of a target.
     """
     return (
-        response.status != 421
+        response.status != _STATUS_REPLACED
         and bool(read_target_id(response))
         and response.find_header(names.HEADER_ATTEMPT_ID) is None
     )
--- a/kumquatwalk/platform/tests/test_target_response.py
+++ b/kumquatwalk/platform/tests/test_target_response.py
@@ -25,6 +25,26 @@
             self.assertFalse(decode(status=status).is_leaving)
 
 
+class ReplacedTest(unittest.TestCase):
+
+    # Guards against callers that get the 421 of a target's address, where the
+    # node went on taking the target for the one that it knew.
+    def test_421_says_without_a_header_that_the_target_was_replaced(self):
+        for headers in ((), ((b"Instance-Id", b"i-2"),)):
+            response = HttpResponse(421, headers, b"")
+            check = decode_target_response(response, b"id")
+            self.assertTrue(check.was_not_run)
+            self.assertTrue(check.is_replaced)
+
+    def test_other_refusals_need_the_header(self):
+        for status in (400, 429, 503):
+            for headers in ((), ((b"Not-Executed", b"1"),)):
+                response = HttpResponse(status, headers, b"")
+                check = decode_target_response(response, b"id")
+                self.assertIs(check.was_not_run, bool(headers))
+                self.assertFalse(check.is_replaced)
+
+
 class RateLimitTest(unittest.TestCase):
 
     def test_named_rate_is_read_from_any_status(self):
